--- /dev/null
+++ b/packages/agent/src/agent.ts
@@ -0,0 +1,466 @@
+import {
+  answerLinks, callOnce, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, serve, TERM, TERM_BEAT,
+  OPERATOR_BODY_LIMIT, SUMMARY_EPOCH, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Ask, type Held, type Hello, type Link, type Numbers, type Reply, type World,
+} from '@claynotch/base'
+import { startDuty } from '@claynotch/duty'
+import { takeAnnouncement, type Announcement } from '@claynotch/instance'
+import { CONFIG_KEY, makeOperatorEdge, type Body } from '@claynotch/operator'
+import { startPeers, type Summary } from '@claynotch/peer'
+import { takeProbe } from '@claynotch/platform'
+import {
+  compareBallots, gather, groupKey, makeProposer, MembersAnswer, Push, RenewAnswer, ValueShape,
+  type Ballot, type CorePlace, type GroupRecord, type Member, type Sight, type Value, type Voter,
+} from '@claynotch/register'
+import { Note, type FedCell, type Feed } from './words.js'
+
+// link: where the proxy of this machine finds its agent. peer: UDP, for summaries. http: operators, instances,
+// the platform, and nodes that look for the cores. seeds: http addresses of three other processes.
+export type AgentSettings = { node: string; area: string; link: Addr; peer: Addr; http: Addr; seeds: Addr[]; platform?: Addr; build: string }
+
+export type Agent = { stop: () => Promise<void>; numbers: Numbers; termUntil: () => number; cell: (key: string) => Value | undefined; apply: (next: { seeds: Addr[]; platform: Addr | undefined }) => void }
+
+// What is known of one register.
+// Invariants: value was chosen at ballot; turn never goes back; until only grows, and stays where it is
+// while a majority knows of something newer than value.
+type Known = { value: Value; ballot: Ballot; until: number }
+
+export async function startAgent(world: World, set: AgentSettings): Promise<Agent> {
+  const stop = makeFlag()
+  const numbers = makeNumbers()
+  const life = Math.floor(world.random() * 2 ** 40).toString(36)
+  const born = world.now()
+  const mine = hello('agent', set.node)
+  const cores = new Map<string, Held>()
+  let places: CorePlace[] = []
+  const known = new Map<string, Known>()
+  // wanted: newest ballot that a majority's answers showed, by key, with the time of that round; gone once known has it.
+  const wanted = new Map<string, { ballot: Ballot; from: number; chosenAt: string | undefined }>()
+  const news = makeBell()
+  const lag = makeBell()
+  const sights = new Map<string, { sight: Sight; at: number }>()
+  let members: Member[] = []
+  let termUntil = 0
+  // proxy: the one linked now. given: the latest time up to which any proxy of this machine may hold a term;
+  // an agent that has just started may have a predecessor's word out for one whole term.
+  let proxy: { link: Link; sent: Map<string, number>; note: Note | undefined } | undefined
+  let given = born + TERM
+  const acked = new Map<string, number>()
+  const pushNums = new Map<string, number>()
+  let { seeds, platform } = set
+  let sumNum = Math.floor(world.now())
+
+  function voters(): Voter[] {
+    const out: Voter[] = []
+    for (const [id, held] of cores) out.push({ id, ask: held.ask, tell: held.tell })
+    return out
+  }
+  function majority(): number {
+    return Math.floor(places.length / 2) + 1
+  }
+  const proposer = makeProposer(world, set.node, voters, majority)
+
+  // --- what is known ---
+
+  function learned(key: string, value: Value, ballot: Ballot, from?: number): void {
+    const old = known.get(key)
+    if (old && value.turn < old.value.turn) return
+    const newer = !old || value.turn > old.value.turn
+    const top = old && compareBallots(old.ballot, ballot) > 0 ? old.ballot : ballot
+    // A round that showed this very value proves it current as of its start.
+    const until = Math.max(old?.until ?? 0, from === undefined ? 0 : from + TERM)
+    known.set(key, { value: newer ? value : old.value, ballot: top, until })
+    const w = wanted.get(key)
+    if (w && compareBallots(w.ballot, top) <= 0) {
+      wanted.delete(key)
+      const now = known.get(key) as Known
+      known.set(key, { ...now, until: Math.max(now.until, w.from + TERM) })
+    }
+    if (newer) {
+      world.log.info('epoch-learnt', { key, turn: value.turn })
+      duty.ring()
+      news.ring()
+    }
+  }
+  function cell(key: string): Value | undefined {
+    return known.get(key)?.value
+  }
+  function config(): Body | undefined {
+    return cell(CONFIG_KEY)?.body as Body | undefined
+  }
+  function groups(): string[] {
+    const out: string[] = []
+    for (const g of config()?.config?.groups ?? []) out.push(g.name)
+    return out
+  }
+
+  // --- cores: found through seeds, then held ---
+
+  async function discover(): Promise<void> {
+    for (const seed of seeds) {
+      if (places.length > 0 || stop.fired()) return
+      const got = await callOnce(world, seed, 'GET', '/seeds', undefined, ROUND_LIFE)
+      const list = got.ok && got.val.status === 200 ? (got.val.body as { cores?: CorePlace[] }).cores : undefined
+      if (!Array.isArray(list) || list.length === 0) continue
+      places = list
+      for (const c of list) cores.set(c.id, holdLink(world, c.addr, mine, makeTake(c.id), stop, onCore))
+      world.log.info('cores-found', { seed, cores: list.length })
+    }
+  }
+  function onCore(): void {
+    lag.ring()
+  }
+  function makeTake(id: string) {
+    function take(msg: unknown): undefined {
+      const got = readAs(Push, msg)
+      if (got.err) {
+        numbers.add('claynotch_link_garbage_total')
+        throw new Error('unknown word from a core')
+      }
+      const p = got.val
+      pushNums.set(`${id} ${p.key}`, p.num)
+      numbers.add('claynotch_agent_pushes_total')
+      learned(p.key, p.value as Value, p.ballot)
+      tellAck(id, p.key)
+      return undefined
+    }
+    return take
+  }
+  // Tells one core that the proxy has applied what it has.
+  function tellAck(id: string, key: string): void {
+    const turn = acked.get(key)
+    if (turn !== undefined) cores.get(id)?.tell({ t: 'ack', num: pushNums.get(`${id} ${key}`) ?? 0, key, turn })
+  }
+  function ackAll(key: string, turn: number): void {
+    if ((acked.get(key) ?? 0) >= turn) return
+    acked.set(key, turn)
+    for (const id of cores.keys()) tellAck(id, key)
+  }
+
+  // --- the term ---
+
+  function ownSights(): Sight[] {
+    const out: Sight[] = []
+    const now = world.now()
+    for (const [name, one] of sights) {
+      const age = now - one.at
+      if (age > (one.sight.leaving ? LEAVING_LIFE : ANNOUNCE_LIFE)) sights.delete(name)
+      else out.push({ ...one.sight, age })
+    }
+    return out
+  }
+  async function renew(): Promise<void> {
+    if (places.length === 0) {
+      await discover()
+      if (places.length === 0) return
+    }
+    const from = world.now()
+    const highs = proxy?.note?.highs ?? []
+    const msg = { t: 'renew', node: set.node, life, area: set.area, addr: set.peer, operator: set.http, build: set.build, acks: [...acked], sights: ownSights(), open: proxy?.note?.open ?? 0, highs }
+    type Got = { id: string; got: RenewAnswer | undefined }
+    async function ask(id: string, held: Held): Promise<Got> {
+      const raw = await held.ask(msg, RENEW_WAIT)
+      const got = readAs(RenewAnswer, raw)
+      return { id, got: got.ok ? got.val : undefined }
+    }
+    const asks: Promise<Got>[] = []
+    for (const [id, held] of cores) asks.push(ask(id, held))
+    function isOk(g: Got): boolean {
+      return g.got?.ok === true
+    }
+    const all = await gather(world, asks, majority(), isOk, RENEW_WAIT)
+    const good: { id: string; got: RenewAnswer }[] = []
+    for (const g of all) if (g.got?.ok) good.push({ id: g.id, got: g.got })
+    if (good.length < majority()) {
+      numbers.add('claynotch_renewals_total', [['end', 'failed']])
+      if (termUntil > 0 && world.now() > termUntil) {
+        world.log.warn('term-lost', { node: set.node, answers: good.length, need: majority() })
+        termUntil = 0
+      }
+      return
+    }
+    numbers.add('claynotch_renewals_total', [['end', 'good']])
+    termUntil = Math.max(termUntil, from + TERM)
+    merge(good, from)
+    await feed()
+  }
+  function merge(good: { id: string; got: RenewAnswer }[], from: number): void {
+    const now = world.now()
+    const byNode = new Map<string, Member>()
+    // high: for each key, the newest ballot that any of the majority holds, and how many hold just that.
+    const high = new Map<string, { ballot: Ballot; count: number; chosenAt: string | undefined }>()
+    for (const { id, got } of good) {
+      for (const m of got.members) {
+        const old = byNode.get(m.node)
+        if (!old || m.left > old.left) byNode.set(m.node, m)
+      }
+      for (const s of got.sights) {
+        const at = now - s.age
+        const old = sights.get(s.name)
+        // Only what was heard from others is taken over, so that it ages here as it does there.
+        if (!old || at > old.at + 1) sights.set(s.name, { sight: s, at })
+      }
+      for (const k of got.keys) {
+        const old = high.get(k.key)
+        const by = old ? compareBallots(k.ballot, old.ballot) : 1
+        if (by > 0) high.set(k.key, { ballot: k.ballot, count: 1, chosenAt: k.chosen ? id : undefined })
+        else if (by === 0 && old) {
+          old.count++
+          if (k.chosen) old.chosenAt = id
+          else if (old.count >= majority()) old.chosenAt ??= id
+        }
+      }
+    }
+    members = [...byNode.values()]
+    for (const [key, h] of high) {
+      const k = known.get(key)
+      if (k && compareBallots(h.ballot, k.ballot) <= 0) {
+        k.until = Math.max(k.until, from + TERM)
+        continue
+      }
+      wanted.set(key, { ballot: h.ballot, from, chosenAt: h.chosenAt })
+      lag.ring()
+    }
+    // Registers that no core of a majority holds a value of were never settled; nothing to keep for them.
+  }
+
+  // The difference between wanted and known, worked off key by key.
+  async function catchUp(): Promise<void> {
+    for (const [key, w] of [...wanted]) {
+      if (w.chosenAt !== undefined) {
+        const got = (await cores.get(w.chosenAt)?.ask({ t: 'get', key }, ROUND_LIFE)) as { ballot?: Ballot; value?: unknown } | undefined
+        const value = readAs(ValueShape, got?.value)
+        if (got?.ballot && value.ok && compareBallots(got.ballot, w.ballot) === 0) {
+          learned(key, value.val as Value, got.ballot)
+          continue
+        }
+      }
+      // Accepted somewhere, chosen or not: a round of our own settles it either way.
+      const from = world.now()
+      const got = await proposer.read(key, 0)
+      if (got.done && got.value) learned(key, got.value, got.ballot, from)
+      else if (got.done) wanted.delete(key)
+    }
+    await feed()
+  }
+
+  // --- the proxy ---
+
+  async function feed(): Promise<void> {
+    const now = world.now()
+    if (!proxy) {
+      // No proxy of this machine can be working: what is known counts as applied.
+      if (now > given) for (const [key, k] of known) ackAll(key, k.value.turn)
+      return
+    }
+    const list: FedCell[] = []
+    for (const [key, k] of known) {
+      const until = Math.min(k.until, termUntil)
+      const sent = proxy.sent.get(key) ?? 0
+      list.push({ key, turn: k.value.turn, until, ...(sent < k.value.turn ? { body: k.value.body } : {}) })
+      proxy.sent.set(key, k.value.turn)
+      given = Math.max(given, until)
+    }
+    const moving = new Map<string, number>()
+    const leaving = new Set<string>()
+    const tries = new Map<string, [number, number]>()
+    for (const hint of peers.hints()) {
+      for (const [g, e] of hint.moving) moving.set(g, Math.max(e, moving.get(g) ?? 0))
+      for (const name of hint.leaving) leaving.add(name)
+      for (const [g, firsts, again] of hint.tries) {
+        const old = tries.get(g) ?? [0, 0]
+        tries.set(g, [old[0] + firsts, old[1] + again])
+      }
+    }
+    const triesList: [string, number, number][] = []
+    for (const [g, [a, b]] of tries) triesList.push([g, a, b])
+    const word: Feed = { t: 'feed', node: set.node, area: set.area, cells: list, sights: ownSights(), moving: [...moving], leaving: [...leaving], tries: triesList }
+    proxy.link.tell(word)
+  }
+  function serveProxy(peer: Hello, link: Link) {
+    if (peer.kind !== 'proxy') throw new Error(`a ${peer.kind} dialled the proxy's link`)
+    proxy?.link.close('another proxy came')
+    proxy = { link, sent: new Map(), note: undefined }
+    world.log.info('proxy-linked', { node: set.node })
+    function take(msg: unknown): undefined {
+      const got = readAs(Note, msg)
+      if (got.err) {
+        numbers.add('claynotch_link_garbage_total')
+        throw new Error('unknown word from the proxy')
+      }
+      if (proxy?.link !== link) return undefined
+      const first = proxy.note === undefined
+      proxy.note = got.val
+      for (const [key, turn] of got.val.acks) ackAll(key, turn)
+      if (first) void feed()
+      return undefined
+    }
+    return take
+  }
+  function lostProxy(_peer: Hello, link: Link): void {
+    if (proxy?.link === link) {
+      proxy = undefined
+      world.log.warn('proxy-lost', { node: set.node })
+    }
+  }
+
+  // --- the other edges ---
+
+  function heard(a: Announcement): void {
+    const old = sights.get(a.name)
+    const leaving = a.leaving === true
+    if (leaving && !old?.sight.leaving) world.log.info('instance-leaving', { instance: a.name, group: a.group })
+    sights.set(a.name, { sight: { name: a.name, group: a.group, addr: a.addr, area: a.area, role: a.role, leaving, age: 0 }, at: world.now() })
+    numbers.add('claynotch_announcements_total')
+    if (leaving || !old) {
+      lag.ring()
+      void feed()
+    }
+  }
+  function peerAddrs(): Addr[] {
+    const out: Addr[] = []
+    for (const m of members) out.push(m.addr)
+    return out
+  }
+  function summary(): Summary {
+    const leaving: string[] = []
+    for (const one of sights.values()) if (one.sight.leaving) leaving.push(one.sight.name)
+    const note = proxy?.note
+    const moving: [string, number][] = [...(note?.moving ?? [])]
+    for (const g of groups()) {
+      const rec = cell(groupKey(g))?.body as GroupRecord | undefined
+      if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
+    }
+    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, seen: note?.seen ?? [], moving, leaving, tries: note?.tries ?? [] }
+  }
+  async function askMembers(): Promise<{ members: Member[]; sure: boolean } | undefined> {
+    async function ask(held: Held): Promise<MembersAnswer | undefined> {
+      const got = readAs(MembersAnswer, await held.ask({ t: 'members' }, RENEW_WAIT))
+      return got.ok && got.val.ok ? got.val : undefined
+    }
+    function isOk(a: MembersAnswer | undefined): boolean {
+      return a !== undefined
+    }
+    const asks: Promise<MembersAnswer | undefined>[] = []
+    for (const held of cores.values()) asks.push(ask(held))
+    const got = (await gather(world, asks, majority(), isOk, RENEW_WAIT)).filter(isOk) as MembersAnswer[]
+    if (places.length === 0 || got.length < majority()) return undefined
+    const byNode = new Map<string, Member>()
+    let sure = true
+    for (const a of got) {
+      if (!a.sure) sure = false
+      for (const m of a.members) {
+        const old = byNode.get(m.node)
+        if (!old) {
+          byNode.set(m.node, m)
+          continue
+        }
+        // An acknowledgement counted by any core is one; it was told to all and may have reached only some.
+        const acks = new Map(old.acks)
+        for (const [key, turn] of m.acks) acks.set(key, Math.max(turn, acks.get(key) ?? 0))
+        byNode.set(m.node, { ...m, acks: [...acks], highs: [...old.highs, ...m.highs] })
+      }
+    }
+    return { members: [...byNode.values()], sure }
+  }
+  function live(): string[] {
+    const out: string[] = []
+    for (const m of members) out.push(m.node)
+    return out
+  }
+  function hints(): Map<string, number>[] {
+    const out: Map<string, number>[] = []
+    for (const h of peers.hints()) out.push(new Map(h.seen))
+    if (proxy?.note) out.push(new Map(proxy.note.seen))
+    return out
+  }
+  function sightList(): Sight[] {
+    return ownSights()
+  }
+  function termNow(): number {
+    return termUntil
+  }
+  function platformNow(): Addr | undefined {
+    return platform
+  }
+  const duty = startDuty(world, {
+    node: set.node, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, hints, askMembers, numbers,
+  }, stop)
+  const peers = await startPeers(world, set.peer, stop, peerAddrs, summary, numbers, nothing)
+
+  function readMembers(): unknown {
+    const out: unknown[] = []
+    for (const m of members) {
+      const behind: { key: string; has: number; present: number }[] = []
+      const acks = new Map(m.acks)
+      for (const [key, k] of known) if ((acks.get(key) ?? 0) < k.value.turn) behind.push({ key, has: acks.get(key) ?? 0, present: k.value.turn })
+      out.push({ node: m.node, area: m.area, build: m.build, operator: m.operator, sessions: m.open, behind })
+    }
+    return out
+  }
+  function readGroups(): unknown {
+    const out: unknown[] = []
+    for (const g of groups()) {
+      const instances: unknown[] = []
+      for (const s of ownSights()) if (s.group === g) instances.push({ name: s.name, addr: s.addr, area: s.area, role: s.role, leaving: s.leaving, age: Math.round(s.age) })
+      out.push({ name: g, record: cell(groupKey(g))?.body ?? null, instances })
+    }
+    return out
+  }
+  async function replace(group: string, to: string | undefined): Promise<{ ok: boolean; why: string }> {
+    if (!groups().includes(group)) return { ok: false, why: `no group is named ${group}` }
+    const tag = `${set.node}~wish~${world.now()}`
+    let why = ''
+    function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
+      if (now?.tag === tag) return undefined
+      const rec = now?.body as GroupRecord | undefined
+      why = !rec ? 'the group has no leader yet' : rec.phase !== 'steady' ? `the group is in phase ${rec.phase}` : rec.leader === to ? `${to} leads already` : ''
+      if (why !== '' || !rec) return undefined
+      return { body: { ...rec, wish: { to: to ?? '' } }, tag }
+    }
+    const got = await proposer.change(groupKey(group), edit)
+    if (!got.done) return { ok: false, why: 'unclear: no majority of cores settled it in time' }
+    if (got.value) learned(groupKey(group), got.value, got.ballot)
+    return { ok: why === '', why }
+  }
+  function anyone(): undefined {
+    return undefined
+  }
+  const operator = makeOperatorEdge(proposer, { members: readMembers, groups: readGroups, replace }, numbers, anyone)
+  function ready(): string | undefined {
+    if (stop.fired()) return 'draining'
+    return world.now() < termUntil ? undefined : 'no valid term'
+  }
+  async function handle(ask: Ask): Promise<Reply | undefined> {
+    const probe = takeProbe(ask, { ready, numbers })
+    if (probe) return probe
+    if (ask.path === '/seeds') return places.length > 0 ? { status: 200, body: { cores: places } } : { status: 503, body: { cores: [] }, after: 1 }
+    if (ask.path === '/announcement') return takeAnnouncement(ask, heard)
+    return await operator.take(ask)
+  }
+  const http = await serve(world, set.http, handle, { raw: operator.raw, limit: OPERATOR_BODY_LIMIT })
+  const listener = await world.listen(set.link, answerLinks(world, mine, serveProxy, lostProxy))
+
+  void loop(world, 'renew', TERM_BEAT, stop, renew)
+  // A ring of the bell between two beats must not be lost: the loop looks at what is wanted, not at the ring.
+  void loop(world, 'catch-up', TERM_BEAT / 4, stop, catchUpIfNeeded, lag)
+  async function catchUpIfNeeded(): Promise<void> {
+    if (wanted.size > 0) await catchUp()
+  }
+  void loop(world, 'feed', TERM_BEAT, stop, feed, news)
+  world.log.info('agent-started', { node: set.node, area: set.area, http: set.http })
+
+  async function end(): Promise<void> {
+    // The term is given up only when no proxy can be working under it; else it runs out by itself.
+    if (!proxy && world.now() > given) for (const held of cores.values()) held.tell({ t: 'leave', node: set.node, life })
+    await pause(world, 20)
+    stop.fire()
+    proxy?.link.close()
+    await Promise.all([http.close(), listener.close(), peers.close()])
+  }
+  // What a changed settings file may change while we run.
+  function apply(next: { seeds: Addr[]; platform: Addr | undefined }): void {
+    seeds = next.seeds
+    platform = next.platform
+  }
+  return { stop: end, numbers, termUntil: termNow, cell, apply }
+}
--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,2 @@
+export * from './agent.js'
+export * from './words.js'
--- /dev/null
+++ b/packages/base/src/constants.ts
@@ -0,0 +1,150 @@
+// Every constant of the system: value, unit, reason. Operators never set these;
+// what operators set stands in the configuration or in a settings file.
+
+// --- terms (leases) ---
+// ms. A write must stop within about 3 s of losing the core, so the term is shorter than that.
+export const TERM = 2500
+// ms. Four renewals fit in a term, so three may be lost before a member stops working.
+export const TERM_BEAT = 600
+// ms. What a core adds to a term on its own clock: two clocks may run apart by 4 % over one term.
+export const TERM_SLACK = 100
+// ms. A renewal round is abandoned then; the next beat tries anew.
+export const RENEW_WAIT = 500
+// ms. A member that has seen a newer epoch and has not applied it by then takes no new work.
+export const APPLY_BOUND = 1500
+
+// --- register ---
+// ms. A proposer's prepare must end within this of its first byte, else the round is void.
+// An emptied core waits it out (times two for clocks that run apart) before it votes again.
+export const ROUND_LIFE = 1000
+// ms. Base of the random pause between a proposer's rounds, so that two proposers part.
+export const ROUND_PAUSE = 30
+// ms. A change that has not been settled then ends unclear and its caller must ask again.
+export const CHANGE_LIMIT = 5000
+// bytes. Longest frame on an internal link: a whole configuration with its decisions fits many times.
+export const FRAME_LIMIT = 8 * 1024 * 1024
+// count. Decisions kept for each operator stream; older numbers answer "forgotten".
+export const DECISIONS_KEPT = 256
+// count. Operator streams kept; the one unused for longest is dropped first.
+export const STREAMS_KEPT = 32
+// count. Accepted configurations kept for reading back.
+export const HISTORY_KEPT = 32
+// bytes. A data file is rewritten when longer than this and than REWRITE_RATIO times what lives in it.
+export const REWRITE_FLOOR = 1024 * 1024
+// ratio. See REWRITE_FLOOR; 4 keeps the mean cost of rewriting under a third of appending.
+export const REWRITE_RATIO = 4
+
+// --- links ---
+// ms. A dial on the local network that takes longer is a failure.
+export const DIAL_LIMIT = 1000
+// ms. First and longest pause between dials of a lost link.
+export const DIAL_PAUSE = 100
+export const DIAL_PAUSE_MOST = 1000
+// ms. A held link that heard nothing for this long is closed and dialled anew.
+export const LINK_QUIET = 3000
+// number. Version of the internal links; see docs/wire.md for the rule on mixed versions.
+export const LINK_EPOCH = 1
+export const LINK_EPOCH_LEAST = 1
+
+// --- agent and proxy ---
+// ms. Beat on which a proxy tells its agent what it sees.
+export const NOTE_BEAT = 300
+// ms. An announcement not renewed for this long marks the instance as unheard (it announces each second).
+export const ANNOUNCE_LIFE = 3500
+// ms. A leaving mark outlives the instance's last word for this long, so that nodes that were away learn it.
+export const LEAVING_LIFE = 120000
+// ms. Beat on which agents send summaries to each other.
+export const SUMMARY_BEAT = 500
+// ms. A summary older than this is no longer a hint.
+export const SUMMARY_LIFE = 2000
+// number. Version of summaries; others are ignored.
+export const SUMMARY_EPOCH = 1
+// bytes. Largest summary sent: one datagram without fragments on common links.
+export const SUMMARY_LIMIT = 1400
+
+// --- instances ---
+// ms. Beat of STATUS samples by each proxy; two fit well inside the tightest freshness bound (1.5 s).
+export const SAMPLE_BEAT = 300
+// ms. A STATUS call that takes longer has failed.
+export const SAMPLE_LIMIT = 800
+// ms. An idle instance connection is closed after this, before an instance's own keep-alive (5 s or more).
+export const POOL_IDLE = 3000
+// ms. Most time that a pool spends in waiting for a connection in one send.
+export const BORROW_LIMIT = 2000
+// ms. Reset of a returned connection; on failure the connection is closed.
+export const RESET_LIMIT = 1000
+
+// --- retry (see docs/retry.md) ---
+// ms. Budget of a call: a promotion takes 12 to 15 s at worst in the paper's account.
+export const BUDGET = 15000
+// ms. Limit of one send.
+export const SEND_LIMIT = 5000
+// count. Sends of a call at most.
+export const SENDS = 3
+// ms. Base of the exponential pause: 2^attempt times this.
+export const BACKOFF = 500
+// ms. Spread over which calls that waited for a promotion wake, so that the new leader isn't hit at once.
+export const WAKE_SPREAD = 250
+// tokens. Retry tokens per group and proxy: what it starts with and can hold at most.
+export const RETRY_TOKENS = 40
+// tokens. Gained with each first send: retries are at most a fifth of first sends in the long run.
+export const RETRY_GAIN = 0.2
+// ms. Window over which the breaker counts; a sustained rate, not a blip.
+export const BREAKER_WINDOW = 5000
+// count. Fewest results in a window from which the breaker may open.
+export const BREAKER_LEAST = 20
+// ratio. Failures in a window that open the breaker.
+export const BREAKER_RATE = 0.5
+// ms. Pause before half-open probes; jitter up to half of it is added.
+export const BREAKER_PAUSE = 2000
+// count. Good probes in a row that close the breaker.
+export const BREAKER_PROBES = 3
+// ratio. Exhausted budgets over retried calls that raise the alert; from the paper.
+export const EXHAUST_ALERT = 0.05
+// count. Fewest retried calls in a window before the alert may be raised.
+export const EXHAUST_LEAST = 20
+// ms. Window of that alert.
+export const EXHAUST_WINDOW = 30000
+
+// --- sessions ---
+// count. Open sessions a proxy holds at most.
+export const SESSIONS = 4000
+// ms. A session unused for this long is closed (sessions stay open and idle for hours).
+export const SESSION_IDLE = 8 * 3600 * 1000
+// ms. An open transaction that hears nothing from its requester for this long is rolled back.
+export const TRANSACTION_IDLE = 10000
+// count. Calls pending per lane at most; more are refused at once.
+export const PENDING = 256
+// ms. Open transactions get this long when their leader, lane or node is stopped on purpose.
+export const DRAIN = 3000
+// ms. Answers in flight get this long beyond DRAIN at shutdown.
+export const DRAIN_TAIL = 1500
+// bytes. Largest HTTP body taken.
+export const BODY_LIMIT = 256 * 1024
+// bytes. Largest operator body (a stream may carry many configurations).
+export const OPERATOR_BODY_LIMIT = 4 * 1024 * 1024
+// s. Retry-After for refusals by overload, and while a promotion or a term is awaited.
+export const AFTER_LOAD = 1
+export const AFTER_MOVE = 2
+export const AFTER_BREAKER = 3
+
+// --- duty (promotion) ---
+// ms. Beat of the duty's loop for a group.
+export const DUTY_BEAT = 400
+// ms. A leader that the holder could not reach for this long is suspected (see docs/detection.md).
+export const SUSPECT = 2500
+// ms. The wait for a follower to catch up on a planned replacement; past it the replacement is called off.
+export const CATCH_UP = 5000
+// ms. How long a move waits for commits that nodes saw acknowledged to turn up at some instance,
+// before it goes on without them and says so: a crashed leader's restart takes about this long.
+export const LOSS_WAIT = 3000
+// ms. A node that heard the leader within this speaks against suspicion.
+export const HINT_GOOD = 1500
+// ms. Limit of the POST /promotion call; past it the outcome is unclear and STATUS decides.
+export const PROMOTION_LIMIT = 3000
+// ms. How long one candidate is tried before another is recorded.
+export const CANDIDATE_LIFE = 4000
+
+// --- settings ---
+// ms. Beat on which a settings file is looked at, for changes without a signal.
+export const SETTINGS_BEAT = 1000
--- /dev/null
+++ b/packages/base/src/hold.ts
@@ -0,0 +1,132 @@
+import * as t from 'io-ts'
+import { DIAL_LIMIT, DIAL_PAUSE, DIAL_PAUSE_MOST, LINK_EPOCH, LINK_EPOCH_LEAST, LINK_QUIET } from './constants.js'
+import { makeLink, type Link, type Take } from './link.js'
+import { makeBell, makeFlag, pause, type Flag } from './time.js'
+import type { Addr, World } from './world.js'
+
+// First message on every link, both ways. Mixed versions: both sides speak the lower of the two
+// epochs; a side whose least is above that closes the link and logs it.
+export const Hello = t.type({ t: t.literal('hello'), kind: t.string, node: t.string, epoch: t.number, least: t.number })
+export type Hello = t.TypeOf<typeof Hello>
+
+export function hello(kind: string, node: string, epoch = LINK_EPOCH, least = LINK_EPOCH_LEAST): Hello {
+  return { t: 'hello', kind, node, epoch, least }
+}
+
+// The epoch both can speak, or undefined.
+export function commonEpoch(a: Hello, b: Hello): number | undefined {
+  const both = Math.min(a.epoch, b.epoch)
+  return both >= a.least && both >= b.least ? both : undefined
+}
+
+export type Held = {
+  addr: Addr
+  ask: (msg: unknown, ms: number) => Promise<unknown>
+  tell: (msg: unknown) => void
+  up: () => boolean
+  peer: () => Hello | undefined
+  close: () => void
+}
+
+// Keeps one link to a peer up, dialling anew with growing pauses whenever it is lost.
+export function holdLink(world: World, addr: Addr, mine: Hello, take: Take, stop: Flag, onUp?: (held: Held, peer: Hello) => void): Held {
+  // link: set only while the hello was exchanged and the link is open.
+  let link: Link | undefined
+  let peer: Hello | undefined
+  const ended = makeFlag()
+  const change = makeBell()
+  stop.watch(ended.fire)
+
+  async function once(): Promise<boolean> {
+    let stream
+    try {
+      stream = await world.dial(addr, DIAL_LIMIT)
+    } catch {
+      return false
+    }
+    const mineNow = makeLink(world, stream, take)
+    const unwatch = ended.watch(mineNow.close)
+    const got = Hello.decode(await mineNow.ask(mine, DIAL_LIMIT))
+    if (got._tag === 'Left') {
+      mineNow.close('no hello')
+      return false
+    }
+    if (commonEpoch(mine, got.right) === undefined) {
+      mineNow.close(`link epoch ${got.right.epoch} of ${got.right.node} does not fit`)
+      return false
+    }
+    link = mineNow
+    peer = got.right
+    change.ring()
+    onUp?.(held, peer)
+    while (!mineNow.closed.fired()) {
+      await pause(world, LINK_QUIET / 3, mineNow.closed)
+      if (mineNow.closed.fired()) break
+      if (world.now() - mineNow.heard() > LINK_QUIET) mineNow.close('link quiet')
+      else void mineNow.ask({ t: 'ping' }, LINK_QUIET)
+    }
+    link = undefined
+    unwatch()
+    return true
+  }
+  async function run(): Promise<void> {
+    let wait = DIAL_PAUSE
+    while (!ended.fired()) {
+      const was = await once()
+      wait = was ? DIAL_PAUSE : Math.min(DIAL_PAUSE_MOST, wait * 2)
+      await pause(world, wait * (0.5 + world.random() / 2), ended)
+    }
+  }
+  async function ask(msg: unknown, ms: number): Promise<unknown> {
+    return link ? await link.ask(msg, ms) : undefined
+  }
+  function tell(msg: unknown): void {
+    link?.tell(msg)
+  }
+  function up(): boolean {
+    return link !== undefined
+  }
+  function peerNow(): Hello | undefined {
+    return peer
+  }
+  const held: Held = { addr, ask, tell, up, peer: peerNow, close: ended.fire }
+  void run()
+  return held
+}
+
+// The answering side: says hello, then hands every later message on.
+export function answerLinks(world: World, mine: Hello, serve: (peer: Hello, link: Link) => Take, lost?: (peer: Hello, link: Link) => void): (stream: Parameters<typeof makeLink>[1]) => void {
+  function open(stream: Parameters<typeof makeLink>[1]): void {
+    let inner: Take | undefined
+    async function take(msg: unknown, link: Link): Promise<unknown> {
+      if (inner) {
+        if ((msg as { t?: unknown } | null)?.t === 'ping') return { t: 'pong' }
+        return await inner(msg, link)
+      }
+      const got = Hello.decode(msg)
+      if (got._tag === 'Left') throw new Error('no hello')
+      const peer = got.right
+      if (commonEpoch(mine, peer) === undefined) {
+        world.log.warn('link-epoch-unfit', { peer: peer.node, epoch: peer.epoch })
+        // The answer goes out first, so that the other side can log the cause too.
+        world.later(0, link.close)
+        return mine
+      }
+      inner = serve(peer, link)
+      function over(): void {
+        lost?.(peer, link)
+      }
+      link.closed.watch(over)
+      return mine
+    }
+    const link = makeLink(world, stream, take)
+    async function guard(): Promise<void> {
+      while (!link.closed.fired()) {
+        await pause(world, LINK_QUIET, link.closed)
+        if (!link.closed.fired() && world.now() - link.heard() > LINK_QUIET) link.close('link quiet')
+      }
+    }
+    void guard()
+  }
+  return open
+}
--- /dev/null
+++ b/packages/base/src/http.ts
@@ -0,0 +1,288 @@
+import { Agent, createServer, request, type IncomingMessage, type ServerResponse, type ClientRequest } from 'node:http'
+import type { Duplex } from 'node:stream'
+import { BODY_LIMIT, DIAL_LIMIT } from './constants.js'
+import { makeFlag, nothing, type Flag } from './time.js'
+import type { Addr, World } from './world.js'
+import { Ok, Err, type Result } from './result.js'
+
+// --- serving ---
+
+export type Ask = {
+  method: string
+  path: string
+  query: URLSearchParams
+  header: (name: string) => string | undefined
+  body: unknown
+  // The connection it came on: one object for the life of the connection.
+  line: object
+  // Fires when the caller went away before its answer was written.
+  gone: Flag
+  raw: { req: IncomingMessage; res: ServerResponse }
+}
+export type Reply = { status: number; body: unknown; type?: string; after?: number }
+// undefined: the handler wrote the answer itself through raw.
+export type Handle = (ask: Ask) => Promise<Reply | undefined> | Reply | undefined
+
+export type Serving = { close: () => Promise<void>; busy: () => number; idle: () => Promise<void> }
+
+async function readBody(req: IncomingMessage, most: number): Promise<Buffer | undefined> {
+  const parts: Buffer[] = []
+  let size = 0
+  for await (const part of req) {
+    size += (part as Buffer).length
+    if (size > most) return undefined
+    parts.push(part as Buffer)
+  }
+  return Buffer.concat(parts)
+}
+
+export function sendReply(res: ServerResponse, reply: Reply): void {
+  if (res.destroyed || res.writableEnded) return
+  const text = reply.type ? String(reply.body) : JSON.stringify(reply.body ?? null)
+  res.statusCode = reply.status
+  res.setHeader('content-type', reply.type ?? 'application/json')
+  res.setHeader('content-length', Buffer.byteLength(text))
+  if (reply.after !== undefined) res.setHeader('retry-after', String(reply.after))
+  res.end(text)
+}
+
+export function badInput(status: number, why: string, findings: unknown[] = []): Reply {
+  return { status, body: { outcome: 'refused', class: 'INVALID_ARGUMENT', kept: 'nothing', again: false, why, findings } }
+}
+
+export async function serve(world: World, addr: Addr, handle: Handle, opt: { limit?: number; onLine?: (line: object, closed: Flag) => void; raw?: (path: string) => boolean } = {}): Promise<Serving> {
+  const most = opt.limit ?? BODY_LIMIT
+  const lines = new Map<Duplex, { closed: Flag; busy: number }>()
+  let busy = 0
+  let ending = false
+  let quiet = makeFlag()
+
+  async function answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = new URL(req.url ?? '/', 'http://x')
+    let body: unknown
+    if (!(opt.raw && opt.raw(url.pathname))) {
+      const bytes = await readBody(req, most)
+      if (bytes === undefined) {
+        res.setHeader('connection', 'close')
+        sendReply(res, badInput(413, `body over ${most} bytes`))
+        return
+      }
+      if (bytes.length > 0) {
+        try {
+          body = JSON.parse(bytes.toString('utf8'))
+        } catch (e) {
+          sendReply(res, badInput(400, `malformed JSON: ${(e as Error).message}`))
+          return
+        }
+      }
+    }
+    const gone = makeFlag()
+    function close(): void {
+      if (!res.writableFinished) gone.fire()
+    }
+    res.on('close', close)
+    function header(name: string): string | undefined {
+      const got = req.headers[name]
+      return Array.isArray(got) ? got[0] : got
+    }
+    const reply = await handle({ method: req.method ?? 'GET', path: url.pathname, query: url.searchParams, header, body, line: req.socket, gone, raw: { req, res } })
+    if (ending && !res.headersSent) res.setHeader('connection', 'close')
+    if (reply) sendReply(res, reply)
+  }
+  async function take(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    busy++
+    const line = lines.get(req.socket)
+    if (line) line.busy++
+    res.sendDate = false
+    function over(): void {
+      busy--
+      if (line) line.busy--
+      if (ending && line?.busy === 0) req.socket.destroy()
+      if (busy === 0) {
+        quiet.fire()
+        quiet = makeFlag()
+      }
+    }
+    res.once('close', over)
+    try {
+      await answer(req, res)
+    } catch (e) {
+      if (!req.destroyed) world.log.error('request-fault', { path: req.url, why: (e as Error).stack ?? String(e) })
+      if (!res.headersSent) sendReply(res, { status: 500, body: { outcome: 'unknown', class: 'INTERNAL', kept: 'unknown', again: false, why: 'internal fault' } })
+      else res.destroy()
+    }
+  }
+  const server = createServer({ keepAlive: true, requestTimeout: 0, headersTimeout: 0, keepAliveTimeout: 0 }, take as never)
+  server.timeout = 0
+  function clientError(_e: Error, sock: Duplex): void {
+    if (sock.writable) sock.end('HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n')
+    else sock.destroy()
+  }
+  server.on('clientError', clientError)
+
+  function line(sock: Duplex): void {
+    const closed = makeFlag()
+    lines.set(sock, { closed, busy: 0 })
+    function end(): void {
+      lines.delete(sock)
+      closed.fire()
+    }
+    sock.on('error', nothing)
+    sock.on('close', end)
+    opt.onLine?.(sock, closed)
+    server.emit('connection', sock)
+  }
+  const listener = await world.listen(addr, line)
+
+  async function idle(): Promise<void> {
+    while (busy > 0) await quiet.wait()
+  }
+  // Takes no new connections, ends idle ones; those that are busy end after their answer.
+  async function close(): Promise<void> {
+    ending = true
+    const done = listener.close()
+    for (const [sock, one] of lines) if (one.busy === 0) sock.destroy()
+    await idle()
+    for (const sock of lines.keys()) sock.destroy()
+    await done
+  }
+  function busyNow(): number {
+    return busy
+  }
+  return { close, busy: busyNow, idle }
+}
+
+// --- calling ---
+
+// How far a failed call got. none: nothing of it was handed to a connection; maybe: it may have reached.
+export type Reach = 'none' | 'maybe'
+export type Fail = { reach: Reach; why: string }
+export type Answer = { status: number; body: unknown; after?: number }
+export type Line = {
+  ask: (method: string, path: string, body: unknown, ms: number, headers?: [string, string][]) => Promise<Result<Answer, Fail>>
+  close: () => void
+  alive: () => boolean
+  closed: Flag
+}
+
+// One HTTP connection that stays the same for its life: once it broke, it is never dialled again,
+// so that what was set up on it can't be taken for what isn't there any more.
+export async function openLine(world: World, addr: Addr, ms: number = DIAL_LIMIT): Promise<Result<Line, Fail>> {
+  let stream: Duplex
+  try {
+    stream = await world.dial(addr, ms)
+  } catch (e) {
+    return Err({ reach: 'none', why: (e as Error).message })
+  }
+  const closed = makeFlag()
+  let given = false
+  function gone(): void {
+    closed.fire()
+  }
+  stream.on('error', gone)
+  stream.on('close', gone)
+  stream.on('end', gone)
+  const agent = new Agent({ keepAlive: true, maxSockets: 1, maxFreeSockets: 1 })
+  function give(): Duplex {
+    if (given) throw new Error('connection broke')
+    given = true
+    return stream
+  }
+  ;(agent as unknown as { createConnection: () => Duplex }).createConnection = give
+
+  function close(): void {
+    closed.fire()
+    stream.destroy()
+  }
+  function alive(): boolean {
+    return !closed.fired()
+  }
+  function ask(method: string, path: string, body: unknown, limit: number, headers: [string, string][] = []): Promise<Result<Answer, Fail>> {
+    function start(ok: (r: Result<Answer, Fail>) => void): void {
+      if (closed.fired()) {
+        ok(Err({ reach: 'none', why: 'connection closed' }))
+        return
+      }
+      let over = false
+      let unwatch = nothing
+      function end(r: Result<Answer, Fail>): void {
+        if (over) return
+        over = true
+        cancel()
+        unwatch()
+        // Whatever did not end with a whole answer leaves the connection in an unclear state.
+        if (r.err) close()
+        ok(r)
+      }
+      function fail(why: string): void {
+        end(Err({ reach: 'maybe', why }))
+      }
+      function late(): void {
+        fail('timeout')
+        req.destroy()
+      }
+      function broke(): void {
+        fail('connection broke')
+      }
+      const cancel = world.later(limit, late)
+      unwatch = closed.watch(broke)
+      const text = body === undefined ? '' : JSON.stringify(body)
+      async function got(res: IncomingMessage): Promise<void> {
+        const parts: Buffer[] = []
+        function data(b: Buffer): void {
+          parts.push(b)
+        }
+        function done(): void {
+          const all = Buffer.concat(parts).toString('utf8')
+          let value: unknown = all
+          if ((res.headers['content-type'] ?? '').startsWith('application/json')) {
+            try {
+              value = all === '' ? null : JSON.parse(all)
+            } catch {
+              fail('malformed answer')
+              return
+            }
+          }
+          if (!res.complete) {
+            fail('answer cut short')
+            return
+          }
+          const after = res.headers['retry-after']
+          end(Ok({ status: res.statusCode ?? 0, body: value, ...(after ? { after: Number(after) } : {}) }))
+        }
+        res.on('data', data)
+        res.on('end', done)
+        res.on('error', broke)
+        res.on('close', broke)
+      }
+      let req: ClientRequest
+      try {
+        req = request({ agent, method, path, host: 'x', headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) } })
+        for (const [name, value] of headers) req.setHeader(name, value)
+      } catch (e) {
+        cancel()
+        unwatch()
+        close()
+        ok(Err({ reach: 'none', why: (e as Error).message }))
+        return
+      }
+      function bad(e: Error): void {
+        fail(e.message)
+      }
+      req.on('response', got)
+      req.on('error', bad)
+      req.end(text)
+    }
+    return new Promise(start)
+  }
+  return Ok({ ask, close, alive, closed })
+}
+
+// One call on a connection of its own.
+export async function callOnce(world: World, addr: Addr, method: string, path: string, body: unknown, ms: number, headers: [string, string][] = []): Promise<Result<Answer, Fail>> {
+  const line = await openLine(world, addr, Math.min(ms, DIAL_LIMIT))
+  if (line.err) return line
+  const got = await line.val.ask(method, path, body, ms, headers)
+  line.val.close()
+  return got
+}
--- /dev/null
+++ b/packages/base/src/settings.ts
@@ -0,0 +1,77 @@
+import type * as t from 'io-ts'
+import { readStrict, type Finding } from './check.js'
+import { SETTINGS_BEAT } from './constants.js'
+import { loop, type Bell, type Flag } from './time.js'
+import type { World } from './world.js'
+import { Ok, Err, type Result } from './result.js'
+
+// Settings of one process: a JSON file, with flags that go before it. Lists in flags are parted by commas.
+export type Flags = [string, string][]
+
+function parse(path: string, bytes: Uint8Array | undefined): Result<object, Finding[]> {
+  if (!bytes) return Err([{ place: path, what: 'no such file' }])
+  let value: unknown
+  try {
+    value = JSON.parse(Buffer.from(bytes).toString('utf8'))
+  } catch (e) {
+    return Err([{ place: path, what: `malformed JSON: ${(e as Error).message}` }])
+  }
+  if (value === null || typeof value !== 'object' || Array.isArray(value)) return Err([{ place: path, what: 'expected an object' }])
+  return Ok(value)
+}
+
+export type Source = { path: string | undefined; flags: Flags; lists: string[]; data?: string[] }
+
+export async function readSettings<T>(world: World, codec: t.Type<T, unknown, unknown>, from: Source): Promise<Result<T, Finding[]>> {
+  const all = new Map<string, unknown>()
+  if (from.path !== undefined) {
+    const got = parse(from.path, await world.disk.read(from.path))
+    if (got.err) return got
+    // eslint-disable-next-line no-restricted-syntax -- walking a JSON document as it came
+    for (const [name, value] of Object.entries(got.val)) all.set(name, value)
+  }
+  for (const [name, text] of from.flags) all.set(name, from.lists.includes(name) ? text.split(',') : text)
+  // eslint-disable-next-line no-restricted-syntax -- the codec reads a JSON document
+  const got = readStrict(codec, Object.fromEntries(all))
+  if (got.ok) return got
+  const out: Finding[] = []
+  const flagged = new Set<string>()
+  for (const [name] of from.flags) flagged.add(name)
+  for (const f of got.val) {
+    const name = f.place.split('/')[1] ?? ''
+    const place = flagged.has(name) ? `--${name}` : from.path !== undefined ? `${from.path}${f.place}` : `--${name}`
+    out.push({ place, what: f.what })
+  }
+  return Err(out)
+}
+
+// Reads a settings file again when it changed or when the bell rings (SIGHUP). A bad new file is told
+// whole, and the old settings stay in force.
+export function watchSettings<T>(world: World, codec: t.Type<T, unknown, unknown>, from: Source, stop: Flag, bell: Bell, apply: (next: T) => void): void {
+  const { path } = from
+  if (path === undefined) return
+  let last: string | undefined
+  async function look(): Promise<void> {
+    const bytes = await world.disk.read(path as string)
+    const text = bytes ? Buffer.from(bytes).toString('utf8') : ''
+    if (last === undefined || text === last) {
+      last = text
+      return
+    }
+    last = text
+    const got = await readSettings(world, codec, from)
+    if (got.err) {
+      for (const f of got.val) world.log.error('settings-refused', { place: f.place, what: f.what })
+      return
+    }
+    world.log.info('settings-read', { path })
+    apply(got.val)
+  }
+  void loop(world, 'settings', SETTINGS_BEAT, stop, look, bell)
+}
+
+export function showFindings(findings: Finding[]): string {
+  let out = ''
+  for (const f of findings) out += `${f.place}: ${f.what}\n`
+  return out
+}
--- /dev/null
+++ b/packages/claynotch/src/index.ts
@@ -0,0 +1,1 @@
+export { BUILD } from './daemons.js'
--- /dev/null
+++ b/packages/claynotch/src/main.ts
@@ -0,0 +1,81 @@
+#!/usr/bin/env node
+import { defineCommand, runMain } from 'citty'
+import type { Flags } from '@claynotch/base'
+import { BUILD, runAgent, runCore, runProxy } from './daemons.js'
+import { apply, replace, show } from './verbs.js'
+
+process.env.UV_USE_IO_URING = '0'
+
+const settings = { type: 'string', description: 'settings file (JSON)' } as const
+const to = { type: 'string', description: 'http address of any agent', required: true } as const
+
+function flagsOf(args: object, names: string[]): Flags {
+  const out: Flags = []
+  const all = new Map(pairs(args))
+  for (const name of names) {
+    const value = all.get(name)
+    if (typeof value === 'string') out.push([name, value])
+  }
+  return out
+}
+function pairs(args: object): [string, unknown][] {
+  // eslint-disable-next-line no-restricted-syntax -- citty hands its arguments over in an object
+  return Object.entries(args)
+}
+function text(description: string) {
+  return { type: 'string', description } as const
+}
+
+const coreArgs = { settings, id: text('name of this core'), data: text('data folder'), http: text('address for probes and seeds') }
+async function core({ args }: { args: { settings?: string } }): Promise<void> {
+  await runCore(args.settings, flagsOf(args, ['id', 'data', 'http']))
+}
+const agentArgs = {
+  settings, node: text('name of this node'), area: text('area of this machine'), link: text('loopback address for the proxy'), peer: text('UDP address for summaries'),
+  http: text('address for operators, instances and probes'), seeds: text('http addresses of other processes, parted by commas'), platform: text('address that takes POST /promotion'),
+}
+async function agent({ args }: { args: { settings?: string } }): Promise<void> {
+  await runAgent(args.settings, flagsOf(args, ['node', 'area', 'link', 'peer', 'http', 'seeds', 'platform']))
+}
+const proxyArgs = { settings, listen: text('address for requesters'), admin: text('address for probes'), agent: text('loopback address of the agent') }
+async function proxy({ args }: { args: { settings?: string } }): Promise<void> {
+  await runProxy(args.settings, flagsOf(args, ['listen', 'admin', 'agent']))
+}
+async function runApply({ args }: { args: { to: string; stream: string; number: string; expect?: string; whole?: string; edits?: string } }): Promise<void> {
+  await apply(args)
+}
+async function runShow({ args }: { args: { to: string; what: string } }): Promise<void> {
+  await show(args)
+}
+async function runReplace({ args }: { args: { to: string; group: string; leader?: string } }): Promise<void> {
+  await replace(args)
+}
+
+const main = defineCommand({
+  meta: { name: 'claynotch', version: BUILD, description: 'Database pooler with failover, of many nodes' },
+  subCommands: {
+    core: defineCommand({ meta: { name: 'core', description: 'Run a core: registers and terms' }, args: coreArgs, run: core }),
+    agent: defineCommand({ meta: { name: 'agent', description: 'Run the agent of a front machine' }, args: agentArgs, run: agent }),
+    proxy: defineCommand({ meta: { name: 'proxy', description: 'Run the proxy of a front machine' }, args: proxyArgs, run: proxy }),
+    apply: defineCommand({
+      meta: { name: 'apply', description: 'Send one numbered change and print the decision' },
+      args: {
+        to, stream: { type: 'string', description: 'stream of the operator', required: true }, number: { type: 'string', description: 'number in the stream', required: true },
+        expect: text('epoch that the change is made against (default: the present one)'), whole: text('file with a whole configuration'), edits: text('file with a list of edits'),
+      },
+      run: runApply,
+    }),
+    show: defineCommand({
+      meta: { name: 'show', description: 'Print configuration, history, decisions, members or groups' },
+      args: { to, what: { type: 'positional', description: 'configuration, history, decisions, members or groups', required: true } },
+      run: runShow,
+    }),
+    replace: defineCommand({
+      meta: { name: 'replace', description: 'Replace the leader of a group, as planned' },
+      args: { to, group: { type: 'string', description: 'group', required: true }, leader: text('the instance that is to lead (default: the most caught-up)') },
+      run: runReplace,
+    }),
+  },
+})
+
+void runMain(main)
--- /dev/null
+++ b/packages/duty/src/duty.ts
@@ -0,0 +1,338 @@
+import { CANDIDATE_LIFE, CATCH_UP, DRAIN, DUTY_BEAT, HINT_GOOD, LOSS_WAIT, loop, makeBell, makeFlag, SUSPECT, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World } from '@claynotch/base'
+import { askStatus, type Mark, type Status } from '@claynotch/instance'
+import { promote } from '@claynotch/platform'
+import { groupKey, type GroupRecord, type Member, type Proposer, type Sight, type Value } from '@claynotch/register'
+
+export type DutyView = {
+  node: string
+  platform: () => string | undefined
+  proposer: Proposer
+  termUntil: () => number
+  live: () => string[]
+  groups: () => string[]
+  cell: (key: string) => Value | undefined
+  learned: (key: string, value: Value, ballot: [number, string]) => void
+  sights: () => Sight[]
+  // For each other node: ms since each instance last answered it.
+  hints: () => Map<string, number>[]
+  // A majority's word on the members; undefined without a majority.
+  askMembers: () => Promise<{ members: Member[]; sure: boolean } | undefined>
+  numbers: Numbers
+}
+
+function hash(text: string): number {
+  let h = 0x811c9dc5
+  for (let k = 0; k < text.length; k++) h = Math.imul(h ^ text.charCodeAt(k), 0x01000193) >>> 0
+  h = Math.imul(h ^ (h >>> 15), 0x2c1b3c6d) >>> 0
+  return (h ^ (h >>> 13)) >>> 0
+}
+
+// The live node that a key's duty falls to: highest hash of both names, so that one node's coming
+// or going moves only the keys that it takes or leaves.
+export function holderOf(key: string, live: string[]): string | undefined {
+  let best: string | undefined
+  let most = -1
+  for (const node of [...live].sort()) {
+    const h = hash(`${node}|${key}`)
+    if (h > most) {
+      most = h
+      best = node
+    }
+  }
+  return best
+}
+
+export function compareMarks(a: Mark, b: Mark): number {
+  return a.epoch !== b.epoch ? a.epoch - b.epoch : a.position - b.position
+}
+
+type Seen = { name: string; addr: string; status: Status }
+
+// What the holder remembers of one group between beats; lost with it, and nothing rests on it.
+// leaderOk, candidateOk: when each last answered as it should. since: when this turn was first seen here.
+type Memory = { turn: number; since: number; leader: string | undefined; leaderOk: number; candidateOk: number; suspected: boolean }
+
+export function startDuty(world: World, view: DutyView, stop: Flag): { ring: () => void } {
+  const bells = new Map<string, Bell>()
+  const ends = new Map<string, Flag>()
+
+  // Wanted: one task for each configured group. The loop starts and ends tasks accordingly.
+  function tend(): void {
+    const wanted = new Set(view.groups())
+    for (const name of wanted) {
+      if (ends.has(name)) continue
+      const end = makeFlag()
+      const bell = makeBell()
+      ends.set(name, end)
+      bells.set(name, bell)
+      stop.watch(end.fire)
+      tendGroup(world, view, name, end, bell)
+    }
+    for (const [name, end] of ends) {
+      if (wanted.has(name)) continue
+      end.fire()
+      ends.delete(name)
+      bells.delete(name)
+    }
+  }
+  void loop(world, 'duty', DUTY_BEAT, stop, tend)
+  function ring(): void {
+    for (const bell of bells.values()) bell.ring()
+  }
+  return { ring }
+}
+
+function tendGroup(world: World, view: DutyView, group: string, stop: Flag, bell: Bell): void {
+  const key = groupKey(group)
+  let mem: Memory | undefined
+  let count = 0
+
+  // Compare and set against the turn that was read. undefined: unclear, look again.
+  async function put(turn: number, body: GroupRecord): Promise<boolean | undefined> {
+    const tag = `${view.node}~${world.now()}~${++count}`
+    function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
+      if (now?.tag === tag || (now?.turn ?? 0) !== turn) return undefined
+      return { body, tag }
+    }
+    const got = await view.proposer.change(key, edit)
+    if (!got.done) return undefined
+    if (got.value) view.learned(key, got.value, got.ballot)
+    const won = got.value?.tag === tag
+    if (won) {
+      view.numbers.add('claynotch_duty_records_total', [['group', group], ['phase', body.phase]])
+      world.log.info('group-record', { group, phase: body.phase, epoch: body.epoch, leader: body.leader, candidate: body.candidate, holder: body.holder, fence: body.fence, note: body.note })
+    }
+    return won
+  }
+  function sightsHere(): Sight[] {
+    const out: Sight[] = []
+    for (const s of view.sights()) if (s.group === group) out.push(s)
+    return out
+  }
+  async function look(sights: { name: string; addr: string }[]): Promise<Seen[]> {
+    async function one(s: { name: string; addr: string }): Promise<Seen | undefined> {
+      const got = await askStatus(world, s.addr)
+      // Another instance may answer at an address that was used before.
+      return got.ok && got.val.name === s.name ? { name: s.name, addr: s.addr, status: got.val } : undefined
+    }
+    const out: Seen[] = []
+    for (const got of await Promise.all(sights.map(one))) if (got) out.push(got)
+    return out
+  }
+  // The most caught-up of those seen; the old leader only where it is strictly ahead of all others.
+  function furthest(seen: Seen[], old: string | undefined): Seen | undefined {
+    let best: Seen | undefined
+    for (const s of seen) {
+      if (!best) {
+        best = s
+        continue
+      }
+      const by = compareMarks(s.status.mark, best.status.mark)
+      if (by > 0 || (by === 0 && (best.name === old || (s.name !== old && s.name < best.name)))) best = s
+    }
+    return best
+  }
+  // Whether each proxy stopped: all acknowledged this turn, or any that did not has run out of its term.
+  async function stopped(turn: number, since: number): Promise<boolean> {
+    if (world.now() - since > TERM + 2 * TERM_SLACK) return true
+    const got = await view.askMembers()
+    if (!got || !got.sure) return false
+    for (const m of got.members) if (!hasAcked(m, turn)) return false
+    return true
+  }
+  function hasAcked(m: Member, turn: number): boolean {
+    for (const [k, at] of m.acks) if (k === key && at >= turn) return true
+    return false
+  }
+  async function highest(): Promise<Mark | undefined> {
+    const got = await view.askMembers()
+    let best: Mark | undefined
+    for (const m of got?.members ?? []) {
+      for (const [g, epoch, position] of m.highs) if (g === group && (!best || compareMarks({ epoch, position }, best) > 0)) best = { epoch, position }
+    }
+    return best
+  }
+
+  async function begin(): Promise<boolean> {
+    const seen = await look(sightsHere())
+    const heads: Seen[] = []
+    for (const s of seen) if (s.status.role === 'leader') heads.push(s)
+    if (seen.length === 0) return false
+    const first = furthest(heads, undefined)
+    if (!first) {
+      // No one leads: a first leader is made like any other, once the announcements had time to come in.
+      mem ??= { turn: 0, since: world.now(), leader: undefined, leaderOk: 0, candidateOk: 0, suspected: false }
+      if (world.now() - mem.since < SUSPECT) return false
+      const best = furthest(seen, undefined) as Seen
+      return (await put(0, { epoch: best.status.mark.epoch + 1, phase: 'stop', holder: view.node, fence: 1, candidate: best.name, candidateAddr: best.addr })) === true
+    }
+    return (await put(0, { epoch: first.status.mark.epoch, phase: 'steady', holder: view.node, fence: 1, leader: first.name, addr: first.addr })) === true
+  }
+
+  async function steady(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
+    const leader = { name: rec.leader as string, addr: rec.addr as string }
+    const [head] = await look([leader])
+    const now = world.now()
+    if (head && head.status.role === 'leader' && head.status.mark.epoch === rec.epoch) {
+      m.leaderOk = now
+      if (m.suspected) world.log.info('leader-back', { group, leader: leader.name })
+      m.suspected = false
+      const going = view.sights().some(isGoing)
+      if (rec.wish || going) {
+        const next: GroupRecord = { ...rec, phase: 'drain', holder: view.node, planned: true }
+        delete next.note
+        return (await put(turn, next)) === true
+      }
+      return false
+    }
+    function isGoing(s: Sight): boolean {
+      return s.name === leader.name && s.leaving
+    }
+    if (now - m.leaderOk < SUSPECT) return false
+    if (!m.suspected) {
+      m.suspected = true
+      view.numbers.add('claynotch_duty_suspicions_total', [['group', group]])
+      world.log.warn('leader-suspected', { group, leader: leader.name, quiet: now - m.leaderOk })
+    }
+    // A node of ours that still hears the leader speaks against acting on our own link's trouble.
+    let good = 0
+    let bad = 0
+    for (const hint of view.hints()) {
+      const age = hint.get(leader.name)
+      if (age === undefined) continue
+      if (age < HINT_GOOD) good++
+      else bad++
+    }
+    if (good > bad) return false
+    return await stopFor(turn, rec, false)
+  }
+
+  // Records a new epoch with its candidate; from then on no proxy sends a write under the old one.
+  async function stopFor(turn: number, rec: GroupRecord, planned: boolean, to?: Seen): Promise<boolean> {
+    const old = rec.old ?? rec.leader
+    const here: Sight[] = []
+    for (const s of sightsHere()) if (!s.leaving) here.push(s)
+    const best = to ?? furthest(await look(here), old)
+    if (!best) return false
+    return (await put(turn, {
+      epoch: Math.max(rec.epoch, best.status.mark.epoch) + 1, phase: 'stop', holder: view.node, fence: rec.fence,
+      candidate: best.name, candidateAddr: best.addr, planned, ...(old !== undefined ? { old } : {}),
+    })) === true
+  }
+
+  async function drain(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
+    const spent = world.now() - m.since
+    // Proxies acknowledge once they are quiet, at the latest after DRAIN; one that is silent runs out of its term.
+    if (spent < DRAIN + TERM && !(await stopped(turn, m.since + DRAIN))) return false
+    const here: { name: string; addr: string }[] = [{ name: rec.leader as string, addr: rec.addr as string }]
+    for (const s of sightsHere()) if (!s.leaving && s.name !== rec.leader) here.push(s)
+    const seen = await look(here)
+    const head = seen.find(isHead)
+    function isHead(s: Seen): boolean {
+      return s.name === rec.leader
+    }
+    if (!head) return spent > DRAIN + SUSPECT ? await stopFor(turn, rec, false) : false
+    const rest: Seen[] = []
+    for (const s of seen) if (s !== head && (!rec.wish || rec.wish.to === '' || rec.wish.to === s.name)) rest.push(s)
+    const best = furthest(rest, undefined)
+    if (best && compareMarks(best.status.mark, head.status.mark) >= 0) return await stopFor(turn, rec, true, best)
+    if (spent < DRAIN + CATCH_UP) return false
+    const back: GroupRecord = { ...rec, phase: 'steady', note: 'planned replacement called off: no follower caught up in time' }
+    delete back.wish
+    delete back.planned
+    view.numbers.add('claynotch_duty_called_off_total', [['group', group]])
+    return (await put(turn, back)) === true
+  }
+
+  async function stopPhase(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
+    if (!(await stopped(turn, m.since))) return false
+    const here: Sight[] = []
+    for (const s of sightsHere()) if (!s.leaving) here.push(s)
+    const seen = await look(here)
+    const best = furthest(seen, rec.planned ? undefined : rec.old)
+    const mine = seen.find(isMine)
+    function isMine(s: Seen): boolean {
+      return s.name === rec.candidate
+    }
+    if (!best) return false
+    const high = await highest()
+    const behind = high !== undefined && compareMarks(best.status.mark, high) < 0
+    if (behind && world.now() - m.since < LOSS_WAIT) return false
+    let next: GroupRecord = { ...rec, phase: 'promote' }
+    // Nobody writes now, so who is ahead now stays so; a candidate that isn't gives way.
+    if (!mine || compareMarks(best.status.mark, mine.status.mark) > 0) next = { ...next, candidate: best.name, candidateAddr: best.addr }
+    if (behind) {
+      const note = `promoted behind: commits up to ${high.epoch}/${high.position} were seen, the furthest instance has ${best.status.mark.epoch}/${best.status.mark.position}`
+      next = { ...next, note }
+      view.numbers.add('claynotch_duty_promoted_behind_total', [['group', group]])
+      world.log.error('promotion-behind', { group, candidate: best.name, seen: `${high.epoch}/${high.position}`, has: `${best.status.mark.epoch}/${best.status.mark.position}` })
+    }
+    return (await put(turn, next)) === true
+  }
+
+  async function promotePhase(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
+    const who = { name: rec.candidate as string, addr: rec.candidateAddr as string }
+    async function confirmed(): Promise<boolean | undefined> {
+      const [got] = await look([who])
+      if (!got) return undefined
+      m.candidateOk = world.now()
+      return got.status.role === 'leader' && got.status.mark.epoch === rec.epoch
+    }
+    let is = await confirmed()
+    if (is === false) {
+      // The fence, right before the call: the record is still the one read, and our term still runs.
+      const now = await view.proposer.read(key)
+      if (!now.done || now.value?.turn !== turn || (now.value.body as GroupRecord).holder !== view.node) return false
+      if (world.now() >= view.termUntil()) return false
+      const got = await promote(world, view.platform() ?? who.addr, { group, instance: who.name, epoch: rec.epoch })
+      view.numbers.add('claynotch_duty_promotions_total', [['end', got.end]])
+      world.log.info('promotion-called', { group, candidate: who.name, epoch: rec.epoch, end: got.end, why: got.why })
+      is = await confirmed()
+    }
+    if (is) {
+      const note = rec.note
+      return (await put(turn, { epoch: rec.epoch, phase: 'steady', holder: view.node, fence: rec.fence, leader: who.name, addr: who.addr, ...(note ? { note } : {}) })) === true
+    }
+    const quiet = world.now() - Math.max(m.candidateOk, m.since)
+    if (quiet > CANDIDATE_LIFE || (is === false && world.now() - m.since > 2 * CANDIDATE_LIFE)) {
+      world.log.warn('candidate-given-up', { group, candidate: who.name, epoch: rec.epoch })
+      return await stopFor(turn, rec, false)
+    }
+    return false
+  }
+
+  // One look at the group: true when it moved on, so that the next look comes at once.
+  async function step(): Promise<boolean> {
+    if (world.now() >= view.termUntil() || holderOf(key, view.live()) !== view.node) {
+      mem = undefined
+      return false
+    }
+    const cell = view.cell(key)
+    if (!cell) return await begin()
+    const rec = cell.body as GroupRecord
+    if (!mem || mem.turn !== cell.turn) {
+      const now = world.now()
+      // A record that kept its leader (a claim, a wish) doesn't make us forget how long it was quiet.
+      const kept = mem && mem.turn !== 0 && mem.leader === rec.leader
+      mem = { turn: cell.turn, since: now, leader: rec.leader, leaderOk: kept && mem ? mem.leaderOk : now, candidateOk: now, suspected: kept && mem ? mem.suspected : false }
+    }
+    if (rec.holder !== view.node) {
+      await put(cell.turn, { ...rec, holder: view.node, fence: rec.fence + 1 })
+      return false
+    }
+    switch (rec.phase) {
+      case 'steady':
+        return await steady(cell.turn, rec, mem)
+      case 'drain':
+        return await drain(cell.turn, rec, mem)
+      case 'stop':
+        return await stopPhase(cell.turn, rec, mem)
+      case 'promote':
+        return await promotePhase(cell.turn, rec, mem)
+    }
+  }
+  async function steps(): Promise<void> {
+    while (!stop.fired() && (await step()));
+  }
+  void loop(world, `duty ${group}`, DUTY_BEAT, stop, steps, bell)
+}
--- /dev/null
+++ b/packages/duty/src/index.ts
@@ -0,0 +1,1 @@
+export * from './duty.js'
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,6 @@
+export * from './sim.js'
+export * from './simfleet.js'
+export * from './judge.js'
+export * from './instance.js'
+export * from './requester.js'
+export * from './profile.js'
--- /dev/null
+++ b/packages/fleet/src/judge.ts
@@ -0,0 +1,92 @@
+import type { Event } from './requester.js'
+import type { InstanceRecord } from './instance.js'
+
+// Holds what requesters were told against what the instances recorded. The clocks are one: all of a
+// simulated fleet's, or the monotonic clock of the one machine that a local fleet runs on.
+export type Breach = { rule: string; what: string }
+export type Judgement = {
+  breaches: Breach[]
+  // Acknowledged commits that no instance holds any more because the old leader had not sent them on
+  // before it was replaced: asynchronous replication's own loss, reported and not hidden.
+  lost: string[]
+  checked: { writes: number; reads: number; done: number; promised: number }
+}
+
+export function judge(events: Event[], records: InstanceRecord[]): Judgement {
+  const breaches: Breach[] = []
+  const lost = new Set<string>()
+  function breach(rule: string, what: string): void {
+    breaches.push({ rule, what })
+  }
+  // ranBy: every run of each tag, over all instances. kept: how often the surviving line holds each tag.
+  const ranBy = new Map<string, { epoch: number; at: number; name: string; group: string }[]>()
+  const kept = new Map<string, number>()
+  const lines = new Map<string, InstanceRecord>()
+  const took = new Map<string, { epoch: number; at: number; base: number }[]>()
+  for (const r of records) {
+    for (const one of r.ran) {
+      const list = ranBy.get(one.tag) ?? []
+      list.push({ epoch: one.epoch, at: one.at, name: r.name, group: r.group })
+      ranBy.set(one.tag, list)
+    }
+    took.set(r.group, [...(took.get(r.group) ?? []), ...r.took])
+    const old = lines.get(r.group)
+    if (!old || lastEpoch(r) > lastEpoch(old) || (lastEpoch(r) === lastEpoch(old) && r.log.length > old.log.length)) lines.set(r.group, r)
+    if (r.lateWork > 0) breach('leaving', `${r.name} got ${r.lateWork} new pieces of work over 7 s after its notice`)
+    if (r.wrongSettings > 0) breach('settings', `${r.name} saw ${r.wrongSettings} statements under settings of another session`)
+  }
+  function lastEpoch(r: InstanceRecord): number {
+    let e = r.log.length > 0 ? r.log[r.log.length - 1].epoch : 0
+    for (const one of r.took) e = Math.max(e, one.epoch)
+    return e
+  }
+  for (const r of lines.values()) for (const e of r.log) for (const [, tag] of e.ops) kept.set(tag, (kept.get(tag) ?? 0) + 1)
+  for (const [tag, n] of kept) if (n > 1) breach('twice', `${tag} took effect ${n} times`)
+  for (const [tag, list] of ranBy) if (list.length > 1) breach('resent', `${tag} ran ${list.length} times: ${list.map(showRun).join(', ')}`)
+
+  const checked = { writes: 0, reads: 0, done: 0, promised: 0 }
+  const byKey = new Map<string, Event[]>()
+  for (const e of events) {
+    if (e.wrong) breach('foreign', `${e.kind} of session ${e.session} was given rows or settings that are not its own`)
+    if (e.tag === undefined) continue
+    checked.writes++
+    const runs = ranBy.get(e.tag) ?? []
+    if (e.outcome === 'done') {
+      checked.done++
+      const list = byKey.get(e.key) ?? []
+      list.push(e)
+      byKey.set(e.key, list)
+      if (runs.length === 0 && !kept.has(e.tag)) {
+        breach('never given', `${e.tag} was told done and no instance ran it`)
+        continue
+      }
+      for (const run of runs) {
+        for (const next of took.get(run.group) ?? []) {
+          if (next.epoch > run.epoch && run.at > next.at) breach('old leader', `${e.tag} ran on ${run.name} in epoch ${run.epoch} at ${Math.round(run.at)}, after epoch ${next.epoch} began at ${Math.round(next.at)}, and was told done`)
+        }
+      }
+      if (!kept.has(e.tag)) lost.add(e.tag)
+    } else if (e.kept === 'nothing') {
+      checked.promised++
+      if (runs.length > 0 || kept.has(e.tag)) breach('promise', `${e.tag} was told that nothing was kept, and it ran`)
+    } else if ((e.outcome === 'failed' || e.outcome === 'refused') && !e.sentCommit && kept.has(e.tag)) breach('promise', `${e.tag} took effect though its commit was never sent`)
+  }
+  for (const e of events) {
+    if (e.list === undefined || e.outcome !== 'done') continue
+    checked.reads++
+    const has = new Set(e.list)
+    for (const w of byKey.get(e.key) ?? []) {
+      // A session's own writes are those of its lane.
+      const mine = e.own && w.session === e.session && w.end <= e.start && e.kind.startsWith(w.kind)
+      if (!mine && !(w.end < e.start - e.within)) continue
+      if (!has.has(w.tag as string) && !lost.has(w.tag as string)) {
+        breach('stale', `${e.kind} of session ${e.session} at ${Math.round(e.start)} missed ${w.tag}, told done at ${Math.round(w.end)} (${mine ? 'its own' : `owed within ${e.within} ms`})`)
+      }
+    }
+  }
+  return { breaches, lost: [...lost], checked }
+}
+
+function showRun(r: { epoch: number; at: number; name: string }): string {
+  return `${r.name} epoch ${r.epoch} at ${Math.round(r.at)}`
+}
--- /dev/null
+++ b/packages/fleet/src/simfleet.ts
@@ -0,0 +1,268 @@
+import { startAgent, type Agent } from '@claynotch/agent'
+import { callOnce, makeFlag, serve, type Addr, type Ask, type Reply, type World } from '@claynotch/base'
+import type { Config } from '@claynotch/operator'
+import { startProxy, type Proxy } from '@claynotch/proxy'
+import { startCore, type Core, type CorePlace } from '@claynotch/register'
+import { startInstance, type Instance, type InstanceRecord } from './instance.js'
+import { judge, type Judgement } from './judge.js'
+import { runRequester, type Event, type Mix } from './requester.js'
+import { makeSim, type Machine, type Proc, type Sim } from './sim.js'
+
+// A whole fleet in the simulator.
+export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean }
+
+export type Front = { machine: Machine; agentProc: Proc; proxyProc: Proc; agent: Agent | undefined; proxy: Proxy | undefined; node: string; http: Addr; listen: Addr }
+export type CoreBox = { machine: Machine; proc: Proc; core: Core | undefined; id: string; http: Addr }
+export type Box = { machine: Machine; proc: Proc; instance: Instance | undefined; name: string; group: string; addr: Addr; records: InstanceRecord[] }
+
+export type SimFleet = {
+  sim: Sim; shape: Shape; fronts: Front[]; cores: CoreBox[]; boxes: Box[]; events: Event[]; platform: Machine
+  promotions: { group: string; instance: string; epoch: number; at: number }[]
+  startCoreAt: (k: number) => void; startAgentAt: (k: number) => void; startProxyAt: (k: number) => void; startBoxAt: (k: number) => void; killBox: (k: number) => void
+  addFront: () => number
+  // Lines of NDJSON to the operator's edge of one agent; the decisions come back.
+  change: (front: number, stream: string, lines: unknown[]) => { done: () => boolean; out: () => Decided[] }
+  ask: (front: number, path: string, method?: string, body?: unknown) => { done: () => boolean; body: () => unknown; status: () => number }
+  begin: () => Promise<boolean>
+  traffic: () => void
+  quiet: () => Promise<void>
+  judge: () => Judgement
+  leaderOf: (group: string) => Box | undefined
+  records: () => InstanceRecord[]
+}
+export type Decided = { number?: number; decision: string; epoch?: number; why?: string; findings?: { place: string; what: string }[] }
+
+export function makeSimFleet(seed: number, shape: Shape, opt: { keepLines?: boolean } = {}): SimFleet {
+  const sim = makeSim(seed, opt)
+  const events: Event[] = []
+  const fronts: Front[] = []
+  const cores: CoreBox[] = []
+  const boxes: Box[] = []
+  const promotions: SimFleet['promotions'] = []
+  const stop = makeFlag()
+  const places: CorePlace[] = []
+  for (let k = 0; k < shape.cores; k++) places.push({ id: `core${k + 1}`, addr: `10.0.1.${k + 1}:7000` })
+  const seeds: Addr[] = []
+  for (let k = 0; k < Math.min(3, shape.cores); k++) seeds.push(`10.0.1.${k + 1}:7001`)
+  const platform = sim.machine('platform', '10.0.9.1')
+  const crowd = sim.machine('crowd', '10.0.8.1')
+  const desk = sim.machine('desk', '10.0.7.1')
+
+  function startCoreAt(k: number): void {
+    const box = cores[k]
+    async function start(world: World): Promise<void> {
+      const core = await startCore(world, { id: box.id, cores: places, data: '/data' })
+      box.core = core
+      function handle(ask: Ask): Reply {
+        if (ask.path === '/seeds') return { status: 200, body: { cores: places } }
+        return { status: 404, body: {} }
+      }
+      await serve(world, box.http, handle)
+    }
+    box.core = undefined
+    box.proc = sim.spawn(box.machine, box.id, start)
+  }
+  function startAgentAt(k: number): void {
+    const f = fronts[k]
+    async function start(world: World): Promise<void> {
+      f.agent = await startAgent(world, { node: f.node, area: shape.areas[k % shape.areas.length], link: '127.0.0.1:7100', peer: `${f.machine.ip}:7200`, http: f.http, seeds, platform: `${platform.ip}:80`, build: 'sim' })
+    }
+    f.agent = undefined
+    f.agentProc = sim.spawn(f.machine, `${f.node}-agent`, start)
+  }
+  function startProxyAt(k: number): void {
+    const f = fronts[k]
+    async function start(world: World): Promise<void> {
+      f.proxy = await startProxy(world, { listen: f.listen, admin: `${f.machine.ip}:7301`, agent: '127.0.0.1:7100' })
+    }
+    f.proxy = undefined
+    f.proxyProc = sim.spawn(f.machine, `${f.node}-proxy`, start)
+  }
+  function addFront(): number {
+    const k = fronts.length
+    const machine = sim.machine(`front${k + 1}`, `10.0.2.${k + 1}`)
+    fronts.push({ machine, agentProc: undefined as never, proxyProc: undefined as never, agent: undefined, proxy: undefined, node: `front${k + 1}`, http: `${machine.ip}:7080`, listen: `${machine.ip}:7300` })
+    startAgentAt(k)
+    startProxyAt(k)
+    return k
+  }
+  function startBoxAt(k: number): void {
+    const b = boxes[k]
+    const peers: Addr[] = []
+    for (const o of boxes) if (o.group === b.group && o !== b) peers.push(o.addr)
+    const first = boxes.find(isSameGroup) === b
+    function isSameGroup(o: Box): boolean {
+      return o.group === b.group
+    }
+    const agents: Addr[] = []
+    for (let n = 0; n < Math.min(3, fronts.length); n++) agents.push(fronts[(k + n) % fronts.length].http)
+    async function start(world: World): Promise<void> {
+      b.instance = await startInstance(world, { name: b.name, group: b.group, area: shape.areas[k % shape.areas.length], addr: b.addr, peers, agents, leader: first, connections: shape.connections, lag: shape.lag, data: '/data' })
+    }
+    b.proc = sim.spawn(b.machine, b.name, start)
+  }
+  // What a killed instance had recorded is kept for the judge; its memory is gone for itself.
+  function killBox(k: number): void {
+    const b = boxes[k]
+    sim.kill(b.proc)
+    if (b.instance) b.records.push({ ...b.instance.record(), log: [] })
+    b.instance = undefined
+  }
+
+  // --- the platform: forwards the single promotion call ---
+  async function startPlatform(world: World): Promise<void> {
+    async function handle(ask: Ask): Promise<Reply> {
+      const body = ask.body as { group: string; instance: string; epoch: number }
+      const box = boxes.find(isIt)
+      function isIt(b: Box): boolean {
+        return b.name === body.instance
+      }
+      if (!box) return { status: 404, body: {} }
+      promotions.push({ ...body, at: sim.now() })
+      const got = await callOnce(world, box.addr, 'POST', '/promotion', body, 2000)
+      return got.ok ? { status: got.val.status, body: got.val.body } : { status: 502, body: {} }
+    }
+    await serve(world, `${platform.ip}:80`, handle)
+  }
+
+  for (let k = 0; k < shape.cores; k++) {
+    cores.push({ machine: sim.machine(`core${k + 1}`, `10.0.1.${k + 1}`), proc: undefined as never, core: undefined, id: `core${k + 1}`, http: `10.0.1.${k + 1}:7001` })
+  }
+  for (let k = 0; k < cores.length; k++) startCoreAt(k)
+  sim.spawn(platform, 'platform', startPlatform)
+  for (let k = 0; k < shape.fronts; k++) addFront()
+  for (const [g, group] of shape.groups.entries()) {
+    for (let k = 0; k < shape.instances; k++) {
+      const ip = `10.0.${10 + g}.${k + 1}`
+      const machine = sim.machine(`${group}${k + 1}`, ip)
+      // One clock for all instances, so that the judge can compare their times with those of requesters.
+      machine.skew = 0
+      boxes.push({ machine, proc: undefined as never, instance: undefined, name: `${group}${k + 1}`, group, addr: `${ip}:5000`, records: [] })
+    }
+  }
+  crowd.skew = 0
+  for (let k = 0; k < boxes.length; k++) startBoxAt(k)
+
+  function change(front: number, stream: string, lines: unknown[]): { done: () => boolean; out: () => Decided[] } {
+    let over = false
+    let out: Decided[] = []
+    async function start(world: World): Promise<void> {
+      for (const line of lines) {
+        const got = await callOnce(world, fronts[front].http, 'POST', `/streams/${stream}`, line, 12000)
+        if (got.err) out = [...out, { decision: 'no answer', why: got.val.why }]
+        else if (typeof got.val.body === 'string') out = [...out, JSON.parse(got.val.body) as Decided]
+        else out = [...out, got.val.body as Decided]
+      }
+      over = true
+    }
+    sim.spawn(desk, `operator ${stream}`, start)
+    function done(): boolean {
+      return over
+    }
+    function get(): Decided[] {
+      return out
+    }
+    return { done, out: get }
+  }
+  function ask(front: number, path: string, method = 'GET', body?: unknown): { done: () => boolean; body: () => unknown; status: () => number } {
+    let over = false
+    let got: unknown
+    let status = 0
+    async function start(world: World): Promise<void> {
+      const one = await callOnce(world, fronts[front].http, method, path, body, 12000)
+      if (one.ok) ({ body: got, status } = one.val)
+      over = true
+    }
+    sim.spawn(desk, 'reader', start)
+    function done(): boolean {
+      return over
+    }
+    function bodyNow(): unknown {
+      return got
+    }
+    function statusNow(): number {
+      return status
+    }
+    return { done, body: bodyNow, status: statusNow }
+  }
+  function allReady(): boolean {
+    for (const f of fronts) {
+      if (!f.proxy?.state.valid()) return false
+      for (const g of shape.groups) if (f.proxy.state.group(g)?.record.phase !== 'steady') return false
+    }
+    return true
+  }
+  // Founds the cores, takes the configuration, and waits until each proxy serves.
+  async function begin(): Promise<boolean> {
+    function up(): boolean {
+      for (const c of cores) if (!c.core?.serving()) return false
+      for (const f of fronts) if (!f.agent || f.agent.termUntil() === 0) return false
+      return true
+    }
+    if (!(await sim.until(up, 20000))) return false
+    const sent = change(0, 'setup', [{ number: 1, expect: 0, whole: shape.config }])
+    if (!(await sim.until(sent.done, 15000)) || sent.out()[0].decision !== 'accepted') return false
+    return await sim.until(allReady, 15000)
+  }
+  function note(e: Event): void {
+    events.push(e)
+  }
+  function isOver(): boolean {
+    return stop.fired()
+  }
+  function traffic(): void {
+    const nodes: Addr[] = []
+    for (const f of fronts) nodes.push(f.listen)
+    for (let k = 0; k < shape.requesters; k++) {
+      function start(world: World): Promise<void> {
+        return runRequester(world, { id: k, nodes, mixes: shape.mixes, think: shape.think, keys: shape.keys, again: shape.again === true, until: isOver, note }, stop)
+      }
+      sim.spawn(crowd, `requester${k}`, start)
+    }
+  }
+  // Traffic ends; answers that are still out come in; followers catch up.
+  async function quiet(): Promise<void> {
+    stop.fire()
+    await sim.run(sim.now() + 25000)
+  }
+  function records(): InstanceRecord[] {
+    const out: InstanceRecord[] = []
+    for (const b of boxes) {
+      out.push(...b.records)
+      if (b.instance) out.push(b.instance.record())
+    }
+    return out
+  }
+  function judgeNow(): Judgement {
+    return judge(events, records())
+  }
+  function leaderOf(group: string): Box | undefined {
+    let best: Box | undefined
+    for (const b of boxes) {
+      if (b.group !== group || !b.instance || b.instance.role() !== 'leader') continue
+      if (!best || b.instance.epoch() > (best.instance?.epoch() ?? 0)) best = b
+    }
+    return best
+  }
+  return { sim, shape, fronts, cores, boxes, events, platform, promotions, startCoreAt, startAgentAt, startProxyAt, startBoxAt, killBox, addFront, change, ask, begin, traffic, quiet, judge: judgeNow, leaderOf, records }
+}
+
+export function smallShape(groups = 1): Shape {
+  const names: string[] = []
+  for (let k = 0; k < groups; k++) names.push(`g${k + 1}`)
+  const lanes: Config['lanes'] = []
+  const mixes: Mix[] = []
+  for (const g of names) {
+    lanes.push({ name: `book-${g}`, database: 'kiln', group: g, reads: 'leader' }, { name: 'dep-' + g, database: 'kiln', group: g, reads: { within: 2500, own: true } }, { name: `cal-${g}`, database: 'kiln', group: g, reads: { within: 1500 } })
+    mixes.push(
+      { kind: 'booking', lane: `book-${g}`, group: g, op: 'book', weight: 3, within: 0, own: false },
+      { kind: 'post', lane: `book-${g}`, group: g, op: 'post', weight: 2, within: 0, own: false },
+      { kind: 'ledger', lane: `book-${g}`, group: g, op: 'lookup', weight: 2, within: 0, own: false },
+      { kind: 'deposit', lane: `dep-${g}`, group: g, op: 'deposit', weight: 3, within: 2500, own: true },
+      { kind: 'calendar', lane: `cal-${g}`, group: g, op: 'lookup', weight: 3, within: 1500, own: false },
+    )
+  }
+  const groupList: Config['groups'] = []
+  for (const g of names) groupList.push({ name: g, connections: 24 })
+  return { fronts: 3, areas: ['a', 'b'], cores: 5, groups: names, instances: 3, connections: 24, lag: 120, requesters: 9, think: 150, keys: 12, mixes, config: { proxies: 4, groups: groupList, lanes } }
+}
--- /dev/null
+++ b/packages/instance/src/edge.ts
@@ -0,0 +1,120 @@
+import * as t from 'io-ts'
+import { openLine, readAs, SAMPLE_LIMIT, callOnce, type Addr, type Answer, type Fail, type Line, type World, Ok, Err, type Result } from '@claynotch/base'
+
+// The instance's wire (docs/wire.md) and how its words are classified. Wire names stay in this file.
+
+export type Class = 'UNAVAILABLE' | 'RESOURCE_EXHAUSTED' | 'INVALID_ARGUMENT' | 'PERMISSION_DENIED' | 'NOT_FOUND' | 'DEADLINE_EXCEEDED' | 'ABORTED' | 'UNKNOWN' | 'INTERNAL'
+
+// What became of one send that failed.
+// reach: none, nothing was handed over; maybe, it may have reached and run; answered, the instance says that it did not run.
+export type Trouble = { reach: 'none' | 'maybe' | 'answered'; class: Class; transient: boolean; why: string; code?: string }
+
+// A place in a group's history. Positions of different epochs are never compared as of one line.
+export type Mark = { epoch: number; position: number }
+
+export type Done = { rows: unknown[]; mark: Mark }
+export type Status = { role: 'leader' | 'follower'; mark: Mark; name: string; group: string }
+
+type Judged = { class: Class; transient: boolean }
+const codes = new Map<string, Judged>([
+  ['READONLY', { class: 'UNAVAILABLE', transient: true }],
+  ['ELECTION', { class: 'UNAVAILABLE', transient: true }],
+  ['BUSY', { class: 'UNAVAILABLE', transient: true }],
+  ['OOM', { class: 'RESOURCE_EXHAUSTED', transient: false }],
+  ['WRONGTYPE', { class: 'INVALID_ARGUMENT', transient: false }],
+  ['SYNTAX', { class: 'INVALID_ARGUMENT', transient: false }],
+  ['NOPERM', { class: 'PERMISSION_DENIED', transient: false }],
+  ['NOT_FOUND', { class: 'NOT_FOUND', transient: false }],
+  ['ABORTED', { class: 'ABORTED', transient: false }],
+])
+
+export function classify(code: string): Judged {
+  return codes.get(code) ?? { class: 'INTERNAL', transient: false }
+}
+
+const DoneBody = t.type({ rows: t.array(t.unknown), epoch: t.number, position: t.number })
+const ErrorBody = t.intersection([t.type({ code: t.string }), t.partial({ message: t.string })])
+const StatusBody = t.type({ rows: t.array(t.type({ field: t.string, value: t.union([t.string, t.number]) })) })
+
+function read(answer: Result<Answer, Fail>): Result<Done, Trouble> {
+  if (answer.err) return Err({ reach: answer.val.reach, class: 'UNAVAILABLE', transient: true, why: answer.val.why })
+  const { status, body } = answer.val
+  if (status === 200) {
+    const got = readAs(DoneBody, body)
+    if (got.err) return Err({ reach: 'maybe', class: 'UNKNOWN', transient: false, why: 'answer not understood' })
+    return Ok({ rows: got.val.rows, mark: { epoch: got.val.epoch, position: got.val.position } })
+  }
+  const got = readAs(ErrorBody, body)
+  // A failure that is no error of the protocol (from something in between, say) proves nothing about what ran.
+  if (got.err) return Err({ reach: 'maybe', class: 'UNAVAILABLE', transient: true, why: `status ${status}` })
+  const judged = classify(got.val.code)
+  return Err({ reach: judged.class === 'INTERNAL' ? 'maybe' : 'answered', ...judged, why: got.val.message ?? got.val.code, code: got.val.code })
+}
+
+export type Port = {
+  // Names of shapes and the settings now in force on this connection, as its pool set them.
+  statement: (body: { text?: string; shape?: string; args: unknown[]; mode: 'read' | 'write' }, ms: number) => Promise<Result<Done, Trouble>>
+  begin: (mode: 'read' | 'write', ms: number) => Promise<Result<Done, Trouble>>
+  commit: (ms: number) => Promise<Result<Done, Trouble>>
+  rollback: (ms: number) => Promise<Result<Done, Trouble>>
+  settings: (pairs: [string, string][], ms: number) => Promise<Result<Done, Trouble>>
+  shape: (name: string, text: string, ms: number) => Promise<Result<Done, Trouble>>
+  reset: (ms: number) => Promise<Result<Done, Trouble>>
+  alive: () => boolean
+  close: () => void
+  line: Line
+}
+
+export async function openPort(world: World, addr: Addr, ms: number): Promise<Result<Port, Trouble>> {
+  const opened = await openLine(world, addr, ms)
+  if (opened.err) return Err({ reach: 'none', class: 'UNAVAILABLE', transient: true, why: opened.val.why })
+  const line = opened.val
+  async function post(path: string, body: unknown, limit: number): Promise<Result<Done, Trouble>> {
+    return read(await line.ask('POST', path, body, limit))
+  }
+  function statement(body: unknown, limit: number) {
+    return post('/statement', body, limit)
+  }
+  function begin(mode: string, limit: number) {
+    return post('/begin', { mode }, limit)
+  }
+  function commit(limit: number) {
+    return post('/commit', {}, limit)
+  }
+  function rollback(limit: number) {
+    return post('/rollback', {}, limit)
+  }
+  function settings(pairs: [string, string][], limit: number) {
+    const list: { name: string; value: string }[] = []
+    for (const [name, value] of pairs) list.push({ name, value })
+    return post('/settings', { settings: list }, limit)
+  }
+  function shape(name: string, text: string, limit: number) {
+    return post('/shapes', { name, text }, limit)
+  }
+  function reset(limit: number) {
+    return post('/reset', {}, limit)
+  }
+  return Ok({ statement, begin, commit, rollback, settings, shape, reset, alive: line.alive, close: line.close, line })
+}
+
+function readStatus(answer: Result<Answer, Fail>): Result<Status, string> {
+  if (answer.err) return Err(answer.val.why)
+  const got = readAs(StatusBody, answer.val.body)
+  if (got.err) return Err('status not understood')
+  const rows = new Map<string, string | number>()
+  for (const row of got.val.rows) rows.set(row.field, row.value)
+  const role = rows.get('role')
+  const epoch = Number(rows.get('epoch'))
+  const position = Number(rows.get('position'))
+  if ((role !== 'leader' && role !== 'follower') || !Number.isFinite(epoch) || !Number.isFinite(position)) return Err('status rows missing')
+  return Ok({ role, mark: { epoch, position }, name: String(rows.get('name')), group: String(rows.get('group')) })
+}
+
+export async function askStatus(world: World, addr: Addr): Promise<Result<Status, string>> {
+  return readStatus(await callOnce(world, addr, 'GET', '/status', undefined, SAMPLE_LIMIT))
+}
+
+export async function statusOn(line: Line): Promise<Result<Status, string>> {
+  return readStatus(await line.ask('GET', '/status', undefined, SAMPLE_LIMIT))
+}
--- /dev/null
+++ b/packages/instance/src/index.ts
@@ -0,0 +1,2 @@
+export * from './edge.js'
+export * from './announcement.js'
--- /dev/null
+++ b/packages/operator/src/config.ts
@@ -0,0 +1,125 @@
+import * as t from 'io-ts'
+import { Count, Ms, Name, readStrict, type Finding, Ok, Err, type Result } from '@claynotch/base'
+
+// The operator's configuration.
+// reads: 'leader', every read goes to the leader; else within ms, and own (a session reads its own writes).
+const Reads = t.union([t.literal('leader'), t.intersection([t.type({ within: Ms }), t.partial({ own: t.boolean })])])
+const Lane = t.intersection([t.type({ name: Name, database: Name, group: Name, reads: Reads }), t.partial({ team: Name, pending: Count })])
+// connections: the instance's own limit, shared by all proxies.
+const Group = t.type({ name: Name, connections: Count })
+// share: weight of the team when connections are short. sessions: most open sessions on a proxy.
+const Team = t.intersection([t.type({ name: Name }), t.partial({ share: Count, sessions: Count })])
+export const Config = t.intersection([
+  t.type({ proxies: Count, groups: t.array(Group), lanes: t.array(Lane) }),
+  t.partial({ teams: t.array(Team) }),
+])
+export type Config = t.TypeOf<typeof Config>
+export type Lane = t.TypeOf<typeof Lane>
+export type Group = t.TypeOf<typeof Group>
+export type Team = t.TypeOf<typeof Team>
+
+// Connections of each instance that a proxy does not lend: one for its STATUS samples, one for the duty's probes.
+export const KEPT_BACK = 2
+
+// The most connections to one instance that one proxy may lend.
+export function lendable(config: Config, group: string): number {
+  for (const g of config.groups) if (g.name === group) return Math.max(0, Math.floor(g.connections / config.proxies) - KEPT_BACK)
+  return 0
+}
+
+function twins(list: { name: string }[], place: string): Finding[] {
+  const seen = new Set<string>()
+  const out: Finding[] = []
+  for (const [k, one] of list.entries()) {
+    if (seen.has(one.name)) out.push({ place: `${place}/${k}/name`, what: `the name ${one.name} stands twice` })
+    seen.add(one.name)
+  }
+  return out
+}
+
+// Reads a configuration whole; every finding comes back at once.
+export function readConfig(value: unknown): Result<Config, Finding[]> {
+  const got = readStrict(Config, value)
+  if (got.err) return got
+  const config = got.val
+  const out: Finding[] = [...twins(config.groups, '/groups'), ...twins(config.lanes, '/lanes'), ...twins(config.teams ?? [], '/teams')]
+  const groups = new Set<string>()
+  for (const g of config.groups) groups.add(g.name)
+  const teams = new Set<string>()
+  for (const one of config.teams ?? []) teams.add(one.name)
+  for (const [k, lane] of config.lanes.entries()) {
+    if (!groups.has(lane.group)) out.push({ place: `/lanes/${k}/group`, what: `no group is named ${lane.group}` })
+    if (lane.team !== undefined && !teams.has(lane.team)) out.push({ place: `/lanes/${k}/team`, what: `no team is named ${lane.team}` })
+  }
+  for (const [k, g] of config.groups.entries()) {
+    if (lendable(config, g.name) < 1) out.push({ place: `/groups/${k}/connections`, what: `${g.connections} connections over ${config.proxies} proxies leave none to lend (each proxy keeps ${KEPT_BACK} back)` })
+  }
+  return out.length > 0 ? Err(out) : Ok(config)
+}
+
+// --- changes ---
+
+const What = t.union([t.literal('lane'), t.literal('group'), t.literal('team')])
+const Edit = t.union([
+  t.type({ op: t.literal('put'), what: What, value: t.unknown }),
+  t.type({ op: t.literal('drop'), what: What, name: Name }),
+  t.type({ op: t.literal('proxies'), value: Count }),
+])
+export type Edit = t.TypeOf<typeof Edit>
+export const Change = t.intersection([
+  t.type({ number: Count, expect: t.number }),
+  t.partial({ whole: t.unknown, edits: t.array(Edit) }),
+])
+export type Change = t.TypeOf<typeof Change>
+
+function putIn<T extends { name: string }>(list: T[], value: T): T[] {
+  const out: T[] = []
+  let done = false
+  for (const one of list) {
+    out.push(one.name === value.name ? value : one)
+    if (one.name === value.name) done = true
+  }
+  if (!done) out.push(value)
+  return out
+}
+
+export function applyEdits(from: Config, edits: Edit[]): Result<unknown, Finding[]> {
+  let { proxies } = from
+  const lists = new Map<string, { name: string }[]>([['lane', from.lanes], ['group', from.groups], ['team', from.teams ?? []]])
+  const out: Finding[] = []
+  for (const [k, e] of edits.entries()) {
+    if (e.op === 'proxies') {
+      proxies = e.value
+      continue
+    }
+    const list = lists.get(e.what) ?? []
+    if (e.op === 'put') {
+      const value = e.value as { name?: unknown } | null
+      if (value === null || typeof value !== 'object' || typeof value.name !== 'string') out.push({ place: `/edits/${k}/value/name`, what: 'expected a name' })
+      else lists.set(e.what, putIn(list, value as { name: string }))
+    } else {
+      const left: { name: string }[] = []
+      for (const one of list) if (one.name !== e.name) left.push(one)
+      if (left.length === list.length) out.push({ place: `/edits/${k}/name`, what: `no ${e.what} is named ${e.name}` })
+      lists.set(e.what, left)
+    }
+  }
+  if (out.length > 0) return Err(out)
+  return Ok({ proxies, groups: lists.get('group'), lanes: lists.get('lane'), teams: lists.get('team') })
+}
+
+// --- the register's value ---
+
+// One decision of the system on one numbered change.
+export type Decision = { stream: string; number: number; decision: 'accepted' | 'refused'; epoch: number; why: string; findings: Finding[] }
+
+// Body of the register 'configuration'.
+// Invariants: epoch grows by one with each accepted change and with nothing else;
+// for each stream the decisions kept are those with the highest numbers, in order;
+// history's last entry is the configuration of the present epoch.
+export type Body = { epoch: number; config: Config | null; streams: { name: string; used: number; decisions: Decision[] }[]; history: { epoch: number; stream: string; number: number; config: Config }[] }
+
+export const CONFIG_KEY = 'configuration'
+export function emptyBody(): Body {
+  return { epoch: 0, config: null, streams: [], history: [] }
+}
--- /dev/null
+++ b/packages/operator/src/decide.ts
@@ -0,0 +1,56 @@
+import { DECISIONS_KEPT, HISTORY_KEPT, STREAMS_KEPT, type Finding } from '@claynotch/base'
+import { applyEdits, readConfig, type Body, type Change, type Config, type Decision } from './config.js'
+
+// What becomes of one change on the present body. Pure: the register calls it anew in each round.
+// 'known': this stream and number were decided before, the first decision stands and nothing is written.
+export type Ruling = { known: Decision } | { body: Body; decision: Decision }
+
+export function findDecision(body: Body, stream: string, number: number): Decision | undefined {
+  for (const s of body.streams) if (s.name === stream) for (const d of s.decisions) if (d.number === number) return d
+  return undefined
+}
+
+function refused(stream: string, number: number, epoch: number, why: string, findings: Finding[] = []): Decision {
+  return { stream, number, decision: 'refused', epoch, why, findings }
+}
+
+export function decide(body: Body, stream: string, change: Change): Ruling {
+  const { number } = change
+  const first = findDecision(body, stream, number)
+  if (first) return { known: first }
+  const mine = body.streams.find(isMine)
+  function isMine(s: { name: string }): boolean {
+    return s.name === stream
+  }
+  const last = mine?.decisions[mine.decisions.length - 1]
+  if (last && number < last.number) return { known: refused(stream, number, body.epoch, `number ${number} was passed by ${last.number}; its decision, if any, is forgotten`) }
+
+  function ruled(): { config?: Config; decision: Decision } {
+    if (change.expect !== body.epoch) return { decision: refused(stream, number, body.epoch, `expected epoch ${change.expect}, the present one is ${body.epoch}`) }
+    if ((change.whole === undefined) === (change.edits === undefined)) return { decision: refused(stream, number, body.epoch, 'exactly one of whole and edits is needed') }
+    let next: unknown = change.whole
+    if (change.edits) {
+      if (!body.config) return { decision: refused(stream, number, body.epoch, 'there is no configuration yet to edit') }
+      const edited = applyEdits(body.config, change.edits)
+      if (edited.err) return { decision: refused(stream, number, body.epoch, 'invalid change', edited.val) }
+      next = edited.val
+    }
+    const got = readConfig(next)
+    if (got.err) return { decision: refused(stream, number, body.epoch, 'invalid configuration', got.val) }
+    return { config: got.val, decision: { stream, number, decision: 'accepted', epoch: body.epoch + 1, why: '', findings: [] } }
+  }
+  const { config, decision } = ruled()
+  let used = 0
+  for (const s of body.streams) used = Math.max(used, s.used)
+  const streams: Body['streams'] = []
+  for (const s of body.streams) if (s.name !== stream) streams.push(s)
+  streams.push({ name: stream, used: used + 1, decisions: [...(mine?.decisions ?? []), decision].slice(-DECISIONS_KEPT) })
+  streams.sort(byUse)
+  function byUse(a: { used: number }, b: { used: number }): number {
+    return a.used - b.used
+  }
+  while (streams.length > STREAMS_KEPT) streams.shift()
+  if (!config) return { body: { ...body, streams }, decision }
+  const history = [...body.history, { epoch: decision.epoch, stream, number, config }].slice(-HISTORY_KEPT)
+  return { body: { epoch: decision.epoch, config, streams, history }, decision }
+}
--- /dev/null
+++ b/packages/operator/src/edge.ts
@@ -0,0 +1,124 @@
+import { createInterface } from 'node:readline'
+import { badInput, Name, OPERATOR_BODY_LIMIT, readStrict, sendReply, type Ask, type Finding, type Numbers, type Reply } from '@claynotch/base'
+import type { Proposer, Value } from '@claynotch/register'
+import { Change, CONFIG_KEY, emptyBody, type Body, type Decision } from './config.js'
+import { decide, findDecision } from './decide.js'
+
+// The operator's edge: numbered changes in, decisions out, and what there is to read.
+// 'unclear' is said where no majority settled the change in time: the same number may be sent again.
+export type Reading = {
+  members: () => unknown
+  groups: () => unknown
+  replace: (group: string, to: string | undefined) => Promise<{ ok: boolean; why: string }>
+}
+
+export async function makeDecision(proposer: Proposer, stream: string, change: Change): Promise<Decision | undefined> {
+  const tag = `${stream}#${change.number}`
+  let out: Decision | undefined
+  function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
+    const ruling = decide((now?.body as Body | undefined) ?? emptyBody(), stream, change)
+    if ('known' in ruling) {
+      out = ruling.known
+      return undefined
+    }
+    out = ruling.decision
+    return { body: ruling.body, tag }
+  }
+  const got = await proposer.change(CONFIG_KEY, edit)
+  if (!got.done) return undefined
+  // What is chosen is read back: it must hold the decision that is about to be told.
+  const kept = got.value ? findDecision(got.value.body as Body, stream, change.number) : undefined
+  return kept ?? out
+}
+
+export function makeOperatorEdge(proposer: Proposer, reading: Reading, numbers: Numbers, allowed: (ask: Ask) => Reply | undefined): { take: (ask: Ask) => Promise<Reply | undefined>; raw: (path: string) => boolean } {
+  function raw(path: string): boolean {
+    return path.startsWith('/streams/')
+  }
+  async function line(stream: string, text: string): Promise<unknown> {
+    let value: unknown
+    try {
+      value = JSON.parse(text)
+    } catch (e) {
+      return { stream, decision: 'refused', why: `malformed JSON: ${(e as Error).message}`, findings: [] as Finding[] }
+    }
+    const got = readStrict(Change, value)
+    if (got.err) return { stream, number: (value as { number?: unknown } | null)?.number, decision: 'refused', why: 'not a change', findings: got.val }
+    const made = await makeDecision(proposer, stream, got.val)
+    numbers.add('claynotch_decisions_total', [['decision', made?.decision ?? 'unclear']])
+    return made ?? { stream, number: got.val.number, decision: 'unclear', why: 'no majority of cores settled it in time; send the same number again', findings: [] }
+  }
+  async function changes(ask: Ask, stream: string): Promise<undefined> {
+    const { req, res } = ask.raw
+    res.writeHead(200, { 'content-type': 'application/x-ndjson' })
+    let size = 0
+    for await (const text of createInterface({ input: req, crlfDelay: Infinity })) {
+      size += text.length
+      if (size > OPERATOR_BODY_LIMIT) {
+        res.end(`${JSON.stringify({ stream, decision: 'refused', why: `body over ${OPERATOR_BODY_LIMIT} bytes`, findings: [] })}\n`)
+        return undefined
+      }
+      if (text.trim() === '') continue
+      res.write(`${JSON.stringify(await line(stream, text))}\n`)
+      if (res.destroyed) return undefined
+    }
+    res.end()
+    return undefined
+  }
+  async function body(): Promise<Body | undefined> {
+    const got = await proposer.read(CONFIG_KEY)
+    return got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
+  }
+  async function take(ask: Ask): Promise<Reply | undefined> {
+    const stopped = allowed(ask)
+    if (stopped) {
+      if (!raw(ask.path)) return stopped
+      sendReply(ask.raw.res, stopped)
+      ask.raw.req.resume()
+      return undefined
+    }
+    const parts = ask.path.split('/').filter(Boolean)
+    if (ask.method === 'POST' && parts[0] === 'streams' && parts.length === 2) {
+      if (!Name.is(parts[1])) {
+        ask.raw.req.resume()
+        return badInput(400, 'a stream needs a name', [{ place: '/streams/', what: 'expected a name' }])
+      }
+      return await changes(ask, parts[1])
+    }
+    if (ask.method === 'POST' && parts[0] === 'groups' && parts.length === 3 && parts[2] === 'replacement') {
+      const to = (ask.body as { to?: unknown } | undefined)?.to
+      if (to !== undefined && !Name.is(to)) return badInput(400, 'not understood', [{ place: '/to', what: 'expected a name' }])
+      const got = await reading.replace(parts[1], to as string | undefined)
+      return { status: got.ok ? 202 : 409, body: got }
+    }
+    if (ask.method !== 'GET') return badInput(404, `no such path: ${ask.method} ${ask.path}`)
+    switch (parts[0]) {
+      case 'configuration': {
+        const now = await body()
+        return now ? { status: 200, body: { epoch: now.epoch, config: now.config } } : noMajority()
+      }
+      case 'history': {
+        const now = await body()
+        return now ? { status: 200, body: now.history } : noMajority()
+      }
+      case 'decisions': {
+        const now = await body()
+        if (!now) return noMajority()
+        const out: Decision[] = []
+        for (const s of now.streams) if (parts[1] === undefined || parts[1] === s.name) out.push(...s.decisions)
+        let text = ''
+        for (const d of out) text += `${JSON.stringify(d)}\n`
+        return { status: 200, body: text, type: 'application/x-ndjson' }
+      }
+      case 'members':
+        return { status: 200, body: reading.members() }
+      case 'groups':
+        return { status: 200, body: reading.groups() }
+    }
+    return badInput(404, `no such path: ${ask.method} ${ask.path}`)
+  }
+  function noMajority(): Reply {
+    return { status: 503, body: { outcome: 'refused', class: 'UNAVAILABLE', kept: 'nothing', again: true, why: 'no majority of cores answered' }, after: 2 }
+  }
+  return { take, raw }
+}
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,3 @@
+export * from './config.js'
+export * from './decide.js'
+export * from './edge.js'
--- /dev/null
+++ b/packages/proxy/src/index.ts
@@ -0,0 +1,6 @@
+export * from './proxy.js'
+export * from './freshness.js'
+export * from './pool.js'
+export * from './rules.js'
+export * from './retry.js'
+export * from './state.js'
--- /dev/null
+++ b/packages/proxy/src/interpret.ts
@@ -0,0 +1,403 @@
+import {
+  AFTER_BREAKER, AFTER_LOAD, AFTER_MOVE, BORROW_LIMIT, BUDGET, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
+} from '@claynotch/base'
+import { type Done, type Mark, type Trouble } from '@claynotch/instance'
+import { lendable } from '@claynotch/operator'
+import { refusal, type Verdict } from '@claynotch/requester'
+import { floorOf, isFresh, needOf } from './freshness.js'
+import type { Loan, Need, Pool } from './pool.js'
+import { backoff, makeAlert, makeBreaker, makeTokens, type Alert, type Breaker, type Tokens } from './retry.js'
+import type { Kind, LaneRules, Rules, Step } from './rules.js'
+import type { Known, State } from './state.js'
+import type { Instance, Watch } from './watch.js'
+
+// One call on its way. Kept for it: its deadline, its sends, its last trouble, and what became of each send.
+// Invariants: ran is 'no' only while nothing of it can have run at an instance; a write whose ran is
+// 'maybe' is never sent again; a pending place, a loan and a probe are each given up exactly once.
+export type Call = {
+  kind: Kind
+  lane: LaneRules
+  need: Need
+  token: Mark | undefined
+  mustLead: boolean
+  body: { text?: string; shape?: string; args: unknown[] }
+  deadline: number
+  byCaller: boolean
+  gone: Flag
+  sends: number
+  waited: boolean
+  ran: 'no' | 'maybe'
+  last: Trouble | undefined
+  probe: boolean
+  target?: { instance: Instance; epoch: number; floor: number | undefined }
+  loan?: Loan
+  got?: Result<Done, Trouble>
+  asked: number
+  pending: boolean
+}
+
+export type Settled = { verdict: Verdict; mark?: Mark; loan?: Loan; epoch?: number; instance?: string }
+
+export type Tools = { breaker: Breaker; tokens: Tokens; alert: Alert }
+
+export type Runner = {
+  run: (call: Call) => Promise<Settled>
+  tools: (group: string) => Tools
+  groups: () => Map<string, Tools>
+  // Whether the record that a leader's answer was asked under still stands.
+  stands: (group: string, epoch: number) => boolean
+  // Sends in flight to a group's leader that may write.
+  writing: (group: string) => number
+  holdWrite: (group: string, by: number) => void
+  highs: () => Map<string, Mark>
+  sawWrite: (group: string, mark: Mark) => void
+  quiet: ReturnType<typeof makeBell>
+}
+
+export function makeRunner(world: World, state: State, watch: Watch, pool: Pool, numbers: Numbers, stopping: () => boolean): Runner {
+  const tools = new Map<string, Tools>()
+  const pending = new Map<string, number>()
+  const writes = new Map<string, number>()
+  const highs = new Map<string, Mark>()
+  const quiet = makeBell()
+
+  function toolsOf(group: string): Tools {
+    let got = tools.get(group)
+    if (!got) {
+      function others(): { firsts: number; retries: number } {
+        return state.others(group)
+      }
+      got = { breaker: makeBreaker(world, group, numbers), tokens: makeTokens(world, others), alert: makeAlert(world, group, numbers) }
+      tools.set(group, got)
+    }
+    return got
+  }
+  function stands(group: string, epoch: number): boolean {
+    const known = state.group(group)
+    if (!known || world.now() >= known.until || known.record.epoch !== epoch) return false
+    return known.record.phase === 'steady' || known.record.phase === 'drain'
+  }
+  function writing(group: string): number {
+    return writes.get(group) ?? 0
+  }
+  function holdWrite(group: string, by: number): void {
+    writes.set(group, writing(group) + by)
+    if (by < 0) quiet.ring()
+  }
+  function sawWrite(group: string, mark: Mark): void {
+    const old = highs.get(group)
+    if (!old || mark.epoch > old.epoch || (mark.epoch === old.epoch && mark.position > old.position)) highs.set(group, mark)
+  }
+
+  // --- ends of a call ---
+
+  function isWrite(call: Call): boolean {
+    return call.kind === 'write'
+  }
+  function unavailable(call: Call, why: string, after: number): Verdict {
+    const cls = call.byCaller && world.now() >= call.deadline ? 'DEADLINE_EXCEEDED' : 'UNAVAILABLE'
+    if (call.ran === 'no') return refusal(cls, why, true, after)
+    return { outcome: 'failed', class: cls, kept: 'unknown', again: true, why, after }
+  }
+  function exhausted(call: Call): Verdict {
+    numbers.add('claynotch_retry_budget_exhausted_total', [['group', call.lane.group]])
+    toolsOf(call.lane.group).alert.note(true)
+    return unavailable(call, call.last?.why ?? 'no instance could serve the call within its budget', AFTER_MOVE)
+  }
+
+  // --- steps ---
+  // Each returns: undefined, go on; a verdict, the call ends; 'aim', back to aim.
+  type Turn = Verdict | 'aim' | undefined
+
+  function gate(call: Call): Turn {
+    if (stopping()) return refusal('UNAVAILABLE', 'this node is stopping', true, AFTER_LOAD)
+    if (!state.valid()) return refusal('UNAVAILABLE', 'this node holds no valid term', true, AFTER_MOVE)
+    if (call.gone.fired()) return refusal('ABORTED', 'the requester went away', false)
+    return undefined
+  }
+  function take(call: Call, most: number): Turn {
+    const now = pending.get(call.lane.name) ?? 0
+    if (now >= most) {
+      numbers.add('claynotch_refused_pending_total', [['lane', call.lane.name]])
+      return refusal('RESOURCE_EXHAUSTED', `the lane ${call.lane.name} has ${now} calls pending`, true, AFTER_LOAD)
+    }
+    pending.set(call.lane.name, now + 1)
+    call.pending = true
+    return undefined
+  }
+  function breakerStep(call: Call): Turn {
+    const { breaker } = toolsOf(call.lane.group)
+    if (!breaker.pass()) return refusal('UNAVAILABLE', `the breaker of group ${call.lane.group} is open`, true, AFTER_BREAKER)
+    call.probe = breaker.probing()
+    return undefined
+  }
+  // Waits for news of the group, in slices, as news may come from three sides.
+  async function waitNews(call: Call): Promise<void> {
+    call.waited = true
+    const wake = makeFlag()
+    const unwatch = call.gone.watch(wake.fire)
+    const left = Math.max(1, Math.min(call.deadline - world.now(), 250))
+    void state.bell.wait(world, left, wake).then(wake.fire)
+    void watch.bell.wait(world, left, wake).then(wake.fire)
+    await wake.wait()
+    unwatch()
+  }
+  function leaderNow(call: Call): { instance: Instance; epoch: number } | undefined {
+    const known = state.group(call.lane.group)
+    if (!known || world.now() >= known.until) return undefined
+    const rec = known.record
+    const calm = rec.phase === 'steady' || (rec.phase === 'drain' && (call.kind === 'read' || call.kind === 'begin read'))
+    if (!calm || rec.leader === undefined) return undefined
+    const instance = watch.get(rec.leader)
+    if (!instance || instance.doubt) return undefined
+    // A leaving leader still leads until its successor does, but for 7 s at most once we knew.
+    return { instance, epoch: rec.epoch }
+  }
+  function followerNow(call: Call, known: Known, step: { within: number; own: boolean }): { instance: Instance; epoch: number; floor: number } | undefined {
+    const rec = known.record
+    if (rec.leader === undefined || world.now() >= known.until) return undefined
+    const head = watch.get(rec.leader)
+    if (!head) return undefined
+    const floor = floorOf(head.samples, rec.epoch, step.within, world.now())
+    const need = needOf(floor, rec.epoch, step.own ? call.token : undefined)
+    if (need === undefined) return undefined
+    let best: Instance | undefined
+    let least = Infinity
+    for (const one of watch.all().values()) {
+      if (one.group !== call.lane.group || one.name === rec.leader || one.doubt || state.gone(one.name)) continue
+      if (!one.mark || one.status?.role !== 'follower' || !isFresh(one.mark, rec.epoch, need)) continue
+      // The own area first, then the least usage.
+      const cost = one.usage + (one.area === state.area() ? 0 : 1000)
+      if (cost < least) {
+        least = cost
+        best = one
+      }
+    }
+    return best ? { instance: best, epoch: rec.epoch, floor: need } : undefined
+  }
+  async function aim(call: Call, step: Extract<Step, { op: 'aim' }>): Promise<Turn> {
+    let waited = false
+    for (;;) {
+      if (call.gone.fired()) return refusalGone(call)
+      if (world.now() >= call.deadline) return exhausted(call)
+      const known = state.group(call.lane.group)
+      if (step.at === 'fresh' && !call.mustLead && known) {
+        const got = followerNow(call, known, step)
+        if (got) {
+          call.target = got
+          break
+        }
+      }
+      const lead = leaderNow(call)
+      if (lead) {
+        call.target = { ...lead, floor: undefined }
+        break
+      }
+      if (!state.valid()) return unavailable(call, 'this node lost its term', AFTER_MOVE)
+      // No leader to send to: a promotion is under way, or the leader is in doubt. Waiting is no send.
+      waited = true
+      await waitNews(call)
+    }
+    if (waited) {
+      // All who waited wake at once; they spread out, so that the leader isn't hit by all together.
+      await pause(world, Math.min(world.random() * WAKE_SPREAD, Math.max(0, call.deadline - world.now())), call.gone)
+      if (call.target && call.target.floor === undefined && !stands(call.lane.group, call.target.epoch)) return 'aim'
+    }
+    return undefined
+  }
+  function refusalGone(call: Call): Verdict {
+    return call.ran === 'no' ? refusal('ABORTED', 'the requester went away', false) : { outcome: 'failed', class: 'ABORTED', kept: 'unknown', again: false, why: 'the requester went away' }
+  }
+  async function borrow(call: Call): Promise<Turn> {
+    const { instance } = call.target!
+    const config = state.config()
+    const limit = config ? lendable(config, call.lane.group) : 0
+    instance.usage++
+    const got = await pool.borrow(instance.name, instance.addr, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now()), call.gone)
+    instance.usage--
+    if (got.ok) {
+      call.loan = got.val
+      return undefined
+    }
+    call.last = got.val
+    if (got.val.transient) {
+      watch.failed(instance.name)
+      return await again(call)
+    }
+    const after = got.val.class === 'RESOURCE_EXHAUSTED' ? AFTER_LOAD : undefined
+    if (call.ran !== 'no') return { outcome: 'failed', class: got.val.class, kept: 'unknown', again: after !== undefined, why: got.val.why, ...(after !== undefined ? { after } : {}) }
+    return refusal(got.val.class, got.val.why, after !== undefined, after)
+  }
+  async function send(call: Call): Promise<Turn> {
+    const { instance, epoch, floor } = call.target!
+    const loan = call.loan!
+    // The last look before anything goes out, with no wait between it and the send.
+    if (floor === undefined && !stands(call.lane.group, epoch)) {
+      loan.end(true)
+      delete call.loan
+      return 'aim'
+    }
+    const writes = call.kind === 'write' || call.kind === 'begin write'
+    const known = state.group(call.lane.group)
+    if (writes && known?.record.phase !== 'steady') {
+      loan.end(true)
+      delete call.loan
+      return 'aim'
+    }
+    const { tokens } = toolsOf(call.lane.group)
+    if (call.sends === 0) tokens.first()
+    call.sends++
+    numbers.add('claynotch_retry_attempt_total', [['group', call.lane.group], ['send', String(call.sends)]])
+    const limit = Math.max(1, Math.min(SEND_LIMIT, call.deadline - world.now()))
+    call.asked = world.now()
+    instance.usage++
+    if (writes) holdWrite(call.lane.group, 1)
+    if (call.kind === 'begin read' || call.kind === 'begin write') call.got = await loan.port.begin(call.kind === 'begin read' ? 'read' : 'write', limit)
+    else {
+      const text = call.body.text
+      call.got = await loan.port.statement({ ...(text !== undefined ? { text } : { shape: loan.shapeId(call.need.shapes.get(call.body.shape!)!) }), args: call.body.args, mode: call.kind === 'write' ? 'write' : 'read' }, limit)
+    }
+    if (writes) holdWrite(call.lane.group, -1)
+    instance.usage--
+    return undefined
+  }
+  async function judge(call: Call): Promise<Turn> {
+    const { instance, epoch, floor } = call.target!
+    const got = call.got!
+    const loan = call.loan!
+    const group = call.lane.group
+    const { breaker, alert } = toolsOf(group)
+    const lead = floor === undefined
+    if (got.ok) {
+      const { mark, rows } = got.val
+      watch.saw(instance.name, call.asked, mark, lead)
+      const good = lead ? stands(group, epoch) && mark.epoch === epoch : isFresh(mark, epoch, floor)
+      if (good) {
+        breaker.note(true, call.probe)
+        if (call.sends > 1 || call.waited) {
+          numbers.add('claynotch_retry_success_on_attempt', [['send', String(call.sends)]])
+          alert.note(false)
+        }
+        if (isWrite(call)) sawWrite(group, mark)
+        if (call.kind === 'read' || call.kind === 'write') {
+          loan.end(true)
+          delete call.loan
+        }
+        return { outcome: 'done', rows }
+      }
+      // It ran, but under a record that no longer stands (or on a follower that fell back).
+      loan.end(call.kind === 'read' || call.kind === 'write')
+      delete call.loan
+      call.ran = 'maybe'
+      if (isWrite(call)) return unknown('the answer came after the leader had been replaced or the term had ended')
+      call.last = { reach: 'maybe', class: 'UNAVAILABLE', transient: true, why: 'the answer came under a record that no longer stands' }
+      return await again(call)
+    }
+    const trouble = got.val
+    call.last = trouble
+    numbers.add('claynotch_error_classification_total', [['class', trouble.class], ['retryable', trouble.transient ? 'yes' : 'no']])
+    if (trouble.reach === 'maybe') call.ran = 'maybe'
+    loan.end(trouble.reach === 'answered' && (call.kind === 'read' || call.kind === 'write'))
+    delete call.loan
+    if (trouble.transient) {
+      watch.failed(instance.name)
+      // A known promotion is no reason to open the breaker: it has its own end.
+      if (!state.moving(group)) breaker.note(false, call.probe)
+      if (trouble.reach === 'maybe' && isWrite(call)) return unknown(trouble.why)
+      return await again(call)
+    }
+    breaker.note(true, call.probe)
+    if (trouble.class === 'UNKNOWN' && isWrite(call)) return unknown(trouble.why)
+    const after = trouble.class === 'RESOURCE_EXHAUSTED' ? AFTER_LOAD : undefined
+    if (call.ran === 'no') return refusal(trouble.class, trouble.why, after !== undefined, after)
+    if (isWrite(call)) return unknown(trouble.why)
+    return { outcome: 'failed', class: trouble.class, kept: 'unknown', again: after !== undefined, why: trouble.why, ...(after !== undefined ? { after } : {}) }
+  }
+  function unknown(why: string): Verdict {
+    numbers.add('claynotch_unknown_total')
+    return { outcome: 'unknown', class: 'UNKNOWN', kept: 'unknown', again: false, why }
+  }
+  // Whether a further send is allowed; sleeps before it, cut short when the caller goes.
+  async function again(call: Call): Promise<Turn> {
+    if (call.sends >= SENDS) return exhausted(call)
+    const { tokens } = toolsOf(call.lane.group)
+    if (call.sends > 0 && !tokens.spend()) {
+      numbers.add('claynotch_retry_tokens_out_total', [['group', call.lane.group]])
+      return unavailable(call, `the group's retries are used up: ${call.last?.why ?? ''}`, AFTER_LOAD)
+    }
+    const wait = backoff(world, Math.max(0, call.sends - 1))
+    // A sleep that would outlast the deadline is not slept: the final answer goes out at once.
+    if (world.now() + wait >= call.deadline) return exhausted(call)
+    await pause(world, wait, call.gone)
+    return 'aim'
+  }
+
+  // --- the interpreter ---
+
+  async function run(call: Call): Promise<Settled> {
+    const program = call.lane.programs.get(call.kind)!
+    const from = world.now()
+    let at = 0
+    let aimAt = 0
+    for (const [k, step] of program.entries()) if (step.op === 'aim') aimAt = k
+    let turn: Turn
+    for (;;) {
+      const step: Step = program[at]
+      switch (step.op) {
+        case 'gate':
+          turn = gate(call)
+          break
+        case 'take':
+          turn = take(call, step.pending)
+          break
+        case 'breaker':
+          turn = breakerStep(call)
+          break
+        case 'aim':
+          turn = await aim(call, step)
+          break
+        case 'borrow':
+          turn = await borrow(call)
+          break
+        case 'send':
+          turn = await send(call)
+          break
+        case 'judge':
+          turn = await judge(call)
+          break
+      }
+      if (turn === undefined) at++
+      else if (turn === 'aim') at = aimAt
+      else break
+    }
+    if (call.pending) pending.set(call.lane.name, (pending.get(call.lane.name) ?? 1) - 1)
+    if (call.probe && turn.outcome !== 'done') toolsOf(call.lane.group).breaker.note(false, true)
+    numbers.add('claynotch_calls_total', [['lane', call.lane.name], ['kind', call.kind], ['outcome', turn.outcome], ['class', turn.class ?? '']])
+    numbers.add('claynotch_call_ms_total', [['lane', call.lane.name]], Math.round(world.now() - from))
+    const out: Settled = { verdict: turn }
+    if (turn.outcome === 'done' && call.got?.ok) {
+      out.mark = call.got.val.mark
+      out.epoch = call.target!.epoch
+      out.instance = call.target!.instance.name
+      if (call.loan) out.loan = call.loan
+    } else if (call.loan) call.loan.end(false)
+    return out
+  }
+  function groups(): Map<string, Tools> {
+    return tools
+  }
+  function highsNow(): Map<string, Mark> {
+    return highs
+  }
+  return { run, tools: toolsOf, groups, stands, writing, holdWrite, highs: highsNow, sawWrite, quiet }
+}
+
+export function makeCall(world: World, kind: Kind, lane: LaneRules, rules: Rules, parts: { settings: [string, string][]; shapes: Map<string, string>; token: Mark | undefined; mustLead: boolean; body: Call['body']; ms: number | undefined; gone: Flag }): Call {
+  const now = world.now()
+  const byCaller = parts.ms !== undefined && parts.ms < BUDGET
+  return {
+    kind, lane, token: parts.token, mustLead: parts.mustLead, body: parts.body, gone: parts.gone, byCaller,
+    need: { database: lane.database, settings: parts.settings, shapes: parts.shapes, team: lane.team, share: rules.shares.get(lane.team) ?? 1 },
+    deadline: now + Math.min(BUDGET, parts.ms ?? BUDGET), sends: 0, waited: false, ran: 'no', last: undefined, probe: false, asked: now, pending: false,
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/pool.ts
@@ -0,0 +1,205 @@
+import { createHash } from 'node:crypto'
+import { BORROW_LIMIT, DIAL_LIMIT, loop, makeFlag, POOL_IDLE, RESET_LIMIT, type Flag, type Numbers, type World, Ok, Err, type Result } from '@claynotch/base'
+import { openPort, type Port, type Trouble } from '@claynotch/instance'
+
+// What a borrower needs in force on its connection.
+export type Need = { database: string; settings: [string, string][]; shapes: Map<string, string>; team: string; share: number }
+
+// Invariants:
+// - a connection has at most one borrower, from lend() to back() or drop();
+// - lent + idle + opening never passes the limit given by the configuration for this node;
+// - only a connection known to be clean is lent again; whatever ended unclear is closed;
+// - set holds exactly the settings, and shapes the shapes, that were put in force and answered for.
+type Conn = { port: Port; set: string; shapes: Set<string>; idleSince: number }
+
+export type Loan = {
+  port: Port
+  instance: string
+  shapeId: (text: string) => string
+  // Gives the connection back; clean is false where its state isn't known for sure.
+  end: (clean: boolean) => void
+}
+
+type Waiter = { need: Need; wake: Flag; at: number }
+type Place = { addr: string; idle: Conn[]; lent: number; opening: number; waiters: Waiter[]; usage: Map<string, number> }
+
+export type Pool = {
+  borrow: (instance: string, addr: string, limit: number, need: Need, ms: number, gone: Flag) => Promise<Result<Loan, Trouble>>
+  open: (instance: string) => number
+  pending: (instance: string) => number
+  close: () => void
+}
+
+export function settingsKey(need: Need): string {
+  return JSON.stringify([need.database, [...need.settings].sort()])
+}
+
+function shapeId(text: string): string {
+  return `s${createHash('sha1').update(text).digest('hex').slice(0, 20)}`
+}
+
+export function makePool(world: World, stop: Flag, numbers: Numbers): Pool {
+  const places = new Map<string, Place>()
+
+  function place(instance: string, addr: string): Place {
+    const old = places.get(instance)
+    if (old && old.addr === addr) return old
+    for (const c of old?.idle ?? []) c.port.close()
+    const fresh: Place = { addr, idle: [], lent: 0, opening: 0, waiters: [], usage: new Map() }
+    places.set(instance, fresh)
+    return fresh
+  }
+  function sweep(): void {
+    const now = world.now()
+    for (const p of places.values()) {
+      const keep: Conn[] = []
+      for (const c of p.idle) {
+        // Closed before the instance's own keep-alive would, so that a stale connection is not written to.
+        if (!c.port.alive() || now - c.idleSince > POOL_IDLE) c.port.close()
+        else keep.push(c)
+      }
+      p.idle = keep
+    }
+  }
+  void loop(world, 'pool', POOL_IDLE / 6, stop, sweep)
+
+  function count(p: Place): number {
+    return p.idle.length + p.lent + p.opening
+  }
+  // The waiter whose team holds the least for its share goes first; within a team, who came first.
+  function wakeNext(p: Place): void {
+    let best: Waiter | undefined
+    let least = Infinity
+    for (const w of p.waiters) {
+      const held = (p.usage.get(w.need.team) ?? 0) / w.need.share
+      if (held < least) {
+        least = held
+        best = w
+      }
+    }
+    if (!best) return
+    p.waiters.splice(p.waiters.indexOf(best), 1)
+    best.wake.fire()
+  }
+  function pick(p: Place, key: string): Conn | undefined {
+    let any = -1
+    for (let k = p.idle.length - 1; k >= 0; k--) {
+      const c = p.idle[k]
+      if (!c.port.alive()) {
+        p.idle.splice(k, 1)
+        if (any > k) any--
+        continue
+      }
+      if (c.set === key) return p.idle.splice(k, 1)[0]
+      any = k
+    }
+    return any >= 0 ? p.idle.splice(any, 1)[0] : undefined
+  }
+  // Puts the settings in force. false: unclear, the connection must go.
+  async function prepare(c: Conn, need: Need, key: string): Promise<Trouble | undefined> {
+    if (c.set !== key) {
+      const clear = await c.port.reset(RESET_LIMIT)
+      if (clear.err) return { ...clear.val, reach: 'none' }
+      c.set = ''
+      c.shapes.clear()
+      const put = await c.port.settings([['database', need.database], ...need.settings], RESET_LIMIT)
+      // The instance's own refusal of a setting is final; reach speaks of the try, which has not begun.
+      if (put.err) return put.val.reach === 'answered' ? put.val : { ...put.val, reach: 'none' }
+      c.set = key
+    }
+    for (const text of need.shapes.values()) {
+      const id = shapeId(text)
+      if (c.shapes.has(id)) continue
+      const put = await c.port.shape(id, text, RESET_LIMIT)
+      if (put.err) return put.val.reach === 'answered' ? put.val : { ...put.val, reach: 'none' }
+      c.shapes.add(id)
+    }
+    return undefined
+  }
+  function usageOf(p: Place, team: string, by: number): void {
+    p.usage.set(team, (p.usage.get(team) ?? 0) + by)
+  }
+
+  async function borrow(instance: string, addr: string, limit: number, need: Need, ms: number, gone: Flag): Promise<Result<Loan, Trouble>> {
+    const p = place(instance, addr)
+    const key = settingsKey(need)
+    const end = world.now() + Math.min(ms, BORROW_LIMIT)
+    let c: Conn | undefined
+    for (;;) {
+      // Those who wait already are not overtaken by one who just came.
+      c = p.waiters.length === 0 || p.idle.length > p.waiters.length ? pick(p, key) : undefined
+      if (c) {
+        p.lent++
+        break
+      }
+      if (count(p) < limit) {
+        p.opening++
+        const got = await openPort(world, addr, Math.min(DIAL_LIMIT, Math.max(1, end - world.now())))
+        p.opening--
+        if (got.err) {
+          numbers.add('claynotch_pool_dials_failed_total', [['instance', instance]])
+          wakeNext(p)
+          return got
+        }
+        numbers.add('claynotch_pool_dials_total', [['instance', instance]])
+        c = { port: got.val, set: 'new', shapes: new Set(), idleSince: 0 }
+        p.lent++
+        break
+      }
+      const left = end - world.now()
+      if (left <= 0 || gone.fired() || limit < 1) {
+        // A wake that this one can't use any more goes on to the next.
+        if (p.idle.length > 0) wakeNext(p)
+        return Err({ reach: 'none', class: 'RESOURCE_EXHAUSTED', transient: false, why: 'every connection to the instance is lent' })
+      }
+      const wake = makeFlag()
+      const mine: Waiter = { need, wake, at: world.now() }
+      p.waiters.push(mine)
+      const cancel = world.later(left, wake.fire)
+      const unwatch = gone.watch(wake.fire)
+      await wake.wait()
+      cancel()
+      unwatch()
+      const at = p.waiters.indexOf(mine)
+      if (at >= 0) p.waiters.splice(at, 1)
+      else if (p.idle.length > 0) {
+        c = pick(p, key)
+        if (c) {
+          p.lent++
+          break
+        }
+      }
+    }
+    usageOf(p, need.team, 1)
+    const conn = c
+    let over = false
+    function finish(clean: boolean): void {
+      if (over) return
+      over = true
+      p.lent--
+      usageOf(p, need.team, -1)
+      if (clean && conn.port.alive() && places.get(instance) === p && !stop.fired()) {
+        conn.idleSince = world.now()
+        p.idle.push(conn)
+      } else conn.port.close()
+      wakeNext(p)
+    }
+    const bad = await prepare(conn, need, key)
+    if (bad) {
+      finish(false)
+      return Err(bad)
+    }
+    return Ok({ port: conn.port, instance, shapeId, end: finish })
+  }
+  function open(instance: string): number {
+    const p = places.get(instance)
+    return p ? count(p) : 0
+  }
+  function pending(instance: string): number {
+    return places.get(instance)?.waiters.length ?? 0
+  }
+  function close(): void {
+    for (const p of places.values()) for (const c of p.idle) c.port.close()
+  }
+  return { borrow, open, pending, close }
+}
--- /dev/null
+++ b/packages/proxy/src/proxy.ts
@@ -0,0 +1,115 @@
+import * as t from 'io-ts'
+import {
+  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, serve, within, type Addr, type Ask, type Numbers, type Reply, type World,
+} from '@claynotch/base'
+import { takeProbe } from '@claynotch/platform'
+import { groupOf, Sight, type GroupRecord } from '@claynotch/register'
+import { makeRunner, type Runner } from './interpret.js'
+import { makePool, type Pool } from './pool.js'
+import { makeSessions, type Sessions } from './sessions.js'
+import { makeState, type State } from './state.js'
+import { startWatch, type Watch } from './watch.js'
+
+// listen: requesters. admin: the platform's probes. agent: the agent's link on this machine.
+export type ProxySettings = { listen: Addr; admin: Addr; agent: Addr }
+
+export type Proxy = { stop: () => Promise<void>; numbers: Numbers; state: State; watch: Watch; runner: Runner; sessions: Sessions; pool: Pool }
+
+const FedCell = t.intersection([t.type({ key: t.string, turn: t.number, until: t.number }), t.partial({ body: t.unknown })])
+const Feed = t.type({
+  t: t.literal('feed'), node: t.string, area: t.string, cells: t.array(FedCell), sights: t.array(Sight), moving: t.array(t.tuple([t.string, t.number])),
+  leaving: t.array(t.string), tries: t.array(t.tuple([t.string, t.number, t.number])),
+})
+
+export async function startProxy(world: World, set: ProxySettings): Promise<Proxy> {
+  const stop = makeFlag()
+  const numbers = makeNumbers()
+  const life = Math.floor(world.random() * 2 ** 40).toString(36)
+  const state = makeState(world)
+  let draining = false
+  function stopping(): boolean {
+    return draining
+  }
+  const watch = startWatch(world, state, stop, numbers)
+  const pool = makePool(world, stop, numbers)
+  const runner = makeRunner(world, state, watch, pool, numbers, stopping)
+  const sessions = makeSessions(world, state, runner, numbers, stop, stopping)
+  // acked: turns applied in full; a drain counts only once nothing that may write is left open.
+  const acked = new Map<string, number>()
+
+  function ready(): string | undefined {
+    if (draining) return 'draining'
+    if (!state.valid()) return 'no valid term'
+    return undefined
+  }
+  async function handle(ask: Ask): Promise<Reply> {
+    return await sessions.take(ask)
+  }
+  // The requester's address is bound before the agent is dialled: a second proxy of this machine fails
+  // here, so an agent never feeds one while another may still work.
+  const http = await serve(world, set.listen, handle)
+  function admin(ask: Ask): Reply {
+    return takeProbe(ask, { ready, numbers }) ?? { status: 404, body: { why: 'no such path' } }
+  }
+  const probes = await serve(world, set.admin, admin)
+
+  function applied(key: string, turn: number): boolean {
+    const group = groupOf(key)
+    if (group === undefined) return true
+    const known = state.group(group)
+    const rec = known?.record as GroupRecord | undefined
+    if (!known || rec?.phase !== 'drain' || known.turn !== turn) return true
+    return runner.writing(group) === 0 && sessions.transactions(group) === 0
+  }
+  function note(): void {
+    for (const [key, turn] of state.turns()) if ((acked.get(key) ?? 0) < turn && applied(key, turn)) acked.set(key, turn)
+    const highs: [string, number, number][] = []
+    for (const [g, m] of runner.highs()) highs.push([g, m.epoch, m.position])
+    const seen: [string, number][] = []
+    const now = world.now()
+    for (const [name, one] of watch.all()) if (one.lastOk > 0) seen.push([name, now - one.lastOk])
+    const moving: [string, number][] = []
+    const tries: [string, number, number][] = []
+    for (const [g, tools] of runner.groups()) {
+      const recent = tools.tokens.recent()
+      tries.push([g, recent.firsts, recent.retries])
+      const rec = state.group(g)?.record
+      if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
+    }
+    numbers.set('claynotch_ready', [], ready() === undefined ? 1 : 0)
+    for (const [g] of runner.groups()) numbers.set('claynotch_transactions', [['group', g]], sessions.transactions(g))
+    agent.tell({ t: 'note', life, acks: [...acked], highs, seen, moving, tries, open: sessions.open(), leaving: draining })
+  }
+  function take(msg: unknown): undefined {
+    const got = readAs(Feed, msg)
+    if (got.err) {
+      numbers.add('claynotch_link_garbage_total')
+      throw new Error('unknown word from the agent')
+    }
+    state.take(got.val)
+    note()
+    return undefined
+  }
+  const agent = holdLink(world, set.agent, hello('proxy', life), take, stop, note)
+  void loop(world, 'note', NOTE_BEAT, stop, note, runner.quiet)
+  world.log.info('proxy-started', { listen: set.listen, admin: set.admin })
+
+  // A planned stop: no new work, open transactions get DRAIN, answers in flight go out, then the end.
+  async function end(): Promise<void> {
+    draining = true
+    world.log.info('draining', { sessions: sessions.open(), transactions: sessions.transactions(), calls: http.busy() })
+    const until = world.now() + DRAIN
+    while (world.now() < until && sessions.transactions() > 0) await runner.quiet.wait(world, Math.min(100, until - world.now()))
+    sessions.cut(undefined, 'the node stops')
+    await within(world, DRAIN_TAIL, http.idle())
+    state.halt()
+    note()
+    await pause(world, 20)
+    stop.fire()
+    pool.close()
+    await within(world, DRAIN_TAIL, http.close())
+    await probes.close()
+    world.log.info('drained', { left: http.busy() })
+  }
+  return { stop: end, numbers, state, watch, runner, sessions, pool }
+}
--- /dev/null
+++ b/packages/proxy/src/rules.ts
@@ -0,0 +1,40 @@
+import { PENDING } from '@claynotch/base'
+import type { Config } from '@claynotch/operator'
+
+// The way of a request: a short list of steps, compiled from the configuration for each lane and kind of call.
+// The interpreter (interpret.ts) runs them in order; judge ends the call or goes back to aim.
+export type Step =
+  | { op: 'gate' } // a valid term, and this node not stopping
+  | { op: 'take'; pending: number } // a place among the lane's pending calls
+  | { op: 'breaker' } // the group's breaker lets it pass
+  | { op: 'aim'; at: 'leader' } // the group's leader, waited for while a promotion is under way
+  | { op: 'aim'; at: 'fresh'; within: number; own: boolean } // a follower proved fresh enough, else the leader
+  | { op: 'borrow' } // one connection, with the session's settings and shapes in force
+  | { op: 'send' }
+  | { op: 'judge' }
+
+export type Kind = 'read' | 'write' | 'begin read' | 'begin write'
+export type LaneRules = { name: string; group: string; team: string; database: string; pending: number; programs: Map<Kind, Step[]> }
+// share and sessions by team; a lane without a team belongs to the team ''.
+export type Rules = { epoch: number; lanes: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number> }
+
+export function compile(config: Config, epoch: number): Rules {
+  const lanes = new Map<string, LaneRules>()
+  for (const lane of config.lanes) {
+    const pending = lane.pending ?? PENDING
+    const lead: Step = { op: 'aim', at: 'leader' }
+    const near: Step = lane.reads === 'leader' ? lead : { op: 'aim', at: 'fresh', within: lane.reads.within, own: lane.reads.own === true }
+    const programs = new Map<Kind, Step[]>()
+    for (const [kind, aim] of [['read', near], ['write', lead], ['begin read', near], ['begin write', lead]] as [Kind, Step][]) {
+      programs.set(kind, [{ op: 'gate' }, { op: 'take', pending }, { op: 'breaker' }, aim, { op: 'borrow' }, { op: 'send' }, { op: 'judge' }])
+    }
+    lanes.set(lane.name, { name: lane.name, group: lane.group, team: lane.team ?? '', database: lane.database, pending, programs })
+  }
+  const shares = new Map<string, number>()
+  const sessions = new Map<string, number>()
+  for (const team of config.teams ?? []) {
+    shares.set(team.name, team.share ?? 1)
+    if (team.sessions !== undefined) sessions.set(team.name, team.sessions)
+  }
+  return { epoch, lanes, shares, sessions }
+}
--- /dev/null
+++ b/packages/proxy/src/sessions.ts
@@ -0,0 +1,284 @@
+import {
+  AFTER_LOAD, AFTER_MOVE, badInput, DRAIN, loop, SEND_LIMIT, SESSION_IDLE, SESSIONS, TRANSACTION_IDLE, type Ask, type Flag, type Numbers, type Reply, type World,
+} from '@claynotch/base'
+import type { Mark, Trouble } from '@claynotch/instance'
+import { readDeadline, readWord, refusal, writeVerdict, type Verdict, type Word } from '@claynotch/requester'
+import { readToken, writeToken } from './freshness.js'
+import { makeCall, type Runner } from './interpret.js'
+import type { Loan } from './pool.js'
+import type { LaneRules, Rules } from './rules.js'
+import type { State } from './state.js'
+
+// An open transaction. Invariants: its loan is its own until it ends; statements run on that connection alone;
+// ran turns true with the first statement handed over and never back.
+type Transaction = { loan: Loan; kind: 'read' | 'write'; group: string; epoch: number; lead: boolean; ran: boolean; last: number; mark: Mark | undefined }
+
+// Invariants: idle sessions hold no connection; busy is true while one call of the session runs, and a second is refused;
+// token is its last write's mark; mustLead is set after a write of unknown end, until a read at the leader.
+type Session = {
+  id: string; lane: string; settings: [string, string][]; shapes: Map<string, string>
+  token: Mark | undefined; mustLead: boolean; busy: boolean; last: number; transaction: Transaction | undefined; dead: boolean
+}
+
+export type Sessions = {
+  take: (ask: Ask) => Promise<Reply>
+  open: () => number
+  // Open transactions that may write at the group's leader.
+  transactions: (group?: string) => number
+  // Ends the group's (or all) open transactions that may write.
+  cut: (group: string | undefined, why: string) => void
+}
+
+export function makeSessions(world: World, state: State, runner: Runner, numbers: Numbers, stop: Flag, stopping: () => boolean): Sessions {
+  const all = new Map<string, Session>()
+  // counts: open sessions by team.
+  const counts = new Map<string, number>()
+  const prefix = Math.floor(world.random() * 2 ** 40).toString(36)
+  let next = 0
+
+  function laneOf(name: string): { rules: Rules; lane: LaneRules } | undefined {
+    const rules = state.rules()
+    const lane = rules?.lanes.get(name)
+    return rules && lane ? { rules, lane } : undefined
+  }
+  function noLane(name: string): Verdict {
+    return state.rules() ? refusal('NOT_FOUND', `no lane is named ${name}`, false) : refusal('UNAVAILABLE', 'no configuration is known here yet', true, AFTER_MOVE)
+  }
+  function teamCount(team: string, by: number): void {
+    counts.set(team, (counts.get(team) ?? 0) + by)
+  }
+  const teams = new Map<string, string>()
+  function drop(s: Session): void {
+    if (s.dead) return
+    s.dead = true
+    all.delete(s.id)
+    teamCount(teams.get(s.id) ?? '', -1)
+    teams.delete(s.id)
+    if (s.transaction && !s.busy) void rollBack(s)
+  }
+  // Rolls back where the connection is kept; an answer that isn't clear closes it, and the instance rolls back.
+  async function rollBack(s: Session): Promise<void> {
+    const tx = s.transaction
+    if (!tx) return
+    s.transaction = undefined
+    const got = await tx.loan.port.rollback(SEND_LIMIT)
+    tx.loan.end(got.ok)
+    runner.quiet.ring()
+  }
+  function sweep(): void {
+    const now = world.now()
+    for (const s of all.values()) {
+      if (s.busy) continue
+      if (s.transaction && now - s.transaction.last > TRANSACTION_IDLE) {
+        numbers.add('claynotch_transactions_idle_total')
+        void rollBack(s)
+      }
+      if (now - s.last > SESSION_IDLE) drop(s)
+    }
+    for (const s of all.values()) {
+      const known = s.transaction && state.group(s.transaction.group)
+      if (!known || s.busy) continue
+      if (known.record.phase === 'drain' && now - known.since > DRAIN) void rollBack(s)
+      else if (s.transaction && s.transaction.lead && !runner.stands(s.transaction.group, s.transaction.epoch)) void rollBack(s)
+    }
+    numbers.set('claynotch_sessions', [], all.size)
+  }
+  void loop(world, 'sessions', 250, stop, sweep)
+
+  function open(body: Extract<Word, { w: 'open' }>['body']): Verdict {
+    if (stopping()) return refusal('UNAVAILABLE', 'this node is stopping', true, AFTER_LOAD)
+    const found = laneOf(body.lane)
+    if (!found) return noLane(body.lane)
+    const { lane, rules } = found
+    const mark = readToken(lane.group, body.token ?? '')
+    if (mark === 'bad') return refusal('INVALID_ARGUMENT', 'the token is not one of this lane\'s group', false)
+    const most = rules.sessions.get(lane.team)
+    if (all.size >= SESSIONS) return refusal('RESOURCE_EXHAUSTED', `this node holds ${all.size} sessions`, true, AFTER_LOAD)
+    if (most !== undefined && (counts.get(lane.team) ?? 0) >= most) return refusal('RESOURCE_EXHAUSTED', `the team ${lane.team} has its ${most} sessions on this node`, true, AFTER_LOAD)
+    const settings: [string, string][] = []
+    for (const p of body.settings ?? []) settings.push([p.name, p.value])
+    const id = `${prefix}-${++next}-${Math.floor(world.random() * 2 ** 40).toString(36)}`
+    all.set(id, { id, lane: body.lane, settings, shapes: new Map(), token: mark, mustLead: false, busy: false, last: world.now(), transaction: undefined, dead: false })
+    teamCount(lane.team, 1)
+    teams.set(id, lane.team)
+    return { outcome: 'done', session: id, token: writeToken(lane.group, mark) }
+  }
+
+  // --- in a transaction ---
+
+  function over(s: Session, tx: Transaction, cls: string, why: string): Verdict {
+    void (s.transaction === tx ? endTx(s, tx) : undefined)
+    const kept = tx.ran ? 'unknown' : 'nothing'
+    return { outcome: tx.ran ? 'failed' : 'refused', class: cls, kept, again: cls === 'UNAVAILABLE', why, transaction: 'over', ...(cls === 'UNAVAILABLE' ? { after: AFTER_MOVE } : {}) }
+  }
+  function endTx(s: Session, tx: Transaction): void {
+    s.transaction = undefined
+    tx.loan.end(false)
+    runner.quiet.ring()
+  }
+  // Why nothing more may go out on this transaction, if so.
+  function lapsed(tx: Transaction): string | undefined {
+    const known = state.group(tx.group)
+    if (!known || world.now() >= known.until) return 'this node lost its term'
+    if (tx.lead && !runner.stands(tx.group, tx.epoch)) return 'the leader is being replaced'
+    if (known.record.epoch !== tx.epoch) return 'the leader was replaced'
+    if (known.record.phase === 'drain' && tx.lead && world.now() - known.since > DRAIN) return 'the leader is being replaced; open transactions had their time'
+    if (!tx.loan.port.alive()) return 'the connection to the instance broke'
+    return undefined
+  }
+  function troubled(s: Session, tx: Transaction, t: Trouble): Verdict {
+    numbers.add('claynotch_error_classification_total', [['class', t.class], ['retryable', 'no']])
+    return over(s, tx, t.class, t.why)
+  }
+  async function inTransaction(s: Session, tx: Transaction, word: Extract<Word, { w: 'statement' }>, ms: number, gone: Flag): Promise<Verdict> {
+    const why = lapsed(tx)
+    if (why) return over(s, tx, 'UNAVAILABLE', why)
+    if (word.body.kind === 'write' && tx.kind === 'read') return refusal('INVALID_ARGUMENT', 'a write in a transaction that was begun to read', false)
+    const text = word.body.shape !== undefined ? s.shapes.get(word.body.shape) : word.body.text
+    if (text === undefined) return refusal('NOT_FOUND', `no shape is named ${word.body.shape}`, false)
+    tx.ran = true
+    if (tx.kind === 'write') runner.holdWrite(tx.group, 1)
+    const got = await tx.loan.port.statement({ text, args: word.body.args ?? [], mode: word.body.kind }, Math.min(ms, SEND_LIMIT))
+    if (tx.kind === 'write') runner.holdWrite(tx.group, -1)
+    tx.last = world.now()
+    if (s.transaction !== tx) return { outcome: 'failed', class: 'ABORTED', kept: 'unknown', again: true, why: 'the transaction was ended meanwhile', transaction: 'over' }
+    if (got.err) return troubled(s, tx, got.val)
+    const late = lapsed(tx)
+    if (late) return over(s, tx, 'UNAVAILABLE', late)
+    if (gone.fired()) return over(s, tx, 'ABORTED', 'the requester went away')
+    tx.mark = got.val.mark
+    return { outcome: 'done', rows: got.val.rows }
+  }
+  async function commit(s: Session, tx: Transaction, ms: number): Promise<Verdict> {
+    const why = lapsed(tx)
+    if (why) return over(s, tx, 'UNAVAILABLE', why)
+    if (tx.kind === 'write') runner.holdWrite(tx.group, 1)
+    const got = await tx.loan.port.commit(Math.min(ms, SEND_LIMIT))
+    if (tx.kind === 'write') runner.holdWrite(tx.group, -1)
+    if (s.transaction === tx) s.transaction = undefined
+    tx.loan.end(got.ok || got.val.reach === 'answered')
+    runner.quiet.ring()
+    if (got.err) {
+      // COMMIT that may have reached is never sent again. An instance that answers that it did not commit says so.
+      if (got.val.reach === 'answered') return { outcome: 'failed', class: got.val.class, kept: 'unknown', again: got.val.transient, why: got.val.why, transaction: 'over' }
+      if (tx.kind === 'read') return { outcome: 'failed', class: 'UNAVAILABLE', kept: 'unknown', again: true, why: got.val.why, transaction: 'over', after: AFTER_LOAD }
+      return lost(s, got.val.why)
+    }
+    if (tx.kind === 'write') {
+      if (!runner.stands(tx.group, tx.epoch) || got.val.mark.epoch !== tx.epoch) return lost(s, 'the answer came after the leader had been replaced or the term had ended')
+      runner.sawWrite(tx.group, got.val.mark)
+      s.token = got.val.mark
+    }
+    return { outcome: 'done', rows: got.val.rows, transaction: 'over' }
+  }
+  function lost(s: Session, why: string): Verdict {
+    s.mustLead = true
+    numbers.add('claynotch_unknown_total')
+    return { outcome: 'unknown', class: 'UNKNOWN', kept: 'unknown', again: false, why, transaction: 'over' }
+  }
+
+  // --- words ---
+
+  async function onSession(s: Session, word: Word, ms: number | undefined, gone: Flag): Promise<Verdict> {
+    const tx = s.transaction
+    const left = ms ?? SEND_LIMIT
+    switch (word.w) {
+      case 'shape':
+        s.shapes.set(word.body.name, word.body.text)
+        return { outcome: 'done' }
+      case 'commit':
+        return tx ? await commit(s, tx, left) : refusal('INVALID_ARGUMENT', 'no transaction is open', false)
+      case 'rollback':
+        if (!tx) return refusal('INVALID_ARGUMENT', 'no transaction is open', false)
+        await rollBack(s)
+        return { outcome: 'done', transaction: 'over' }
+    }
+    if (word.w === 'statement' && tx) return await inTransaction(s, tx, word, left, gone)
+    if (word.w === 'begin' && tx) return refusal('INVALID_ARGUMENT', 'a transaction is open already', false)
+    if (word.w !== 'statement' && word.w !== 'begin') return refusal('INVALID_ARGUMENT', 'not a session call', false)
+    const found = laneOf(s.lane)
+    if (!found) return noLane(s.lane)
+    const kind = word.body.kind ?? 'write'
+    if (word.w === 'statement' && word.body.shape !== undefined && !s.shapes.has(word.body.shape)) return refusal('NOT_FOUND', `no shape is named ${word.body.shape}`, false)
+    const body: { text?: string; shape?: string; args: unknown[] } = word.w === 'statement' ? { ...(word.body.text !== undefined ? { text: word.body.text } : { shape: word.body.shape! }), args: word.body.args ?? [] } : { args: [] }
+    // Only the shapes that a call uses are put in force for it; a transaction's statements carry their texts.
+    const shapes = new Map<string, string>()
+    if (body.shape !== undefined) shapes.set(body.shape, s.shapes.get(body.shape)!)
+    const call = makeCall(world, word.w === 'begin' ? `begin ${kind}` : kind, found.lane, found.rules, { settings: s.settings, shapes, token: s.token, mustLead: s.mustLead, body, ms, gone })
+    const got = await runner.run(call)
+    if (got.verdict.outcome === 'done' && got.mark) {
+      const lead = call.target?.floor === undefined
+      if (word.w === 'begin') {
+        if (s.dead || gone.fired()) {
+          got.loan?.end(false)
+          return refusal('ABORTED', 'the session was closed', false)
+        }
+        s.transaction = { loan: got.loan!, kind, group: found.lane.group, epoch: got.epoch!, lead, ran: false, last: world.now(), mark: got.mark }
+      } else if (kind === 'write') s.token = got.mark
+      else if (lead && s.mustLead) {
+        s.mustLead = false
+        s.token = got.mark
+      }
+    } else if (got.verdict.outcome === 'unknown') s.mustLead = true
+    return got.verdict
+  }
+  async function once(word: Extract<Word, { w: 'call' }>, ms: number | undefined, gone: Flag): Promise<Verdict> {
+    const found = laneOf(word.body.lane)
+    if (!found) return noLane(word.body.lane)
+    const token = readToken(found.lane.group, word.body.token ?? '')
+    if (token === 'bad') return refusal('INVALID_ARGUMENT', 'the token is not one of this lane\'s group', false)
+    const settings: [string, string][] = []
+    for (const p of word.body.settings ?? []) settings.push([p.name, p.value])
+    const call = makeCall(world, word.body.kind, found.lane, found.rules, { settings, shapes: new Map(), token, mustLead: false, body: { text: word.body.text, args: word.body.args ?? [] }, ms, gone })
+    const got = await runner.run(call)
+    const mark = got.verdict.outcome === 'done' && word.body.kind === 'write' ? got.mark : token
+    return got.verdict.outcome === 'done' ? { ...got.verdict, token: writeToken(found.lane.group, mark) } : got.verdict
+  }
+  async function run(word: Word, ms: number | undefined, gone: Flag): Promise<Verdict> {
+    if (word.w === 'open') return open(word.body)
+    if (word.w === 'call') return await once(word, ms, gone)
+    const s = all.get(word.session)
+    if (!s) return refusal('NOT_FOUND', 'no such session on this node', false)
+    if (word.w === 'close') {
+      drop(s)
+      return { outcome: 'done' }
+    }
+    if (s.busy) return refusal('INVALID_ARGUMENT', 'the session is busy with another call', true, AFTER_LOAD)
+    s.busy = true
+    s.last = world.now()
+    try {
+      const verdict = await onSession(s, word, ms, gone)
+      const lane = state.rules()?.lanes.get(s.lane)
+      return verdict.outcome === 'done' && lane ? { ...verdict, token: writeToken(lane.group, s.token) } : verdict
+    } finally {
+      s.busy = false
+      s.last = world.now()
+      if (s.dead && s.transaction) void rollBack(s)
+      // A requester that went away in the middle of its transaction won't end it.
+      else if (gone.fired() && s.transaction) void rollBack(s)
+    }
+  }
+  async function take(ask: Ask): Promise<Reply> {
+    const word = readWord(ask)
+    if (word.err) return badInput(word.val.status, word.val.why, word.val.findings)
+    const ms = readDeadline(ask)
+    if (ms.err) return badInput(400, 'not understood', ms.val)
+    return writeVerdict(await run(word.val, ms.val, ask.gone))
+  }
+  function openNow(): number {
+    return all.size
+  }
+  function transactions(group?: string): number {
+    let out = 0
+    for (const s of all.values()) if (s.transaction && (group === undefined || (s.transaction.group === group && s.transaction.lead && s.transaction.kind === 'write'))) out++
+    return out
+  }
+  function cut(group: string | undefined, why: string): void {
+    for (const s of all.values()) {
+      if (!s.transaction || s.busy || (group !== undefined && s.transaction.group !== group)) continue
+      world.log.info('transaction-cut', { group: s.transaction.group, why })
+      void rollBack(s)
+    }
+  }
+  return { take, open: openNow, transactions, cut }
+}
--- /dev/null
+++ b/packages/proxy/src/state.ts
@@ -0,0 +1,125 @@
+import { makeBell, type Bell, type World } from '@claynotch/base'
+import { CONFIG_KEY, type Body, type Config } from '@claynotch/operator'
+import { groupKey, groupOf, type GroupRecord, type Sight } from '@claynotch/register'
+import { compile, type Rules } from './rules.js'
+
+// What the agent fed. Shapes are those of the agent's Feed; they are checked where they come in.
+export type FedCell = { key: string; turn: number; until: number; body?: unknown }
+export type Feed = { node: string; area: string; cells: FedCell[]; sights: Sight[]; moving: [string, number][]; leaving: string[]; tries: [string, number, number][] }
+
+// Invariants: a turn never goes back; work under a cell is done only while now < until;
+// rules are those of the configuration in the cell and of no other.
+type Cell = { turn: number; until: number; body: unknown; since: number }
+
+export type Known = { record: GroupRecord; turn: number; until: number; since: number }
+
+export type State = {
+  take: (f: Feed) => void
+  // Ends all terms at once, at shutdown.
+  halt: () => void
+  rules: () => Rules | undefined
+  config: () => Config | undefined
+  // Whether the configuration's term runs.
+  valid: () => boolean
+  group: (name: string) => Known | undefined
+  sights: () => Map<string, Sight>
+  gone: (name: string) => boolean
+  moving: (group: string) => boolean
+  others: (group: string) => { firsts: number; retries: number }
+  node: () => string
+  area: () => string
+  turns: () => Map<string, number>
+  bell: Bell
+}
+
+export function makeState(world: World): State {
+  const cells = new Map<string, Cell>()
+  const bell = makeBell()
+  let rules: Rules | undefined
+  let sights = new Map<string, Sight>()
+  let leaving = new Set<string>()
+  let moving = new Map<string, number>()
+  let tries = new Map<string, { firsts: number; retries: number }>()
+  let node = ''
+  let area = ''
+  let halted = false
+
+  function take(f: Feed): void {
+    if (halted) return
+    node = f.node
+    area = f.area
+    for (const c of f.cells) {
+      const old = cells.get(c.key)
+      if (old && c.turn < old.turn) continue
+      if (old && c.turn === old.turn) {
+        old.until = Math.max(old.until, c.until)
+        continue
+      }
+      // A newer turn whose body did not come along can't be applied; the agent sends it once more on a new link.
+      if (c.body === undefined) continue
+      cells.set(c.key, { turn: c.turn, until: c.until, body: c.body, since: world.now() })
+      if (c.key === CONFIG_KEY) {
+        const body = c.body as Body
+        rules = body.config ? compile(body.config, body.epoch) : undefined
+        world.log.info('configuration-applied', { epoch: body.epoch, turn: c.turn })
+      } else {
+        const rec = c.body as GroupRecord
+        world.log.info('group-applied', { group: groupOf(c.key), phase: rec.phase, epoch: rec.epoch, leader: rec.leader })
+      }
+    }
+    sights = new Map()
+    for (const s of f.sights) sights.set(s.name, s)
+    leaving = new Set(f.leaving)
+    moving = new Map(f.moving)
+    tries = new Map()
+    for (const [g, firsts, retries] of f.tries) tries.set(g, { firsts, retries })
+    bell.ring()
+  }
+  function halt(): void {
+    halted = true
+    for (const c of cells.values()) c.until = 0
+    bell.ring()
+  }
+  function config(): Config | undefined {
+    return (cells.get(CONFIG_KEY)?.body as Body | undefined)?.config ?? undefined
+  }
+  function valid(): boolean {
+    const c = cells.get(CONFIG_KEY)
+    return c !== undefined && world.now() < c.until
+  }
+  function group(name: string): Known | undefined {
+    const c = cells.get(groupKey(name))
+    return c ? { record: c.body as GroupRecord, turn: c.turn, until: c.until, since: c.since } : undefined
+  }
+  function rulesNow(): Rules | undefined {
+    return rules
+  }
+  function sightsNow(): Map<string, Sight> {
+    return sights
+  }
+  function gone(name: string): boolean {
+    return leaving.has(name) || sights.get(name)?.leaving === true
+  }
+  // Whether any node knows the group to be under promotion.
+  function movingNow(name: string): boolean {
+    const known = group(name)
+    if (known && known.record.phase !== 'steady') return true
+    const epoch = moving.get(name)
+    return epoch !== undefined && (!known || epoch > known.record.epoch)
+  }
+  function others(name: string): { firsts: number; retries: number } {
+    return tries.get(name) ?? { firsts: 0, retries: 0 }
+  }
+  function nodeNow(): string {
+    return node
+  }
+  function areaNow(): string {
+    return area
+  }
+  function turns(): Map<string, number> {
+    const out = new Map<string, number>()
+    for (const [key, c] of cells) out.set(key, c.turn)
+    return out
+  }
+  return { take, halt, rules: rulesNow, config, valid, group, sights: sightsNow, gone, moving: movingNow, others, node: nodeNow, area: areaNow, turns, bell }
+}
--- /dev/null
+++ b/packages/proxy/src/watch.ts
@@ -0,0 +1,124 @@
+import { loop, makeBell, makeFlag, openLine, pause, SAMPLE_BEAT, SAMPLE_LIMIT, type Flag, type Line, type Numbers, type World } from '@claynotch/base'
+import { statusOn, type Mark, type Status } from '@claynotch/instance'
+import type { Sample } from './freshness.js'
+import type { State } from './state.js'
+
+// ms. Leader samples are kept for this long; longer than any freshness bound in use would look back.
+const SAMPLES_LIFE = 10000
+
+// What this node saw of one instance.
+// Invariants: samples hold only what it answered as leader; mark is the last it answered, as of a time not after now.
+// doubt: something failed there after it was last seen to lead as it should.
+export type Instance = {
+  name: string; group: string; addr: string; area: string
+  lastOk: number; status: Status | undefined; mark: Mark | undefined; samples: Sample[]
+  doubt: boolean; usage: number
+}
+
+export type Watch = {
+  get: (name: string) => Instance | undefined
+  all: () => Map<string, Instance>
+  // A good answer, asked at that time, with the place the instance was at.
+  saw: (name: string, asked: number, mark: Mark, lead: boolean) => void
+  failed: (name: string) => void
+  bell: ReturnType<typeof makeBell>
+}
+
+export function startWatch(world: World, state: State, stop: Flag, numbers: Numbers): Watch {
+  const all = new Map<string, Instance>()
+  const ends = new Map<string, Flag>()
+  const bell = makeBell()
+
+  function wantedNow(): Map<string, { group: string; addr: string; area: string }> {
+    const out = new Map<string, { group: string; addr: string; area: string }>()
+    const groups = new Set<string>()
+    for (const g of state.config()?.groups ?? []) groups.add(g.name)
+    for (const s of state.sights().values()) if (groups.has(s.group)) out.set(s.name, { group: s.group, addr: s.addr, area: s.area })
+    // A leader by record is watched even while its announcements are not heard.
+    for (const g of groups) {
+      const rec = state.group(g)?.record
+      if (rec?.leader !== undefined && rec.addr !== undefined && !out.has(rec.leader)) out.set(rec.leader, { group: g, addr: rec.addr, area: all.get(rec.leader)?.area ?? '' })
+    }
+    return out
+  }
+  function tend(): void {
+    const wanted = wantedNow()
+    for (const [name, w] of wanted) {
+      const old = all.get(name)
+      if (old && old.addr === w.addr && old.group === w.group) {
+        old.area = w.area
+        continue
+      }
+      ends.get(name)?.fire()
+      const one: Instance = { name, ...w, lastOk: 0, status: undefined, mark: undefined, samples: [], doubt: false, usage: 0 }
+      const end = makeFlag()
+      stop.watch(end.fire)
+      all.set(name, one)
+      ends.set(name, end)
+      void sample(one, end)
+    }
+    for (const [name, end] of ends) {
+      if (wanted.has(name)) continue
+      end.fire()
+      ends.delete(name)
+      all.delete(name)
+    }
+  }
+  void loop(world, 'watch', SAMPLE_BEAT, stop, tend, state.bell)
+
+  // One task for each instance: asks its STATUS on a connection of its own, beat by beat.
+  async function sample(one: Instance, end: Flag): Promise<void> {
+    let line: Line | undefined
+    while (!end.fired()) {
+      const asked = world.now()
+      if (!line?.alive()) {
+        const got = await openLine(world, one.addr, SAMPLE_LIMIT)
+        line = got.ok ? got.val : undefined
+      }
+      const got = line ? await statusOn(line) : undefined
+      if (end.fired()) break
+      if (got?.ok && got.val.name === one.name) {
+        one.status = got.val
+        saw(one.name, asked, got.val.mark, got.val.role === 'leader')
+      } else {
+        numbers.add('claynotch_samples_failed_total', [['instance', one.name]])
+        line?.close()
+        line = undefined
+        failed(one.name)
+      }
+      const spent = world.now() - asked
+      await pause(world, Math.max(SAMPLE_BEAT / 3, SAMPLE_BEAT - spent) * (0.9 + 0.2 * world.random()), end)
+    }
+    line?.close()
+  }
+  function saw(name: string, asked: number, mark: Mark, lead: boolean): void {
+    const one = all.get(name)
+    if (!one) return
+    const now = world.now()
+    one.lastOk = now
+    if (!one.mark || mark.epoch !== one.mark.epoch || mark.position > one.mark.position || !lead) one.mark = mark
+    if (lead) {
+      one.samples.push({ asked, mark })
+      while (one.samples.length > 0 && one.samples[0].asked < now - SAMPLES_LIFE) one.samples.shift()
+    }
+    const rec = state.group(one.group)?.record
+    const fits = rec?.leader === name ? lead && mark.epoch === rec.epoch : true
+    if (one.doubt && fits) {
+      one.doubt = false
+      bell.ring()
+    } else if (!fits) one.doubt = true
+  }
+  function failed(name: string): void {
+    const one = all.get(name)
+    if (!one || one.doubt) return
+    one.doubt = true
+    numbers.add('claynotch_doubts_total', [['instance', name]])
+  }
+  function get(name: string): Instance | undefined {
+    return all.get(name)
+  }
+  function allNow(): Map<string, Instance> {
+    return all
+  }
+  return { get, all: allNow, saw, failed, bell }
+}
--- /dev/null
+++ b/packages/register/src/core.ts
@@ -0,0 +1,259 @@
+import { answerLinks, hello, holdLink, loop, makeFlag, makeNumbers, pause, readAs, ROUND_LIFE, type Held, type Hello, type Link, type Listener, type Numbers, type World } from '@claynotch/base'
+import { compareBallots, type Ballot } from './ballot.js'
+import { gather, makeProposer, type Voter } from './proposer.js'
+import { makeStore, type Cell, type Phase, type Store } from './store.js'
+import { makeTerms } from './terms.js'
+import { CoreWord, type KeyLine } from './words.js'
+
+export type CorePlace = { id: string; addr: string }
+export type CoreSettings = { id: string; cores: CorePlace[]; data: string }
+
+export type Core = { stop: () => Promise<void>; serving: () => boolean; store: Store; numbers: Numbers; state: () => string; agents: () => string[] }
+
+type State = { t: 'state'; id: string; phase: Phase; serving: boolean; cores: string[] }
+
+// One core machine: it votes on registers, holds terms, and pushes settled changes to its agents.
+export async function startCore(world: World, set: CoreSettings): Promise<Core> {
+  const stop = makeFlag()
+  const numbers = makeNumbers()
+  const store = makeStore(world, `${set.data}/register`)
+  const terms = makeTerms(world)
+  const born = world.now()
+  const ids: string[] = []
+  for (const c of set.cores) ids.push(c.id)
+  ids.sort()
+  const most = Math.floor(ids.length / 2) + 1
+  // serving: votes are given only while this is true; it never turns false again in a life.
+  let serving = false
+  // settled: highest ballot known to be chosen, by key; forgotten at restart and learnt anew.
+  const settled = new Map<string, Ballot>()
+  // agents: held links to push on, with the count of pushes sent and of those acknowledged.
+  const agents = new Map<Link, { node: string; num: number; acked: number }>()
+
+  const findings = await store.open()
+  for (const f of findings) world.log.warn('data-file', { place: f.place, what: f.what })
+  const lost = findings.some(isLoss)
+  function isLoss(f: { what: string }): boolean {
+    return f.what.includes('lost its memory')
+  }
+  if (store.phase() !== 'none' && store.cores().join() !== ids.join()) throw new Error(`the data folder belongs to the core set ${store.cores().join()}, not ${ids.join()}`)
+  if (store.phase() === 'founded' && !lost) serving = true
+
+  const mine = hello('core', set.id)
+  const others: { id: string; held: Held }[] = []
+  function ignore(): undefined {
+    return undefined
+  }
+  for (const c of set.cores) if (c.id !== set.id) others.push({ id: c.id, held: holdLink(world, c.addr, mine, ignore, stop) })
+
+  function keyLines(): KeyLine[] {
+    const out: KeyLine[] = []
+    for (const [key, c] of store.cells()) if (c.value) out.push({ key, ballot: c.ballot, turn: c.value.turn, chosen: isSettled(key, c) })
+    return out
+  }
+  function isSettled(key: string, c: Cell): boolean {
+    const at = settled.get(key)
+    return at !== undefined && compareBallots(at, c.ballot) === 0
+  }
+  function push(key: string): void {
+    const c = store.cells().get(key)
+    if (!c?.value) return
+    for (const [link, a] of agents) {
+      a.num++
+      link.tell({ t: 'push', num: a.num, key, ballot: c.ballot, value: c.value })
+      numbers.add('claynotch_core_pushes_total')
+    }
+  }
+  function learn(key: string, ballot: Ballot): void {
+    const c = store.cells().get(key)
+    const old = settled.get(key)
+    if (old && compareBallots(ballot, old) <= 0) return
+    settled.set(key, ballot)
+    if (c && compareBallots(c.ballot, ballot) === 0) push(key)
+  }
+  function state(): State {
+    return { t: 'state', id: set.id, phase: lost ? 'none' : store.phase(), serving, cores: ids }
+  }
+  async function answer(msg: CoreWord, peer: Hello, link: Link): Promise<unknown> {
+    numbers.add('claynotch_core_words_total', [['word', msg.t]])
+    switch (msg.t) {
+      case 'state':
+        return state()
+      case 'seeds':
+        return { cores: set.cores }
+    }
+    if (!serving) return { ok: false, absent: true }
+    switch (msg.t) {
+      case 'prepare':
+        return await store.prepare(msg.key, msg.ballot)
+      case 'accept':
+        return await store.accept(msg.key, msg.ballot, msg.value as never)
+      case 'learn':
+        learn(msg.key, msg.ballot)
+        return { ok: true }
+      case 'get': {
+        const c = store.cells().get(msg.key)
+        return { ok: true, ballot: c?.ballot ?? null, value: c?.value ?? null }
+      }
+      case 'keys': {
+        const keys: string[] = [...store.cells().keys()]
+        return { ok: true, keys, top: store.top() }
+      }
+      case 'renew': {
+        const ok = terms.renew(msg)
+        return { ok, keys: keyLines(), members: terms.members(), sights: terms.sights(), sure: terms.sure() }
+      }
+      case 'leave':
+        terms.leave(msg.node, msg.life)
+        return { ok: true }
+      case 'members':
+        return { ok: true, members: terms.members(), sure: terms.sure() }
+      case 'ack': {
+        const a = agents.get(link)
+        if (a) a.acked = Math.max(a.acked, msg.num)
+        numbers.add('claynotch_core_acks_total')
+        terms.ack(peer.node, msg.key, msg.turn)
+        return { ok: true }
+      }
+    }
+  }
+  function serveLink(peer: Hello, link: Link) {
+    if (peer.kind === 'agent') agents.set(link, { node: peer.node, num: 0, acked: 0 })
+    async function take(msg: unknown): Promise<unknown> {
+      const got = readAs(CoreWord, msg)
+      if (got.err) {
+        numbers.add('claynotch_link_garbage_total')
+        throw new Error(`unknown word from ${peer.node}`)
+      }
+      return await answer(got.val, peer, link)
+    }
+    return take
+  }
+  function lostLink(_peer: Hello, link: Link): void {
+    agents.delete(link)
+  }
+  const here = set.cores.find(isMe)
+  function isMe(c: CorePlace): boolean {
+    return c.id === set.id
+  }
+  if (!here) throw new Error(`core ${set.id} is not among its own set`)
+  const listener: Listener = await world.listen(here.addr, answerLinks(world, mine, serveLink, lostLink))
+
+  // --- founding and refill ---
+
+  async function askStates(): Promise<(State | undefined)[]> {
+    const asks: Promise<State | undefined>[] = []
+    for (const o of others) asks.push(o.held.ask({ t: 'state' }, ROUND_LIFE) as Promise<State | undefined>)
+    return await Promise.all(asks)
+  }
+  // Founding in two steps, each at every core: intent is stored by all before any is founded, so a core
+  // that holds intent has lost nothing, and one that holds nothing while another is founded has.
+  async function found(): Promise<boolean> {
+    const states = await askStates()
+    let up = 0
+    let founded = 0
+    let intent = 0
+    for (const s of states) {
+      if (!s) continue
+      if (s.cores.join() !== ids.join()) {
+        world.log.error('core-set-differs', { core: s.id, theirs: s.cores.join(), ours: ids.join() })
+        return false
+      }
+      up++
+      if (s.phase === 'founded') founded++
+      else if (s.phase === 'intent') intent++
+    }
+    if (founded > 0) {
+      if (store.phase() === 'intent' && !lost) {
+        await store.mark('founded', ids)
+        world.log.info('core-founded', { core: set.id })
+        return true
+      }
+      return await refill()
+    }
+    if (lost || up < others.length) return false
+    if (store.phase() === 'none') await store.mark('intent', ids)
+    if (intent === others.length) {
+      await store.mark('founded', ids)
+      world.log.info('core-founded', { core: set.id })
+      return true
+    }
+    return false
+  }
+  // A core that lost its memory votes again only after, for every register, a whole round above all that
+  // was promised was done at a majority of the set counted among the others; and only after every prepare
+  // that its forgotten promises could serve is void (see docs/register.md).
+  async function refill(): Promise<boolean> {
+    const wait = born + 2 * ROUND_LIFE - world.now()
+    if (wait > 0) await pause(world, wait, stop)
+    type Keys = { ok?: boolean; keys: string[]; top: number } | undefined
+    const asks: Promise<Keys>[] = []
+    for (const o of others) asks.push(o.held.ask({ t: 'keys' }, ROUND_LIFE) as Promise<Keys>)
+    function isOk(k: Keys): boolean {
+      return k?.ok === true
+    }
+    const got = (await gather(world, asks, most, isOk, ROUND_LIFE)).filter(isOk)
+    if (got.length < most) return false
+    const keys = new Set<string>()
+    let floor = 0
+    for (const k of got) {
+      for (const key of k!.keys) keys.add(key)
+      floor = Math.max(floor, k!.top)
+    }
+    function voters(): Voter[] {
+      const out: Voter[] = []
+      for (const o of others) out.push({ id: o.id, ask: o.held.ask, tell: o.held.tell })
+      return out
+    }
+    function need(): number {
+      return most
+    }
+    const proposer = makeProposer(world, set.id, voters, need)
+    const cells = new Map<string, Cell>()
+    for (const key of keys) {
+      // A read that finds a majority alike writes nothing, yet its prepare has raised that majority's promise.
+      const one = await proposer.read(key)
+      if (!one.done) return false
+      if (one.value) cells.set(key, { promise: one.ballot, ballot: one.ballot, value: one.value })
+    }
+    // The floor covers the ballots just used and keys that no one has named yet.
+    const again = (await gather(world, voters().map(askKeys), most, isOk, ROUND_LIFE)).filter(isOk)
+    if (again.length < most) return false
+    for (const k of again) floor = Math.max(floor, k!.top)
+    floor += 1
+    for (const [key, c] of cells) cells.set(key, { ...c, promise: [floor, ''] })
+    await store.refill(cells, floor, ids)
+    for (const [key, c] of cells) settled.set(key, c.ballot)
+    world.log.info('core-refilled', { core: set.id, keys: keys.size, floor })
+    numbers.add('claynotch_core_refills_total')
+    return true
+  }
+  function askKeys(v: Voter): Promise<{ ok?: boolean; keys: string[]; top: number } | undefined> {
+    return v.ask({ t: 'keys' }, ROUND_LIFE) as never
+  }
+  async function settle(): Promise<void> {
+    if (!serving) serving = await found()
+    numbers.set('claynotch_core_serving', [], serving ? 1 : 0)
+    numbers.set('claynotch_core_members', [], terms.members().length)
+  }
+  void loop(world, 'found', 200, stop, settle)
+
+  async function end(): Promise<void> {
+    stop.fire()
+    for (const link of agents.keys()) link.close()
+    await listener.close()
+  }
+  function servingNow(): boolean {
+    return serving
+  }
+  function stateNow(): string {
+    return serving ? 'serving' : lost ? 'lost' : store.phase()
+  }
+  function agentsNow(): string[] {
+    const out: string[] = []
+    for (const a of agents.values()) out.push(a.node)
+    return out
+  }
+  world.log.info('core-started', { core: set.id, addr: here.addr, state: stateNow() })
+  return { stop: end, serving: servingNow, store, numbers, state: stateNow, agents: agentsNow }
+}
--- /dev/null
+++ b/packages/register/src/index.ts
@@ -0,0 +1,7 @@
+export * from './ballot.js'
+export * from './store.js'
+export * from './proposer.js'
+export * from './terms.js'
+export { Value as ValueShape, CoreWord, Push, Renew, RenewAnswer, MembersAnswer, Member, Sight, KeyLine } from './words.js'
+export * from './core.js'
+export * from './record.js'
--- /dev/null
+++ b/packages/register/src/store.ts
@@ -0,0 +1,135 @@
+import { makeFile, makeTurnstile, type World, type Finding } from '@claynotch/base'
+import { ZERO, compareBallots, type Ballot } from './ballot.js'
+
+// What a core knows of one register.
+// Invariants: promise >= ballot; both only grow; value is the one accepted at ballot;
+// nothing is answered from here before it is synced to the file.
+export type Cell = { promise: Ballot; ballot: Ballot; value: Value | undefined }
+
+// A register's value. turn: how many changes made it; it grows by one with each change.
+// tag: unique to the change, so that its maker can find it again after an unclear round.
+export type Value = { turn: number; tag: string; body: unknown }
+
+export type Phase = 'none' | 'intent' | 'founded'
+
+type SetRecord = { k: 'set'; phase: Phase; cores: string[] }
+type FloorRecord = { k: 'floor'; floor: number }
+type PromiseRecord = { k: 'promise'; key: string; promise: Ballot }
+type CellRecord = { k: 'cell'; key: string; promise: Ballot; ballot: Ballot; value: Value | undefined }
+type Rec = SetRecord | FloorRecord | PromiseRecord | CellRecord
+
+export type PrepareAnswer = { ok: true; ballot: Ballot; value: Value | undefined } | { ok: false; promise: Ballot }
+export type AcceptAnswer = { ok: true } | { ok: false; promise: Ballot }
+
+export type Store = {
+  open: () => Promise<Finding[]>
+  phase: () => Phase
+  cores: () => string[]
+  mark: (phase: Phase, cores: string[]) => Promise<void>
+  prepare: (key: string, ballot: Ballot) => Promise<PrepareAnswer>
+  accept: (key: string, ballot: Ballot, value: Value) => Promise<AcceptAnswer>
+  cells: () => Map<string, Cell>
+  top: () => number
+  // The last step of a refill: everything at once, then founded.
+  refill: (cells: Map<string, Cell>, floor: number, cores: string[]) => Promise<void>
+}
+
+export function makeStore(world: World, path: string): Store {
+  const file = makeFile(world, path)
+  const cells = new Map<string, Cell>()
+  const enter = makeTurnstile()
+  let phase: Phase = 'none'
+  let cores: string[] = []
+  // floor: prepares and accepts under this number are refused for every key (set by a refill).
+  let floor = 0
+
+  function cell(key: string): Cell {
+    return cells.get(key) ?? { promise: floor > 0 ? [floor, ''] : ZERO, ballot: ZERO, value: undefined }
+  }
+  function replay(rec: Rec): void {
+    if (rec.k === 'set') {
+      phase = rec.phase
+      cores = rec.cores
+    } else if (rec.k === 'floor') floor = rec.floor
+    else if (rec.k === 'promise') cells.set(rec.key, { ...cell(rec.key), promise: rec.promise })
+    else cells.set(rec.key, { promise: rec.promise, ballot: rec.ballot, value: rec.value ?? undefined })
+  }
+  function live(): Rec[] {
+    const out: Rec[] = [{ k: 'floor', floor }]
+    for (const [key, c] of cells) out.push({ k: 'cell', key, promise: c.promise, ballot: c.ballot, value: c.value })
+    // The phase comes last: a file that lost its tail must not look founded.
+    out.push({ k: 'set', phase, cores })
+    return out
+  }
+  async function open(): Promise<Finding[]> {
+    const got = await file.open()
+    const findings: Finding[] = []
+    if (got.damaged) {
+      findings.push({ place: path, what: 'a bad record stands before good ones: this core has lost its memory and must be refilled' })
+      return findings
+    }
+    if (got.cut > 0) findings.push({ place: path, what: `torn last record cut off (${got.cut} bytes)` })
+    for (const rec of got.records) replay(rec as Rec)
+    return findings
+  }
+  async function save(rec: Rec): Promise<void> {
+    await file.append(rec)
+    await file.trim(live)
+  }
+  function mark(to: Phase, set: string[]): Promise<void> {
+    async function run(): Promise<void> {
+      phase = to
+      cores = set
+      await file.reset(live())
+    }
+    return enter(run)
+  }
+  function prepare(key: string, ballot: Ballot): Promise<PrepareAnswer> {
+    async function run(): Promise<PrepareAnswer> {
+      const c = cell(key)
+      if (compareBallots(ballot, c.promise) <= 0) return { ok: false, promise: c.promise }
+      cells.set(key, { ...c, promise: ballot })
+      await save({ k: 'promise', key, promise: ballot })
+      return { ok: true, ballot: c.ballot, value: c.value }
+    }
+    return enter(run)
+  }
+  function accept(key: string, ballot: Ballot, value: Value): Promise<AcceptAnswer> {
+    async function run(): Promise<AcceptAnswer> {
+      const c = cell(key)
+      if (compareBallots(ballot, c.promise) < 0) return { ok: false, promise: c.promise }
+      const next: Cell = { promise: ballot, ballot, value }
+      // The cell changes first: a rewrite inside save() must hold the new state, not the old.
+      cells.set(key, next)
+      await save({ k: 'cell', key, promise: ballot, ballot, value })
+      return { ok: true }
+    }
+    return enter(run)
+  }
+  function refill(from: Map<string, Cell>, least: number, set: string[]): Promise<void> {
+    async function run(): Promise<void> {
+      cells.clear()
+      for (const [key, c] of from) cells.set(key, c)
+      floor = least
+      phase = 'founded'
+      cores = set
+      await file.reset(live())
+    }
+    return enter(run)
+  }
+  function top(): number {
+    let most = floor
+    for (const c of cells.values()) most = Math.max(most, c.promise[0])
+    return most
+  }
+  function phaseNow(): Phase {
+    return phase
+  }
+  function coresNow(): string[] {
+    return cores
+  }
+  function cellsNow(): Map<string, Cell> {
+    return cells
+  }
+  return { open, phase: phaseNow, cores: coresNow, mark, prepare, accept, cells: cellsNow, top, refill }
+}
--- /dev/null
+++ b/packages/register/src/words.ts
@@ -0,0 +1,53 @@
+import * as t from 'io-ts'
+import { Ballot } from './ballot.js'
+
+// What is said to a core on a link. Answers are written beside each in docs/wire.md.
+export const Value = t.type({ turn: t.number, tag: t.string, body: t.unknown })
+
+// What a node saw of an instance. age: ms since the announcement was heard; leaving: it said that it goes.
+export const Sight = t.type({ name: t.string, group: t.string, addr: t.string, area: t.string, role: t.string, leaving: t.boolean, age: t.number })
+export type Sight = t.TypeOf<typeof Sight>
+
+// What a member says of itself with each renewal. acks: [key, turn] that its proxy applied.
+export const Renew = t.type({
+  t: t.literal('renew'), node: t.string, life: t.string, area: t.string, addr: t.string, operator: t.string, build: t.string,
+  acks: t.array(t.tuple([t.string, t.number])), sights: t.array(Sight), open: t.number,
+  // highs: [group, epoch, position], the highest acknowledged commit that its proxy saw.
+  highs: t.array(t.tuple([t.string, t.number, t.number])),
+})
+export type Renew = t.TypeOf<typeof Renew>
+
+export const CoreWord = t.union([
+  t.type({ t: t.literal('prepare'), key: t.string, ballot: Ballot }),
+  t.type({ t: t.literal('accept'), key: t.string, ballot: Ballot, value: Value }),
+  t.type({ t: t.literal('learn'), key: t.string, ballot: Ballot }),
+  t.type({ t: t.literal('get'), key: t.string }),
+  t.type({ t: t.literal('state') }),
+  t.type({ t: t.literal('keys') }),
+  t.type({ t: t.literal('members') }),
+  t.type({ t: t.literal('seeds') }),
+  t.type({ t: t.literal('leave'), node: t.string, life: t.string }),
+  t.type({ t: t.literal('ack'), num: t.number, key: t.string, turn: t.number }),
+  Renew,
+])
+export type CoreWord = t.TypeOf<typeof CoreWord>
+
+// Said by a core to an agent.
+export const Push = t.type({ t: t.literal('push'), num: t.number, key: t.string, ballot: Ballot, value: Value })
+export type Push = t.TypeOf<typeof Push>
+
+export const Member = t.type({
+  node: t.string, life: t.string, area: t.string, addr: t.string, operator: t.string, build: t.string, left: t.number,
+  acks: t.array(t.tuple([t.string, t.number])), open: t.number, highs: t.array(t.tuple([t.string, t.number, t.number])),
+})
+export type Member = t.TypeOf<typeof Member>
+
+export const KeyLine = t.type({ key: t.string, ballot: Ballot, turn: t.number, chosen: t.boolean })
+export type KeyLine = t.TypeOf<typeof KeyLine>
+
+// sure: false while this core has run for less than a whole term, as it may have forgotten members.
+export const RenewAnswer = t.type({ ok: t.boolean, keys: t.array(KeyLine), members: t.array(Member), sights: t.array(Sight), sure: t.boolean })
+export type RenewAnswer = t.TypeOf<typeof RenewAnswer>
+
+export const MembersAnswer = t.type({ ok: t.boolean, members: t.array(Member), sure: t.boolean })
+export type MembersAnswer = t.TypeOf<typeof MembersAnswer>
--- /dev/null
+++ b/packages/requester/src/index.ts
@@ -0,0 +1,115 @@
+import * as t from 'io-ts'
+import { Name, readStrict, type Ask, type Finding, type Reply, Ok, Err, type Result } from '@claynotch/base'
+
+// The requester's wire: what is asked, how each verdict is written. docs/wire.md tells it to users.
+
+const Pair = t.type({ name: Name, value: t.string })
+const Kind = t.union([t.literal('read'), t.literal('write')])
+export const OpenBody = t.intersection([t.type({ lane: Name }), t.partial({ settings: t.array(Pair), token: t.string })])
+export const ShapeBody = t.type({ name: Name, text: t.string })
+export const BeginBody = t.partial({ kind: Kind })
+export const StatementBody = t.intersection([t.type({ kind: Kind }), t.partial({ text: t.string, shape: Name, args: t.array(t.unknown) })])
+export const CallBody = t.intersection([t.type({ lane: Name, kind: Kind, text: t.string }), t.partial({ args: t.array(t.unknown), settings: t.array(Pair), token: t.string })])
+const Empty = t.partial({})
+
+export type Word =
+  | { w: 'open'; body: t.TypeOf<typeof OpenBody> }
+  | { w: 'close'; session: string }
+  | { w: 'shape'; session: string; body: t.TypeOf<typeof ShapeBody> }
+  | { w: 'begin'; session: string; body: t.TypeOf<typeof BeginBody> }
+  | { w: 'statement'; session: string; body: t.TypeOf<typeof StatementBody> }
+  | { w: 'commit'; session: string }
+  | { w: 'rollback'; session: string }
+  | { w: 'call'; body: t.TypeOf<typeof CallBody> }
+
+// outcome: done, with rows; refused, nothing of the try ran; failed, some of it may have run and none of it
+// was kept by us, see kept; unknown, a write may have been kept.
+// Invariant: kept is 'nothing' only where nothing of the try ran.
+export type Verdict = {
+  outcome: 'done' | 'refused' | 'failed' | 'unknown'
+  class?: string
+  kept?: 'nothing' | 'unknown'
+  again?: boolean
+  why?: string
+  after?: number
+  rows?: unknown[]
+  token?: string
+  session?: string
+  transaction?: 'over'
+}
+
+const statuses = new Map<string, number>([
+  ['UNAVAILABLE', 503], ['RESOURCE_EXHAUSTED', 429], ['INVALID_ARGUMENT', 400], ['PERMISSION_DENIED', 403],
+  ['NOT_FOUND', 404], ['DEADLINE_EXCEEDED', 503], ['ABORTED', 409],
+])
+
+// 503 and 429 promise that nothing was kept, so they are used only where that holds; 502 and 504 promise nothing.
+export function writeVerdict(v: Verdict): Reply {
+  if (v.outcome === 'done') return { status: 200, body: v }
+  const { after, ...body } = v
+  let status: number
+  if (v.outcome === 'unknown') status = 504
+  else if (v.kept !== 'nothing') status = v.transaction === 'over' ? 409 : 502
+  else status = statuses.get(v.class ?? '') ?? 500
+  return { status, body, ...(after !== undefined ? { after } : {}) }
+}
+
+export function refusal(cls: string, why: string, again: boolean, after?: number): Verdict {
+  return { outcome: 'refused', class: cls, kept: 'nothing', again, why, ...(after !== undefined ? { after } : {}) }
+}
+
+// ms left to the caller, from the header x-deadline-ms.
+export function readDeadline(ask: Ask): Result<number | undefined, Finding[]> {
+  const text = ask.header('x-deadline-ms')
+  if (text === undefined) return Ok(undefined)
+  const ms = Number(text)
+  if (!Number.isFinite(ms) || ms < 0) return Err([{ place: 'header x-deadline-ms', what: `expected milliseconds, got ${text.slice(0, 40)}` }])
+  return Ok(ms)
+}
+
+function body<T>(codec: t.Type<T, unknown, unknown>, value: unknown): Result<T, Finding[]> {
+  return readStrict(codec, value)
+}
+
+export function readWord(ask: Ask): Result<Word, { status: number; why: string; findings: Finding[] }> {
+  const parts = ask.path.split('/').filter(Boolean)
+  const verb = ask.method
+  function bad(findings: Finding[]): Result<never, { status: number; why: string; findings: Finding[] }> {
+    return Err({ status: 400, why: 'not understood', findings })
+  }
+  if (parts.length === 1 && parts[0] === 'sessions' && verb === 'POST') {
+    const got = body(OpenBody, ask.body)
+    return got.err ? bad(got.val) : Ok({ w: 'open', body: got.val })
+  }
+  if (parts.length === 1 && parts[0] === 'calls' && verb === 'POST') {
+    const got = body(CallBody, ask.body)
+    return got.err ? bad(got.val) : Ok({ w: 'call', body: got.val })
+  }
+  if (parts[0] === 'sessions' && parts.length === 2 && verb === 'DELETE') return Ok({ w: 'close', session: parts[1] })
+  if (parts[0] === 'sessions' && parts.length === 3 && verb === 'POST') {
+    const session = parts[1]
+    const plain = ask.body ?? {}
+    switch (parts[2]) {
+      case 'shapes': {
+        const got = body(ShapeBody, plain)
+        return got.err ? bad(got.val) : Ok({ w: 'shape', session, body: got.val })
+      }
+      case 'begin': {
+        const got = body(BeginBody, plain)
+        return got.err ? bad(got.val) : Ok({ w: 'begin', session, body: got.val })
+      }
+      case 'statement': {
+        const got = body(StatementBody, plain)
+        if (got.err) return bad(got.val)
+        if ((got.val.text === undefined) === (got.val.shape === undefined)) return bad([{ place: '/text', what: 'exactly one of text and shape is needed' }])
+        return Ok({ w: 'statement', session, body: got.val })
+      }
+      case 'commit':
+      case 'rollback': {
+        const got = body(Empty, plain)
+        return got.err ? bad(got.val) : Ok({ w: parts[2], session })
+      }
+    }
+  }
+  return Err({ status: 404, why: `no such path: ${verb} ${ask.path}`, findings: [] })
+}
--- /dev/null
+++ b/tools/verdict.js
@@ -0,0 +1,80 @@
+// Runs every test file, several at a time, and ends with one line: N passed, N failed.
+// A file that ends badly without a failed test of its own counts as one failure.
+import { spawn } from 'node:child_process'
+import { readdirSync } from 'node:fs'
+import { availableParallelism } from 'node:os'
+
+const LIMIT = 10 * 60 * 1000
+
+function findTests() {
+  const out = []
+  for (const pack of readdirSync('packages')) {
+    let list = []
+    try {
+      list = readdirSync(`packages/${pack}/dist/test`)
+    } catch {
+      continue
+    }
+    for (const file of list) if (file.endsWith('.test.js')) out.push(`packages/${pack}/dist/test/${file}`)
+  }
+  return out.sort()
+}
+
+function runFile(file) {
+  function start(done) {
+    const from = Date.now()
+    const child = spawn(process.execPath, [file], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, TAP: '1', UV_USE_IO_URING: '0' } })
+    let out = ''
+    let err = ''
+    function takeOut(b) {
+      out += b
+    }
+    function takeErr(b) {
+      err += b
+    }
+    function late() {
+      child.kill('SIGKILL')
+    }
+    const timer = setTimeout(late, LIMIT)
+    function end(code) {
+      clearTimeout(timer)
+      let passed = 0
+      let failed = 0
+      for (const line of out.split('\n')) {
+        if (/^ok \d+ - /.test(line)) passed++
+        else if (/^not ok \d+ - /.test(line)) failed++
+      }
+      if (code !== 0 && failed === 0) failed = 1
+      if (code === 0 && passed + failed === 0) failed = 1
+      done({ file, passed, failed, out, err, ms: Date.now() - from })
+    }
+    child.stdout.on('data', takeOut)
+    child.stderr.on('data', takeErr)
+    child.on('close', end)
+  }
+  return new Promise(start)
+}
+
+const files = findTests()
+const results = []
+async function worker() {
+  for (;;) {
+    const file = files.shift()
+    if (file === undefined) return
+    const got = await runFile(file)
+    results.push(got)
+    process.stdout.write(`${got.failed === 0 ? 'ok' : 'FAILED'} ${got.file}: ${got.passed} passed, ${got.failed} failed (${Math.round(got.ms / 1000)} s)\n`)
+    if (got.failed > 0) process.stdout.write(`${got.out.slice(-20000)}\n${got.err.slice(-5000)}\n`)
+  }
+}
+const workers = []
+for (let k = 0; k < Math.min(4, availableParallelism()); k++) workers.push(worker())
+await Promise.all(workers)
+let passed = 0
+let failed = 0
+for (const r of results) {
+  passed += r.passed
+  failed += r.failed
+}
+process.stdout.write(`${passed} passed, ${failed} failed\n`)
+process.exit(failed === 0 && passed > 0 ? 0 : 1)
