Add failure scenarios for the simulator and a judge of what requesters were told

Cause: the path serves; what must never happen has to be provoked. Twenty-three scenarios (kills, freezes, cuts, loss, lost answers, emptied cores, races, drains) run under a seed; the judge compares histories with the instances' own records.

--- /dev/null
+++ b/packages/fleet/src/scenarios.ts
@@ -0,0 +1,342 @@
+import { makeSimFleet, smallShape, type Shape, type SimFleet } from './simfleet.js'
+import type { Judgement } from './judge.js'
+
+// Failures brought about in the simulator, by name. Each scenario starts a fleet under traffic, does its
+// harm, lets traffic run on and end, and hands what the judge found to whoever asked.
+export type Outcome = { name: string; seed: number; began: boolean; judgement: Judgement; faults: string[]; counts: Map<string, number>; notes: Map<string, number>; fleet: SimFleet }
+export type Scenario = { name: string; rule: string; shape?: (s: Shape) => Shape; harm: (f: SimFleet, notes: Map<string, number>) => Promise<void>; after?: (f: SimFleet, o: Outcome) => void }
+
+function indexOf(f: SimFleet, box: { name: string } | undefined): number {
+  for (const [k, b] of f.boxes.entries()) if (b === box) return k
+  return -1
+}
+function wait(f: SimFleet, ms: number): Promise<void> {
+  return f.sim.run(f.sim.now() + ms)
+}
+function pick(f: SimFleet, n: number): number {
+  return Math.floor(f.sim.random() * n)
+}
+function leaderIndex(f: SimFleet, group: string): number {
+  return indexOf(f, f.leaderOf(group))
+}
+
+// Virtual ms from now until requesters' calls succeed again on the group's leader.
+async function untilServed(f: SimFleet, limit: number): Promise<number> {
+  const from = f.sim.now()
+  const skip = f.events.length
+  function served(): boolean {
+    for (let k = skip; k < f.events.length; k++) if (f.events[k].tag !== undefined && f.events[k].outcome === 'done' && f.events[k].start > from - 1e9 && f.events[k].end > from + 500) return true
+    return false
+  }
+  await f.sim.until(served, limit)
+  return f.sim.now() - from
+}
+
+async function leaderCrash(f: SimFleet, notes: Map<string, number>): Promise<void> {
+  const at = leaderIndex(f, 'g1')
+  f.killBox(at)
+  notes.set('ms until served', await untilServed(f, 30000))
+  await wait(f, 4000)
+  f.startBoxAt(at)
+  await wait(f, 6000)
+}
+async function leaderDark(f: SimFleet): Promise<void> {
+  const box = f.boxes[leaderIndex(f, 'g1')]
+  box.machine.dark = true
+  await wait(f, 12000)
+  box.machine.dark = false
+  await wait(f, 6000)
+}
+async function leaderFrozen(f: SimFleet): Promise<void> {
+  const box = f.boxes[leaderIndex(f, 'g1')]
+  f.sim.freeze(box.proc)
+  await wait(f, 9000)
+  f.sim.thaw(box.proc)
+  await wait(f, 6000)
+}
+async function planned(f: SimFleet): Promise<void> {
+  for (let k = 0; k < 3; k++) {
+    const sent = f.ask(pick(f, f.fronts.length), '/groups/g1/replacement', 'POST', {})
+    await f.sim.until(sent.done, 8000)
+    await wait(f, 5000)
+  }
+}
+async function answersLost(f: SimFleet): Promise<void> {
+  for (let k = 0; k < 20; k++) {
+    const box = f.boxes[pick(f, f.boxes.length)]
+    const paths = ['/statement', '/commit', '/begin', '/statement']
+    box.instance?.faults.lose.push(paths[pick(f, paths.length)])
+    await wait(f, 300)
+  }
+}
+async function holderKilled(f: SimFleet): Promise<void> {
+  f.killBox(leaderIndex(f, 'g1'))
+  // Whoever holds the duty dies a little into the move, at a time that the seed sets.
+  await wait(f, 2300 + 2500 * f.sim.random())
+  const rec = f.fronts[0].agent?.cell('group/g1')?.body as { holder?: string } | undefined
+  const front = f.fronts.find(isHolder)
+  function isHolder(x: { node: string }): boolean {
+    return x.node === rec?.holder
+  }
+  if (front) {
+    if (f.sim.random() < 0.5) f.sim.kill(front.agentProc)
+    else {
+      f.sim.freeze(front.agentProc)
+      const proc = front.agentProc
+      function thaw(): void {
+        f.sim.thaw(proc)
+      }
+      f.sim.at(2000 + 5000 * f.sim.random(), thaw)
+    }
+  }
+  await wait(f, 15000)
+}
+async function proxiesFail(f: SimFleet): Promise<void> {
+  for (let k = 0; k < 5; k++) {
+    const n = pick(f, f.fronts.length)
+    const front = f.fronts[n]
+    const r = f.sim.random()
+    if (r < 0.3) {
+      f.sim.kill(front.proxyProc)
+      await wait(f, 500)
+      f.startProxyAt(n)
+    } else if (r < 0.6) {
+      f.sim.kill(front.agentProc)
+      await wait(f, 500)
+      f.startAgentAt(n)
+    } else {
+      const proc = r < 0.8 ? front.proxyProc : front.agentProc
+      f.sim.freeze(proc)
+      await wait(f, 1000 + 5000 * f.sim.random())
+      f.sim.thaw(proc)
+    }
+    await wait(f, 2000)
+  }
+}
+async function frozenThroughMove(f: SimFleet): Promise<void> {
+  // A proxy sleeps through a whole promotion and wakes with a term that ran out meanwhile.
+  const n = pick(f, f.fronts.length)
+  f.sim.freeze(f.fronts[n].proxyProc)
+  if (f.sim.random() < 0.5) f.sim.freeze(f.fronts[n].agentProc)
+  const sent = f.ask((n + 1) % f.fronts.length, '/groups/g1/replacement', 'POST', {})
+  await f.sim.until(sent.done, 8000)
+  await wait(f, 4000 + 6000 * f.sim.random())
+  f.sim.thaw(f.fronts[n].proxyProc)
+  f.sim.thaw(f.fronts[n].agentProc)
+  await wait(f, 5000)
+}
+async function cuts(f: SimFleet): Promise<void> {
+  for (let k = 0; k < 6; k++) {
+    const list = [...f.fronts, ...f.cores, ...f.boxes]
+    const a = list[pick(f, list.length)].machine
+    const b = list[pick(f, list.length)].machine
+    f.sim.cut(a, b, f.sim.random() < 0.5)
+    if (f.sim.random() < 0.4) {
+      const c = f.fronts[pick(f, f.fronts.length)].machine
+      for (const core of f.cores) f.sim.cut(c, core.machine)
+    }
+    await wait(f, 1000 + 3000 * f.sim.random())
+    if (f.sim.random() < 0.7) f.sim.heal()
+  }
+  f.sim.heal()
+  await wait(f, 6000)
+}
+async function lossy(f: SimFleet): Promise<void> {
+  f.sim.loss(0.1)
+  await wait(f, 4000)
+  f.killBox(leaderIndex(f, 'g1'))
+  await wait(f, 14000)
+  f.sim.loss(0)
+}
+async function deafFollower(f: SimFleet): Promise<void> {
+  const lead = leaderIndex(f, 'g1')
+  const deaf = (lead + 1) % 3
+  const box = f.boxes[deaf]
+  if (box.instance) box.instance.faults.deaf = true
+  await wait(f, 4000)
+  if (f.sim.random() < 0.5) {
+    f.killBox(lead)
+    await wait(f, 9000)
+  }
+  if (box.instance) box.instance.faults.deaf = false
+  await wait(f, 3000)
+}
+async function laggingFollowers(f: SimFleet): Promise<void> {
+  for (const b of f.boxes) if (b.instance && b.instance.role() === 'follower') b.instance.faults.lag = 900 + 1500 * f.sim.random()
+  await wait(f, 10000)
+}
+async function coresRestart(f: SimFleet): Promise<void> {
+  for (let k = 0; k < f.cores.length; k++) {
+    f.sim.kill(f.cores[k].proc)
+    await wait(f, 300 + 1000 * f.sim.random())
+    f.startCoreAt(k)
+    await wait(f, 1000)
+  }
+}
+async function coreEmptied(f: SimFleet): Promise<void> {
+  for (const k of [0, 1, 2, 3, 4]) {
+    f.sim.kill(f.cores[k].proc)
+    f.cores[k].machine.files.clear()
+    const sent = f.change(pick(f, 3), `during${k}`, [{ number: 1, expect: k + 1, edits: [{ op: 'proxies', value: 4 }] }])
+    await wait(f, 500)
+    f.startCoreAt(k)
+    await f.sim.until(sent.done, 15000)
+    await wait(f, 4000)
+  }
+}
+async function everythingStops(f: SimFleet): Promise<void> {
+  for (const c of f.cores) f.sim.kill(c.proc)
+  for (const x of f.fronts) {
+    f.sim.kill(x.agentProc)
+    f.sim.kill(x.proxyProc)
+  }
+  for (let k = 0; k < f.boxes.length; k++) f.killBox(k)
+  await wait(f, 2000)
+  for (let k = 0; k < f.cores.length; k++) f.startCoreAt(k)
+  for (let k = 0; k < f.fronts.length; k++) {
+    f.startAgentAt(k)
+    f.startProxyAt(k)
+  }
+  for (let k = 0; k < f.boxes.length; k++) f.startBoxAt(k)
+  await wait(f, 12000)
+}
+async function coresCut(f: SimFleet): Promise<void> {
+  for (const x of f.fronts) for (const c of f.cores) f.sim.cut(x.machine, c.machine)
+  await wait(f, 6000)
+  f.sim.heal()
+  await wait(f, 5000)
+}
+async function leaving(f: SimFleet): Promise<void> {
+  const lead = leaderIndex(f, 'g1')
+  const one = f.sim.random() < 0.5 ? lead : (lead + 1) % 3
+  // One node misses the notice by datagram; it must learn it another way.
+  const deaf = f.fronts[pick(f, f.fronts.length)].machine
+  for (const x of f.fronts) if (x.machine !== deaf) f.sim.cut(x.machine, deaf)
+  void f.boxes[one].instance?.leave()
+  await wait(f, 14000)
+  f.sim.heal()
+}
+async function operatorsRace(f: SimFleet): Promise<void> {
+  for (let k = 0; k < 6; k++) {
+    const a = f.change(0, `a${k}`, [{ number: 1, expect: k + 1, edits: [{ op: 'proxies', value: 4 }] }])
+    const b = f.change(1, `b${k}`, [{ number: 1, expect: k + 1, edits: [{ op: 'proxies', value: 5 }] }])
+    if (f.sim.random() < 0.3) f.sim.reset(f.fronts[0].agentProc)
+    function both(): boolean {
+      return a.done() && b.done()
+    }
+    await f.sim.until(both, 20000)
+    await wait(f, 800)
+  }
+}
+async function drained(f: SimFleet): Promise<void> {
+  // Each proxy is stopped as the platform would, and started anew.
+  for (let k = 0; k < f.fronts.length; k++) {
+    const proc = f.fronts[k].proxyProc
+    let over = false
+    function ended(): void {
+      over = true
+    }
+    void f.fronts[k].proxy?.stop().then(ended)
+    function isOver(): boolean {
+      return over
+    }
+    await f.sim.until(isOver, 10000)
+    f.sim.kill(proc)
+    f.startProxyAt(k)
+    await wait(f, 2500)
+  }
+}
+async function swapped(f: SimFleet): Promise<void> {
+  // The group's instances are swapped one by one: each leaves, stops, and comes back empty.
+  for (let k = 0; k < 3; k++) {
+    void f.boxes[k].instance?.leave()
+    await wait(f, 8000)
+    f.killBox(k)
+    await wait(f, 500)
+    f.startBoxAt(k)
+    await wait(f, 4000)
+  }
+}
+async function resets(f: SimFleet): Promise<void> {
+  for (let k = 0; k < 15; k++) {
+    const list = [...f.fronts.map(proxyOf), ...f.boxes.map(procOf)]
+    f.sim.reset(list[pick(f, list.length)])
+    await wait(f, 400)
+  }
+}
+function proxyOf(x: { proxyProc: Parameters<SimFleet['sim']['kill']>[0] }): Parameters<SimFleet['sim']['kill']>[0] {
+  return x.proxyProc
+}
+function procOf(x: { proc: Parameters<SimFleet['sim']['kill']>[0] }): Parameters<SimFleet['sim']['kill']>[0] {
+  return x.proc
+}
+// Several of the above at once, as the seed has it.
+async function mixed(f: SimFleet, notes: Map<string, number>): Promise<void> {
+  const list = [leaderCrash, leaderDark, leaderFrozen, planned, answersLost, proxiesFail, frozenThroughMove, cuts, deafFollower, coresRestart, resets]
+  const a = list[pick(f, list.length)]
+  const b = list[pick(f, list.length)]
+  notes.set(`${a.name} then ${b.name}`, 1)
+  let over = 0
+  function done(): void {
+    over++
+  }
+  void a(f, notes).then(done)
+  void b
+  function isOver(): boolean {
+    return over > 0
+  }
+  await f.sim.until(isOver, 60000)
+  await b(f, notes)
+}
+
+function retrying(s: Shape): Shape {
+  return { ...s, again: true, requesters: 18 }
+}
+
+export const scenarios: Scenario[] = [
+  { name: 'leader-crash', rule: 'no write twice, none resent, service back', harm: leaderCrash },
+  { name: 'leader-dark', rule: 'no write on an old leader reported done', harm: leaderDark },
+  { name: 'leader-frozen', rule: 'no write on an old leader reported done', harm: leaderFrozen },
+  { name: 'planned-replacement', rule: 'no answer dropped, no commit lost', harm: planned },
+  { name: 'answers-lost', rule: 'what may have reached is not sent again; no false promise', harm: answersLost },
+  { name: 'resets', rule: 'what may have reached is not sent again; no false promise', harm: resets },
+  { name: 'holder-fails', rule: 'a successor finishes the move', harm: holderKilled },
+  { name: 'nodes-fail', rule: 'own processes killed and frozen', harm: proxiesFail },
+  { name: 'frozen-through-move', rule: 'a waking proxy looks at its term first', harm: frozenThroughMove },
+  { name: 'cuts', rule: 'one-way and two-way cuts', harm: cuts },
+  { name: 'lossy', rule: 'packet loss during a promotion', harm: lossy },
+  { name: 'deaf-follower', rule: 'no owed commit missed', harm: deafFollower },
+  { name: 'lagging-followers', rule: 'no owed commit missed', harm: laggingFollowers },
+  { name: 'cores-restart', rule: 'acknowledged configuration kept', harm: coresRestart },
+  { name: 'cores-emptied', rule: 'acknowledged configuration kept', harm: coreEmptied },
+  { name: 'everything-stops', rule: 'acknowledged configuration kept', harm: everythingStops },
+  { name: 'cores-cut', rule: 'no work without a term', harm: coresCut },
+  { name: 'leaving', rule: 'no new work 7 s after the notice', harm: leaving },
+  { name: 'operators-race', rule: 'one winner per epoch', harm: operatorsRace },
+  { name: 'drain', rule: 'a planned stop drops no answer', harm: drained },
+  { name: 'swapped', rule: 'whole groups swapped one by one', harm: swapped },
+  { name: 'retrying-crowd', rule: 'service back though requesters retry', shape: retrying, harm: leaderCrash },
+  { name: 'mixed', rule: 'all of them', harm: mixed },
+]
+
+export async function runScenario(s: Scenario, seed: number, opt: { keepLines?: boolean } = {}): Promise<Outcome> {
+  const shape = s.shape ? s.shape(smallShape()) : smallShape()
+  const f = makeSimFleet(seed, shape, opt)
+  const began = await f.begin()
+  const notes = new Map<string, number>()
+  if (began) {
+    f.traffic()
+    await wait(f, 3000)
+    await s.harm(f, notes)
+    await wait(f, 3000)
+    await f.quiet()
+  }
+  const counts = new Map<string, number>()
+  for (const e of f.events) {
+    const k = `${e.outcome}${e.class ? ` ${e.class}` : ''}`
+    counts.set(k, (counts.get(k) ?? 0) + 1)
+  }
+  const faults: string[] = []
+  for (const line of f.sim.lines) if (line.includes('-fault')) faults.push(line)
+  return { name: s.name, seed, began, judgement: f.judge(), faults, counts, notes, fleet: f }
+}
