--- a/packages/fleet/src/instance.ts
+++ b/packages/fleet/src/instance.ts
@@ -28,7 +28,7 @@
 // One connection: what a database keeps for it.
 type Session = { settings: Map<string, string>; shapes: Map<string, string>; open: { ops: [string, string][]; mode: string; epoch: number } | undefined }
 
-type Saved = { k: 'role'; role: 'leader' | 'follower'; epoch: number; base: number } | { k: 'log'; entries: Entry[] } | { k: 'cut'; at: number }
+type Saved = { k: 'role'; role: 'leader' | 'follower'; epoch: number; base: number } | { k: 'log'; entries: Entry[]; ran?: Ran[] } | { k: 'took'; took: Took } | { k: 'cut'; at: number }
 
 export async function startInstance(world: World, set: InstanceSettings): Promise<Instance> {
   const stop = makeFlag()
@@ -49,6 +49,7 @@
   const sessions = new Map<object, Session>()
   const enter = makeTurnstile()
   let unsaved: Entry[] = []
+  let unsavedRan: Ran[] = []
 
   function put(e: Entry): void {
     log.push(e)
@@ -68,15 +69,21 @@
   for (const rec of opened.records as Saved[]) {
     if (rec.k === 'role') ({ role, epoch, base } = rec)
     else if (rec.k === 'cut') cutTo(rec.at)
-    else for (const e of rec.entries) put(e)
+    else if (rec.k === 'took') took.push(rec.took)
+    else {
+      for (const e of rec.entries) put(e)
+      ran.push(...(rec.ran ?? []))
+    }
   }
   // Entries that wait are written together, in one sync.
   function save(): Promise<void> {
     async function run(): Promise<void> {
       if (unsaved.length === 0) return
       const list = unsaved
+      const mine = unsavedRan
       unsaved = []
-      await file.append({ k: 'log', entries: list })
+      unsavedRan = []
+      await file.append({ k: 'log', entries: list, ran: mine })
     }
     return enter(run)
   }
@@ -103,7 +110,8 @@
     put(e)
     const position = log.length
     const mine = epoch
-    for (const [, tag] of ops) ran.push({ tag, epoch, position, at: world.now() })
+    for (const [, tag] of ops) unsavedRan.push({ tag, epoch, position, at: world.now() })
+    ran.push(...unsavedRan.slice(-ops.length))
     unsaved.push(e)
     await save()
     return { status: 200, body: { rows: [ops.length], epoch: mine, position } }
@@ -185,6 +193,7 @@
         base = log.length
         took.push({ epoch, at: world.now(), base })
         await saveRole()
+        await file.append({ k: 'took', took: took[took.length - 1] })
         return { status: 200, body: { leader: true } }
       }
       case '/log': {
--- a/packages/fleet/src/judge.ts
+++ b/packages/fleet/src/judge.ts
@@ -26,8 +26,13 @@
   for (const r of records) {
     for (const one of r.ran) {
       const list = ranBy.get(one.tag) ?? []
+      // An instance that was killed may hand its record in twice, before and after.
+      if (list.some(isSame)) continue
       list.push({ epoch: one.epoch, at: one.at, name: r.name, group: r.group })
       ranBy.set(one.tag, list)
+      function isSame(x: { at: number; name: string; epoch: number }): boolean {
+        return x.at === one.at && x.name === r.name && x.epoch === one.epoch
+      }
     }
     took.set(r.group, [...(took.get(r.group) ?? []), ...r.took])
     const old = lines.get(r.group)
