--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -138,6 +138,11 @@
 export const SUSPECT = 2500
 // ms. The wait for a follower to catch up on a planned replacement; past it the replacement is called off.
 export const CATCH_UP = 5000
+// ms. Limit of the holder's STATUS call to a leader: shorter than a sample's, as its end decides when the next look is.
+export const PROBE_LIMIT = 500
+// ms. Limit of a STATUS call to a leader already suspected: it is asked in case it came back, and must not
+// hold the move up for as long as one that is well.
+export const SUSPECT_LIMIT = 200
 // ms. How long a move waits for commits that nodes saw acknowledged to turn up at some instance,
 // before it goes on without them and says so: a crashed leader's restart takes about this long.
 export const LOSS_WAIT = 3000
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -1,4 +1,4 @@
-import { CANDIDATE_LIFE, CATCH_UP, DRAIN, DUTY_BEAT, HINT_GOOD, LOSS_WAIT, loop, makeBell, makeFlag, SUSPECT, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World } from '@claynotch/base'
+import { CANDIDATE_LIFE, CATCH_UP, DRAIN, DUTY_BEAT, HINT_GOOD, LOSS_WAIT, loop, makeBell, makeFlag, PROBE_LIMIT, SUSPECT, SUSPECT_LIMIT, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World } from '@claynotch/base'
 import { askStatus, type Mark, type Status } from '@claynotch/instance'
 import { promote } from '@claynotch/platform'
 import { groupKey, type GroupRecord, type Member, type Proposer, type Sight, type Value } from '@claynotch/register'
@@ -109,9 +109,10 @@
     for (const s of view.sights()) if (s.group === group) out.push(s)
     return out
   }
-  async function look(sights: { name: string; addr: string }[]): Promise<Seen[]> {
+  // brief: one that is suspected, and is not waited for as long as the others.
+  async function look(sights: { name: string; addr: string }[], brief?: string): Promise<Seen[]> {
     async function one(s: { name: string; addr: string }): Promise<Seen | undefined> {
-      const got = await askStatus(world, s.addr)
+      const got = await askStatus(world, s.addr, s.name === brief ? SUSPECT_LIMIT : PROBE_LIMIT)
       // Another instance may answer at an address that was used before.
       return got.ok && got.val.name === s.name ? { name: s.name, addr: s.addr, status: got.val } : undefined
     }
@@ -212,7 +213,7 @@
     const old = rec.old ?? rec.leader
     const here: Sight[] = []
     for (const s of sightsHere()) if (!s.leaving) here.push(s)
-    const best = to ?? furthest(await look(here), old)
+    const best = to ?? furthest(await look(here, planned ? undefined : old), old)
     if (!best) return false
     return (await put(turn, {
       epoch: Math.max(rec.epoch, best.status.mark.epoch) + 1, phase: 'stop', holder: view.node, fence: rec.fence,
@@ -248,7 +249,7 @@
     if (!(await stopped(turn, m.since))) return false
     const here: Sight[] = []
     for (const s of sightsHere()) if (!s.leaving) here.push(s)
-    const seen = await look(here)
+    const seen = await look(here, rec.planned ? undefined : rec.old)
     const best = furthest(seen, rec.planned ? undefined : rec.old)
     const mine = seen.find(isMine)
     function isMine(s: Seen): boolean {
--- a/packages/fleet/src/requester.ts
+++ b/packages/fleet/src/requester.ts
@@ -108,7 +108,11 @@
         told = set1
         if (told.outcome === 'done' && (told.rows ?? [])[1] !== `r${set.id}`) wrong = true
         if (told.outcome === 'done') told = await call('POST', `${at}/statement`, { kind: 'write', text: 'append', args: [key, tag] })
-        if (told.outcome === 'done') {
+        if (told.outcome === 'done' && world.random() < 0.1) {
+          // Thought better of it: a transaction rolled back keeps nothing.
+          told = await call('POST', `${at}/rollback`, {})
+          if (told.outcome === 'done') told = { outcome: 'refused', class: 'ROLLED_BACK', kept: 'nothing' }
+        } else if (told.outcome === 'done') {
           sentCommit = true
           told = await call('POST', `${at}/commit`, {})
         }
@@ -134,12 +138,12 @@
     let told = await operate(mix)
     // A requester that retries whole operations, as those of our users do: at once, on another node.
     let tries = 0
-    while (set.again && told && told.outcome !== 'done' && told.outcome !== 'unknown' && tries < 2 && !stop.fired()) {
+    while (set.again && told && told.outcome !== 'done' && told.class !== 'ROLLED_BACK' && told.outcome !== 'unknown' && tries < 2 && !stop.fired()) {
       tries++
       move()
       told = await operate(mix)
     }
-    if (told && (told.outcome === 'none' || told.class === 'NOT_FOUND' || (told.outcome === 'refused' && world.random() < 0.3))) move()
+    if (told && (told.outcome === 'none' || told.class === 'NOT_FOUND' || (told.outcome === 'refused' && told.class !== 'ROLLED_BACK' && world.random() < 0.3))) move()
     await pause(world, set.think * (0.5 + world.random()), stop)
   }
   line?.close()
--- a/packages/fleet/src/sim.ts
+++ b/packages/fleet/src/sim.ts
@@ -374,12 +374,20 @@
     cuts.delete(`${from.name}>${to.name}`)
     cuts.delete(`${to.name}>${from.name}`)
   }
+  // As by a RST: what is under way is lost, both sides see it at once.
   function reset(proc: Proc): void {
     for (const end of [...proc.ends]) {
       const other = end.peerEnd
       if (!other) continue
-      breakLater(end, other)
-      breakLater(other, end)
+      for (const one of [end, other]) {
+        if (one.shut) continue
+        one.shut = true
+        one.proc.ends.delete(one)
+        function breakNow(): void {
+          one.destroy(Object.assign(new Error('read ECONNRESET'), { code: 'ECONNRESET' }))
+        }
+        plan(0, one.proc, breakNow)
+      }
     }
   }
   function loss(share: number): void {
--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -9,7 +9,7 @@
 import { makeSim, type Machine, type Proc, type Sim } from './sim.js'
 
 // A whole fleet in the simulator.
-export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean }
+export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean; latency?: number }
 
 export type Front = { machine: Machine; agentProc: Proc; proxyProc: Proc; agent: Agent | undefined; proxy: Proxy | undefined; node: string; http: Addr; listen: Addr }
 export type CoreBox = { machine: Machine; proc: Proc; core: Core | undefined; id: string; http: Addr }
@@ -38,7 +38,7 @@
 export type Decided = { number?: number; decision: string; epoch?: number; why?: string; findings?: { place: string; what: string }[] }
 
 export function makeSimFleet(seed: number, shape: Shape, opt: { keepLines?: boolean } = {}): SimFleet {
-  const sim = makeSim(seed, opt)
+  const sim = makeSim(seed, { ...opt, ...(shape.latency !== undefined ? { latency: shape.latency } : {}) })
   const events: Event[] = []
   const fronts: Front[] = []
   const cores: CoreBox[] = []
--- a/packages/instance/src/edge.ts
+++ b/packages/instance/src/edge.ts
@@ -111,8 +111,8 @@
   return Ok({ role, mark: { epoch, position }, name: String(rows.get('name')), group: String(rows.get('group')) })
 }
 
-export async function askStatus(world: World, addr: Addr): Promise<Result<Status, string>> {
-  return readStatus(await callOnce(world, addr, 'GET', '/status', undefined, SAMPLE_LIMIT))
+export async function askStatus(world: World, addr: Addr, ms: number = SAMPLE_LIMIT): Promise<Result<Status, string>> {
+  return readStatus(await callOnce(world, addr, 'GET', '/status', undefined, ms))
 }
 
 export async function statusOn(line: Line): Promise<Result<Status, string>> {
--- /dev/null
+++ b/tools/mutants.js
@@ -0,0 +1,101 @@
+// Shows that the checks are not empty: takes one guard out of a copy of the build, runs the scenario that
+// is meant to catch it, and expects findings. A mutant that no seed catches is reported as MISSED, exit 1.
+//   node tools/mutants.js [name]
+import { spawn } from 'node:child_process'
+import { cpSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join, resolve } from 'node:path'
+import { mutants } from './mutants.list.js'
+
+const root = resolve(new URL('..', import.meta.url).pathname)
+const only = process.argv[2]
+
+function copyBuild() {
+  const dir = mkdtempSync(join(tmpdir(), 'claynotch-mutant-'))
+  mkdirSync(join(dir, 'node_modules', '@claynotch'), { recursive: true })
+  for (const name of readdirSync(join(root, 'node_modules'))) {
+    if (name !== '@claynotch') symlinkSync(join(root, 'node_modules', name), join(dir, 'node_modules', name))
+  }
+  for (const name of readdirSync(join(root, 'packages'))) {
+    const to = join(dir, 'packages', name)
+    cpSync(join(root, 'packages', name, 'dist'), join(to, 'dist'), { recursive: true })
+    cpSync(join(root, 'packages', name, 'package.json'), join(to, 'package.json'))
+    symlinkSync(to, join(dir, 'node_modules', '@claynotch', name))
+  }
+  return dir
+}
+
+function patch(dir, m) {
+  for (const [file, from, to] of m.edits) {
+    const path = join(dir, 'packages', file)
+    const text = readFileSync(path, 'utf8')
+    if (text.split(from).length !== 2) throw new Error(`${m.name}: the guard stands ${text.split(from).length - 1} times in ${file}`)
+    writeFileSync(path, text.replace(from, to))
+  }
+}
+
+function sweep(dir, scenario, seed) {
+  function start(done) {
+    const child = spawn(process.execPath, [join(dir, 'packages/fleet/dist/main.js'), 'sweep', '--only', scenario, '--from', String(seed), '--to', String(seed)], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, UV_USE_IO_URING: '0' } })
+    let out = ''
+    function take(b) {
+      out += b
+    }
+    function late() {
+      child.kill('SIGKILL')
+    }
+    const timer = setTimeout(late, 120000)
+    function end(code) {
+      clearTimeout(timer)
+      done({ code, out })
+    }
+    child.stdout.on('data', take)
+    child.stderr.on('data', take)
+    child.on('close', end)
+  }
+  return new Promise(start)
+}
+
+async function judge(m) {
+  const dir = copyBuild()
+  try {
+    patch(dir, m)
+    for (let seed = m.seeds[0]; seed <= m.seeds[1]; seed++) {
+      const got = await sweep(dir, m.scenario, seed)
+      const found = got.out.split('\n').filter(isFinding)
+      if (found.length > 0) return { m, seed, found: found[0].trim() }
+    }
+    return { m, seed: undefined, found: '' }
+  } finally {
+    rmSync(dir, { recursive: true, force: true })
+  }
+}
+function isFinding(line) {
+  return line.startsWith('  ') && line.trim() !== ''
+}
+
+const list = mutants.filter(isWanted)
+function isWanted(m) {
+  return only === undefined || m.name === only
+}
+let caught = 0
+let missed = 0
+async function worker() {
+  for (;;) {
+    const m = list.shift()
+    if (!m) return
+    const got = await judge(m)
+    if (got.seed === undefined) {
+      missed++
+      process.stdout.write(`MISSED ${m.name} (${m.scenario}, seeds ${m.seeds.join(' to ')})\n`)
+    } else {
+      caught++
+      process.stdout.write(`caught ${m.name} (${m.scenario}, seed ${got.seed}): ${got.found.slice(0, 200)}\n`)
+    }
+  }
+}
+const workers = []
+for (let k = 0; k < 6; k++) workers.push(worker())
+await Promise.all(workers)
+process.stdout.write(`${caught} passed, ${missed} failed\n`)
+process.exit(missed === 0 ? 0 : 1)
