--- /dev/null
+++ b/packages/fleet/src/test/register.test.ts
@@ -0,0 +1,259 @@
+import t, { type Test } from 'tap'
+import { hello, holdLink, makeFlag, pause, type Held, type World } from '@claynotch/base'
+import { makeProposer, makeStore, startCore, type Ballot, type Cell, type Core, type CorePlace, type Value, type Voter } from '@claynotch/register'
+import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
+
+t.setTimeout(600000)
+
+type Box = { id: string; machine: Machine; proc: Proc; core: Core | undefined }
+type Cores = { sim: Sim; boxes: Box[]; places: CorePlace[]; start: (k: number) => void; serving: () => boolean }
+
+function makeCores(seed: number): Cores {
+  const sim = makeSim(seed)
+  const places: CorePlace[] = []
+  const boxes: Box[] = []
+  for (let k = 1; k <= 5; k++) places.push({ id: `c${k}`, addr: `10.0.1.${k}:7000` })
+  for (const p of places) boxes.push({ id: p.id, machine: sim.machine(p.id, p.addr.split(':')[0]), proc: undefined as never, core: undefined })
+  function start(k: number): void {
+    const b = boxes[k]
+    async function run(world: World): Promise<void> {
+      b.core = await startCore(world, { id: b.id, cores: places, data: '/d' })
+    }
+    b.core = undefined
+    b.proc = sim.spawn(b.machine, b.id, run)
+  }
+  function serving(): boolean {
+    for (const b of boxes) if (!b.core?.serving()) return false
+    return true
+  }
+  for (let k = 0; k < 5; k++) start(k)
+  return { sim, boxes, places, start, serving }
+}
+function ignore(): undefined {
+  return undefined
+}
+function votersOf(world: World, places: CorePlace[]): Voter[] {
+  const stop = makeFlag()
+  const out: Voter[] = []
+  for (const p of places) {
+    const held: Held = holdLink(world, p.addr, hello('test', 'test'), ignore, stop)
+    out.push({ id: p.id, ask: held.ask, tell: held.tell })
+  }
+  return out
+}
+
+// The slow plain model of a register is a list that one writer at a time appends to: every change told
+// done stands in it exactly once, at the place that its turn says.
+async function againstModel(c: Test): Promise<void> {
+  for (const seed of [1, 2, 3, 4]) {
+    const s = makeCores(seed)
+    c.ok(await s.sim.until(s.serving, 20000), `seed ${seed}: founded`)
+    const told = new Map<string, number>()
+    let over = 0
+    for (let w = 0; w < 3; w++) {
+      const desk = s.sim.machine(`w${w}`, `10.0.3.${w + 1}`)
+      async function write(world: World): Promise<void> {
+        const all = votersOf(world, s.places)
+        function voters(): Voter[] {
+          return all
+        }
+        function need(): number {
+          return 3
+        }
+        const proposer = makeProposer(world, `w${w}`, voters, need)
+        await pause(world, 500)
+        for (let k = 0; k < 25; k++) {
+          const tag = `w${w}.${k}`
+          function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
+            const list = (now?.body ?? []) as string[]
+            return list.includes(tag) ? undefined : { body: [...list, tag], tag }
+          }
+          const got = await proposer.change('list', edit)
+          if (got.done && got.value) told.set(tag, ((got.value.body as string[]).indexOf(tag)) + 1)
+          await pause(world, 300 * world.random())
+        }
+        over++
+      }
+      s.sim.spawn(desk, `w${w}`, write)
+    }
+    function done(): boolean {
+      return over === 3
+    }
+    // Meanwhile cores die, lose their disks, are cut off and lose packets, one machine down at a time.
+    while (!done() && s.sim.now() < 200000) {
+      const k = Math.floor(s.sim.random() * 5)
+      const r = s.sim.random()
+      s.sim.loss(s.sim.random() < 0.5 ? 0.1 : 0)
+      if (r < 0.6) {
+        s.sim.kill(s.boxes[k].proc)
+        if (r < 0.3) s.boxes[k].machine.files.clear()
+        await s.sim.run(s.sim.now() + 1500 * s.sim.random())
+        s.start(k)
+        await s.sim.until(s.serving, 30000)
+      } else {
+        const o = s.boxes[(k + 1) % 5]
+        s.sim.cut(s.boxes[k].machine, o.machine)
+        await s.sim.run(s.sim.now() + 1000 * s.sim.random())
+        s.sim.heal()
+      }
+    }
+    c.ok(done(), `seed ${seed}: the writers came through`)
+    s.sim.heal()
+    s.sim.loss(0)
+    await s.sim.until(s.serving, 30000)
+    let final: string[] | undefined
+    async function read(world: World): Promise<void> {
+      const all = votersOf(world, s.places)
+      function voters(): Voter[] {
+        return all
+      }
+      function need(): number {
+        return 3
+      }
+      await pause(world, 500)
+      const got = await makeProposer(world, 'reader', voters, need).read('list')
+      if (got.done) final = (got.value?.body ?? []) as string[]
+    }
+    s.sim.spawn(s.sim.machine('r', '10.0.3.9'), 'reader', read)
+    function isRead(): boolean {
+      return final !== undefined
+    }
+    await s.sim.until(isRead, 10000)
+    c.equal(new Set(final).size, final?.length, `seed ${seed}: nothing stands twice`)
+    const wrong: string[] = []
+    for (const [tag, turn] of told) if (final?.[turn - 1] !== tag) wrong.push(`${tag} at ${turn}`)
+    c.strictSame(wrong, [], `seed ${seed}: all ${told.size} told changes stand where they were told`)
+    c.ok(told.size > 60, `seed ${seed}: most changes were told done`)
+  }
+}
+
+function value(tag: string): Value {
+  return { turn: 1, tag, body: tag }
+}
+
+// The hazard itself, on bare stores: a core that lost its memory and merely copies what a majority of the
+// others holds lets an older round finish with the vote that it forgot.
+async function plainCopy(c: Test): Promise<void> {
+  const sim = makeSim(1)
+  let out: string[] = []
+  async function run(world: World): Promise<void> {
+    const a = makeStore(world, '/a')
+    const b = makeStore(world, '/b')
+    const cc = makeStore(world, '/c')
+    const d = makeStore(world, '/d')
+    const x = makeStore(world, '/x')
+    const one: Ballot = [1, 'p']
+    for (const s of [a, b, x]) await s.prepare('k', one)
+    // Two of five have accepted; the third accept is on its way to b.
+    await a.accept('k', one, value('first'))
+    await x.accept('k', one, value('first'))
+    // x loses its disk and copies from b, c and d, which hold nothing.
+    const copy = makeStore(world, '/x2')
+    const cells = new Map<string, Cell>()
+    for (const s of [b, cc, d]) for (const [key, cell] of s.cells()) if (cell.value) cells.set(key, cell)
+    await copy.refill(cells, 0, [])
+    // Another proposer finds nothing at a majority and has its own value chosen.
+    const two: Ballot = [2, 'q']
+    let seen: Value | undefined
+    for (const s of [copy, cc, d]) {
+      const got = await s.prepare('k', two)
+      if (got.ok && got.value) seen = got.value
+    }
+    for (const s of [copy, cc, d]) await s.accept('k', two, seen ?? value('second'))
+    // The late accept arrives at b: a, b and the x that was make three, and 'first' is told done as well.
+    const late = await b.accept('k', one, value('first'))
+    out = [seen ? 'seen' : 'not seen', late.ok ? 'first told done' : 'first refused', 'second told done']
+  }
+  sim.spawn(sim.machine('m', '10.0.0.1'), 'stores', run)
+  await sim.run(5000)
+  c.strictSame(out, ['not seen', 'first told done', 'second told done'], 'plain copying: two rival changes are told done')
+}
+
+// The same with the real core: after its refill, the older round can't finish.
+async function refilled(c: Test): Promise<void> {
+  for (const seed of [1, 2, 3]) {
+    const s = makeCores(seed)
+    await s.sim.until(s.serving, 20000)
+    const acks: string[] = []
+    let step = 0
+    async function old(world: World): Promise<void> {
+      const all = votersOf(world, s.places)
+      const byId = new Map<string, Voter>()
+      for (const v of all) byId.set(v.id, v)
+      await pause(world, 500)
+      const one: Ballot = [1, 'p']
+      for (const id of ['c1', 'c2', 'c5']) await byId.get(id)!.ask({ t: 'prepare', key: 'k', ballot: one }, 1000)
+      async function accept(id: string): Promise<void> {
+        const got = (await byId.get(id)!.ask({ t: 'accept', key: 'k', ballot: one, value: value('first') }, 1000)) as { ok?: boolean } | undefined
+        if (got?.ok) acks.push(id)
+      }
+      await accept('c1')
+      await accept('c5')
+      step = 1
+      while (step === 1) await pause(world, 100)
+      for (const id of ['c2', 'c3', 'c4']) await accept(id)
+      step = 3
+    }
+    s.sim.spawn(s.sim.machine('p', '10.0.3.1'), 'old round', old)
+    function accepted(): boolean {
+      return step === 1
+    }
+    await s.sim.until(accepted, 10000)
+    s.sim.kill(s.boxes[4].proc)
+    s.boxes[4].machine.files.clear()
+    s.start(4)
+    const from = s.sim.now()
+    c.ok(await s.sim.until(s.serving, 20000), `seed ${seed}: the emptied core votes again`)
+    c.ok(s.sim.now() - from >= 2000, `seed ${seed}: and not before every prepare of its old life is void`)
+    step = 2
+    function ended(): boolean {
+      return step === 3
+    }
+    await s.sim.until(ended, 10000)
+    // Either the refill's round carried 'first' on itself, or the round's late accepts were refused.
+    const held = s.boxes[4].core?.store.cells().get('k')?.value?.tag
+    c.ok(held === 'first' || acks.length < 3, `seed ${seed}: accepts ${acks.join()}, the refilled core holds ${held}`)
+  }
+}
+
+// Every core comes back from its own disk, torn writes and all; a damaged file is refilled, not believed.
+async function disks(c: Test): Promise<void> {
+  const s = makeCores(5)
+  await s.sim.until(s.serving, 20000)
+  let told = 0
+  async function write(world: World): Promise<void> {
+    const all = votersOf(world, s.places)
+    function voters(): Voter[] {
+      return all
+    }
+    function need(): number {
+      return 3
+    }
+    const proposer = makeProposer(world, 'w', voters, need)
+    await pause(world, 300)
+    for (let k = 1; k <= 40; k++) {
+      function edit(now: Value | undefined): { body: unknown; tag: string } {
+        return { body: (now?.body as number | undefined ?? 0) + 1, tag: `t${k}` }
+      }
+      const got = await proposer.change('n', edit, 20000)
+      if (got.done && got.value) told = got.value.turn
+    }
+  }
+  s.sim.spawn(s.sim.machine('p', '10.0.3.1'), 'writer', write)
+  await s.sim.run(s.sim.now() + 420)
+  for (const b of s.boxes) s.sim.kill(b.proc)
+  const last = told
+  // One file is damaged in its middle as well.
+  const file = s.boxes[2].machine.files.get('/d/register') as Buffer
+  file[Math.floor(file.length / 2)] ^= 0xff
+  for (let k = 0; k < 5; k++) s.start(k)
+  c.ok(await s.sim.until(s.serving, 30000), 'all serve again')
+  let most = 0
+  for (const b of s.boxes) most = Math.max(most, b.core?.store.cells().get('n')?.value?.turn ?? 0)
+  c.ok(last > 0 && most >= last, `told ${last}, recovered ${most}`)
+}
+
+void t.test('a register under failures is the list of the plain model', againstModel)
+void t.test('plain copying loses an acknowledged change', plainCopy)
+void t.test('an emptied core is refilled so that no older round finishes with its lost vote', refilled)
+void t.test('all cores restart at once from their disks; a damaged file is refilled', disks)
