--- a/packages/base/src/settings.ts
+++ b/packages/base/src/settings.ts
@@ -54,10 +54,12 @@
   async function look(): Promise<void> {
     const bytes = await world.disk.read(path as string)
     const text = bytes ? Buffer.from(bytes).toString('utf8') : ''
-    if (last === undefined || text === last) {
+    if (last === undefined) {
       last = text
+      world.log.info('settings-watched', { path })
       return
     }
+    if (text === last) return
     last = text
     const got = await readSettings(world, codec, from)
     if (got.err) {
--- a/packages/fleet/src/local.ts
+++ b/packages/fleet/src/local.ts
@@ -31,6 +31,10 @@
   return new Promise(start)
 }
 
+export async function freeAddr(): Promise<Addr> {
+  return `127.0.0.1:${await freePort()}`
+}
+
 const mainPath = fileURLToPath(new URL('./main.js', import.meta.url))
 const claynotchPath = fileURLToPath(new URL('../../claynotch/dist/main.js', import.meta.url))
 
@@ -204,7 +208,7 @@
       const other = profile.groups[1]
       const was = await leaderOf(other)
       const askedAt = world.now()
-      await callOnce(world, fronts[2].http, 'POST', `/groups/${other}/replacement`, {}, 5000)
+      await callOnce(world, fronts[fronts.length - 1].http, 'POST', `/groups/${other}/replacement`, {}, 5000)
       async function moved(): Promise<boolean> {
         next = await leaderOf(other)
         return next !== undefined && next.epoch > was!.epoch
@@ -215,7 +219,7 @@
     }
     // A small change in the middle of the run, timed to the last member's acknowledgement.
     const changeAt = world.now()
-    const change = await callOnce(world, fronts[2].http, 'POST', '/streams/setup', { number: 2, expect: 1, edits: [{ op: 'put', what: 'lane', value: { name: 'extra', database: 'extra', group: profile.groups[0], reads: 'leader' } }] }, 15000)
+    const change = await callOnce(world, fronts[fronts.length - 1].http, 'POST', '/streams/setup', { number: 2, expect: 1, edits: [{ op: 'put', what: 'lane', value: { name: 'extra', database: 'extra', group: profile.groups[0], reads: 'leader' } }] }, 15000)
     const changed = world.now() - changeAt
     async function acked(): Promise<boolean> {
       const members = (await get(fronts[1].http, '/members')) as { node: string; behind: unknown[] }[] | undefined
