Add teams: operators' roles, quotas, fair connections; staged roll-out; check

Cause: many teams share one fleet. Operators name themselves with a token of which the settings hold a hash; a team changes its own lanes only, and each step beyond is named. Quotas bound sessions and calls on a proxy; connections go to the team that holds least for its share. A change can be staged area by area; members behind are named. claynotch check holds a configuration against the fleet as it is.

Weighed for fairness: a cap for each team (wastes what others don't use), first come first served (measured), least held for its share (kept).

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -4,7 +4,7 @@
 } from '@claynotch/base'
 import { startDuty } from '@claynotch/duty'
 import { takeAnnouncement, type Announcement } from '@claynotch/instance'
-import { CONFIG_KEY, makeOperatorEdge, type Body } from '@claynotch/operator'
+import { CONFIG_KEY, makeOperatorEdge, type Body, type Credential } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
 import { takeProbe } from '@claynotch/platform'
 import {
@@ -15,9 +15,9 @@
 
 // link: where the proxy of this machine finds its agent. peer: UDP, for summaries. http: operators, instances,
 // the platform, and nodes that look for the cores. seeds: http addresses of three other processes.
-export type AgentSettings = { node: string; area: string; link: Addr; peer: Addr; http: Addr; seeds: Addr[]; platform?: Addr; build: string }
+export type AgentSettings = { node: string; area: string; link: Addr; peer: Addr; http: Addr; seeds: Addr[]; platform?: Addr; operators?: Credential[]; build: string }
 
-export type Agent = { stop: () => Promise<void>; numbers: Numbers; termUntil: () => number; cell: (key: string) => Value | undefined; apply: (next: { seeds: Addr[]; platform: Addr | undefined }) => void }
+export type Agent = { stop: () => Promise<void>; numbers: Numbers; termUntil: () => number; cell: (key: string) => Value | undefined; apply: (next: { seeds: Addr[]; platform: Addr | undefined; operators: Credential[] | undefined }) => void }
 
 // What is known of one register.
 // Invariants: value was chosen at ballot; turn never goes back; until only grows, and stays where it is
@@ -46,7 +46,7 @@
   let given = born + TERM
   const acked = new Map<string, number>()
   const pushNums = new Map<string, number>()
-  let { seeds, platform } = set
+  let { seeds, platform, operators } = set
   let sumNum = Math.floor(world.now())
 
   function voters(): Voter[] {
@@ -399,9 +399,10 @@
   }
   function readGroups(): unknown {
     const out: unknown[] = []
+    const lags = new Map(proxy?.note?.lags ?? [])
     for (const g of groups()) {
       const instances: unknown[] = []
-      for (const s of ownSights()) if (s.group === g) instances.push({ name: s.name, addr: s.addr, area: s.area, role: s.role, leaving: s.leaving, age: Math.round(s.age) })
+      for (const s of ownSights()) if (s.group === g) instances.push({ name: s.name, addr: s.addr, area: s.area, role: s.role, leaving: s.leaving, age: Math.round(s.age), lag: lags.get(s.name) })
       out.push({ name: g, record: cell(groupKey(g))?.body ?? null, instances })
     }
     return out
@@ -422,10 +423,11 @@
     if (got.value) learned(groupKey(group), got.value, got.ballot)
     return { ok: why === '', why }
   }
-  function anyone(): undefined {
-    return undefined
+  function credentials(): Credential[] | undefined {
+    return operators
   }
-  const operator = makeOperatorEdge(proposer, { members: readMembers, groups: readGroups, replace }, numbers, anyone)
+  if (operators === undefined) world.log.warn('operators-open', { why: 'no operators in the settings: anyone may change the configuration' })
+  const operator = makeOperatorEdge(proposer, { members: readMembers, groups: readGroups, replace }, numbers, credentials)
   function ready(): string | undefined {
     if (stop.fired()) return 'draining'
     return world.now() < termUntil ? undefined : 'no valid term'
@@ -458,7 +460,8 @@
     await Promise.all([http.close(), listener.close(), peers.close()])
   }
   // What a changed settings file may change while we run.
-  function apply(next: { seeds: Addr[]; platform: Addr | undefined }): void {
+  function apply(next: { seeds: Addr[]; platform: Addr | undefined; operators: Credential[] | undefined }): void {
+    operators = next.operators
     seeds = next.seeds
     platform = next.platform
   }
--- a/packages/agent/src/words.ts
+++ b/packages/agent/src/words.ts
@@ -20,5 +20,7 @@
   t: t.literal('note'), life: t.string, acks: t.array(t.tuple([t.string, t.number])), highs: t.array(t.tuple([t.string, t.number, t.number])),
   seen: t.array(t.tuple([t.string, t.number])), moving: t.array(t.tuple([t.string, t.number])),
   tries: t.array(t.tuple([t.string, t.number, t.number])), open: t.number, leaving: t.boolean,
+  // lags: [follower, ms within which its position is proved].
+  lags: t.array(t.tuple([t.string, t.number])),
 })
 export type Note = t.TypeOf<typeof Note>
--- a/packages/base/src/settings.ts
+++ b/packages/base/src/settings.ts
@@ -20,9 +20,9 @@
   return Ok(value)
 }
 
-export type Source = { path: string | undefined; flags: Flags; lists: string[]; data?: string[] }
+export type Source<T> = { path: string | undefined; flags: Flags; lists: string[]; more?: (set: T) => Finding[] }
 
-export async function readSettings<T>(world: World, codec: t.Type<T, unknown, unknown>, from: Source): Promise<Result<T, Finding[]>> {
+export async function readSettings<T>(world: World, codec: t.Type<T, unknown, unknown>, from: Source<T>): Promise<Result<T, Finding[]>> {
   const all = new Map<string, unknown>()
   if (from.path !== undefined) {
     const got = parse(from.path, await world.disk.read(from.path))
@@ -32,7 +32,9 @@
   }
   for (const [name, text] of from.flags) all.set(name, from.lists.includes(name) ? text.split(',') : text)
   // eslint-disable-next-line no-restricted-syntax -- the codec reads a JSON document
-  const got = readStrict(codec, Object.fromEntries(all))
+  const read = readStrict(codec, Object.fromEntries(all))
+  const more = read.ok && from.more ? from.more(read.val) : []
+  const got: Result<T, Finding[]> = more.length > 0 ? Err(more) : read
   if (got.ok) return got
   const out: Finding[] = []
   const flagged = new Set<string>()
@@ -47,7 +49,7 @@
 
 // Reads a settings file again when it changed or when the bell rings (SIGHUP). A bad new file is told
 // whole, and the old settings stay in force.
-export function watchSettings<T>(world: World, codec: t.Type<T, unknown, unknown>, from: Source, stop: Flag, bell: Bell, apply: (next: T) => void): void {
+export function watchSettings<T>(world: World, codec: t.Type<T, unknown, unknown>, from: Source<T>, stop: Flag, bell: Bell, apply: (next: T) => void): void {
   const { path } = from
   if (path === undefined) return
   let last: string | undefined
--- a/packages/claynotch/src/daemons.ts
+++ b/packages/claynotch/src/daemons.ts
@@ -1,19 +1,19 @@
 import type * as t from 'io-ts'
-import { makeBell, makeFlag, makeLog, readSettings, realWorld, serve, showFindings, watchSettings, type Ask, type Flags, type Reply, type World } from '@claynotch/base'
+import { makeBell, makeFlag, makeLog, readSettings, realWorld, serve, showFindings, watchSettings, type Ask, type Finding, type Flags, type Reply, type World } from '@claynotch/base'
 import { startAgent } from '@claynotch/agent'
 import { takeProbe } from '@claynotch/platform'
 import { startProxy } from '@claynotch/proxy'
 import { startCore } from '@claynotch/register'
-import { AgentShape, CoreShape, ProxyShape } from './settings.js'
+import { AgentShape, checkAgent, CoreShape, ProxyShape } from './settings.js'
 
 export const BUILD = '0.1.0'
 
 type Running<T> = { stop: () => Promise<void>; apply: (next: T) => void }
 
 // Runs a daemon until it is told to stop: SIGTERM and SIGINT drain it and end with 0; SIGHUP reads its settings again.
-async function runDaemon<T>(kind: string, codec: t.Type<T, unknown, unknown>, path: string | undefined, flags: Flags, lists: string[], start: (world: World, set: T) => Promise<Running<T>>): Promise<void> {
+async function runDaemon<T>(kind: string, codec: t.Type<T, unknown, unknown>, path: string | undefined, flags: Flags, lists: string[], start: (world: World, set: T) => Promise<Running<T>>, more?: (set: T) => Finding[]): Promise<void> {
   const world = realWorld(makeLog({ program: kind }))
-  const from = { path, flags, lists }
+  const from = { path, flags, lists, ...(more ? { more } : {}) }
   const got = await readSettings(world, codec, from)
   if (got.err) {
     process.stderr.write(showFindings(got.val))
@@ -76,11 +76,11 @@
     const agent = await startAgent(world, { ...set, build: BUILD })
     function apply(next: AgentShape): void {
       needsRestart(world, [['node', set.node, next.node], ['area', set.area, next.area], ['link', set.link, next.link], ['peer', set.peer, next.peer], ['http', set.http, next.http]])
-      agent.apply({ seeds: next.seeds, platform: next.platform })
+      agent.apply({ seeds: next.seeds, platform: next.platform, operators: next.operators })
     }
     return { stop: agent.stop, apply }
   }
-  await runDaemon('agent', AgentShape, path, flags, ['seeds'], start)
+  await runDaemon('agent', AgentShape, path, flags, ['seeds'], start, checkAgent)
 }
 
 export async function runProxy(path: string | undefined, flags: Flags): Promise<void> {
--- a/packages/claynotch/src/main.ts
+++ b/packages/claynotch/src/main.ts
@@ -2,7 +2,7 @@
 import { defineCommand, runMain } from 'citty'
 import type { Flags } from '@claynotch/base'
 import { BUILD, runAgent, runCore, runProxy } from './daemons.js'
-import { apply, replace, show } from './verbs.js'
+import { apply, check, credential, replace, show } from './verbs.js'
 
 process.env.UV_USE_IO_URING = '0'
 
@@ -41,12 +41,18 @@
 async function proxy({ args }: { args: { settings?: string } }): Promise<void> {
   await runProxy(args.settings, flagsOf(args, ['listen', 'admin', 'agent']))
 }
-async function runApply({ args }: { args: { to: string; stream: string; number: string; expect?: string; whole?: string; edits?: string } }): Promise<void> {
+async function runApply({ args }: { args: { to: string; stream: string; number: string; expect?: string; whole?: string; edits?: string; stage?: string } }): Promise<void> {
   await apply(args)
 }
 async function runShow({ args }: { args: { to: string; what: string } }): Promise<void> {
   await show(args)
 }
+async function runCheck({ args }: { args: { to: string; whole?: string; edits?: string; json?: boolean } }): Promise<void> {
+  await check(args)
+}
+function runCredential({ args }: { args: { name: string; role: string; team?: string } }): void {
+  credential(args)
+}
 async function runReplace({ args }: { args: { to: string; group: string; leader?: string } }): Promise<void> {
   await replace(args)
 }
@@ -61,7 +67,7 @@
       meta: { name: 'apply', description: 'Send one numbered change and print the decision' },
       args: {
         to, stream: { type: 'string', description: 'stream of the operator', required: true }, number: { type: 'string', description: 'number in the stream', required: true },
-        expect: text('epoch that the change is made against (default: the present one)'), whole: text('file with a whole configuration'), edits: text('file with a list of edits'),
+        expect: text('epoch that the change is made against (default: the present one)'), whole: text('file with a whole configuration'), edits: text('file with a list of edits'), stage: text('areas that take it first, parted by commas; or all'),
       },
       run: runApply,
     }),
@@ -70,6 +76,16 @@
       args: { to, what: { type: 'positional', description: 'configuration, history, decisions, members or groups', required: true } },
       run: runShow,
     }),
+    check: defineCommand({
+      meta: { name: 'check', description: 'Hold a configuration against the fleet as it is' },
+      args: { to, whole: text('file with a whole configuration (default: the present one)'), edits: text('file with a list of edits'), json: { type: 'boolean', description: 'write JSON', default: false } },
+      run: runCheck,
+    }),
+    credential: defineCommand({
+      meta: { name: 'credential', description: "Make an operator's secret and the entry for the agents' settings" },
+      args: { name: { type: 'string', description: 'name', required: true }, role: { type: 'string', description: 'admin, team or reader', required: true }, team: text('team, for role team') },
+      run: runCredential,
+    }),
     replace: defineCommand({
       meta: { name: 'replace', description: 'Replace the leader of a group, as planned' },
       args: { to, group: { type: 'string', description: 'group', required: true }, leader: text('the instance that is to lead (default: the most caught-up)') },
--- a/packages/claynotch/src/settings.ts
+++ b/packages/claynotch/src/settings.ts
@@ -1,5 +1,6 @@
 import * as t from 'io-ts'
-import { Address, Name } from '@claynotch/base'
+import { Address, Name, type Finding } from '@claynotch/base'
+import { checkCredentials, Credential } from '@claynotch/operator'
 
 // Settings of the daemons. docs/operators/settings.md tells what each means.
 
@@ -8,9 +9,14 @@
 
 export const AgentShape = t.intersection([
   t.type({ node: Name, area: Name, link: Address, peer: Address, http: Address, seeds: t.array(Address) }),
-  t.partial({ platform: Address }),
+  t.partial({ platform: Address, operators: t.array(Credential) }),
 ])
 export type AgentShape = t.TypeOf<typeof AgentShape>
 
 export const ProxyShape = t.type({ listen: Address, admin: Address, agent: Address })
 export type ProxyShape = t.TypeOf<typeof ProxyShape>
+
+// What a shape alone can't tell.
+export function checkAgent(set: AgentShape): Finding[] {
+  return checkCredentials(set.operators ?? [])
+}
--- a/packages/claynotch/src/verbs.ts
+++ b/packages/claynotch/src/verbs.ts
@@ -1,4 +1,5 @@
 import { readFile } from 'node:fs/promises'
+import { checkAgainst, differences, makeCredential, readConfig, applyEdits, type Config, type Credential, type Edit, type Fleet } from '@claynotch/operator'
 import { Address, callOnce, realWorld, showFindings, type Answer, type Finding } from '@claynotch/base'
 
 // Operator verbs. Exit codes: 0 done, 1 refused, 2 bad input, 3 unclear or no answer.
@@ -10,7 +11,9 @@
 }
 async function call(to: string, method: string, path: string, body?: unknown): Promise<Answer> {
   if (!Address.is(to)) stopWith(2, `--to: expected ${Address.name}`)
-  const got = await callOnce(realWorld(), to, method, path, body, LIMIT)
+  // NAME:TOKEN of an operator, where the fleet asks for one.
+  const token = process.env.CLAYNOTCH_TOKEN
+  const got = await callOnce(realWorld(), to, method, path, body, LIMIT, token !== undefined ? [['authorization', `Bearer ${token}`]] : [])
   if (got.err) stopWith(3, `no answer from ${to}: ${got.val.why}`)
   return got.val
 }
@@ -28,16 +31,22 @@
   }
 }
 
-export async function apply(args: { to: string; stream: string; number: string; expect?: string; whole?: string; edits?: string }): Promise<void> {
+export async function apply(args: { to: string; stream: string; number: string; expect?: string; whole?: string; edits?: string; stage?: string }): Promise<void> {
   const findings: Finding[] = []
   const number = Number(args.number)
   if (!Number.isInteger(number) || number < 1) findings.push({ place: '--number', what: 'expected a whole number from 1' })
-  if ((args.whole === undefined) === (args.edits === undefined)) findings.push({ place: '--whole, --edits', what: 'exactly one of them is needed' })
+  if (args.whole !== undefined && args.edits !== undefined) findings.push({ place: '--whole, --edits', what: 'only one of them may be given' })
+  if (args.whole === undefined && args.edits === undefined && args.stage === undefined) findings.push({ place: '--whole, --edits', what: 'one of them is needed, or --stage to go on with an open stage' })
   if (args.expect !== undefined && !Number.isInteger(Number(args.expect))) findings.push({ place: '--expect', what: 'expected an epoch' })
   if (findings.length > 0) stopWith(2, showFindings(findings))
   let expect = Number(args.expect)
   if (args.expect === undefined) expect = ((await call(args.to, 'GET', '/configuration')).body as { epoch: number }).epoch
-  const change = { number, expect, ...(args.whole !== undefined ? { whole: await readJson(args.whole, 'whole') } : { edits: await readJson(args.edits!, 'edits') }) }
+  const change = {
+    number, expect,
+    ...(args.whole !== undefined ? { whole: await readJson(args.whole, 'whole') } : {}),
+    ...(args.edits !== undefined ? { edits: await readJson(args.edits, 'edits') } : {}),
+    ...(args.stage !== undefined ? { stage: args.stage === 'all' ? 'all' : args.stage.split(',') } : {}),
+  }
   const got = await call(args.to, 'POST', `/streams/${encodeURIComponent(args.stream)}`, change)
   const body = (typeof got.body === 'string' ? JSON.parse(got.body) : got.body) as { decision?: string }
   process.stdout.write(`${JSON.stringify(body, null, 2)}\n`)
@@ -57,3 +66,46 @@
   process.stdout.write(`${JSON.stringify(got.body, null, 2)}\n`)
   process.exit(got.status === 202 ? 0 : 1)
 }
+
+// A configuration against the fleet as it is. Exit codes: 0 nothing found, 1 findings, 2 the configuration is
+// invalid or the input bad, 3 the fleet could not be read.
+export async function check(args: { to: string; whole?: string; edits?: string; json?: boolean }): Promise<void> {
+  if (args.whole !== undefined && args.edits !== undefined) stopWith(2, '--whole, --edits: only one of them may be given')
+  async function read(path: string): Promise<unknown> {
+    const got = await call(args.to, 'GET', path)
+    if (got.status !== 200) stopWith(3, `${path}: status ${got.status} ${JSON.stringify(got.body)}`)
+    return got.body
+  }
+  const now = (await read('/configuration')) as { epoch: number; config: Config | null }
+  const fleet = { ...now, members: await read('/members'), groups: await read('/groups') } as Fleet
+  let next: unknown = now.config
+  let findings: Finding[] = []
+  if (args.whole !== undefined) next = await readJson(args.whole, 'whole')
+  else if (args.edits !== undefined) {
+    if (!now.config) stopWith(2, '--edits: there is no configuration yet to edit')
+    const edited = applyEdits(now.config, (await readJson(args.edits, 'edits')) as Edit[])
+    if (edited.err) findings = edited.val
+    else next = edited.val
+  }
+  if (next === null) stopWith(3, 'there is no configuration yet; give one by --whole')
+  const got = findings.length > 0 ? undefined : readConfig(next)
+  if (got?.err) findings = got.val
+  const invalid = findings.length > 0
+  const changes = got?.ok ? differences(now.config, got.val) : []
+  if (got?.ok) findings = checkAgainst(got.val, fleet)
+  if (args.json === true) process.stdout.write(`${JSON.stringify({ epoch: now.epoch, valid: !invalid, findings, changes }, null, 2)}\n`)
+  else {
+    process.stdout.write(`present epoch ${now.epoch}; the configuration is ${invalid ? 'invalid' : 'valid'}\n`)
+    process.stdout.write(showFindings(findings))
+    for (const c of changes) process.stdout.write(`would change ${c}\n`)
+  }
+  process.exit(invalid ? 2 : findings.length > 0 ? 1 : 0)
+}
+
+// Prints the secret once, and the entry for the agents' settings, which doesn't hold it.
+export function credential(args: { name: string; role: string; team?: string }): void {
+  if (!['admin', 'team', 'reader'].includes(args.role)) stopWith(2, '--role: expected admin, team or reader')
+  if ((args.role === 'team') !== (args.team !== undefined)) stopWith(2, '--team: role team needs one, the others have none')
+  const { token, entry } = makeCredential(args.name, args.role as Credential['role'], args.team)
+  process.stdout.write(`CLAYNOTCH_TOKEN=${args.name}:${token}\n${JSON.stringify(entry)}\n`)
+}
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -1,11 +1,12 @@
 import { makeSimFleet, smallShape, type Shape, type SimFleet } from './simfleet.js'
 import type { Breach, Judgement } from './judge.js'
+import type { Mix } from './requester.js'
 
 // Failures brought about in the simulator, by name. Each scenario starts a fleet under traffic, does its
 // harm, lets traffic run on and end, and hands what the judge found to whoever asked.
 export type Outcome = { name: string; seed: number; began: boolean; judgement: Judgement; faults: string[]; counts: Map<string, number>; notes: Map<string, number>; fleet: SimFleet }
 // calm: everything that stops does so as planned, so no answer may be dropped and no commit lost.
-export type Scenario = { name: string; rule: string; shape?: (s: Shape) => Shape; calm?: boolean; harm: (f: SimFleet, notes: Map<string, number>) => Promise<void> }
+export type Scenario = { name: string; rule: string; shape?: (s: Shape) => Shape; calm?: boolean; reads?: boolean; harm: (f: SimFleet, notes: Map<string, number>) => Promise<void> }
 
 function indexOf(f: SimFleet, box: { name: string } | undefined): number {
   for (const [k, b] of f.boxes.entries()) if (b === box) return k
@@ -363,6 +364,34 @@
   f.addFront()
   await wait(f, 2500)
 }
+// One team's crowd on connections that it shares with another team, which is to be served as before.
+async function noisyTeam(f: SimFleet, notes: Map<string, number>): Promise<void> {
+  await wait(f, 2000)
+  const from = f.sim.now()
+  const alone = kindRate(f, 'quiet', from - 3000, from)
+  f.crowdIn(teamMixes('loud'), 48, 5)
+  await wait(f, 6000)
+  const beside = kindRate(f, 'quiet', f.sim.now() - 4000, f.sim.now())
+  notes.set('quiet team, share of its rate alone', Math.round((100 * beside) / alone) / 100)
+  if (beside < 0.6 * alone) f.watched.push({ rule: 'starved', what: `the quiet team got ${beside} a second beside the crowd, ${alone} alone` })
+}
+function kindRate(f: SimFleet, kind: string, from: number, to: number): number {
+  let n = 0
+  for (const e of f.events) if (e.kind === kind && e.outcome === 'done' && e.end >= from && e.end < to) n++
+  return (n * 1000) / (to - from)
+}
+function teamMixes(team: string): Mix[] {
+  return [{ kind: team, lane: `lane-${team}`, group: 'g1', op: 'book', weight: 1, within: 0, own: false }]
+}
+function twoTeams(s: Shape): Shape {
+  return {
+    ...s, requesters: 6, think: 60, keys: 40, latency: 8, connections: 16, mixes: teamMixes('quiet'),
+    config: {
+      proxies: 4, groups: [{ name: 'g1', connections: 16 }], teams: [{ name: 'quiet', share: 1 }, { name: 'loud', share: 1 }],
+      lanes: [{ name: 'lane-quiet', database: 'kiln', group: 'g1', reads: 'leader', team: 'quiet' }, { name: 'lane-loud', database: 'kiln', group: 'g1', reads: 'leader', team: 'loud' }],
+    },
+  }
+}
 function crowded(s: Shape): Shape {
   return { ...s, requesters: 30, think: 60, keys: 100, latency: 8, connections: 16, config: { ...s.config, groups: [{ name: 'g1', connections: 16 }] } }
 }
@@ -429,6 +458,7 @@
   { name: 'late-delivery', rule: 'a reply under a lapsed epoch is unknown, never done', harm: lateDelivery },
   { name: 'late-news', rule: 'no node slips back to an older configuration', harm: lateNews },
   { name: 'crowd', rule: 'caps hold, new machines join', shape: crowded, harm: crowd },
+  { name: 'noisy-team', rule: "one team's crowd doesn't starve another", shape: twoTeams, reads: false, harm: noisyTeam },
   { name: 'swapped', rule: 'whole groups swapped one by one', harm: swapped },
   { name: 'retrying-crowd', rule: 'service back though requesters retry', shape: retrying, harm: leaderCrash },
   { name: 'mixed', rule: 'all of them', harm: mixed },
--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -1,6 +1,6 @@
 import { startAgent, type Agent } from '@claynotch/agent'
 import { callOnce, makeFlag, serve, type Addr, type Ask, type Reply, type World } from '@claynotch/base'
-import type { Config } from '@claynotch/operator'
+import type { Config, Credential } from '@claynotch/operator'
 import { startProxy, type Proxy } from '@claynotch/proxy'
 import { startCore, type Core, type CorePlace } from '@claynotch/register'
 import { startInstance, type Instance, type InstanceRecord } from './instance.js'
@@ -9,7 +9,7 @@
 import { makeSim, type Machine, type Proc, type Sim } from './sim.js'
 
 // A whole fleet in the simulator.
-export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean; latency?: number }
+export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean; latency?: number; operators?: Credential[] }
 
 export type Front = { machine: Machine; agentProc: Proc; proxyProc: Proc; agent: Agent | undefined; proxy: Proxy | undefined; node: string; http: Addr; listen: Addr }
 export type CoreBox = { machine: Machine; proc: Proc; core: Core | undefined; id: string; http: Addr }
@@ -29,6 +29,8 @@
   ask: (front: number, path: string, method?: string, body?: unknown) => { done: () => boolean; body: () => unknown; status: () => number }
   begin: () => Promise<boolean>
   traffic: () => void
+  // More requesters, on mixes of their own.
+  crowdIn: (mixes: Mix[], count: number, think: number) => void
   quiet: () => Promise<void>
   judge: () => Judgement
   readBack: () => Promise<Breach[]>
@@ -72,7 +74,7 @@
   function startAgentAt(k: number): void {
     const f = fronts[k]
     async function start(world: World): Promise<void> {
-      f.agent = await startAgent(world, { node: f.node, area: shape.areas[k % shape.areas.length], link: '127.0.0.1:7100', peer: `${f.machine.ip}:7200`, http: f.http, seeds, platform: `${platform.ip}:80`, build: 'sim' })
+      f.agent = await startAgent(world, { node: f.node, area: shape.areas[k % shape.areas.length], link: '127.0.0.1:7100', peer: `${f.machine.ip}:7200`, http: f.http, seeds, platform: `${platform.ip}:80`, ...(shape.operators ? { operators: shape.operators } : {}), build: 'sim' })
     }
     f.agent = undefined
     f.agentProc = sim.spawn(f.machine, `${f.node}-agent`, start)
@@ -241,13 +243,18 @@
     return stop.fired()
   }
   function traffic(): void {
+    crowdIn(shape.mixes, shape.requesters, shape.think)
+  }
+  let people = 0
+  function crowdIn(mixes: Mix[], count: number, think: number): void {
     const nodes: Addr[] = []
     for (const f of fronts) nodes.push(f.listen)
-    for (let k = 0; k < shape.requesters; k++) {
+    for (let k = 0; k < count; k++) {
+      const id = people++
       function start(world: World): Promise<void> {
-        return runRequester(world, { id: k, nodes, mixes: shape.mixes, think: shape.think, keys: shape.keys, again: shape.again === true, until: isOver, note }, stop)
+        return runRequester(world, { id, nodes, mixes, think, keys: shape.keys, again: shape.again === true, until: isOver, note }, stop)
       }
-      sim.spawn(crowd, `requester${k}`, start)
+      sim.spawn(crowd, `requester${id}`, start)
     }
   }
   // Traffic ends; answers that are still out come in; followers catch up.
@@ -305,7 +312,7 @@
     }
     return best
   }
-  return { sim, shape, decided, watched, fronts, cores, boxes, events, platform, promotions, startCoreAt, startAgentAt, startProxyAt, startBoxAt, killBox, addFront, change, ask, begin, traffic, quiet, judge: judgeNow, readBack, leaderOf, records }
+  return { sim, shape, decided, watched, fronts, cores, boxes, events, platform, promotions, startCoreAt, startAgentAt, startProxyAt, startBoxAt, killBox, addFront, change, ask, begin, traffic, crowdIn, quiet, judge: judgeNow, readBack, leaderOf, records }
 }
 
 export function smallShape(groups = 1): Shape {
--- a/packages/fleet/src/test/edges.test.ts
+++ b/packages/fleet/src/test/edges.test.ts
@@ -1,29 +1,10 @@
 import t, { type Test } from 'tap'
 import { callOnce, encode, openLine, pause, type World } from '@claynotch/base'
-import { makeSimFleet, smallShape, type SimFleet } from '../simfleet.js'
+import { makeSimFleet, smallShape } from '../simfleet.js'
+import { beside } from './beside.js'
 
 t.setTimeout(600000)
 
-// Runs a task on a machine beside the fleet and waits for its end.
-async function beside(f: SimFleet, run: (world: World) => Promise<void>): Promise<void> {
-  let over = false
-  let bad: unknown
-  async function start(world: World): Promise<void> {
-    try {
-      await run(world)
-    } catch (e) {
-      bad = e
-    }
-    over = true
-  }
-  f.sim.spawn(f.sim.machine('beside', '10.0.6.1'), 'beside', start)
-  function isOver(): boolean {
-    return over
-  }
-  await f.sim.until(isOver, 120000)
-  if (bad !== undefined) throw bad
-}
-
 type Told = { outcome?: string; class?: string; kept?: string; again?: boolean; findings?: { place: string }[]; session?: string; token?: string; rows?: unknown[]; transaction?: string }
 
 async function requesterInput(c: Test): Promise<void> {
--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -7,8 +7,9 @@
 const Lane = t.intersection([t.type({ name: Name, database: Name, group: Name, reads: Reads }), t.partial({ team: Name, pending: Count })])
 // connections: the instance's own limit, shared by all proxies.
 const Group = t.type({ name: Name, connections: Count })
-// share: weight of the team when connections are short. sessions: most open sessions on a proxy.
-const Team = t.intersection([t.type({ name: Name }), t.partial({ share: Count, sessions: Count })])
+// share: weight of the team when connections are short. sessions, pending: most open sessions, and most calls
+// waiting or running, on one proxy.
+const Team = t.intersection([t.type({ name: Name }), t.partial({ share: Count, sessions: Count, pending: Count })])
 export const Config = t.intersection([
   t.type({ proxies: Count, groups: t.array(Group), lanes: t.array(Lane) }),
   t.partial({ teams: t.array(Team) }),
@@ -68,7 +69,8 @@
 export type Edit = t.TypeOf<typeof Edit>
 export const Change = t.intersection([
   t.type({ number: Count, expect: t.number }),
-  t.partial({ whole: t.unknown, edits: t.array(Edit) }),
+  // stage: areas that work by the new configuration; the others keep the one before until a later change says all.
+  t.partial({ whole: t.unknown, edits: t.array(Edit), stage: t.union([t.literal('all'), t.array(Name)]) }),
 ])
 export type Change = t.TypeOf<typeof Change>
 
@@ -117,7 +119,14 @@
 // Invariants: epoch grows by one with each accepted change and with nothing else;
 // for each stream the decisions kept are those with the highest numbers, in order;
 // history's last entry is the configuration of the present epoch.
-export type Body = { epoch: number; config: Config | null; streams: { name: string; used: number; decisions: Decision[] }[]; history: { epoch: number; stream: string; number: number; config: Config }[] }
+// stage: set while only some areas work by config; the others work by prior, that of epoch priorEpoch.
+export type Body = { epoch: number; config: Config | null; stage?: { areas: string[]; prior: Config; priorEpoch: number }; streams: { name: string; used: number; decisions: Decision[] }[]; history: { epoch: number; stream: string; number: number; config: Config }[] }
+
+// The configuration that an area works by, and its epoch.
+export function configFor(body: Body, area: string): { config: Config | null; epoch: number } {
+  if (body.stage && !body.stage.areas.includes(area)) return { config: body.stage.prior, epoch: body.stage.priorEpoch }
+  return { config: body.config, epoch: body.epoch }
+}
 
 export const CONFIG_KEY = 'configuration'
 export function emptyBody(): Body {
--- a/packages/operator/src/decide.ts
+++ b/packages/operator/src/decide.ts
@@ -1,5 +1,6 @@
 import { DECISIONS_KEPT, HISTORY_KEPT, STREAMS_KEPT, type Finding } from '@claynotch/base'
 import { applyEdits, readConfig, type Body, type Change, type Config, type Decision } from './config.js'
+import { beyondTeam } from './credentials.js'
 
 // What becomes of one change on the present body. Pure: the register calls it anew in each round.
 // 'known': this stream and number were decided before, the first decision stands and nothing is written.
@@ -14,7 +15,8 @@
   return { stream, number, decision: 'refused', epoch, why, findings }
 }
 
-export function decide(body: Body, stream: string, change: Change): Ruling {
+// team: set where the caller may change that team's lanes only.
+export function decide(body: Body, stream: string, change: Change, team?: string): Ruling {
   const { number } = change
   const first = findDecision(body, stream, number)
   if (first) return { known: first }
@@ -25,8 +27,17 @@
   const last = mine?.decisions[mine.decisions.length - 1]
   if (last && number < last.number) return { known: refused(stream, number, body.epoch, `number ${number} was passed by ${last.number}; its decision, if any, is forgotten`) }
 
-  function ruled(): { config?: Config; decision: Decision } {
+  function ruled(): { config?: Config; stage?: Body['stage']; decision: Decision } {
+    const beyond = team === undefined ? [] : beyondTeam(team, change, body.config)
+    if (beyond.length > 0) return { decision: refused(stream, number, body.epoch, 'not this team\'s to change', beyond) }
     if (change.expect !== body.epoch) return { decision: refused(stream, number, body.epoch, `expected epoch ${change.expect}, the present one is ${body.epoch}`) }
+    const wins: Decision = { stream, number, decision: 'accepted', epoch: body.epoch + 1, why: '', findings: [] }
+    // A stage opened further, or to all, with nothing else changed.
+    if (body.stage && change.stage !== undefined && change.whole === undefined && change.edits === undefined) {
+      if (change.stage === 'all') return { config: body.config as Config, decision: wins }
+      return { config: body.config as Config, stage: { ...body.stage, areas: change.stage }, decision: wins }
+    }
+    if (body.stage && !(change.stage === 'all' && change.whole !== undefined)) return { decision: refused(stream, number, body.epoch, `a stage is open (areas ${body.stage.areas.join(', ')}): open it to all, or send a whole configuration to all`) }
     if ((change.whole === undefined) === (change.edits === undefined)) return { decision: refused(stream, number, body.epoch, 'exactly one of whole and edits is needed') }
     let next: unknown = change.whole
     if (change.edits) {
@@ -37,9 +48,13 @@
     }
     const got = readConfig(next)
     if (got.err) return { decision: refused(stream, number, body.epoch, 'invalid configuration', got.val) }
-    return { config: got.val, decision: { stream, number, decision: 'accepted', epoch: body.epoch + 1, why: '', findings: [] } }
+    if (Array.isArray(change.stage)) {
+      if (!body.config) return { decision: refused(stream, number, body.epoch, 'the first configuration can\'t be staged') }
+      return { config: got.val, stage: { areas: change.stage, prior: body.config, priorEpoch: body.epoch }, decision: wins }
+    }
+    return { config: got.val, decision: wins }
   }
-  const { config, decision } = ruled()
+  const { config, stage, decision } = ruled()
   let used = 0
   for (const s of body.streams) used = Math.max(used, s.used)
   const streams: Body['streams'] = []
@@ -52,5 +67,5 @@
   while (streams.length > STREAMS_KEPT) streams.shift()
   if (!config) return { body: { ...body, streams }, decision }
   const history = [...body.history, { epoch: decision.epoch, stream, number, config }].slice(-HISTORY_KEPT)
-  return { body: { epoch: decision.epoch, config, streams, history }, decision }
+  return { body: { epoch: decision.epoch, config, ...(stage ? { stage } : {}), streams, history }, decision }
 }
--- a/packages/operator/src/edge.ts
+++ b/packages/operator/src/edge.ts
@@ -2,6 +2,7 @@
 import { badInput, Name, OPERATOR_BODY_LIMIT, readStrict, sendReply, type Ask, type Finding, type Numbers, type Reply } from '@claynotch/base'
 import type { Proposer, Value } from '@claynotch/register'
 import { Change, CONFIG_KEY, emptyBody, type Body, type Decision } from './config.js'
+import { identify, stopCaller, type Credential } from './credentials.js'
 import { decide, findDecision } from './decide.js'
 
 // The operator's edge: numbered changes in, decisions out, and what there is to read.
@@ -12,11 +13,11 @@
   replace: (group: string, to: string | undefined) => Promise<{ ok: boolean; why: string }>
 }
 
-export async function makeDecision(proposer: Proposer, stream: string, change: Change): Promise<Decision | undefined> {
+export async function makeDecision(proposer: Proposer, stream: string, change: Change, team?: string): Promise<Decision | undefined> {
   const tag = `${stream}#${change.number}`
   let out: Decision | undefined
   function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
-    const ruling = decide((now?.body as Body | undefined) ?? emptyBody(), stream, change)
+    const ruling = decide((now?.body as Body | undefined) ?? emptyBody(), stream, change, team)
     if ('known' in ruling) {
       out = ruling.known
       return undefined
@@ -31,11 +32,11 @@
   return kept ?? out
 }
 
-export function makeOperatorEdge(proposer: Proposer, reading: Reading, numbers: Numbers, allowed: (ask: Ask) => Reply | undefined): { take: (ask: Ask) => Promise<Reply | undefined>; raw: (path: string) => boolean } {
+export function makeOperatorEdge(proposer: Proposer, reading: Reading, numbers: Numbers, credentials: () => Credential[] | undefined): { take: (ask: Ask) => Promise<Reply | undefined>; raw: (path: string) => boolean } {
   function raw(path: string): boolean {
     return path.startsWith('/streams/')
   }
-  async function line(stream: string, text: string): Promise<unknown> {
+  async function line(stream: string, text: string, team: string | undefined): Promise<unknown> {
     let value: unknown
     try {
       value = JSON.parse(text)
@@ -44,11 +45,11 @@
     }
     const got = readStrict(Change, value)
     if (got.err) return { stream, number: (value as { number?: unknown } | null)?.number, decision: 'refused', why: 'not a change', findings: got.val }
-    const made = await makeDecision(proposer, stream, got.val)
+    const made = await makeDecision(proposer, stream, got.val, team)
     numbers.add('claynotch_decisions_total', [['decision', made?.decision ?? 'unclear']])
     return made ?? { stream, number: got.val.number, decision: 'unclear', why: 'no majority of cores settled it in time; send the same number again', findings: [] }
   }
-  async function changes(ask: Ask, stream: string): Promise<undefined> {
+  async function changes(ask: Ask, stream: string, team: string | undefined): Promise<undefined> {
     const { req, res } = ask.raw
     res.writeHead(200, { 'content-type': 'application/x-ndjson' })
     let size = 0
@@ -59,7 +60,7 @@
         return undefined
       }
       if (text.trim() === '') continue
-      res.write(`${JSON.stringify(await line(stream, text))}\n`)
+      res.write(`${JSON.stringify(await line(stream, text, team))}\n`)
       if (res.destroyed) return undefined
     }
     res.end()
@@ -70,8 +71,10 @@
     return got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
   }
   async function take(ask: Ask): Promise<Reply | undefined> {
-    const stopped = allowed(ask)
+    const who = identify(credentials(), ask.header('authorization'))
+    const stopped = stopCaller(who, ask)
     if (stopped) {
+      numbers.add('claynotch_operators_refused_total')
       if (!raw(ask.path)) return stopped
       sendReply(ask.raw.res, stopped)
       ask.raw.req.resume()
@@ -83,7 +86,7 @@
         ask.raw.req.resume()
         return badInput(400, 'a stream needs a name', [{ place: '/streams/', what: 'expected a name' }])
       }
-      return await changes(ask, parts[1])
+      return await changes(ask, parts[1], who?.team)
     }
     if (ask.method === 'POST' && parts[0] === 'groups' && parts.length === 3 && parts[2] === 'replacement') {
       const to = (ask.body as { to?: unknown } | undefined)?.to
@@ -95,7 +98,7 @@
     switch (parts[0]) {
       case 'configuration': {
         const now = await body()
-        return now ? { status: 200, body: { epoch: now.epoch, config: now.config } } : noMajority()
+        return now ? { status: 200, body: { epoch: now.epoch, config: now.config, ...(now.stage ? { stage: { areas: now.stage.areas, prior: now.stage.priorEpoch } } : {}) } } : noMajority()
       }
       case 'history': {
         const now = await body()
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,3 +1,5 @@
 export * from './config.js'
 export * from './decide.js'
 export * from './edge.js'
+export * from './credentials.js'
+export * from './against.js'
--- a/packages/proxy/src/freshness.ts
+++ b/packages/proxy/src/freshness.ts
@@ -40,3 +40,10 @@
   if (!m || m[1] !== group) return 'bad'
   return { epoch: Number(m[2]), position: Number(m[3]) }
 }
+
+// ms within which a follower's position is proved: the age of the youngest sample that lies at or under it.
+export function provedWithin(samples: Sample[], epoch: number, mark: Mark, now: number): number | undefined {
+  let best: number | undefined
+  for (const s of samples) if (s.mark.epoch === epoch && mark.epoch === epoch && s.mark.position <= mark.position) best = Math.min(best ?? Infinity, now - s.asked)
+  return best
+}
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -57,6 +57,7 @@
 export function makeRunner(world: World, state: State, watch: Watch, pool: Pool, numbers: Numbers, stopping: () => boolean): Runner {
   const tools = new Map<string, Tools>()
   const pending = new Map<string, number>()
+  const byTeam = new Map<string, number>()
   const writes = new Map<string, number>()
   const highs = new Map<string, Mark>()
   const quiet = makeBell()
@@ -121,6 +122,14 @@
       numbers.add('claynotch_refused_pending_total', [['lane', call.lane.name]])
       return refusal('RESOURCE_EXHAUSTED', `the lane ${call.lane.name} has ${now} calls pending`, true, AFTER_LOAD)
     }
+    const { team } = call.lane
+    const quota = state.rules()?.pending.get(team)
+    const theirs = byTeam.get(team) ?? 0
+    if (quota !== undefined && theirs >= quota) {
+      numbers.add('claynotch_refused_quota_total', [['team', team]])
+      return refusal('RESOURCE_EXHAUSTED', `the team ${team} has its ${quota} calls on this node`, true, AFTER_LOAD)
+    }
+    byTeam.set(team, theirs + 1)
     pending.set(call.lane.name, now + 1)
     call.pending = true
     return undefined
@@ -371,7 +380,10 @@
       else if (turn === 'aim') at = aimAt
       else break
     }
-    if (call.pending) pending.set(call.lane.name, (pending.get(call.lane.name) ?? 1) - 1)
+    if (call.pending) {
+      pending.set(call.lane.name, (pending.get(call.lane.name) ?? 1) - 1)
+      byTeam.set(call.lane.team, (byTeam.get(call.lane.team) ?? 1) - 1)
+    }
     if (call.probe && turn.outcome !== 'done') toolsOf(call.lane.group).breaker.note(false, true)
     numbers.add('claynotch_calls_total', [['lane', call.lane.name], ['kind', call.kind], ['outcome', turn.outcome], ['class', turn.class ?? '']])
     numbers.add('claynotch_call_ms_total', [['lane', call.lane.name]], Math.round(world.now() - from))
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -4,6 +4,7 @@
 } from '@claynotch/base'
 import { takeProbe } from '@claynotch/platform'
 import { groupOf, Sight, type GroupRecord } from '@claynotch/register'
+import { provedWithin } from './freshness.js'
 import { makeRunner, type Runner } from './interpret.js'
 import { makePool, type Pool } from './pool.js'
 import { makeSessions, type Sessions } from './sessions.js'
@@ -67,7 +68,13 @@
     for (const [g, m] of runner.highs()) highs.push([g, m.epoch, m.position])
     const seen: [string, number][] = []
     const now = world.now()
-    for (const [name, one] of watch.all()) if (one.lastOk > 0) seen.push([name, now - one.lastOk])
+    const lags: [string, number][] = []
+    for (const [name, one] of watch.all()) {
+      if (one.lastOk > 0) seen.push([name, now - one.lastOk])
+      const rec = state.group(one.group)?.record
+      const lag = rec?.leader !== undefined && rec.leader !== name && one.mark ? provedWithin(watch.get(rec.leader)?.samples ?? [], rec.epoch, one.mark, now) : undefined
+      if (lag !== undefined) lags.push([name, lag])
+    }
     const moving: [string, number][] = []
     const tries: [string, number, number][] = []
     for (const [g, tools] of runner.groups()) {
@@ -78,7 +85,7 @@
     }
     numbers.set('claynotch_ready', [], ready() === undefined ? 1 : 0)
     for (const [g] of runner.groups()) numbers.set('claynotch_transactions', [['group', g]], sessions.transactions(g))
-    agent.tell({ t: 'note', life, acks: [...acked], highs, seen, moving, tries, open: sessions.open(), leaving: draining })
+    agent.tell({ t: 'note', life, acks: [...acked], highs, seen, moving, tries, open: sessions.open(), leaving: draining, lags })
   }
   function take(msg: unknown): undefined {
     const got = readAs(Feed, msg)
--- a/packages/proxy/src/rules.ts
+++ b/packages/proxy/src/rules.ts
@@ -15,8 +15,8 @@
 
 export type Kind = 'read' | 'write' | 'begin read' | 'begin write'
 export type LaneRules = { name: string; group: string; team: string; database: string; pending: number; programs: Map<Kind, Step[]> }
-// share and sessions by team; a lane without a team belongs to the team ''.
-export type Rules = { epoch: number; lanes: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number> }
+// share, sessions and pending by team; a lane without a team belongs to the team ''.
+export type Rules = { epoch: number; lanes: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number>; pending: Map<string, number> }
 
 export function compile(config: Config, epoch: number): Rules {
   const lanes = new Map<string, LaneRules>()
@@ -32,9 +32,11 @@
   }
   const shares = new Map<string, number>()
   const sessions = new Map<string, number>()
+  const pending = new Map<string, number>()
   for (const team of config.teams ?? []) {
     shares.set(team.name, team.share ?? 1)
     if (team.sessions !== undefined) sessions.set(team.name, team.sessions)
+    if (team.pending !== undefined) pending.set(team.name, team.pending)
   }
-  return { epoch, lanes, shares, sessions }
+  return { epoch, lanes, shares, sessions, pending }
 }
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -1,5 +1,5 @@
 import { makeBell, type Bell, type World } from '@claynotch/base'
-import { CONFIG_KEY, type Body, type Config } from '@claynotch/operator'
+import { CONFIG_KEY, configFor, type Body, type Config } from '@claynotch/operator'
 import { groupKey, groupOf, type GroupRecord, type Sight } from '@claynotch/register'
 import { compile, type Rules } from './rules.js'
 
@@ -63,8 +63,9 @@
       cells.set(c.key, { turn: c.turn, until: c.until, body: c.body, since: world.now() })
       if (c.key === CONFIG_KEY) {
         const body = c.body as Body
-        rules = body.config ? compile(body.config, body.epoch) : undefined
-        world.log.info('configuration-applied', { epoch: body.epoch, turn: c.turn })
+        const mine = configFor(body, area)
+        rules = mine.config ? compile(mine.config, mine.epoch) : undefined
+        world.log.info('configuration-applied', { epoch: mine.epoch, turn: c.turn })
       } else {
         const rec = c.body as GroupRecord
         world.log.info('group-applied', { group: groupOf(c.key), phase: rec.phase, epoch: rec.epoch, leader: rec.leader })
@@ -87,7 +88,8 @@
     bell.ring()
   }
   function config(): Config | undefined {
-    return (cells.get(CONFIG_KEY)?.body as Body | undefined)?.config ?? undefined
+    const body = cells.get(CONFIG_KEY)?.body as Body | undefined
+    return body ? (configFor(body, area).config ?? undefined) : undefined
   }
   function valid(): boolean {
     const c = cells.get(CONFIG_KEY)
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -20,5 +20,6 @@
   { name: 'no-drain-phase', rule: 'a planned replacement drops answers or commits', scenario: 'planned-replacement', seeds: [1, 12], edits: [['duty/dist/duty.js', 'const spent = world.now() - m.since;', 'const spent = world.now() - m.since;\n        if (spent >= 0) return await stopFor(turn, rec, false);']] },
   { name: 'no-wait-for-move', rule: 'a promotion is absorbed within the budget', scenario: 'leader-crash', seeds: [1, 3], edits: [['proxy/dist/interpret.js', 'await waitNews(call);', 'return exhausted(call);']] },
   { name: 'tx-elsewhere', rule: 'a statement outside its own transaction', scenario: 'resets', seeds: [1, 3], edits: [['proxy/dist/sessions.js', "if (word.w === 'statement' && tx)", "if (word.w === 'statement' && tx && word.body.kind === 'read')"]] },
+  { name: 'fifo', rule: "one team's crowd starves another", scenario: 'noisy-team', seeds: [1, 3], edits: [['proxy/dist/pool.js', '(p.usage.get(w.need.team) ?? 0) / w.need.share', '0']] },
   { name: 'caps', rule: 'more connections than the instance takes', scenario: 'crowd', seeds: [1, 3], edits: [['proxy/dist/pool.js', 'if (count(p) < limit) {', 'if (count(p) < limit * 3) {']] },
 ]
