Hand over to a core what it missed; keep reads in their area with a handicap

Cause: a core that came back with its disk stayed behind until the next change of each register; reads ignored usage once an area was chosen. Others now keep the keys settled while a core's link was down (32 at most, past that everything) and hand the values over. A follower elsewhere is chosen where the own one has 4 calls more in flight.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -34,6 +34,11 @@
 // ratio. See REWRITE_FLOOR; 4 keeps the mean cost of rewriting under a third of appending.
 export const REWRITE_RATIO = 4
 
+// count. Registers that a core remembers for another that was away; past it everything is handed over.
+export const MISSED_KEPT = 32
+// ms. Beat on which a core looks whom it can hand over to.
+export const HANDOVER_BEAT = 300
+
 // --- links ---
 // ms. A dial on the local network that takes longer is a failure.
 export const DIAL_LIMIT = 1000
@@ -70,6 +75,9 @@
 export const SAMPLE_BEAT = 300
 // ms. A STATUS call that takes longer has failed.
 export const SAMPLE_LIMIT = 800
+// calls. A follower in another area is chosen only where the own one has this many more calls in flight: high
+// enough to keep reads near, low enough that a slow one near isn't flooded.
+export const AREA_COST = 4
 // ms. An idle instance connection is closed after this, before an instance's own keep-alive (5 s or more).
 export const POOL_IDLE = 3000
 // ms. Most time that a pool spends in waiting for a connection in one send.
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -395,6 +395,59 @@
 function crowded(s: Shape): Shape {
   return { ...s, requesters: 30, think: 60, keys: 100, latency: 8, connections: 16, config: { ...s.config, groups: [{ name: 'g1', connections: 16 }] } }
 }
+async function coreAway(f: SimFleet, notes: Map<string, number>): Promise<void> {
+  // A core is away while registers change; soon after its return it must hold them all.
+  const at = pick(f, f.cores.length)
+  f.sim.kill(f.cores[at].proc)
+  const sent = f.change(0, 'away', [{ number: 1, expect: 1, edits: [{ op: 'put', what: 'lane', value: { name: 'extra', database: 'kiln', group: 'g1', reads: 'leader' } }] }])
+  await f.sim.until(sent.done, 8000)
+  const move = f.ask(1, '/groups/g1/replacement', 'POST', {})
+  await f.sim.until(move.done, 8000)
+  await wait(f, 5000)
+  f.startCoreAt(at)
+  const from = f.sim.now()
+  function turns(k: number): string {
+    const out: string[] = []
+    for (const [key, c] of f.cores[k].core?.store.cells() ?? []) out.push(`${key}:${c.value?.turn ?? 0}`)
+    return out.sort().join()
+  }
+  function same(): boolean {
+    return turns(at) === turns((at + 1) % f.cores.length)
+  }
+  const whole = await f.sim.until(same, 6000)
+  notes.set('ms until the core held all', Math.round(f.sim.now() - from))
+  if (!whole) f.watched.push({ rule: 'repair', what: `6 s after its return ${f.cores[at].id} holds ${turns(at)}, another ${turns((at + 1) % f.cores.length)}` })
+}
+async function ownArea(f: SimFleet, notes: Map<string, number>): Promise<void> {
+  // Reads stay in their own area while a follower there is fresh, and go elsewhere when it is not.
+  function shares(): { own: number; all: number } {
+    let own = 0
+    let all = 0
+    for (const x of f.fronts) {
+      for (const line of (x.proxy?.numbers.text() ?? '').split('\n')) {
+        const m = /^claynotch_reads_total\{.*area="(own|other)",role="follower"\} (\d+)/.exec(line)
+        if (!m) continue
+        all += Number(m[2])
+        if (m[1] === 'own') own += Number(m[2])
+      }
+    }
+    return { own, all }
+  }
+  const a = shares()
+  await wait(f, 4000)
+  const b = shares()
+  const calm = (b.own - a.own) / (b.all - a.all)
+  notes.set('follower reads in the own area', Math.round(100 * calm) / 100)
+  if (calm < 0.9) f.watched.push({ rule: 'area', what: `${calm} of follower reads stayed in their area` })
+  // The follower of area b goes dark: its area's reads are served from elsewhere, and none fails.
+  const before = f.events.length
+  f.boxes[1].machine.dark = true
+  await wait(f, 6000)
+  let failed = 0
+  for (const e of f.events.slice(before)) if (e.outcome !== 'done' && e.class !== 'ROLLED_BACK') failed++
+  notes.set('calls failed while it was dark', failed)
+  if (failed > 3) f.watched.push({ rule: 'area', what: `${failed} calls failed while one follower was dark` })
+}
 async function resets(f: SimFleet): Promise<void> {
   for (let k = 0; k < 15; k++) {
     const list = [...f.fronts.map(proxyOf), ...f.boxes.map(procOf)]
@@ -458,6 +511,8 @@
   { name: 'late-delivery', rule: 'a reply under a lapsed epoch is unknown, never done', harm: lateDelivery },
   { name: 'late-news', rule: 'no node slips back to an older configuration', harm: lateNews },
   { name: 'crowd', rule: 'caps hold, new machines join', shape: crowded, harm: crowd },
+  { name: 'core-away', rule: 'what a missing core should have had is handed over', harm: coreAway },
+  { name: 'own-area', rule: 'reads stay near, and go elsewhere in need', harm: ownArea },
   { name: 'noisy-team', rule: "one team's crowd doesn't starve another", shape: twoTeams, reads: false, harm: noisyTeam },
   { name: 'swapped', rule: 'whole groups swapped one by one', harm: swapped },
   { name: 'retrying-crowd', rule: 'service back though requesters retry', shape: retrying, harm: leaderCrash },
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -1,5 +1,5 @@
 import {
-  AFTER_BREAKER, AFTER_LOAD, AFTER_MOVE, BORROW_LIMIT, BUDGET, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
+  AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
 } from '@claynotch/base'
 import { type Done, type Mark, type Trouble } from '@claynotch/instance'
 import { lendable } from '@claynotch/operator'
@@ -177,7 +177,7 @@
       if (one.group !== call.lane.group || one.name === rec.leader || one.doubt || state.gone(one.name)) continue
       if (!one.mark || one.status?.role !== 'follower' || !isFresh(one.mark, rec.epoch, need)) continue
       // The own area first, then the least usage.
-      const cost = one.usage + (one.area === state.area() ? 0 : 1000)
+      const cost = one.usage + (one.area === state.area() ? 0 : AREA_COST)
       if (cost < least) {
         least = cost
         best = one
@@ -289,6 +289,7 @@
           alert.note(false)
         }
         if (isWrite(call)) sawWrite(group, mark)
+        if (call.kind === 'read') numbers.add('claynotch_reads_total', [['instance', instance.name], ['area', instance.area === state.area() ? 'own' : 'other'], ['role', lead ? 'leader' : 'follower']])
         if (call.kind === 'read' || call.kind === 'write') {
           loan.end(true)
           delete call.loan
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -1,7 +1,7 @@
-import { answerLinks, hello, holdLink, loop, makeFlag, makeNumbers, pause, readAs, ROUND_LIFE, type Held, type Hello, type Link, type Listener, type Numbers, type World } from '@claynotch/base'
+import { answerLinks, HANDOVER_BEAT, hello, holdLink, loop, makeFlag, makeNumbers, MISSED_KEPT, pause, readAs, ROUND_LIFE, type Held, type Hello, type Link, type Listener, type Numbers, type World } from '@claynotch/base'
 import { compareBallots, type Ballot } from './ballot.js'
 import { gather, makeProposer, type Voter } from './proposer.js'
-import { makeStore, type Cell, type Phase, type Store } from './store.js'
+import { makeStore, type Cell, type Phase, type Store, type Value } from './store.js'
 import { makeTerms } from './terms.js'
 import { CoreWord, type KeyLine } from './words.js'
 
@@ -30,6 +30,10 @@
   // agents: held links to push on, with the count of pushes sent and of those acknowledged.
   const agents = new Map<Link, { node: string; num: number; acked: number }>()
 
+  // missed: for each other core, the registers settled while it couldn't be reached; 'all' where more were
+  // than are kept, or where we can't know (we were away ourselves).
+  const missed = new Map<string, Set<string> | 'all'>()
+
   const findings = await store.open()
   for (const f of findings) world.log.warn('data-file', { place: f.place, what: f.what })
   const lost = findings.some(isLoss)
@@ -44,7 +48,11 @@
   function ignore(): undefined {
     return undefined
   }
-  for (const c of set.cores) if (c.id !== set.id) others.push({ id: c.id, held: holdLink(world, c.addr, mine, ignore, stop) })
+  for (const c of set.cores) {
+    if (c.id === set.id) continue
+    others.push({ id: c.id, held: holdLink(world, c.addr, mine, ignore, stop) })
+    missed.set(c.id, 'all')
+  }
 
   function keyLines(): KeyLine[] {
     const out: KeyLine[] = []
@@ -69,8 +77,47 @@
     const old = settled.get(key)
     if (old && compareBallots(ballot, old) <= 0) return
     settled.set(key, ballot)
+    for (const o of others) if (!o.held.up()) keepFor(o.id, key)
     if (c && compareBallots(c.ballot, ballot) === 0) push(key)
   }
+  // --- repair: what a core that is away should have had is kept for it, and handed over at its return ---
+  function keepFor(id: string, key: string): void {
+    const list = missed.get(id)
+    if (list === 'all') return
+    const next = list ?? new Set<string>()
+    next.add(key)
+    missed.set(id, next.size > MISSED_KEPT ? 'all' : next)
+  }
+  async function handOver(): Promise<void> {
+    if (!serving) return
+    for (const o of others) {
+      const list = missed.get(o.id)
+      if (!list || !o.held.up()) continue
+      const cells: { key: string; ballot: Ballot; value: Value }[] = []
+      for (const [key, c] of store.cells()) if (c.value && isSettled(key, c) && (list === 'all' || list.has(key))) cells.push({ key, ballot: c.ballot, value: c.value })
+      const got = (await o.held.ask({ t: 'handover', cells }, ROUND_LIFE)) as { ok?: boolean; took?: number } | undefined
+      if (!got?.ok) continue
+      // What was settled while we handed over is in the list still.
+      if (missed.get(o.id) === list) missed.delete(o.id)
+      if (cells.length > 0) world.log.info('handed-over', { core: o.id, registers: cells.length, took: got.took })
+      numbers.add('claynotch_core_handovers_total')
+    }
+  }
+  // A settled value takes its place as a late accept would: never under a higher promise.
+  async function takeOver(cells: { key: string; ballot: Ballot; value: Value }[]): Promise<number> {
+    let took = 0
+    for (const c of cells) {
+      const mineNow = store.cells().get(c.key)
+      if (!mineNow || compareBallots(mineNow.ballot, c.ballot) < 0) {
+        const got = await store.accept(c.key, c.ballot, c.value)
+        if (!got.ok) continue
+        took++
+      }
+      learn(c.key, c.ballot)
+    }
+    if (took > 0) numbers.add('claynotch_core_taken_over_total', [], took)
+    return took
+  }
   function state(): State {
     return { t: 'state', id: set.id, phase: lost ? 'none' : store.phase(), serving, cores: ids }
   }
@@ -91,6 +138,8 @@
       case 'learn':
         learn(msg.key, msg.ballot)
         return { ok: true }
+      case 'handover':
+        return { ok: true, took: await takeOver(msg.cells as { key: string; ballot: Ballot; value: Value }[]) }
       case 'get': {
         const c = store.cells().get(msg.key)
         return { ok: true, ballot: c?.ballot ?? null, value: c?.value ?? null }
@@ -237,6 +286,7 @@
     numbers.set('claynotch_core_members', [], terms.members().length)
   }
   void loop(world, 'found', 200, stop, settle)
+  void loop(world, 'handover', HANDOVER_BEAT, stop, handOver)
 
   async function end(): Promise<void> {
     stop.fire()
--- a/packages/register/src/words.ts
+++ b/packages/register/src/words.ts
@@ -22,6 +22,7 @@
   t.type({ t: t.literal('accept'), key: t.string, ballot: Ballot, value: Value }),
   t.type({ t: t.literal('learn'), key: t.string, ballot: Ballot }),
   t.type({ t: t.literal('get'), key: t.string }),
+  t.type({ t: t.literal('handover'), cells: t.array(t.type({ key: t.string, ballot: Ballot, value: Value })) }),
   t.type({ t: t.literal('state') }),
   t.type({ t: t.literal('keys') }),
   t.type({ t: t.literal('members') }),
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -21,5 +21,7 @@
   { name: 'no-wait-for-move', rule: 'a promotion is absorbed within the budget', scenario: 'leader-crash', seeds: [1, 3], edits: [['proxy/dist/interpret.js', 'await waitNews(call);', 'return exhausted(call);']] },
   { name: 'tx-elsewhere', rule: 'a statement outside its own transaction', scenario: 'resets', seeds: [1, 3], edits: [['proxy/dist/sessions.js', "if (word.w === 'statement' && tx)", "if (word.w === 'statement' && tx && word.body.kind === 'read')"]] },
   { name: 'fifo', rule: "one team's crowd starves another", scenario: 'noisy-team', seeds: [1, 3], edits: [['proxy/dist/pool.js', '(p.usage.get(w.need.team) ?? 0) / w.need.share', '0']] },
+  { name: 'no-handover', rule: 'what a missing core should have had is kept from it', scenario: 'core-away', seeds: [1, 2], edits: [['register/dist/core.js', "if (!list || !o.held.up())", 'if (o)']] },
+  { name: 'area-blind', rule: 'reads leave their area without need', scenario: 'own-area', seeds: [1, 2], edits: [['proxy/dist/interpret.js', 'one.area === state.area() ? 0 : AREA_COST', '0']] },
   { name: 'caps', rule: 'more connections than the instance takes', scenario: 'crowd', seeds: [1, 3], edits: [['proxy/dist/pool.js', 'if (count(p) < limit) {', 'if (count(p) < limit * 3) {']] },
 ]
