Measure failure detection; let operators match lanes by a bounded Lua policy

Detection: cause, SUSPECT was set by thought. Ruled out: loss as a cause of false moves (none up to 15 %). Kept at 2.5 s.

Policies: fengari, 10000 steps, no way out of the state, a fallback lane for each failure; a text that does not compile refuses the configuration. Ruled out: wasmoon, as it loads asynchronously and brings a heap of its own.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,5 +1,5 @@
 import {
-  answerLinks, callOnce, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, serve, TERM, TERM_BEAT,
+  answerLinks, callOnce, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, serve, SUSPECT, TERM, TERM_BEAT,
   OPERATOR_BODY_LIMIT, SUMMARY_EPOCH, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Ask, type Held, type Hello, type Link, type Numbers, type Reply, type World,
 } from '@claynotch/base'
 import { startDuty } from '@claynotch/duty'
@@ -15,7 +15,8 @@
 
 // link: where the proxy of this machine finds its agent. peer: UDP, for summaries. http: operators, instances,
 // the platform, and nodes that look for the cores. seeds: http addresses of three other processes.
-export type AgentSettings = { node: string; area: string; link: Addr; peer: Addr; http: Addr; seeds: Addr[]; platform?: Addr; operators?: Credential[]; build: string }
+// suspect: SUSPECT unless an experiment asks for another.
+export type AgentSettings = { node: string; area: string; link: Addr; peer: Addr; http: Addr; seeds: Addr[]; platform?: Addr; operators?: Credential[]; build: string; suspect?: number }
 
 export type Agent = { stop: () => Promise<void>; numbers: Numbers; termUntil: () => number; cell: (key: string) => Value | undefined; apply: (next: { seeds: Addr[]; platform: Addr | undefined; operators: Credential[] | undefined }) => void }
 
@@ -383,7 +384,7 @@
     return platform
   }
   const duty = startDuty(world, {
-    node: set.node, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, hints, askMembers, numbers,
+    node: set.node, suspect: set.suspect ?? SUSPECT, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, hints, askMembers, numbers,
   }, stop)
   const peers = await startPeers(world, set.peer, stop, peerAddrs, summary, numbers, nothing)
 
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -139,6 +139,12 @@
 export const AFTER_MOVE = 2
 export const AFTER_BREAKER = 3
 
+// --- policies ---
+// steps of the Lua machine. A policy that matches by a few comparisons takes under 100; 10000 take about a millisecond.
+export const POLICY_STEPS = 10000
+// bytes. Longest policy.
+export const POLICY_LIMIT = 16384
+
 // --- duty (promotion) ---
 // ms. Beat of the duty's loop for a group.
 export const DUTY_BEAT = 400
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -1,10 +1,12 @@
-import { CANDIDATE_LIFE, CATCH_UP, DRAIN, DUTY_BEAT, HINT_GOOD, LOSS_WAIT, loop, makeBell, makeFlag, PROBE_LIMIT, SUSPECT, SUSPECT_LIMIT, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World } from '@claynotch/base'
+import { CANDIDATE_LIFE, CATCH_UP, DRAIN, DUTY_BEAT, HINT_GOOD, LOSS_WAIT, loop, makeBell, makeFlag, PROBE_LIMIT, SUSPECT_LIMIT, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World } from '@claynotch/base'
 import { askStatus, type Mark, type Status } from '@claynotch/instance'
 import { promote } from '@claynotch/platform'
 import { groupKey, type GroupRecord, type Member, type Proposer, type Sight, type Value } from '@claynotch/register'
 
 export type DutyView = {
   node: string
+  // ms without a good answer after which a leader is suspected.
+  suspect: number
   platform: () => string | undefined
   proposer: Proposer
   termUntil: () => number
@@ -163,7 +165,7 @@
     if (!first) {
       // No one leads: a first leader is made like any other, once the announcements had time to come in.
       mem ??= { turn: 0, since: world.now(), leader: undefined, leaderOk: 0, candidateOk: 0, suspected: false }
-      if (world.now() - mem.since < SUSPECT) return false
+      if (world.now() - mem.since < view.suspect) return false
       const best = furthest(seen, undefined) as Seen
       return (await put(0, { epoch: best.status.mark.epoch + 1, phase: 'stop', holder: view.node, fence: 1, candidate: best.name, candidateAddr: best.addr })) === true
     }
@@ -189,7 +191,7 @@
     function isGoing(s: Sight): boolean {
       return s.name === leader.name && s.leaving
     }
-    if (now - m.leaderOk < SUSPECT) return false
+    if (now - m.leaderOk < view.suspect) return false
     if (!m.suspected) {
       m.suspected = true
       view.numbers.add('claynotch_duty_suspicions_total', [['group', group]])
@@ -232,7 +234,7 @@
     function isHead(s: Seen): boolean {
       return s.name === rec.leader
     }
-    if (!head) return spent > DRAIN + SUSPECT ? await stopFor(turn, rec, false) : false
+    if (!head) return spent > DRAIN + view.suspect ? await stopFor(turn, rec, false) : false
     const rest: Seen[] = []
     for (const s of seen) if (s !== head && (!rec.wish || rec.wish.to === '' || rec.wish.to === s.name)) rest.push(s)
     const best = furthest(rest, undefined)
--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -2,6 +2,7 @@
 import { readFileSync, writeFileSync } from 'node:fs'
 import { defineCommand, runMain } from 'citty'
 import { callOnce, makeLog, realWorld, serve, type Addr, type Ask, type Reply } from '@claynotch/base'
+import { measureDetection } from './detection.js'
 import { startInstance, type InstanceSettings } from './instance.js'
 import { runLocal } from './local.js'
 import { profileOf } from './profile.js'
@@ -82,6 +83,11 @@
   process.exit(bad === 0 ? 0 : 1)
 }
 
+// Detection time against false alarms, from the simulator; docs/design/detection.md has the table.
+async function detection({ args }: { args: { seeds: string } }): Promise<void> {
+  await measureDetection(Number(args.seeds), out)
+}
+
 const settings = { type: 'string', description: 'settings file', required: true } as const
 const main = defineCommand({
   meta: { name: 'fleet', description: 'Local fleets, stand-ins and the simulator' },
@@ -100,6 +106,7 @@
       args: { from: { type: 'string', default: '1', description: 'first seed' }, to: { type: 'string', default: '20', description: 'last seed' }, only: { type: 'string', description: 'one scenario' }, trace: { type: 'string', description: 'file for the log of the last run' } },
       run: sweep,
     }),
+    detection: defineCommand({ meta: { name: 'detection', description: 'Measure failure detection' }, args: { seeds: { type: 'string', default: '4', description: 'seeds for each cell' } }, run: detection }),
     instance: defineCommand({ meta: { name: 'instance', description: 'A stand-in instance' }, args: { settings }, run: instance }),
     platform: defineCommand({ meta: { name: 'platform', description: 'A stand-in platform' }, args: { settings }, run: platform }),
   },
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -41,6 +41,18 @@
   // The promotion is absorbed: at most one call of each requester hears of it.
   let told = 0
   for (const e of f.events) if ((e.outcome === 'refused' || e.outcome === 'failed') && e.class === 'UNAVAILABLE') told++
+  // Retries, summed over all nodes, against first sends in the whole run.
+  let firsts = 0
+  let again = 0
+  for (const x of f.fronts) {
+    for (const line of (x.proxy?.numbers.text() ?? '').split('\n')) {
+      const m = /^claynotch_retry_attempt_total\{.*send="(\d)"\} (\d+)/.exec(line)
+      if (m && m[1] === '1') firsts += Number(m[2])
+      else if (m) again += Number(m[2])
+    }
+  }
+  notes.set('retries for each first send, fleet', Math.round((1000 * again) / firsts) / 1000)
+  if (again > 0.25 * firsts) f.watched.push({ rule: 'retry storm', what: `${again} retries for ${firsts} first sends over all nodes` })
   if (told > f.shape.requesters) f.watched.push({ rule: 'absorbed', what: `${told} calls were told UNAVAILABLE during one promotion` })
   await wait(f, 4000)
   f.startBoxAt(at)
--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -9,7 +9,7 @@
 import { makeSim, type Machine, type Proc, type Sim } from './sim.js'
 
 // A whole fleet in the simulator.
-export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean; latency?: number; operators?: Credential[] }
+export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean; latency?: number; operators?: Credential[]; suspect?: number }
 
 export type Front = { machine: Machine; agentProc: Proc; proxyProc: Proc; agent: Agent | undefined; proxy: Proxy | undefined; node: string; http: Addr; listen: Addr }
 export type CoreBox = { machine: Machine; proc: Proc; core: Core | undefined; id: string; http: Addr }
@@ -74,7 +74,7 @@
   function startAgentAt(k: number): void {
     const f = fronts[k]
     async function start(world: World): Promise<void> {
-      f.agent = await startAgent(world, { node: f.node, area: shape.areas[k % shape.areas.length], link: '127.0.0.1:7100', peer: `${f.machine.ip}:7200`, http: f.http, seeds, platform: `${platform.ip}:80`, ...(shape.operators ? { operators: shape.operators } : {}), build: 'sim' })
+      f.agent = await startAgent(world, { node: f.node, area: shape.areas[k % shape.areas.length], link: '127.0.0.1:7100', peer: `${f.machine.ip}:7200`, http: f.http, seeds, platform: `${platform.ip}:80`, ...(shape.operators ? { operators: shape.operators } : {}), ...(shape.suspect !== undefined ? { suspect: shape.suspect } : {}), build: 'sim' })
     }
     f.agent = undefined
     f.agentProc = sim.spawn(f.machine, `${f.node}-agent`, start)
--- a/packages/fleet/src/test/teams.test.ts
+++ b/packages/fleet/src/test/teams.test.ts
@@ -1,6 +1,6 @@
 import t, { type Test } from 'tap'
 import { callOnce, pause, type World } from '@claynotch/base'
-import { checkAgainst, checkCredentials, differences, makeCredential, readConfig, type Config, type Credential, type Fleet } from '@claynotch/operator'
+import { checkAgainst, checkCredentials, compilePolicy, differences, makeCredential, readConfig, type Config, type Credential, type Fleet } from '@claynotch/operator'
 import { makeSimFleet, smallShape, type SimFleet } from '../simfleet.js'
 import { beside } from './beside.js'
 
@@ -167,7 +167,49 @@
   return test
 }
 
+// Policies: matching, and each way of failing safe.
+const LUA = `
+function match(call)
+  if call.settings.mode == "spin" then while true do end end
+  if call.settings.mode == "break" then error("on purpose") end
+  if call.settings.mode == "odd" then return "no-such-lane" end
+  if call.settings.mode == "number" then return {} end
+  if call.database == "kiln" and call.kind == "read" then return "cal-g1" end
+  return "book-g1"
+end`
+async function policies(c: Test): Promise<void> {
+  for (const [bad, why] of [['function match(', /'<name>' expected|unexpected|expected/], ['x = 1', /no function match/], ['while true do end', /over 10000 steps/], ['os.exit()', /nil value/], ['dofile("x")', /nil value/], ['pcall(f)', /nil value/]] as [string, RegExp][]) {
+    const got = compilePolicy(bad)
+    c.ok(got.err && why.test(got.val), `${bad}: ${got.val as string}`)
+  }
+  const refused = readConfig({ ...smallShape().config, policy: { lua: 'function', fallback: 'none' } })
+  c.strictSame(refused.err ? refused.val.map(placeOf) : [], ['/policy/fallback', '/policy/lua'])
+  const policy = compilePolicy(LUA).unwrap()
+  function call(mode: string, kind = 'read'): string {
+    const got = policy.match({ kind, database: 'kiln', area: 'a', settings: [['mode', mode]] })
+    return got.ok ? got.val : `failed: ${got.val}`
+  }
+  c.equal(call(''), 'cal-g1')
+  c.match(call('spin'), /failed: .*over 10000 steps/)
+  c.equal(call('', 'write'), 'book-g1', 'and goes on after a failure')
+  const s = smallShape()
+  const f = makeSimFleet(5, { ...s, config: { ...s.config, policy: { lua: LUA, fallback: 'dep-g1' } } })
+  c.ok(await f.begin())
+  async function run(world: World): Promise<void> {
+    for (const mode of ['', 'spin', 'break', 'odd', 'number']) {
+      const got = (await callOnce(world, f.fronts[0].listen, 'POST', '/calls', { lane: 'auto', database: 'kiln', kind: 'read', text: 'list', args: ['k'], settings: [{ name: 'mode', value: mode }] }, 5000)).unwrap()
+      c.equal(got.status, 200, `mode ${mode}`)
+    }
+  }
+  await beside(f, run)
+  const numbers = f.fronts[0].proxy!.numbers
+  c.equal(numbers.get('claynotch_policy_failures_total'), 4, 'four failed, each counted')
+  c.equal(numbers.get('claynotch_calls_total', [['lane', 'dep-g1'], ['kind', 'read'], ['outcome', 'done'], ['class', '']]), 4, 'and went to the fallback')
+  c.equal(numbers.get('claynotch_calls_total', [['lane', 'cal-g1'], ['kind', 'read'], ['outcome', 'done'], ['class', '']]), 1)
+}
+
 void t.test('operators: names, roles, teams', credentials)
+void t.test('policies: matched in bounds, failing safe', policies)
 void t.test('teams: quotas, refused at once', quotas)
 void t.test('roll-out: area by area, with those behind named', stages)
 void t.test('check: a configuration against the fleet as it is', checker)
--- a/packages/operator/src/against.ts
+++ b/packages/operator/src/against.ts
@@ -20,6 +20,7 @@
 export function differences(now: Config | null, next: Config): string[] {
   const out: string[] = []
   if (now?.proxies !== next.proxies) out.push(`proxies: ${now?.proxies ?? 'none'} -> ${next.proxies}`)
+  if (JSON.stringify(now?.policy) !== JSON.stringify(next.policy)) out.push(next.policy ? 'policy: changed' : 'policy: dropped')
   const kinds: [string, { name: string }[], { name: string }[]][] = [
     ['group', now?.groups ?? [], next.groups], ['lane', now?.lanes ?? [], next.lanes], ['team', now?.teams ?? [], next.teams ?? []],
   ]
--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -1,5 +1,6 @@
 import * as t from 'io-ts'
-import { Count, Ms, Name, readStrict, type Finding, Ok, Err, type Result } from '@claynotch/base'
+import { Count, Ms, Name, POLICY_LIMIT, readStrict, type Finding, Ok, Err, type Result } from '@claynotch/base'
+import { compilePolicy } from './policy.js'
 
 // The operator's configuration.
 // reads: 'leader', every read goes to the leader; else within ms, and own (a session reads its own writes).
@@ -12,13 +13,17 @@
 const Team = t.intersection([t.type({ name: Name }), t.partial({ share: Count, sessions: Count, pending: Count })])
 export const Config = t.intersection([
   t.type({ proxies: Count, groups: t.array(Group), lanes: t.array(Lane) }),
-  t.partial({ teams: t.array(Team) }),
+  // policy: a Lua text that matches calls for the lane 'auto' to lanes; fallback: the lane where it fails.
+  t.partial({ teams: t.array(Team), policy: t.type({ lua: t.string, fallback: Name }) }),
 ])
 export type Config = t.TypeOf<typeof Config>
 export type Lane = t.TypeOf<typeof Lane>
 export type Group = t.TypeOf<typeof Group>
 export type Team = t.TypeOf<typeof Team>
 
+// The lane that a requester names to have the policy match one.
+export const AUTO = 'auto'
+
 // Connections of each instance that a proxy does not lend: one for its STATUS samples, one for the duty's probes.
 export const KEPT_BACK = 2
 
@@ -52,6 +57,18 @@
     if (!groups.has(lane.group)) out.push({ place: `/lanes/${k}/group`, what: `no group is named ${lane.group}` })
     if (lane.team !== undefined && !teams.has(lane.team)) out.push({ place: `/lanes/${k}/team`, what: `no team is named ${lane.team}` })
   }
+  if (config.policy) {
+    const { lua, fallback } = config.policy
+    let known = false
+    for (const lane of config.lanes) if (lane.name === fallback) known = true
+    if (!known) out.push({ place: '/policy/fallback', what: `no lane is named ${fallback}` })
+    for (const [k, lane] of config.lanes.entries()) if (lane.name === AUTO) out.push({ place: `/lanes/${k}/name`, what: `${AUTO} stands for the policy and can't name a lane` })
+    if (lua.length > POLICY_LIMIT) out.push({ place: '/policy/lua', what: `over ${POLICY_LIMIT} bytes` })
+    else {
+      const got = compilePolicy(lua)
+      if (got.err) out.push({ place: '/policy/lua', what: got.val })
+    }
+  }
   for (const [k, g] of config.groups.entries()) {
     if (lendable(config, g.name) < 1) out.push({ place: `/groups/${k}/connections`, what: `${g.connections} connections over ${config.proxies} proxies leave none to lend (each proxy keeps ${KEPT_BACK} back)` })
   }
@@ -65,6 +82,8 @@
   t.type({ op: t.literal('put'), what: What, value: t.unknown }),
   t.type({ op: t.literal('drop'), what: What, name: Name }),
   t.type({ op: t.literal('proxies'), value: Count }),
+  // null: no policy any more.
+  t.type({ op: t.literal('policy'), value: t.union([t.null, t.type({ lua: t.string, fallback: Name })]) }),
 ])
 export type Edit = t.TypeOf<typeof Edit>
 export const Change = t.intersection([
@@ -86,7 +105,7 @@
 }
 
 export function applyEdits(from: Config, edits: Edit[]): Result<unknown, Finding[]> {
-  let { proxies } = from
+  let { proxies, policy } = from
   const lists = new Map<string, { name: string }[]>([['lane', from.lanes], ['group', from.groups], ['team', from.teams ?? []]])
   const out: Finding[] = []
   for (const [k, e] of edits.entries()) {
@@ -94,6 +113,10 @@
       proxies = e.value
       continue
     }
+    if (e.op === 'policy') {
+      policy = e.value ?? undefined
+      continue
+    }
     const list = lists.get(e.what) ?? []
     if (e.op === 'put') {
       const value = e.value as { name?: unknown } | null
@@ -107,7 +130,7 @@
     }
   }
   if (out.length > 0) return Err(out)
-  return Ok({ proxies, groups: lists.get('group'), lanes: lists.get('lane'), teams: lists.get('team') })
+  return Ok({ proxies, groups: lists.get('group'), lanes: lists.get('lane'), teams: lists.get('team'), ...(policy ? { policy } : {}) })
 }
 
 // --- the register's value ---
--- a/packages/proxy/src/rules.ts
+++ b/packages/proxy/src/rules.ts
@@ -1,5 +1,5 @@
 import { PENDING } from '@claynotch/base'
-import type { Config } from '@claynotch/operator'
+import { compilePolicy, type Config, type Policy } from '@claynotch/operator'
 
 // The way of a request: a short list of steps, compiled from the configuration for each lane and kind of call.
 // The interpreter (interpret.ts) runs them in order; judge ends the call or goes back to aim.
@@ -16,7 +16,7 @@
 export type Kind = 'read' | 'write' | 'begin read' | 'begin write'
 export type LaneRules = { name: string; group: string; team: string; database: string; pending: number; programs: Map<Kind, Step[]> }
 // share, sessions and pending by team; a lane without a team belongs to the team ''.
-export type Rules = { epoch: number; lanes: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number>; pending: Map<string, number> }
+export type Rules = { epoch: number; lanes: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number>; pending: Map<string, number>; policy: { policy: Policy; fallback: string } | undefined }
 
 export function compile(config: Config, epoch: number): Rules {
   const lanes = new Map<string, LaneRules>()
@@ -38,5 +38,7 @@
     if (team.sessions !== undefined) sessions.set(team.name, team.sessions)
     if (team.pending !== undefined) pending.set(team.name, team.pending)
   }
-  return { epoch, lanes, shares, sessions, pending }
+  // It compiled when the configuration was taken; if it doesn't here, every call goes to the fallback.
+  const policy = config.policy ? compilePolicy(config.policy.lua) : undefined
+  return { epoch, lanes, shares, sessions, pending, policy: config.policy && policy?.ok ? { policy: policy.val, fallback: config.policy.fallback } : undefined }
 }
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -2,6 +2,7 @@
   AFTER_LOAD, AFTER_MOVE, badInput, DRAIN, loop, SEND_LIMIT, SESSION_IDLE, SESSIONS, TRANSACTION_IDLE, type Ask, type Flag, type Numbers, type Reply, type World,
 } from '@claynotch/base'
 import type { Mark, Trouble } from '@claynotch/instance'
+import { AUTO } from '@claynotch/operator'
 import { readDeadline, readWord, refusal, writeVerdict, type Verdict, type Word } from '@claynotch/requester'
 import { readToken, writeToken } from './freshness.js'
 import { makeCall, type Runner } from './interpret.js'
@@ -41,6 +42,21 @@
     const lane = rules?.lanes.get(name)
     return rules && lane ? { rules, lane } : undefined
   }
+  // The lane 'auto' is matched by the operator's policy; a policy that fails, or names no lane, by its fallback.
+  function matchLane(name: string, kind: string, database: string, settings: [string, string][]): string {
+    const policy = state.rules()?.policy
+    if (name !== AUTO || !policy) return name
+    const got = policy.policy.match({ kind, database, area: state.area(), settings })
+    if (got.ok && state.rules()?.lanes.has(got.val)) return got.val
+    numbers.add('claynotch_policy_failures_total')
+    world.log.warn('policy-failed', { why: got.ok ? `no lane is named ${got.val}` : got.val })
+    return policy.fallback
+  }
+  function pairsOf(list: { name: string; value: string }[] | undefined): [string, string][] {
+    const out: [string, string][] = []
+    for (const p of list ?? []) out.push([p.name, p.value])
+    return out
+  }
   function noLane(name: string): Verdict {
     return state.rules() ? refusal('NOT_FOUND', `no lane is named ${name}`, false) : refusal('UNAVAILABLE', 'no configuration is known here yet', true, AFTER_MOVE)
   }
@@ -87,18 +103,18 @@
 
   function open(body: Extract<Word, { w: 'open' }>['body']): Verdict {
     if (stopping()) return refusal('UNAVAILABLE', 'this node is stopping', true, AFTER_LOAD)
-    const found = laneOf(body.lane)
-    if (!found) return noLane(body.lane)
+    const settings = pairsOf(body.settings)
+    const name = matchLane(body.lane, 'session', body.database ?? '', settings)
+    const found = laneOf(name)
+    if (!found) return noLane(name)
     const { lane, rules } = found
     const mark = readToken(lane.group, body.token ?? '')
     if (mark === 'bad') return refusal('INVALID_ARGUMENT', 'the token is not one of this lane\'s group', false)
     const most = rules.sessions.get(lane.team)
     if (all.size >= SESSIONS) return refusal('RESOURCE_EXHAUSTED', `this node holds ${all.size} sessions`, true, AFTER_LOAD)
     if (most !== undefined && (counts.get(lane.team) ?? 0) >= most) return refusal('RESOURCE_EXHAUSTED', `the team ${lane.team} has its ${most} sessions on this node`, true, AFTER_LOAD)
-    const settings: [string, string][] = []
-    for (const p of body.settings ?? []) settings.push([p.name, p.value])
     const id = `${prefix}-${++next}-${Math.floor(world.random() * 2 ** 40).toString(36)}`
-    all.set(id, { id, lane: body.lane, settings, shapes: new Map(), token: mark, mustLead: false, busy: false, last: world.now(), transaction: undefined, dead: false })
+    all.set(id, { id, lane: name, settings, shapes: new Map(), token: mark, mustLead: false, busy: false, last: world.now(), transaction: undefined, dead: false })
     teamCount(lane.team, 1)
     teams.set(id, lane.team)
     return { outcome: 'done', session: id, token: writeToken(lane.group, mark) }
@@ -223,12 +239,12 @@
     return got.verdict
   }
   async function once(word: Extract<Word, { w: 'call' }>, ms: number | undefined, gone: Flag): Promise<Verdict> {
-    const found = laneOf(word.body.lane)
-    if (!found) return noLane(word.body.lane)
+    const settings = pairsOf(word.body.settings)
+    const name = matchLane(word.body.lane, word.body.kind, word.body.database ?? '', settings)
+    const found = laneOf(name)
+    if (!found) return noLane(name)
     const token = readToken(found.lane.group, word.body.token ?? '')
     if (token === 'bad') return refusal('INVALID_ARGUMENT', 'the token is not one of this lane\'s group', false)
-    const settings: [string, string][] = []
-    for (const p of word.body.settings ?? []) settings.push([p.name, p.value])
     const call = makeCall(world, word.body.kind, found.lane, found.rules, { settings, shapes: new Map(), token, mustLead: false, body: { text: word.body.text, args: word.body.args ?? [] }, ms, gone })
     const got = await runner.run(call)
     const mark = got.verdict.outcome === 'done' && word.body.kind === 'write' ? got.mark : token
--- a/packages/requester/src/index.ts
+++ b/packages/requester/src/index.ts
@@ -5,11 +5,11 @@
 
 const Pair = t.type({ name: Name, value: t.string })
 const Kind = t.union([t.literal('read'), t.literal('write')])
-export const OpenBody = t.intersection([t.type({ lane: Name }), t.partial({ settings: t.array(Pair), token: t.string })])
+export const OpenBody = t.intersection([t.type({ lane: Name }), t.partial({ settings: t.array(Pair), token: t.string, database: Name })])
 export const ShapeBody = t.type({ name: Name, text: t.string })
 export const BeginBody = t.partial({ kind: Kind })
 export const StatementBody = t.intersection([t.type({ kind: Kind }), t.partial({ text: t.string, shape: Name, args: t.array(t.unknown) })])
-export const CallBody = t.intersection([t.type({ lane: Name, kind: Kind, text: t.string }), t.partial({ args: t.array(t.unknown), settings: t.array(Pair), token: t.string })])
+export const CallBody = t.intersection([t.type({ lane: Name, kind: Kind, text: t.string }), t.partial({ args: t.array(t.unknown), settings: t.array(Pair), token: t.string, database: Name })])
 const Empty = t.partial({})
 
 export type Word =
