Halve the retry tokens, and measure retries summed over nodes

Cause: with 40 tokens for each group and proxy the cap did not bind in 20 s of a leader that fails; a mutant without it went unnoticed at 80 % failures, where the breaker opens first. Scenario sick-leader now fails 40 %, under the breaker's rate, with requesters that ask again at once.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -97,7 +97,7 @@
 // ms. Spread over which calls that waited for a promotion wake, so that the new leader isn't hit at once.
 export const WAKE_SPREAD = 250
 // tokens. Retry tokens per group and proxy: what it starts with and can hold at most.
-export const RETRY_TOKENS = 40
+export const RETRY_TOKENS = 20
 // tokens. Gained with each first send: retries are at most a fifth of first sends in the long run.
 export const RETRY_GAIN = 0.2
 // ms. Window over which the breaker counts; a sustained rate, not a blip.
--- a/packages/fleet/src/instance.ts
+++ b/packages/fleet/src/instance.ts
@@ -16,6 +16,7 @@
   deaf: boolean // a follower stops receiving and goes on claiming that it doesn't lag
   lag: number // ms between fetches of a follower
   left: boolean // has announced that it leaves
+  sick: number // share of statements answered with ELECTION though STATUS looks well
 }
 export type InstanceSettings = {
   name: string; group: string; area: string; addr: Addr; peers: Addr[]; agents: Addr[]; leader: boolean; connections: number; lag: number; data: string; leaves?: boolean
@@ -33,7 +34,7 @@
 export async function startInstance(world: World, set: InstanceSettings): Promise<Instance> {
   const stop = makeFlag()
   const file = makeFile(world, `${set.data}/log`)
-  const faults: Faults = { dark: false, lose: [], full: false, deaf: false, lag: set.lag, left: false }
+  const faults: Faults = { dark: false, lose: [], full: false, deaf: false, lag: set.lag, left: false, sick: 0 }
   let log: Entry[] = []
   let table = new Map<string, string[]>()
   let role: 'leader' | 'follower' = set.leader ? 'leader' : 'follower'
@@ -118,6 +119,7 @@
   }
   async function statement(s: Session, body: { text?: string; shape?: string; args?: unknown[]; mode?: string }): Promise<Reply> {
     if (leftAt !== undefined && world.now() - leftAt > 7000 && !s.open) lateWork++
+    if (faults.sick > 0 && !s.open && world.random() < faults.sick) return error('ELECTION', 'an election is in progress')
     const text = body.shape !== undefined ? s.shapes.get(body.shape) : body.text
     const args = body.args ?? []
     if (text === undefined) return error('NOT_FOUND', `no shape ${body.shape}`)
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -1,4 +1,5 @@
 import { makeSimFleet, smallShape, type Shape, type SimFleet } from './simfleet.js'
+import { RETRY_TOKENS } from '@claynotch/base'
 import type { Breach, Judgement } from './judge.js'
 import type { Mix } from './requester.js'
 
@@ -42,15 +43,7 @@
   let told = 0
   for (const e of f.events) if ((e.outcome === 'refused' || e.outcome === 'failed') && e.class === 'UNAVAILABLE') told++
   // Retries, summed over all nodes, against first sends in the whole run.
-  let firsts = 0
-  let again = 0
-  for (const x of f.fronts) {
-    for (const line of (x.proxy?.numbers.text() ?? '').split('\n')) {
-      const m = /^claynotch_retry_attempt_total\{.*send="(\d)"\} (\d+)/.exec(line)
-      if (m && m[1] === '1') firsts += Number(m[2])
-      else if (m) again += Number(m[2])
-    }
-  }
+  const { firsts, again } = triesOf(f)
   notes.set('retries for each first send, fleet', Math.round((1000 * again) / firsts) / 1000)
   if (again > 0.25 * firsts) f.watched.push({ rule: 'retry storm', what: `${again} retries for ${firsts} first sends over all nodes` })
   if (told > f.shape.requesters) f.watched.push({ rule: 'absorbed', what: `${told} calls were told UNAVAILABLE during one promotion` })
@@ -460,6 +453,35 @@
   notes.set('calls failed while it was dark', failed)
   if (failed > 3) f.watched.push({ rule: 'area', what: `${failed} calls failed while one follower was dark` })
 }
+async function sickLeader(f: SimFleet, notes: Map<string, number>): Promise<void> {
+  // The leader fails four statements of ten while its STATUS looks well (the breaker opens at five), and requesters ask again at once: retries
+  // summed over all nodes stay under a fifth of first sends, beyond the tokens that each node starts with.
+  const box = f.boxes[leaderIndex(f, 'g1')]
+  const before = triesOf(f)
+  box.instance!.faults.sick = 0.4
+  await wait(f, 20000)
+  box.instance!.faults.sick = 0
+  const after = triesOf(f)
+  const firsts = after.firsts - before.firsts
+  const again = after.again - before.again
+  notes.set('first sends', firsts)
+  notes.set('retries for each first send, fleet', Math.round((1000 * again) / firsts) / 1000)
+  const most = 0.2 * firsts + RETRY_TOKENS * f.fronts.length
+  if (again > most) f.watched.push({ rule: 'retry storm', what: `${again} retries for ${firsts} first sends over all nodes, ${Math.round(most)} at most` })
+}
+// Sends over all nodes, by first and again.
+function triesOf(f: SimFleet): { firsts: number; again: number } {
+  let firsts = 0
+  let again = 0
+  for (const x of f.fronts) {
+    for (const line of (x.proxy?.numbers.text() ?? '').split('\n')) {
+      const m = /^claynotch_retry_attempt_total\{.*send="(\d)"\} (\d+)/.exec(line)
+      if (m && m[1] === '1') firsts += Number(m[2])
+      else if (m) again += Number(m[2])
+    }
+  }
+  return { firsts, again }
+}
 async function resets(f: SimFleet): Promise<void> {
   for (let k = 0; k < 15; k++) {
     const list = [...f.fronts.map(proxyOf), ...f.boxes.map(procOf)]
@@ -528,6 +550,7 @@
   { name: 'noisy-team', rule: "one team's crowd doesn't starve another", shape: twoTeams, reads: false, harm: noisyTeam },
   { name: 'swapped', rule: 'whole groups swapped one by one', harm: swapped },
   { name: 'retrying-crowd', rule: 'service back though requesters retry', shape: retrying, harm: leaderCrash },
+  { name: 'sick-leader', rule: 'retries summed over nodes are capped; service comes back', shape: retrying, harm: sickLeader },
   { name: 'mixed', rule: 'all of them', harm: mixed },
 ]
 
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -23,5 +23,6 @@
   { name: 'fifo', rule: "one team's crowd starves another", scenario: 'noisy-team', seeds: [1, 3], edits: [['proxy/dist/pool.js', '(p.usage.get(w.need.team) ?? 0) / w.need.share', '0']] },
   { name: 'no-handover', rule: 'what a missing core should have had is kept from it', scenario: 'core-away', seeds: [1, 2], edits: [['register/dist/core.js', "if (!list || !o.held.up())", 'if (o)']] },
   { name: 'area-blind', rule: 'reads leave their area without need', scenario: 'own-area', seeds: [1, 2], edits: [['proxy/dist/interpret.js', 'one.area === state.area() ? 0 : AREA_COST', '0']] },
+  { name: 'no-tokens', rule: 'retries summed over nodes are uncapped', scenario: 'sick-leader', seeds: [1, 2], edits: [['proxy/dist/retry.js', 'if (left < cost)\n            return false;', '']] },
   { name: 'caps', rule: 'more connections than the instance takes', scenario: 'crowd', seeds: [1, 3], edits: [['proxy/dist/pool.js', 'if (count(p) < limit) {', 'if (count(p) < limit * 3) {']] },
 ]
