Keep a proxy's time when news comes from an agent just restarted; add a guard

Cause: a restarted agent that learnt a new configuration by push before its first renewal fed it with no time to work by, and the proxy dropped what time it had. Ruled out: terms lost at the cores (the node's term ran on), the loopback link (up again in 0.1 s). A time up to which nothing newer than the old turn was known holds for a newer turn as well; the first renewal also goes out as soon as the cores are reached.

New scenarios: guarded-split, quick-restart, ack-lost, agent-restarts; holder-fails now fails it at each named step.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -38,6 +38,7 @@
   const wanted = new Map<string, { ballot: Ballot; from: number; chosenAt: string | undefined }>()
   const news = makeBell()
   const lag = makeBell()
+  const linked = makeBell()
   const sights = new Map<string, { sight: Sight; at: number }>()
   let members: Member[] = []
   let termUntil = 0
@@ -107,8 +108,9 @@
       world.log.info('cores-found', { seed, cores: list.length })
     }
   }
+  // The first term isn't waited for longer than it takes to reach the cores.
   function onCore(): void {
-    lag.ring()
+    if (termUntil === 0) linked.ring()
   }
   function makeTake(id: string) {
     function take(msg: unknown): undefined {
@@ -443,7 +445,7 @@
   const http = await serve(world, set.http, handle, { raw: operator.raw, limit: OPERATOR_BODY_LIMIT })
   const listener = await world.listen(set.link, answerLinks(world, mine, serveProxy, lostProxy))
 
-  void loop(world, 'renew', TERM_BEAT, stop, renew)
+  void loop(world, 'renew', TERM_BEAT, stop, renew, linked)
   // A ring of the bell between two beats must not be lost: the loop looks at what is wanted, not at the ring.
   void loop(world, 'catch-up', TERM_BEAT / 4, stop, catchUpIfNeeded, lag)
   async function catchUpIfNeeded(): Promise<void> {
--- a/packages/fleet/src/requester.ts
+++ b/packages/fleet/src/requester.ts
@@ -7,14 +7,14 @@
 // start and end: its own clock, around the whole operation. within: how old a commit a read may miss; 0 on the leader path.
 export type Event = {
   kind: string; group: string; session: number; key: string; tag: string | undefined; list: string[] | undefined; within: number; own: boolean
-  start: number; end: number; outcome: 'done' | 'refused' | 'failed' | 'unknown' | 'none'; class: string; kept: string; sentCommit: boolean; wrong: boolean; node: string; after: boolean
+  start: number; end: number; outcome: 'done' | 'refused' | 'failed' | 'unknown' | 'none'; class: string; kept: string; sentCommit: boolean; wrong: boolean; node: string; after: boolean; why: string
 }
 
 export type Mix = { kind: string; lane: string; group: string; op: 'book' | 'deposit' | 'lookup' | 'post'; weight: number; within: number; own: boolean }
 
 export type RequesterSettings = { id: number; nodes: Addr[]; mixes: Mix[]; think: number; keys: number; again: boolean; until: () => boolean; note: (e: Event) => void }
 
-type Told = { outcome: Event['outcome']; class?: string; kept?: string; rows?: unknown[]; token?: string; session?: string; again?: boolean; after?: number }
+type Told = { outcome: Event['outcome']; class?: string; kept?: string; rows?: unknown[]; token?: string; session?: string; again?: boolean; after?: number; why?: string }
 
 export async function runRequester(world: World, set: RequesterSettings, stop: Flag): Promise<void> {
   let node = set.id % set.nodes.length
@@ -119,7 +119,7 @@
       }
     }
     const end = world.now()
-    const base = { kind: mix.kind, group: mix.group, session: set.id, key, within: mix.within, own: mix.own, wrong, node: node0, after: told.after !== undefined }
+    const base = { kind: mix.kind, group: mix.group, session: set.id, key, within: mix.within, own: mix.own, wrong, node: node0, after: told.after !== undefined, why: told.why ?? '' }
     set.note({ ...base, tag: wrote ? tag : undefined, list, start, end, outcome: told.outcome, class: told.class ?? '', kept: told.kept ?? '', sentCommit })
     if (told.outcome === 'done' && told.token !== undefined) tokens.set(mix.group, told.token)
     // After a deposit the session looks at what it wrote.
@@ -143,6 +143,8 @@
       move()
       told = await operate(mix)
     }
+    // Some move to another node, and so another area, with nothing wrong at all; their tokens go with them.
+    if (world.random() < 0.02) move()
     if (told && (told.outcome === 'none' || told.class === 'NOT_FOUND' || (told.outcome === 'refused' && told.class !== 'ROLLED_BACK' && world.random() < 0.3))) move()
     await pause(world, set.think * (0.5 + world.random()), stop)
   }
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -1,6 +1,7 @@
 import { makeSimFleet, smallShape, type Shape, type SimFleet } from './simfleet.js'
 import { RETRY_TOKENS } from '@claynotch/base'
 import type { Breach, Judgement } from './judge.js'
+import type { GroupRecord } from '@claynotch/register'
 import type { Mix } from './requester.js'
 
 // Failures brought about in the simulator, by name. Each scenario starts a fleet under traffic, does its
@@ -82,14 +83,29 @@
     await wait(f, 300)
   }
 }
-async function holderKilled(f: SimFleet): Promise<void> {
-  f.killBox(leaderIndex(f, 'g1'))
-  // Whoever holds the duty dies a little into the move, at a time that the seed sets.
-  await wait(f, 2300 + 2500 * f.sim.random())
-  const rec = f.fronts[0].agent?.cell('group/g1')?.body as { holder?: string } | undefined
+async function holderKilled(f: SimFleet, notes: Map<string, number>): Promise<void> {
+  // Whoever holds the duty dies or freezes at a step of the move that the seed picks: before the stop, in it,
+  // when the call may go out, right after it went out, and with the record just steady.
+  const steps = ['suspected', 'stop', 'promote', 'called', 'steady']
+  const step = steps[pick(f, steps.length)]
+  notes.set(`holder fails: ${step}`, 1)
+  const planned = f.sim.random() < 0.3
+  const calls = f.promotions.length
+  const first = recordOf(f)?.epoch ?? 0
+  if (planned) f.ask(0, '/groups/g1/replacement', 'POST', {})
+  else f.killBox(leaderIndex(f, 'g1'))
+  if (step === 'suspected') await wait(f, 2000 * f.sim.random())
+  function there(): boolean {
+    const rec = recordOf(f)
+    if (step === 'called') return f.promotions.length > calls
+    if (step === 'steady') return rec?.phase === 'steady' && rec.epoch > first
+    return step === 'suspected' || rec?.phase === step
+  }
+  await f.sim.until(there, 15000)
+  const holder = recordOf(f)?.holder
   const front = f.fronts.find(isHolder)
   function isHolder(x: { node: string }): boolean {
-    return x.node === rec?.holder
+    return x.node === holder
   }
   if (front) {
     if (f.sim.random() < 0.5) f.sim.kill(front.agentProc)
@@ -103,6 +119,61 @@
     }
   }
   await wait(f, 15000)
+  // A successor has finished the move: one leader, by record and by its own word.
+  const rec = recordOf(f)
+  const lead = f.leaderOf('g1')
+  if (rec?.phase !== 'steady' || rec.epoch <= first || lead?.name !== rec.leader) f.watched.push({ rule: 'unfinished', what: `15 s after its holder failed (${step}) the record is ${JSON.stringify(rec)}, ${lead?.name} leads` })
+}
+// The newest record that any agent holds.
+function recordOf(f: SimFleet): GroupRecord | undefined {
+  let best: { turn: number; body: unknown } | undefined
+  for (const x of f.fronts) {
+    const cell = x.agentProc.state === 'up' ? x.agent?.cell('group/g1') : undefined
+    if (cell && (!best || cell.turn > best.turn)) best = cell
+  }
+  return best?.body as GroupRecord | undefined
+}
+async function quickRestart(f: SimFleet): Promise<void> {
+  // Instances restart within a moment: requests go out on connections that are broken already.
+  for (let k = 0; k < 8; k++) {
+    const at = pick(f, f.boxes.length)
+    f.killBox(at)
+    await wait(f, 20 + 300 * f.sim.random())
+    f.startBoxAt(at)
+    await wait(f, 1200)
+  }
+}
+async function ackLost(f: SimFleet): Promise<void> {
+  // The operator never hears what became of its change and sends the same number again, by another agent.
+  for (let k = 0; k < 5; k++) {
+    const line = { number: k + 1, expect: k + 1, edits: [{ op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } }] }
+    const n = pick(f, f.fronts.length)
+    const first = f.change(n, 'again', [line])
+    await wait(f, 8 * f.sim.random())
+    if (!first.done()) f.sim.reset(f.fronts[n].agentProc)
+    if (f.sim.random() < 0.5) {
+      f.sim.kill(f.fronts[n].agentProc)
+      f.startAgentAt(n)
+    }
+    const second = f.change((n + 1) % f.fronts.length, 'again', [line])
+    await f.sim.until(second.done, 15000)
+    const told = second.out()[0]
+    if (told.decision !== 'accepted' || told.epoch !== k + 2) f.watched.push({ rule: 'configuration', what: `the repeat of again#${k + 1} was told ${JSON.stringify(told)}` })
+    await wait(f, 1500)
+  }
+}
+async function agentRestarts(f: SimFleet): Promise<void> {
+  // An agent that is back within its term interrupts nothing.
+  for (let k = 0; k < f.fronts.length; k++) {
+    f.sim.kill(f.fronts[k].agentProc)
+    await wait(f, 200 + 300 * f.sim.random())
+    f.startAgentAt(k)
+    // News comes to it before its first renewal.
+    await wait(f, 20)
+    f.change((k + 1) % f.fronts.length, `away${k}`, [{ number: 1, expect: k + 1, edits: [{ op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } }] }])
+    await wait(f, 3000)
+  }
+  for (const e of f.events) if (e.outcome !== 'done' && e.class !== 'ROLLED_BACK') f.watched.push({ rule: 'interrupted', what: `${e.kind} ended ${e.outcome} ${e.class} at ${Math.round(e.end)} while agents restarted` })
 }
 async function proxiesFail(f: SimFleet): Promise<void> {
   for (let k = 0; k < 5; k++) {
@@ -265,6 +336,23 @@
   f.sim.heal()
   await wait(f, 4000)
 }
+// The same with a guard: what is lost with the leader is no older than the guard and the samples' beat allow.
+async function guardedSplit(f: SimFleet, notes: Map<string, number>): Promise<void> {
+  const from = f.sim.now()
+  await split(f)
+  await wait(f, 6000)
+  const lost = new Set(f.judge().lost)
+  const times: number[] = []
+  for (const r of f.records()) for (const one of r.ran) if (lost.has(one.tag)) times.push(one.at)
+  const span = times.length > 0 ? Math.max(...times) - Math.min(...times) : 0
+  notes.set('commits lost', lost.size)
+  notes.set('ms between the first and the last of them', Math.round(span))
+  if (span > GUARD + 700) f.watched.push({ rule: 'guard', what: `commits over ${Math.round(span)} ms were lost since ${Math.round(from)}, with a guard of ${GUARD} ms` })
+}
+const GUARD = 600
+function guardedBusy(s: Shape): Shape {
+  return { ...s, requesters: 10, think: 90, keys: 60, config: { ...s.config, groups: [{ name: 'g1', connections: 24, guard: GUARD }] } }
+}
 async function lateDelivery(f: SimFleet): Promise<void> {
   // Writes on their way to a leader are held up by the network; they arrive, run and are answered after
   // another leader took over, while the old one has not heard of it.
@@ -526,6 +614,9 @@
   { name: 'answers-lost', rule: 'what may have reached is not sent again; no false promise', harm: answersLost },
   { name: 'resets', rule: 'what may have reached is not sent again; no false promise', harm: resets },
   { name: 'holder-fails', rule: 'a successor finishes the move', harm: holderKilled },
+  { name: 'agent-restarts', calm: true, rule: 'an agent back within its term interrupts nothing', harm: agentRestarts },
+  { name: 'quick-restart', rule: 'stale connections: what may have reached is not sent again', harm: quickRestart },
+  { name: 'ack-lost', rule: 'a repeated change takes effect once', harm: ackLost },
   { name: 'nodes-fail', rule: 'own processes killed and frozen', harm: proxiesFail },
   { name: 'frozen-through-move', rule: 'a waking proxy looks at its term first', harm: frozenThroughMove },
   { name: 'cuts', rule: 'one-way and two-way cuts', harm: cuts },
@@ -542,6 +633,7 @@
   { name: 'proxy-cut-off', rule: 'the fence holds for a node that hears nothing', harm: proxyCutOff },
   { name: 'news-cut-off', rule: 'no acknowledged configuration unheeded after 3 s', harm: newsCutOff },
   { name: 'split', shape: busy, rule: 'no write on an old leader reported done', harm: split },
+  { name: 'guarded-split', rule: 'with a guard, what a leader takes to its grave is bounded', shape: guardedBusy, harm: guardedSplit },
   { name: 'late-delivery', rule: 'a reply under a lapsed epoch is unknown, never done', harm: lateDelivery },
   { name: 'late-news', rule: 'no node slips back to an older configuration', harm: lateNews },
   { name: 'crowd', rule: 'caps hold, new machines join', shape: crowded, harm: crowd },
--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -6,8 +6,9 @@
 // reads: 'leader', every read goes to the leader; else within ms, and own (a session reads its own writes).
 const Reads = t.union([t.literal('leader'), t.intersection([t.type({ within: Ms }), t.partial({ own: t.boolean })])])
 const Lane = t.intersection([t.type({ name: Name, database: Name, group: Name, reads: Reads }), t.partial({ team: Name, pending: Count })])
-// connections: the instance's own limit, shared by all proxies.
-const Group = t.type({ name: Name, connections: Count })
+// connections: the instance's own limit, shared by all proxies. guard: writes wait while no follower is proved to
+// hold what the leader had this many ms ago, so that no more than that can be lost with the leader.
+const Group = t.intersection([t.type({ name: Name, connections: Count }), t.partial({ guard: Ms })])
 // share: weight of the team when connections are short. sessions, pending: most open sessions, and most calls
 // waiting or running, on one proxy.
 const Team = t.intersection([t.type({ name: Name }), t.partial({ share: Count, sessions: Count, pending: Count })])
@@ -33,6 +34,11 @@
   return 0
 }
 
+export function guardOf(config: Config | undefined, group: string): number | undefined {
+  for (const g of config?.groups ?? []) if (g.name === group) return g.guard
+  return undefined
+}
+
 function twins(list: { name: string }[], place: string): Finding[] {
   const seen = new Set<string>()
   const out: Finding[] = []
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -2,9 +2,9 @@
   AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
 } from '@claynotch/base'
 import { type Done, type Mark, type Trouble } from '@claynotch/instance'
-import { lendable } from '@claynotch/operator'
+import { guardOf, lendable } from '@claynotch/operator'
 import { refusal, type Verdict } from '@claynotch/requester'
-import { floorOf, isFresh, needOf } from './freshness.js'
+import { floorOf, isFresh, needOf, provedWithin } from './freshness.js'
 import type { Loan, Need, Pool } from './pool.js'
 import { backoff, makeAlert, makeBreaker, makeTokens, type Alert, type Breaker, type Tokens } from './retry.js'
 import type { Kind, LaneRules, Rules, Step } from './rules.js'
@@ -159,10 +159,25 @@
     if (!calm || rec.leader === undefined) return undefined
     const instance = watch.get(rec.leader)
     if (!instance || instance.doubt) return undefined
+    const writes = call.kind === 'write' || call.kind === 'begin write'
+    if (writes && !guarded(call.lane.group, rec.leader, rec.epoch)) return undefined
     // A leaving leader still leads until its successor does, but not for ever.
     if (state.goneFor(rec.leader) > LEAVING_WORK) return undefined
     return { instance, epoch: rec.epoch }
   }
+  // Whether some follower is proved to hold what the leader had within the group's guard, where it has one.
+  function guarded(group: string, leader: string, epoch: number): boolean {
+    const guard = guardOf(state.config(), group)
+    if (guard === undefined) return true
+    const samples = watch.get(leader)?.samples ?? []
+    for (const one of watch.all().values()) {
+      if (one.group !== group || one.name === leader || !one.mark || one.doubt) continue
+      const age = provedWithin(samples, epoch, one.mark, world.now())
+      if (age !== undefined && age <= guard) return true
+    }
+    numbers.add('claynotch_guard_waits_total', [['group', group]])
+    return false
+  }
   function followerNow(call: Call, known: Known, step: { within: number; own: boolean }): { instance: Instance; epoch: number; floor: number } | undefined {
     const rec = known.record
     if (rec.leader === undefined || world.now() >= known.until) return undefined
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -60,7 +60,8 @@
       }
       // A newer turn whose body did not come along can't be applied; the agent sends it once more on a new link.
       if (c.body === undefined) continue
-      cells.set(c.key, { turn: c.turn, until: c.until, body: c.body, since: world.now() })
+      // A time up to which nothing newer than the old turn was known to a majority holds for a newer turn as well.
+      cells.set(c.key, { turn: c.turn, until: Math.max(old?.until ?? 0, c.until), body: c.body, since: world.now() })
       if (c.key === CONFIG_KEY) {
         const body = c.body as Body
         const mine = configFor(body, area)
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -24,5 +24,6 @@
   { name: 'no-handover', rule: 'what a missing core should have had is kept from it', scenario: 'core-away', seeds: [1, 2], edits: [['register/dist/core.js', "if (!list || !o.held.up())", 'if (o)']] },
   { name: 'area-blind', rule: 'reads leave their area without need', scenario: 'own-area', seeds: [1, 2], edits: [['proxy/dist/interpret.js', 'one.area === state.area() ? 0 : AREA_COST', '0']] },
   { name: 'no-tokens', rule: 'retries summed over nodes are uncapped', scenario: 'sick-leader', seeds: [1, 2], edits: [['proxy/dist/retry.js', 'if (left < cost)\n            return false;', '']] },
+  { name: 'no-guard', rule: 'the loss with a leader is unbounded though a guard is set', scenario: 'guarded-split', seeds: [1, 6], edits: [['proxy/dist/interpret.js', 'if (guard === undefined)', 'if (guard !== 0)']] },
   { name: 'caps', rule: 'more connections than the instance takes', scenario: 'crowd', seeds: [1, 3], edits: [['proxy/dist/pool.js', 'if (count(p) < limit) {', 'if (count(p) < limit * 3) {']] },
 ]
