Stop a core's votes when its disk fails; bound request bodies in time and connections

Cause, by review: after a failed write a core kept in memory what its file did not have, and went on answering from it; a body that never came whole held its request for ever. A failed write now ends the store's life: the core says so (/ready, log disk-failed) and counts as absent until restarted. Bodies get 10 s (408), an edge holds 20000 connections.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -134,6 +134,10 @@
 export const BODY_LIMIT = 256 * 1024
 // bytes. Largest operator body (a stream may carry many configurations).
 export const OPERATOR_BODY_LIMIT = 4 * 1024 * 1024
+// ms. A request whose body has not come in whole by then is refused; bodies are small and links quick.
+export const BODY_WAIT = 10000
+// count. Connections that one edge holds at most; further ones are closed at once.
+export const LINES = 20000
 // s. Retry-After for refusals by overload, and while a promotion or a term is awaited.
 export const AFTER_LOAD = 1
 export const AFTER_MOVE = 2
--- a/packages/base/src/http.ts
+++ b/packages/base/src/http.ts
@@ -1,7 +1,7 @@
 import { Agent, createServer, request, type IncomingMessage, type ServerResponse, type ClientRequest } from 'node:http'
 import type { Duplex } from 'node:stream'
-import { BODY_LIMIT, DIAL_LIMIT } from './constants.js'
-import { makeFlag, nothing, type Flag } from './time.js'
+import { BODY_LIMIT, BODY_WAIT, DIAL_LIMIT, LINES } from './constants.js'
+import { LATE, makeFlag, nothing, within, type Flag } from './time.js'
 import type { Addr, World } from './world.js'
 import { Ok, Err, type Result } from './result.js'
 
@@ -62,7 +62,12 @@
     const url = new URL(req.url ?? '/', 'http://x')
     let body: unknown
     if (!(opt.raw && opt.raw(url.pathname))) {
-      const bytes = await readBody(req, most)
+      const bytes = await within(world, BODY_WAIT, readBody(req, most))
+      if (bytes === LATE) {
+        res.setHeader('connection', 'close')
+        sendReply(res, badInput(408, `body not whole within ${BODY_WAIT} ms`))
+        return
+      }
       if (bytes === undefined) {
         res.setHeader('connection', 'close')
         sendReply(res, badInput(413, `body over ${most} bytes`))
@@ -121,6 +126,11 @@
   server.on('clientError', clientError)
 
   function line(sock: Duplex): void {
+    if (lines.size >= LINES) {
+      sock.on('error', nothing)
+      sock.destroy()
+      return
+    }
     const closed = makeFlag()
     lines.set(sock, { closed, busy: 0 })
     function end(): void {
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -162,6 +162,25 @@
     await wait(f, 1500)
   }
 }
+async function diskFull(f: SimFleet): Promise<void> {
+  // Two cores can write no more, one after the other; each says so and votes no more, until it is restarted with room.
+  for (const at of [0, 1]) {
+    f.cores[at].machine.full = true
+    const sent = f.change(1, `full${at}`, [{ number: 1, expect: at + 1, edits: [{ op: 'put', what: 'lane', value: { name: `extra${at}`, database: 'kiln', group: 'g1', reads: 'leader' } }] }])
+    await f.sim.until(sent.done, 8000)
+    if (sent.out()[0]?.decision !== 'accepted') f.watched.push({ rule: 'disk', what: `with a core's disk full a change was told ${JSON.stringify(sent.out())}` })
+    await wait(f, 1000)
+    if (f.cores[at].core?.serving()) f.watched.push({ rule: 'disk', what: `${f.cores[at].id} calls itself serving with a full disk` })
+  }
+  await wait(f, 3000)
+  for (const at of [0, 1]) {
+    f.sim.kill(f.cores[at].proc)
+    f.cores[at].machine.full = false
+    f.startCoreAt(at)
+    await wait(f, 1500)
+    if (!f.cores[at].core?.serving()) f.watched.push({ rule: 'disk', what: `${f.cores[at].id} does not serve again with room on its disk` })
+  }
+}
 async function agentRestarts(f: SimFleet): Promise<void> {
   // An agent that is back within its term interrupts nothing.
   for (let k = 0; k < f.fronts.length; k++) {
@@ -624,6 +643,7 @@
   { name: 'deaf-follower', rule: 'no owed commit missed', harm: deafFollower },
   { name: 'lagging-followers', rule: 'no owed commit missed', harm: laggingFollowers },
   { name: 'cores-restart', rule: 'acknowledged configuration kept', harm: coresRestart },
+  { name: 'disk-full', rule: 'a core that can not write does not vote', calm: true, harm: diskFull },
   { name: 'cores-emptied', rule: 'acknowledged configuration kept', harm: coreEmptied },
   { name: 'everything-stops', rule: 'acknowledged configuration kept', harm: everythingStops },
   { name: 'cores-cut', rule: 'no work without a term', harm: coresCut },
--- a/packages/fleet/src/sim.ts
+++ b/packages/fleet/src/sim.ts
@@ -11,7 +11,8 @@
 // state: dead ones get nothing any more; frozen ones get all they missed, in order, when they thaw.
 export type Proc = { name: string; machine: Machine; state: 'up' | 'dead' | 'frozen'; held: Happening[]; ends: Set<End>; open: Set<string>; inFlight: Set<Writing> }
 // dark: off the network (and, when its processes are killed with it, without power).
-export type Machine = { name: string; ip: string; skew: number; files: Map<string, Buffer>; dark: boolean }
+// full: no write to its disk succeeds.
+export type Machine = { name: string; ip: string; skew: number; files: Map<string, Buffer>; dark: boolean; full: boolean }
 type Writing = { machine: Machine; path: string; bytes: Uint8Array; whole: boolean }
 type End = Duplex & { peerEnd?: End; proc: Proc; shut: boolean; lastAt: number }
 
@@ -286,17 +287,22 @@
       const got = machine.files.get(path)
       return got ? Buffer.from(got) : undefined
     }
-    function append(path: string, bytes: Uint8Array): Promise<void> {
+    function mustHaveRoom(): void {
+      if (machine.full) throw Object.assign(new Error('ENOSPC: no space left on device'), { code: 'ENOSPC' })
+    }
+    async function append(path: string, bytes: Uint8Array): Promise<void> {
+      mustHaveRoom()
       function put(): void {
         machine.files.set(path, Buffer.concat([machine.files.get(path) ?? Buffer.alloc(0), bytes]))
       }
-      return spend(put, { machine, path, bytes, whole: false })
+      await spend(put, { machine, path, bytes, whole: false })
     }
-    function replace(path: string, bytes: Uint8Array): Promise<void> {
+    async function replace(path: string, bytes: Uint8Array): Promise<void> {
+      mustHaveRoom()
       function put(): void {
         machine.files.set(path, Buffer.from(bytes))
       }
-      return spend(put, { machine, path, bytes, whole: true })
+      await spend(put, { machine, path, bytes, whole: true })
     }
     function cutFile(path: string, size: number): Promise<void> {
       function put(): void {
@@ -314,7 +320,7 @@
 
   // --- control ---
   function machine(name: string, ip: string): Machine {
-    const m: Machine = { name, ip, skew: Math.floor(random() * 1e6), files: new Map(), dark: false }
+    const m: Machine = { name, ip, skew: Math.floor(random() * 1e6), files: new Map(), dark: false, full: false }
     machines.set(ip, m)
     return m
   }
--- a/packages/fleet/src/test/edges.test.ts
+++ b/packages/fleet/src/test/edges.test.ts
@@ -16,7 +16,7 @@
       const got = (await callOnce(world, at, 'POST', path, body, 20000, headers)).unwrap()
       return { status: got.status, body: got.body as Told, after: got.after }
     }
-    async function raw(text: string): Promise<string> {
+    async function raw(text: string, ms = 200): Promise<string> {
       const s = await world.dial(at, 1000)
       let out = ''
       function take(b: Buffer): void {
@@ -25,11 +25,12 @@
       s.on('data', take)
       s.on('error', ignore)
       s.write(text)
-      await pause(world, 200)
+      await pause(world, ms)
       s.destroy()
       return out
     }
     function ignore(): void {}
+    c.match(await raw('POST /calls HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{"lane"', 11000), /408 Request Timeout[^]*connection: close/i, 'a body that never comes whole')
     c.match(await raw('POST /sessions HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: 5\r\n\r\n{"a":'), /400 Bad Request[^]*malformed JSON/, 'malformed JSON')
     c.match(await raw('GARBAGE\r\n\r\n'), /400 Bad Request/, 'not HTTP at all')
     const big = await post('/calls', { lane: 'book-g1', kind: 'write', text: 'append', args: ['x'.repeat(300 * 1024)] })
--- a/packages/fleet/src/test/parts.test.ts
+++ b/packages/fleet/src/test/parts.test.ts
@@ -4,28 +4,11 @@
 import { backoff, floorOf, isFresh, makeBreaker, makeTokens, needOf, type Sample } from '@claynotch/proxy'
 import { holderOf } from '@claynotch/duty'
 import { makeRandom, makeSim } from '../sim.js'
+import { task } from './beside.js'
 
-function inWorld(run: (world: World) => Promise<void>): Promise<void> {
+async function inWorld(run: (world: World) => Promise<void>): Promise<void> {
   const sim = makeSim(3)
-  async function go(): Promise<void> {
-    let over = false
-    let bad: unknown
-    async function start(world: World): Promise<void> {
-      try {
-        await run(world)
-      } catch (e) {
-        bad = e
-      }
-      over = true
-    }
-    sim.spawn(sim.machine('m', '10.0.0.1'), 'p', start)
-    function isOver(): boolean {
-      return over
-    }
-    await sim.until(isOver, 1e9)
-    if (bad !== undefined) throw bad
-  }
-  return go()
+  await task(sim, sim.machine('m', '10.0.0.1'), run)
 }
 
 // --- freshness: a leader's history in full, against the proof from samples ---
--- a/packages/fleet/src/test/register.test.ts
+++ b/packages/fleet/src/test/register.test.ts
@@ -1,6 +1,6 @@
 import t, { type Test } from 'tap'
 import { hello, holdLink, makeFlag, pause, type Held, type World } from '@claynotch/base'
-import { makeProposer, makeStore, startCore, type Ballot, type Cell, type Core, type CorePlace, type Value, type Voter } from '@claynotch/register'
+import { makeProposer, makeStore, startCore, type Ballot, type Cell, type Core, type CorePlace, type Proposer, type Value, type Voter } from '@claynotch/register'
 import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
 
 t.setTimeout(600000)
@@ -32,6 +32,16 @@
 function ignore(): undefined {
   return undefined
 }
+function proposerOf(world: World, name: string, places: CorePlace[]): Proposer {
+  const all = votersOf(world, places)
+  function voters(): Voter[] {
+    return all
+  }
+  function need(): number {
+    return 3
+  }
+  return makeProposer(world, name, voters, need)
+}
 function votersOf(world: World, places: CorePlace[]): Voter[] {
   const stop = makeFlag()
   const out: Voter[] = []
@@ -53,14 +63,7 @@
     for (let w = 0; w < 3; w++) {
       const desk = s.sim.machine(`w${w}`, `10.0.3.${w + 1}`)
       async function write(world: World): Promise<void> {
-        const all = votersOf(world, s.places)
-        function voters(): Voter[] {
-          return all
-        }
-        function need(): number {
-          return 3
-        }
-        const proposer = makeProposer(world, `w${w}`, voters, need)
+        const proposer = proposerOf(world, `w${w}`, s.places)
         await pause(world, 500)
         for (let k = 0; k < 25; k++) {
           const tag = `w${w}.${k}`
@@ -103,15 +106,9 @@
     await s.sim.until(s.serving, 30000)
     let final: string[] | undefined
     async function read(world: World): Promise<void> {
-      const all = votersOf(world, s.places)
-      function voters(): Voter[] {
-        return all
-      }
-      function need(): number {
-        return 3
-      }
+      const proposer = proposerOf(world, 'reader', s.places)
       await pause(world, 500)
-      const got = await makeProposer(world, 'reader', voters, need).read('list')
+      const got = await proposer.read('list')
       if (got.done) final = (got.value?.body ?? []) as string[]
     }
     s.sim.spawn(s.sim.machine('r', '10.0.3.9'), 'reader', read)
@@ -222,14 +219,7 @@
   await s.sim.until(s.serving, 20000)
   let told = 0
   async function write(world: World): Promise<void> {
-    const all = votersOf(world, s.places)
-    function voters(): Voter[] {
-      return all
-    }
-    function need(): number {
-      return 3
-    }
-    const proposer = makeProposer(world, 'w', voters, need)
+    const proposer = proposerOf(world, 'w', s.places)
     await pause(world, 300)
     for (let k = 1; k <= 40; k++) {
       function edit(now: Value | undefined): { body: unknown; tag: string } {
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -89,7 +89,7 @@
     missed.set(id, next.size > MISSED_KEPT ? 'all' : next)
   }
   async function handOver(): Promise<void> {
-    if (!serving) return
+    if (!serving || store.failed() !== undefined) return
     for (const o of others) {
       const list = missed.get(o.id)
       if (!list || !o.held.up()) continue
@@ -129,7 +129,7 @@
       case 'seeds':
         return { cores: set.cores }
     }
-    if (!serving) return { ok: false, absent: true }
+    if (!serving || store.failed() !== undefined) return { ok: false, absent: true }
     switch (msg.t) {
       case 'prepare':
         return await store.prepare(msg.key, msg.ballot)
@@ -174,7 +174,13 @@
         numbers.add('claynotch_link_garbage_total')
         throw new Error(`unknown word from ${peer.node}`)
       }
-      return await answer(got.val, peer, link)
+      try {
+        return await answer(got.val, peer, link)
+      } catch (e) {
+        // A failed disk is an absence; anything else is a fault of ours and closes the link.
+        if (store.failed() !== undefined) return { ok: false, absent: true }
+        throw e
+      }
     }
     return take
   }
@@ -281,8 +287,8 @@
     return v.ask({ t: 'keys' }, ROUND_LIFE) as never
   }
   async function settle(): Promise<void> {
-    if (!serving) serving = await found()
-    numbers.set('claynotch_core_serving', [], serving ? 1 : 0)
+    if (!serving && store.failed() === undefined) serving = await found()
+    numbers.set('claynotch_core_serving', [], servingNow() ? 1 : 0)
     numbers.set('claynotch_core_members', [], terms.members().length)
   }
   void loop(world, 'found', 200, stop, settle)
@@ -294,10 +300,10 @@
     await listener.close()
   }
   function servingNow(): boolean {
-    return serving
+    return serving && store.failed() === undefined
   }
   function stateNow(): string {
-    return serving ? 'serving' : lost ? 'lost' : store.phase()
+    return store.failed() !== undefined ? 'disk failed' : serving ? 'serving' : lost ? 'lost' : store.phase()
   }
   function agentsNow(): string[] {
     const out: string[] = []
--- a/packages/register/src/store.ts
+++ b/packages/register/src/store.ts
@@ -30,6 +30,8 @@
   accept: (key: string, ballot: Ballot, value: Value) => Promise<AcceptAnswer>
   cells: () => Map<string, Cell>
   top: () => number
+  // Set once a write failed: what is in memory may not be on disk, so nothing is answered from here any more.
+  failed: () => string | undefined
   // The last step of a refill: everything at once, then founded.
   refill: (cells: Map<string, Cell>, floor: number, cores: string[]) => Promise<void>
 }
@@ -72,15 +74,39 @@
     for (const rec of got.records) replay(rec as Rec)
     return findings
   }
+  let failure: string | undefined
+  // One failed write ends the store's life: a later success would not say what became of the first.
+  async function write(run: () => Promise<unknown>): Promise<void> {
+    if (failure !== undefined) throw new Error(failure)
+    try {
+      await run()
+    } catch (e) {
+      failure = `the data file could not be written: ${(e as Error).message}`
+      world.log.error('disk-failed', { path, why: (e as Error).message })
+      throw e
+    }
+  }
   async function save(rec: Rec): Promise<void> {
-    await file.append(rec)
-    await file.trim(live)
+    async function both(): Promise<void> {
+      await file.append(rec)
+      await file.trim(live)
+    }
+    await write(both)
+  }
+  function rewrite(): Promise<void> {
+    function whole(): Promise<void> {
+      return file.reset(live())
+    }
+    return write(whole)
+  }
+  function failed(): string | undefined {
+    return failure
   }
   function mark(to: Phase, set: string[]): Promise<void> {
     async function run(): Promise<void> {
       phase = to
       cores = set
-      await file.reset(live())
+      await rewrite()
     }
     return enter(run)
   }
@@ -113,7 +139,7 @@
       floor = least
       phase = 'founded'
       cores = set
-      await file.reset(live())
+      await rewrite()
     }
     return enter(run)
   }
@@ -131,5 +157,5 @@
   function cellsNow(): Map<string, Cell> {
     return cells
   }
-  return { open, phase: phaseNow, cores: coresNow, mark, prepare, accept, cells: cellsNow, top, refill }
+  return { open, phase: phaseNow, cores: coresNow, mark, prepare, accept, cells: cellsNow, top, failed, refill }
 }
