Refuse new connections before the old ones end, at a planned stop

Ruled out: the drain of idle connections mended before (none was open). The listener now closes first, so a late dial fails with nothing sent, and each connection is waited for until idle for 250 ms.

Also: decisions can be followed as a stream (GET /decisions?follow=1).

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -430,7 +430,7 @@
     return operators
   }
   if (operators === undefined) world.log.warn('operators-open', { why: 'no operators in the settings: anyone may change the configuration' })
-  const operator = makeOperatorEdge(proposer, { members: readMembers, groups: readGroups, replace }, numbers, credentials)
+  const operator = makeOperatorEdge(world, proposer, { members: readMembers, groups: readGroups, replace, body: config, news }, numbers, credentials)
   function ready(): string | undefined {
     if (stop.fired()) return 'draining'
     return world.now() < termUntil ? undefined : 'no valid term'
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -136,8 +136,12 @@
 export const OPERATOR_BODY_LIMIT = 4 * 1024 * 1024
 // ms. A request whose body has not come in whole by then is refused; bodies are small and links quick.
 export const BODY_WAIT = 10000
+// ms. At an edge's end a connection that was opened or used within this may have a request on its way, and is waited for.
+export const LINE_GRACE = 250
 // count. Connections that one edge holds at most; further ones are closed at once.
 export const LINES = 20000
+// ms. A reader of the stream of decisions is looked after at least this often, to notice that it went away.
+export const FOLLOW_BEAT = 2000
 // s. Retry-After for refusals by overload, and while a promotion or a term is awaited.
 export const AFTER_LOAD = 1
 export const AFTER_MOVE = 2
--- a/packages/base/src/http.ts
+++ b/packages/base/src/http.ts
@@ -1,7 +1,7 @@
 import { Agent, createServer, request, type IncomingMessage, type ServerResponse, type ClientRequest } from 'node:http'
 import type { Duplex } from 'node:stream'
-import { BODY_LIMIT, BODY_WAIT, DIAL_LIMIT, LINES } from './constants.js'
-import { LATE, makeFlag, nothing, within, type Flag } from './time.js'
+import { BODY_LIMIT, BODY_WAIT, DIAL_LIMIT, LINE_GRACE, LINES } from './constants.js'
+import { LATE, makeFlag, nothing, pause, within, type Flag } from './time.js'
 import type { Addr, World } from './world.js'
 import { Ok, Err, type Result } from './result.js'
 
@@ -53,7 +53,7 @@
 
 export async function serve(world: World, addr: Addr, handle: Handle, opt: { limit?: number; onLine?: (line: object, closed: Flag) => void; raw?: (path: string) => boolean } = {}): Promise<Serving> {
   const most = opt.limit ?? BODY_LIMIT
-  const lines = new Map<Duplex, { closed: Flag; busy: number }>()
+  const lines = new Map<Duplex, { closed: Flag; busy: number; last: number }>()
   let busy = 0
   let ending = false
   let quiet = makeFlag()
@@ -102,7 +102,10 @@
     res.sendDate = false
     function over(): void {
       busy--
-      if (line) line.busy--
+      if (line) {
+        line.busy--
+        line.last = world.now()
+      }
       if (busy === 0) {
         quiet.fire()
         quiet = makeFlag()
@@ -132,7 +135,7 @@
       return
     }
     const closed = makeFlag()
-    lines.set(sock, { closed, busy: 0 })
+    lines.set(sock, { closed, busy: 0, last: world.now() })
     function end(): void {
       lines.delete(sock)
       closed.fire()
@@ -153,14 +156,17 @@
   function linesNow(): number {
     return lines.size
   }
-  // Takes no new connections, ends idle ones; those that are busy end after their answer. A request that
-  // is on its way to an idle connection is lost with it, so drain() comes well before.
+  // Takes no new connections, so that a caller's dial fails with nothing sent; then ends each connection once it
+  // is idle and has been for LINE_GRACE. A request on its way to one idle for longer is lost with it, so drain()
+  // comes well before.
   async function close(): Promise<void> {
     ending = true
     const done = listener.close()
-    for (const [sock, one] of lines) if (one.busy === 0) sock.destroy()
-    await idle()
-    for (const sock of lines.keys()) sock.destroy()
+    while (lines.size > 0) {
+      const now = world.now()
+      for (const [sock, one] of lines) if (one.busy === 0 && now - one.last >= LINE_GRACE) sock.destroy()
+      if (lines.size > 0) await pause(world, LINE_GRACE / 5)
+    }
     await done
   }
   function busyNow(): number {
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -181,6 +181,37 @@
     if (!f.cores[at].core?.serving()) f.watched.push({ rule: 'disk', what: `${f.cores[at].id} does not serve again with room on its disk` })
   }
 }
+async function rolling(f: SimFleet): Promise<void> {
+  // Every process of ours is stopped as the platform would and started anew, in turn, under traffic.
+  async function ended(run: Promise<void> | undefined): Promise<void> {
+    let over = run === undefined
+    function done(): void {
+      over = true
+    }
+    void run?.then(done)
+    function isOver(): boolean {
+      return over
+    }
+    if (!(await f.sim.until(isOver, 10000))) f.watched.push({ rule: 'planned stop', what: 'a process did not end within 10 s' })
+  }
+  for (const [k, c] of f.cores.entries()) {
+    await ended(c.core?.stop())
+    f.sim.kill(c.proc)
+    await wait(f, 200)
+    f.startCoreAt(k)
+    await wait(f, 800)
+  }
+  for (const [k, x] of f.fronts.entries()) {
+    await ended(x.proxy?.stop())
+    f.sim.kill(x.proxyProc)
+    await ended(x.agent?.stop())
+    f.sim.kill(x.agentProc)
+    await wait(f, 200)
+    f.startAgentAt(k)
+    f.startProxyAt(k)
+    await wait(f, 2000)
+  }
+}
 async function agentRestarts(f: SimFleet): Promise<void> {
   // An agent that is back within its term interrupts nothing.
   for (let k = 0; k < f.fronts.length; k++) {
@@ -633,6 +664,7 @@
   { name: 'answers-lost', rule: 'what may have reached is not sent again; no false promise', harm: answersLost },
   { name: 'resets', rule: 'what may have reached is not sent again; no false promise', harm: resets },
   { name: 'holder-fails', rule: 'a successor finishes the move', harm: holderKilled },
+  { name: 'rolling', calm: true, rule: 'stopped and started in turn, no answer is dropped', harm: rolling },
   { name: 'agent-restarts', calm: true, rule: 'an agent back within its term interrupts nothing', harm: agentRestarts },
   { name: 'quick-restart', rule: 'stale connections: what may have reached is not sent again', harm: quickRestart },
   { name: 'ack-lost', rule: 'a repeated change takes effect once', harm: ackLost },
--- a/packages/fleet/src/test/edges.test.ts
+++ b/packages/fleet/src/test/edges.test.ts
@@ -131,6 +131,20 @@
     c.equal(config.config.lanes.length, 4)
     c.equal((await callOnce(world, at, 'POST', '/announcement', { name: 'x', group: 'g1', addr: 'nowhere', area: 'a', role: 'boss' }, 5000)).unwrap().status, 400, 'an announcement that makes no sense')
     c.equal((await callOnce(world, at, 'POST', '/groups/none/replacement', {}, 5000)).unwrap().status, 409)
+    // The stream of decisions: what is kept, then each as it is taken.
+    const s = await world.dial(f.fronts[2].http, 1000)
+    let heard = ''
+    function take(b: Buffer): void {
+      heard += b.toString()
+    }
+    s.on('data', take)
+    s.write('GET /decisions/ops?follow=1 HTTP/1.1\r\nhost: x\r\n\r\n')
+    await pause(world, 300)
+    const before = heard.split('"decision"').length - 1
+    await stream(`${JSON.stringify({ number: 4, expect: 2, edits: [{ op: 'drop', what: 'lane', name: 'more' }] })}\n`)
+    c.match(heard, /"number":4,"decision":"accepted","epoch":3/, 'a new decision comes down the stream')
+    c.equal(heard.split('"decision"').length - 1, before + 1, 'once')
+    s.destroy()
     // Members and their acknowledgements.
     await pause(world, 2000)
     const members = (await callOnce(world, at, 'GET', '/members', undefined, 5000)).unwrap().body as { node: string; behind: unknown[] }[]
--- a/packages/operator/src/edge.ts
+++ b/packages/operator/src/edge.ts
@@ -1,5 +1,5 @@
 import { createInterface } from 'node:readline'
-import { badInput, Name, OPERATOR_BODY_LIMIT, readStrict, sendReply, type Ask, type Finding, type Numbers, type Reply } from '@claynotch/base'
+import { badInput, FOLLOW_BEAT, Name, OPERATOR_BODY_LIMIT, readStrict, sendReply, type Ask, type Bell, type Finding, type Numbers, type Reply, type World } from '@claynotch/base'
 import type { Proposer, Value } from '@claynotch/register'
 import { Change, CONFIG_KEY, emptyBody, type Body, type Decision } from './config.js'
 import { identify, stopCaller, type Credential } from './credentials.js'
@@ -11,6 +11,9 @@
   members: () => unknown
   groups: () => unknown
   replace: (group: string, to: string | undefined) => Promise<{ ok: boolean; why: string }>
+  // What this agent knows of the configuration, and a bell for news of it.
+  body: () => Body | undefined
+  news: Bell
 }
 
 export async function makeDecision(proposer: Proposer, stream: string, change: Change, team?: string): Promise<Decision | undefined> {
@@ -32,7 +35,7 @@
   return kept ?? out
 }
 
-export function makeOperatorEdge(proposer: Proposer, reading: Reading, numbers: Numbers, credentials: () => Credential[] | undefined): { take: (ask: Ask) => Promise<Reply | undefined>; raw: (path: string) => boolean } {
+export function makeOperatorEdge(world: World, proposer: Proposer, reading: Reading, numbers: Numbers, credentials: () => Credential[] | undefined): { take: (ask: Ask) => Promise<Reply | undefined>; raw: (path: string) => boolean } {
   function raw(path: string): boolean {
     return path.startsWith('/streams/')
   }
@@ -66,6 +69,25 @@
     res.end()
     return undefined
   }
+  // Decisions as they are taken, for as long as the reader stays: first those kept, then each new one.
+  async function follow(ask: Ask, stream: string | undefined): Promise<undefined> {
+    const { res } = ask.raw
+    res.writeHead(200, { 'content-type': 'application/x-ndjson' })
+    res.flushHeaders()
+    const sent = new Map<string, number>()
+    while (!ask.gone.fired() && !res.destroyed) {
+      for (const s of reading.body()?.streams ?? []) {
+        if (stream !== undefined && s.name !== stream) continue
+        for (const d of s.decisions) {
+          if (d.number <= (sent.get(s.name) ?? 0)) continue
+          sent.set(s.name, d.number)
+          res.write(`${JSON.stringify(d)}\n`)
+        }
+      }
+      await reading.news.wait(world, FOLLOW_BEAT, ask.gone)
+    }
+    return undefined
+  }
   async function body(): Promise<Body | undefined> {
     const got = await proposer.read(CONFIG_KEY)
     return got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
@@ -105,6 +127,7 @@
         return now ? { status: 200, body: now.history } : noMajority()
       }
       case 'decisions': {
+        if (ask.query.has('follow')) return await follow(ask, parts[1])
         const now = await body()
         if (!now) return noMajority()
         const out: Decision[] = []
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -110,13 +110,13 @@
     // Connections leave as they are answered; one that says nothing for all of DRAIN is idle and may be ended.
     while (world.now() < until && (sessions.transactions() > 0 || http.lines() > 0)) await runner.quiet.wait(world, Math.min(100, until - world.now()))
     sessions.cut(undefined, 'the node stops')
-    await within(world, DRAIN_TAIL, http.idle())
+    // No new connections from here on; those that are left are answered to the end.
+    await within(world, DRAIN_TAIL, http.close())
     state.halt()
     note()
     await pause(world, 20)
     stop.fire()
     pool.close()
-    await within(world, DRAIN_TAIL, http.close())
     await probes.close()
     world.log.info('drained', { left: http.busy() })
   }
