Never found a set again that an agent remembers; follow an instance that moved

Cause, by review: with every core disk lost, the emptied cores saw nobody founded and founded the set a second time; agents, whose ballots were higher, would have taken the new registers for old news and worked on by what they knew. Agents now say with each renewal whether they remember registers; a core that holds nothing waits 2 s for that before it founds, and never founds against it unless an operator sets foundAnew. Ruled out: asking the other cores only (all are empty), a mark on the agents' machines (they have no disk).

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -158,7 +158,7 @@
     }
     const from = world.now()
     const highs = proxy?.note?.highs ?? []
-    const msg = { t: 'renew', node: set.node, life, area: set.area, addr: set.peer, operator: set.http, build: set.build, acks: [...acked], sights: ownSights(), open: proxy?.note?.open ?? 0, highs }
+    const msg = { t: 'renew', node: set.node, life, area: set.area, addr: set.peer, operator: set.http, build: set.build, acks: [...acked], sights: ownSights(), open: proxy?.note?.open ?? 0, highs, remembers: known.size > 0 }
     type Got = { id: string; got: RenewAnswer | undefined }
     async function ask(id: string, held: Held): Promise<Got> {
       const raw = await held.ask(msg, RENEW_WAIT)
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -39,6 +39,10 @@
 // ms. Beat on which a core looks whom it can hand over to.
 export const HANDOVER_BEAT = 300
 
+// ms. A core that holds nothing waits this long before it founds a set, so that agents which remember one can say so:
+// longer than an agent's longest pause between dials and one renewal beat together.
+export const FOUND_WAIT = 2000
+
 // --- links ---
 // ms. A dial on the local network that takes longer is a failure.
 export const DIAL_LIMIT = 1000
--- a/packages/claynotch/src/daemons.ts
+++ b/packages/claynotch/src/daemons.ts
@@ -4,7 +4,7 @@
 import { takeProbe } from '@claynotch/platform'
 import { startProxy } from '@claynotch/proxy'
 import { startCore } from '@claynotch/register'
-import { AgentShape, checkAgent, CoreShape, ProxyShape } from './settings.js'
+import { AgentShape, checkAgent, checkCore, CoreShape, ProxyShape } from './settings.js'
 
 export const BUILD = '0.1.0'
 
@@ -68,7 +68,7 @@
     }
     return { stop, apply }
   }
-  await runDaemon('core', CoreShape, path, flags, [], start)
+  await runDaemon('core', CoreShape, path, flags, [], start, checkCore)
 }
 
 export async function runAgent(path: string | undefined, flags: Flags): Promise<void> {
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -112,6 +112,11 @@
     return out
   }
   // brief: one that is suspected, and is not waited for as long as the others.
+  // Where an instance says that it is goes before where the record says it was.
+  function addrOf(name: string, recorded: string): string {
+    for (const s of view.sights()) if (s.name === name && s.group === group) return s.addr
+    return recorded
+  }
   async function look(sights: { name: string; addr: string }[], brief?: string): Promise<Seen[]> {
     async function one(s: { name: string; addr: string }): Promise<Seen | undefined> {
       const got = await askStatus(world, s.addr, s.name === brief ? SUSPECT_LIMIT : PROBE_LIMIT)
@@ -173,7 +178,7 @@
   }
 
   async function steady(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
-    const leader = { name: rec.leader as string, addr: rec.addr as string }
+    const leader = { name: rec.leader as string, addr: addrOf(rec.leader as string, rec.addr as string) }
     const [head] = await look([leader])
     const now = world.now()
     if (head && head.status.role === 'leader' && head.status.mark.epoch === rec.epoch) {
@@ -227,7 +232,7 @@
     const spent = world.now() - m.since
     // Proxies acknowledge once they are quiet, at the latest after DRAIN; one that is silent runs out of its term.
     if (spent < DRAIN + TERM && !(await stopped(turn, m.since + DRAIN))) return false
-    const here: { name: string; addr: string }[] = [{ name: rec.leader as string, addr: rec.addr as string }]
+    const here: { name: string; addr: string }[] = [{ name: rec.leader as string, addr: addrOf(rec.leader as string, rec.addr as string) }]
     for (const s of sightsHere()) if (!s.leaving && s.name !== rec.leader) here.push(s)
     const seen = await look(here)
     const head = seen.find(isHead)
@@ -274,7 +279,7 @@
   }
 
   async function promotePhase(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
-    const who = { name: rec.candidate as string, addr: rec.candidateAddr as string }
+    const who = { name: rec.candidate as string, addr: addrOf(rec.candidate as string, rec.candidateAddr as string) }
     async function confirmed(): Promise<boolean | undefined> {
       const [got] = await look([who])
       if (!got) return undefined
--- a/packages/fleet/src/test/register.test.ts
+++ b/packages/fleet/src/test/register.test.ts
@@ -1,6 +1,7 @@
 import t, { type Test } from 'tap'
 import { hello, holdLink, makeFlag, pause, type Held, type World } from '@claynotch/base'
 import { makeProposer, makeStore, startCore, type Ballot, type Cell, type Core, type CorePlace, type Proposer, type Value, type Voter } from '@claynotch/register'
+import { makeSimFleet, smallShape } from '../simfleet.js'
 import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
 
 t.setTimeout(600000)
@@ -243,6 +244,26 @@
   c.ok(last > 0 && most >= last, `told ${last}, recovered ${most}`)
 }
 
+// A set that lost every disk is not founded a second time while anyone remembers it, and serves nobody.
+async function allEmptied(c: Test): Promise<void> {
+  const f = makeSimFleet(1, smallShape(), { keepLines: true })
+  c.ok(await f.begin())
+  for (const x of f.cores) {
+    f.sim.kill(x.proc)
+    x.machine.files.clear()
+  }
+  await f.sim.run(f.sim.now() + 200)
+  for (let k = 0; k < f.cores.length; k++) f.startCoreAt(k)
+  await f.sim.run(f.sim.now() + 15000)
+  for (const x of f.cores) c.equal(x.core?.serving(), false, `${x.id} does not serve`)
+  for (const x of f.fronts) c.equal(x.proxy?.state.valid(), false, `${x.node} takes no work`)
+  c.ok(f.sim.lines.some(isTold), 'and the log says why')
+}
+function isTold(line: string): boolean {
+  return line.includes('event=set-was-founded')
+}
+
+void t.test('a set that lost every disk is not founded again while it is remembered', allEmptied)
 void t.test('a register under failures is the list of the plain model', againstModel)
 void t.test('plain copying loses an acknowledged change', plainCopy)
 void t.test('an emptied core is refilled so that no older round finishes with its lost vote', refilled)
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -1,4 +1,4 @@
-import { answerLinks, HANDOVER_BEAT, hello, holdLink, loop, makeFlag, makeNumbers, MISSED_KEPT, pause, readAs, ROUND_LIFE, type Held, type Hello, type Link, type Listener, type Numbers, type World } from '@claynotch/base'
+import { answerLinks, FOUND_WAIT, HANDOVER_BEAT, hello, holdLink, loop, makeFlag, makeNumbers, MISSED_KEPT, pause, readAs, ROUND_LIFE, type Held, type Hello, type Link, type Listener, type Numbers, type World } from '@claynotch/base'
 import { compareBallots, type Ballot } from './ballot.js'
 import { gather, makeProposer, type Voter } from './proposer.js'
 import { makeStore, type Cell, type Phase, type Store, type Value } from './store.js'
@@ -6,7 +6,8 @@
 import { CoreWord, type KeyLine } from './words.js'
 
 export type CorePlace = { id: string; addr: string }
-export type CoreSettings = { id: string; cores: CorePlace[]; data: string }
+// foundAnew: an operator's word that all cores lost their disks and everything is to begin again.
+export type CoreSettings = { id: string; cores: CorePlace[]; data: string; foundAnew?: boolean }
 
 export type Core = { stop: () => Promise<void>; serving: () => boolean; store: Store; numbers: Numbers; state: () => string; agents: () => string[] }
 
@@ -25,6 +26,8 @@
   const most = Math.floor(ids.length / 2) + 1
   // serving: votes are given only while this is true; it never turns false again in a life.
   let serving = false
+  // remembered: some agent knows registers of this set, so having nothing on disk means loss, not beginning.
+  let remembered = false
   // settled: highest ballot known to be chosen, by key; forgotten at restart and learnt anew.
   const settled = new Map<string, Ballot>()
   // agents: held links to push on, with the count of pushes sent and of those acknowledged.
@@ -129,6 +132,10 @@
       case 'seeds':
         return { cores: set.cores }
     }
+    if (msg.t === 'renew' && msg.remembers && !serving && set.foundAnew !== true && store.phase() !== 'founded' && !remembered) {
+      remembered = true
+      world.log.error('set-was-founded', { core: set.id, node: msg.node, why: 'an agent remembers settled registers: this set is not founded a second time unless foundAnew is set' })
+    }
     if (!serving || store.failed() !== undefined) return { ok: false, absent: true }
     switch (msg.t) {
       case 'prepare':
@@ -226,7 +233,7 @@
       }
       return await refill()
     }
-    if (lost || up < others.length) return false
+    if (lost || remembered || up < others.length || world.now() - born < FOUND_WAIT) return false
     if (store.phase() === 'none') await store.mark('intent', ids)
     if (intent === others.length) {
       await store.mark('founded', ids)
@@ -303,7 +310,7 @@
     return serving && store.failed() === undefined
   }
   function stateNow(): string {
-    return store.failed() !== undefined ? 'disk failed' : serving ? 'serving' : lost ? 'lost' : store.phase()
+    return store.failed() !== undefined ? 'disk failed' : serving ? 'serving' : lost || remembered ? 'lost' : store.phase()
   }
   function agentsNow(): string[] {
     const out: string[] = []
--- a/packages/register/src/words.ts
+++ b/packages/register/src/words.ts
@@ -14,6 +14,8 @@
   acks: t.array(t.tuple([t.string, t.number])), sights: t.array(Sight), open: t.number,
   // highs: [group, epoch, position], the highest acknowledged commit that its proxy saw.
   highs: t.array(t.tuple([t.string, t.number, t.number])),
+  // remembers: this node knows settled registers, so the set was founded once.
+  remembers: t.boolean,
 })
 export type Renew = t.TypeOf<typeof Renew>
 
