Hold shares of connections in slots, so that machines too many pass no cap

Cause, by review: shares were the configured number's, and nothing stopped a further machine from lending as well; five machines on four shares could pass an instance's cap. The shares are slots in a register now; one whose node is gone is taken in two steps, a whole term apart. A smaller share is acknowledged once no more is open than it allows.

Ruled out: dividing by live members (views differ while one joins), a broker (one more process on the way of a request).

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,5 +1,5 @@
 import {
-  answerLinks, callOnce, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, serve, SUSPECT, TERM, TERM_BEAT,
+  answerLinks, callOnce, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, serve, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
   OPERATOR_BODY_LIMIT, SUMMARY_EPOCH, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Ask, type Held, type Hello, type Link, type Numbers, type Reply, type World,
 } from '@claynotch/base'
 import { startDuty } from '@claynotch/duty'
@@ -8,8 +8,8 @@
 import { startPeers, type Summary } from '@claynotch/peer'
 import { takeProbe } from '@claynotch/platform'
 import {
-  compareBallots, gather, groupKey, makeProposer, MembersAnswer, Push, RenewAnswer, ValueShape,
-  type Ballot, type CorePlace, type GroupRecord, type Member, type Sight, type Value, type Voter,
+  compareBallots, gather, groupKey, makeProposer, MembersAnswer, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
+  type Ballot, type CorePlace, type GroupRecord, type Member, type Sight, type Slots, type Value, type Voter,
 } from '@claynotch/register'
 import { Note, type FedCell, type Feed } from './words.js'
 
@@ -246,6 +246,70 @@
     await feed()
   }
 
+  // --- a share of the instances' connections ---
+
+  let slotSince: { turn: number; at: number } | undefined
+  let slotless = false
+  // Wanted: a ready slot. Taken from those free, or from one whose node a majority knows to be gone.
+  async function holdSlot(): Promise<void> {
+    const size = config()?.config?.proxies
+    if (size === undefined || world.now() >= termUntil) return
+    const now = known.get(SLOTS_KEY)?.value
+    const slots = (now?.body as Slots | undefined)?.slots ?? []
+    const mineAt = slotOf(slots, set.node)
+    if (mineAt >= 0 && mineAt < size) {
+      slotless = false
+      if (slots[mineAt]?.ready) return
+      if (slotSince?.turn !== now?.turn) slotSince = { turn: now!.turn, at: world.now() }
+      // The node that had it has run out of its term by now, whatever it heard.
+      if (world.now() - slotSince!.at > TERM + 2 * TERM_SLACK) await putSlot(mineAt, true, size, new Set())
+      return
+    }
+    const got = await askMembers()
+    if (!got || !got.sure) return
+    const turn = known.get(CONFIG_KEY)?.value.turn ?? 0
+    const live = new Set<string>()
+    for (const m of got.members) {
+      live.add(m.node)
+      // Shares may be smaller by this configuration: who lends must have applied it first.
+      if (slotOf(slots, m.node) >= 0 && (new Map(m.acks).get(CONFIG_KEY) ?? 0) < turn) return
+    }
+    for (let k = 0; k < size; k++) {
+      const s = slots[k]
+      if (s && live.has(s.node)) continue
+      await putSlot(k, !s, size, live)
+      return
+    }
+    if (!slotless) world.log.warn('no-slot', { node: set.node, proxies: size, why: 'every share of connections is held by a live node' })
+    slotless = true
+  }
+  async function putSlot(wish: number, ready: boolean, size: number, live: Set<string>): Promise<void> {
+    const tag = `${set.node}~${life}~slot~${world.now()}`
+    function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
+      if (now?.tag === tag) return undefined
+      const slots = [...((now?.body as Slots | undefined)?.slots ?? [])]
+      while (slots.length < size) slots.push(null)
+      const at = slotOf(slots, set.node)
+      if (at >= 0 && at < size) {
+        if (slots[at]?.ready || !ready || at !== wish) return undefined
+        slots[at] = { node: set.node, ready: true }
+        return { body: { slots }, tag }
+      }
+      if (at >= 0) slots[at] = null
+      // Others claim at the same time: the first that is free now, else the one looked at before.
+      let k = slots.slice(0, size).indexOf(null)
+      const free = k >= 0
+      if (!free) {
+        if (ready || live.has(slots[wish]?.node ?? '')) return undefined
+        k = wish
+      }
+      slots[k] = { node: set.node, ready: free }
+      return { body: { slots }, tag }
+    }
+    const got = await proposer.change(SLOTS_KEY, edit, ROUND_LIFE)
+    if (got.done && got.value) learned(SLOTS_KEY, got.value, got.ballot)
+  }
+
   // --- the proxy ---
 
   async function feed(): Promise<void> {
@@ -452,6 +516,7 @@
     if (wanted.size > 0) await catchUp()
   }
   void loop(world, 'feed', TERM_BEAT, stop, feed, news)
+  void loop(world, 'slot', TERM_BEAT, stop, holdSlot, news)
   world.log.info('agent-started', { node: set.node, area: set.area, http: set.http })
 
   async function end(): Promise<void> {
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -212,6 +212,33 @@
     await wait(f, 2000)
   }
 }
+async function tooMany(f: SimFleet, notes: Map<string, number>): Promise<void> {
+  // More machines than the configuration shares connections out for: those over wait, and one takes the place of
+  // a machine that is gone for good.
+  const late = [f.addFront(), f.addFront()]
+  await wait(f, 4000)
+  for (const k of late) if (f.fronts[k].proxy?.state.share()) f.watched.push({ rule: 'shares', what: `${f.fronts[k].node} holds a share though all were held` })
+  f.sim.kill(f.fronts[0].agentProc)
+  f.sim.kill(f.fronts[0].proxyProc)
+  const from = f.sim.now()
+  function taken(): boolean {
+    for (const k of late) if (f.fronts[k].proxy?.state.share()) return true
+    return false
+  }
+  const did = await f.sim.until(taken, 15000)
+  notes.set('ms until a share changed hands', Math.round(f.sim.now() - from))
+  if (!did) f.watched.push({ rule: 'shares', what: 'no machine took the share of one that was gone for 15 s' })
+  // With more shares, smaller each, everyone serves.
+  const sent = f.change(1, 'shares', [{ number: 1, expect: 1, edits: [{ op: 'proxies', value: 5 }] }])
+  await f.sim.until(sent.done, 8000)
+  f.startAgentAt(0)
+  f.startProxyAt(0)
+  await wait(f, 9000)
+  for (const x of f.fronts) if (!x.proxy?.state.share()) f.watched.push({ rule: 'shares', what: `${x.node} holds no share though there are five` })
+}
+function threeShares(s: Shape): Shape {
+  return { ...s, requesters: 24, think: 60, keys: 100, latency: 8, connections: 20, config: { ...s.config, proxies: 3, groups: [{ name: 'g1', connections: 20 }] } }
+}
 async function agentRestarts(f: SimFleet): Promise<void> {
   // An agent that is back within its term interrupts nothing.
   for (let k = 0; k < f.fronts.length; k++) {
@@ -690,6 +717,7 @@
   { name: 'guarded-split', rule: 'with a guard, what a leader takes to its grave is bounded', shape: guardedBusy, harm: guardedSplit },
   { name: 'late-delivery', rule: 'a reply under a lapsed epoch is unknown, never done', harm: lateDelivery },
   { name: 'late-news', rule: 'no node slips back to an older configuration', harm: lateNews },
+  { name: 'too-many', rule: 'caps hold with more machines than shares', shape: threeShares, harm: tooMany },
   { name: 'crowd', rule: 'caps hold, new machines join', shape: crowded, harm: crowd },
   { name: 'core-away', rule: 'what a missing core should have had is handed over', harm: coreAway },
   { name: 'own-area', rule: 'reads stay near, and go elsewhere in need', harm: ownArea },
--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -198,7 +198,7 @@
   }
   function allReady(): boolean {
     for (const f of fronts) {
-      if (!f.proxy?.state.valid()) return false
+      if (!f.proxy?.state.valid() || !f.proxy.state.share()) return false
       for (const g of shape.groups) if (f.proxy.state.group(g)?.record.phase !== 'steady') return false
     }
     return true
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -113,6 +113,7 @@
   function gate(call: Call): Turn {
     if (stopping()) return refusal('UNAVAILABLE', 'this node is stopping', true, AFTER_LOAD)
     if (!state.valid()) return refusal('UNAVAILABLE', 'this node holds no valid term', true, AFTER_MOVE)
+    if (!state.share()) return refusal('UNAVAILABLE', 'this node holds no share of the connections', true, AFTER_MOVE)
     if (call.gone.fired()) return refusal('ABORTED', 'the requester went away', false)
     return undefined
   }
@@ -218,7 +219,7 @@
         call.target = { ...lead, floor: undefined }
         break
       }
-      if (!state.valid()) return unavailable(call, 'this node lost its term', AFTER_MOVE)
+      if (!state.valid() || !state.share()) return unavailable(call, 'this node lost its term', AFTER_MOVE)
       // No leader to send to: a promotion is under way, or the leader is in doubt. Waiting is no send.
       waited = true
       await waitNews(call)
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -21,11 +21,13 @@
 }
 
 type Waiter = { need: Need; wake: Flag; at: number }
-type Place = { addr: string; idle: Conn[]; lent: number; opening: number; waiters: Waiter[]; usage: Map<string, number> }
+type Place = { addr: string; limit: number; idle: Conn[]; lent: number; opening: number; waiters: Waiter[]; usage: Map<string, number> }
 
 export type Pool = {
   borrow: (instance: string, addr: string, limit: number, need: Need, ms: number, gone: Flag) => Promise<Result<Loan, Trouble>>
   open: (instance: string) => number
+  // Closes what is idle over the limit; true once no more than that are open.
+  shrink: (instance: string, limit: number) => boolean
   pending: (instance: string) => number
   close: () => void
 }
@@ -45,7 +47,7 @@
     const old = places.get(instance)
     if (old && old.addr === addr) return old
     for (const c of old?.idle ?? []) c.port.close()
-    const fresh: Place = { addr, idle: [], lent: 0, opening: 0, waiters: [], usage: new Map() }
+    const fresh: Place = { addr, limit: 0, idle: [], lent: 0, opening: 0, waiters: [], usage: new Map() }
     places.set(instance, fresh)
     return fresh
   }
@@ -123,6 +125,7 @@
   async function borrow(instance: string, addr: string, limit: number, need: Need, ms: number, gone: Flag): Promise<Result<Loan, Trouble>> {
     const p = place(instance, addr)
     const key = settingsKey(need)
+    p.limit = limit
     const end = world.now() + Math.min(ms, BORROW_LIMIT)
     let c: Conn | undefined
     for (;;) {
@@ -178,7 +181,7 @@
       over = true
       p.lent--
       usageOf(p, need.team, -1)
-      if (clean && conn.port.alive() && places.get(instance) === p && !stop.fired()) {
+      if (clean && conn.port.alive() && places.get(instance) === p && count(p) < p.limit && !stop.fired()) {
         conn.idleSince = world.now()
         p.idle.push(conn)
       } else conn.port.close()
@@ -191,6 +194,13 @@
     }
     return Ok({ port: conn.port, instance, shapeId, end: finish })
   }
+  function shrink(instance: string, limit: number): boolean {
+    const p = places.get(instance)
+    if (!p) return true
+    p.limit = limit
+    while (count(p) > limit && p.idle.length > 0) p.idle.pop()?.port.close()
+    return count(p) <= limit
+  }
   function open(instance: string): number {
     const p = places.get(instance)
     return p ? count(p) : 0
@@ -201,5 +211,5 @@
   function close(): void {
     for (const p of places.values()) for (const c of p.idle) c.port.close()
   }
-  return { borrow, open, pending, close }
+  return { borrow, open, shrink, pending, close }
 }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -2,6 +2,7 @@
 import {
   DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, serve, within, type Addr, type Ask, type Numbers, type Reply, type World,
 } from '@claynotch/base'
+import { CONFIG_KEY, lendable } from '@claynotch/operator'
 import { takeProbe } from '@claynotch/platform'
 import { groupOf, Sight, type GroupRecord } from '@claynotch/register'
 import { provedWithin } from './freshness.js'
@@ -41,6 +42,7 @@
   function ready(): string | undefined {
     if (draining) return 'draining'
     if (!state.valid()) return 'no valid term'
+    if (!state.share()) return 'no share of the connections'
     return undefined
   }
   async function handle(ask: Ask): Promise<Reply> {
@@ -56,6 +58,13 @@
 
   function applied(key: string, turn: number): boolean {
     const group = groupOf(key)
+    if (key === CONFIG_KEY) {
+      // A configuration with smaller shares is applied once no more is open than it allows.
+      const config = state.config()
+      let whole = true
+      for (const [name, one] of watch.all()) if (config && !pool.shrink(name, lendable(config, one.group))) whole = false
+      return whole
+    }
     if (group === undefined) return true
     const known = state.group(group)
     const rec = known?.record as GroupRecord | undefined
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -1,6 +1,6 @@
 import { makeBell, type Bell, type World } from '@claynotch/base'
 import { CONFIG_KEY, configFor, type Body, type Config } from '@claynotch/operator'
-import { groupKey, groupOf, type GroupRecord, type Sight } from '@claynotch/register'
+import { groupKey, groupOf, slotOf, SLOTS_KEY, type GroupRecord, type Sight, type Slots } from '@claynotch/register'
 import { compile, type Rules } from './rules.js'
 
 // What the agent fed. Shapes are those of the agent's Feed; they are checked where they come in.
@@ -21,6 +21,8 @@
   config: () => Config | undefined
   // Whether the configuration's term runs.
   valid: () => boolean
+  // Whether this node holds a share of the instances' connections.
+  share: () => boolean
   group: (name: string) => Known | undefined
   sights: () => Map<string, Sight>
   gone: (name: string) => boolean
@@ -67,7 +69,7 @@
         const mine = configFor(body, area)
         rules = mine.config ? compile(mine.config, mine.epoch) : undefined
         world.log.info('configuration-applied', { epoch: mine.epoch, turn: c.turn })
-      } else {
+      } else if (groupOf(c.key) !== undefined) {
         const rec = c.body as GroupRecord
         world.log.info('group-applied', { group: groupOf(c.key), phase: rec.phase, epoch: rec.epoch, leader: rec.leader })
       }
@@ -96,6 +98,13 @@
     const c = cells.get(CONFIG_KEY)
     return c !== undefined && world.now() < c.until
   }
+  function share(): boolean {
+    const c = cells.get(SLOTS_KEY)
+    if (!c || world.now() >= c.until) return false
+    const { slots } = c.body as Slots
+    const at = slotOf(slots, node)
+    return at >= 0 && at < (config()?.proxies ?? 0) && slots[at]?.ready === true
+  }
   function group(name: string): Known | undefined {
     const c = cells.get(groupKey(name))
     return c ? { record: c.body as GroupRecord, turn: c.turn, until: c.until, since: c.since } : undefined
@@ -134,5 +143,5 @@
     for (const [key, c] of cells) out.set(key, c.turn)
     return out
   }
-  return { take, halt, rules: rulesNow, config, valid, group, sights: sightsNow, gone, goneFor, moving: movingNow, others, node: nodeNow, area: areaNow, turns, bell }
+  return { take, halt, rules: rulesNow, config, valid, share, group, sights: sightsNow, gone, goneFor, moving: movingNow, others, node: nodeNow, area: areaNow, turns, bell }
 }
--- a/packages/proxy/src/watch.ts
+++ b/packages/proxy/src/watch.ts
@@ -31,6 +31,8 @@
 
   function wantedNow(): Map<string, { group: string; addr: string; area: string }> {
     const out = new Map<string, { group: string; addr: string; area: string }>()
+    // Samples take connections too, of a share.
+    if (!state.share()) return out
     const groups = new Set<string>()
     for (const g of state.config()?.groups ?? []) groups.add(g.name)
     for (const s of state.sights().values()) if (groups.has(s.group)) out.set(s.name, { group: s.group, addr: s.addr, area: s.area })
--- a/packages/register/src/record.ts
+++ b/packages/register/src/record.ts
@@ -29,3 +29,16 @@
 export function groupOf(key: string): string | undefined {
   return key.startsWith(PREFIX) ? key.slice(PREFIX.length) : undefined
 }
+
+// Who may lend connections: the body of the register 'slots'. The configuration's number of proxies is the number
+// of slots, and each slot is one share of every instance's connections.
+// Invariants: a node stands in at most one slot; a slot taken over from another node is not ready before that
+// node's time to work, if it had any, has run out; only nodes in a ready slot lend.
+export type Slot = { node: string; ready: boolean } | null
+export type Slots = { slots: Slot[] }
+export const SLOTS_KEY = 'slots'
+
+export function slotOf(slots: Slot[], node: string): number {
+  for (const [k, s] of slots.entries()) if (s?.node === node) return k
+  return -1
+}
