Write the loopback's words once; say so when two agents run under one name

Cause, by review: the proxy checked its feed by a copy of the agent's codec, and an agent whose node another agent had taken over only saw its term end. The words stand in one file now; a refused renewal is logged as node-replaced and counted. New test: the newer agent holds the term, the older's proxy takes no work.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -8,10 +8,9 @@
 import { startPeers, type Summary } from '@claynotch/peer'
 import { takeProbe } from '@claynotch/platform'
 import {
-  compareBallots, gather, groupKey, makeProposer, MembersAnswer, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
-  type Ballot, type CorePlace, type GroupRecord, type Member, type Sight, type Slots, type Value, type Voter,
+  compareBallots, gather, groupKey, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
+  type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type Sight, type Slots, type Value, type Voter,
 } from '@claynotch/register'
-import { Note, type FedCell, type Feed } from './words.js'
 
 // link: where the proxy of this machine finds its agent. peer: UDP, for summaries. http: operators, instances,
 // the platform, and nodes that look for the cores. seeds: http addresses of three other processes.
@@ -173,8 +172,14 @@
     const all = await gather(world, asks, majority(), isOk, RENEW_WAIT)
     const good: { id: string; got: RenewAnswer }[] = []
     for (const g of all) if (g.got?.ok) good.push({ id: g.id, got: g.got })
+    // A core that knows our node under another life refuses: two agents run under one name.
+    const replaced = all.some(isRefused)
+    function isRefused(g: Got): boolean {
+      return g.got?.ok === false
+    }
+    if (replaced) world.log.error('node-replaced', { node: set.node, life, why: 'another agent runs under this name' })
     if (good.length < majority()) {
-      numbers.add('claynotch_renewals_total', [['end', 'failed']])
+      numbers.add('claynotch_renewals_total', [['end', replaced ? 'replaced' : 'failed']])
       if (termUntil > 0 && world.now() > termUntil) {
         world.log.warn('term-lost', { node: set.node, answers: good.length, need: majority() })
         termUntil = 0
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,1 @@
 export * from './agent.js'
-export * from './words.js'
--- a/packages/fleet/src/test/edges.test.ts
+++ b/packages/fleet/src/test/edges.test.ts
@@ -1,4 +1,5 @@
 import t, { type Test } from 'tap'
+import { startAgent, type Agent } from '@claynotch/agent'
 import { callOnce, encode, openLine, pause, type World } from '@claynotch/base'
 import { makeSimFleet, smallShape } from '../simfleet.js'
 import { beside } from './beside.js'
@@ -203,6 +204,27 @@
   c.ok(f.fronts[0].proxy!.state.valid())
 }
 
+// Two agents under one name: the newer takes the node over, the older loses its term and says why.
+async function twins(c: Test): Promise<void> {
+  const f = makeSimFleet(4, smallShape(), { keepLines: true })
+  c.ok(await f.begin())
+  const other = f.sim.machine('twin', '10.0.5.1')
+  let twin: Agent | undefined
+  async function start(world: World): Promise<void> {
+    twin = await startAgent(world, { node: 'front1', area: 'a', link: '127.0.0.1:7100', peer: '10.0.5.1:7200', http: '10.0.5.1:7080', seeds: ['10.0.1.1:7001'], build: 'sim' })
+  }
+  f.sim.spawn(other, 'twin', start)
+  await f.sim.run(f.sim.now() + 6000)
+  c.ok((twin?.termUntil() ?? 0) > 0, 'the newer holds the term')
+  c.equal(f.fronts[0].proxy!.state.valid(), false, 'the older one\'s proxy takes no work')
+  c.ok(f.fronts[0].agent!.numbers.get('claynotch_renewals_total', [['end', 'replaced']]) > 0)
+  c.ok(f.sim.lines.some(isReplaced), 'and the log says why')
+}
+function isReplaced(line: string): boolean {
+  return line.includes('proc=front1-agent') && line.includes('event=node-replaced')
+}
+
+void t.test('two agents under one name', twins)
 void t.test('requesters: bad input and the verdicts of each kind', requesterInput)
 void t.test('operators: a stream of changes, good and bad', operatorInput)
 void t.test('internal links and summaries: garbage and other versions', internalInput)
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,10 +1,9 @@
-import * as t from 'io-ts'
 import {
   DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, serve, within, type Addr, type Ask, type Numbers, type Reply, type World,
 } from '@claynotch/base'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
 import { takeProbe } from '@claynotch/platform'
-import { groupOf, Sight, type GroupRecord } from '@claynotch/register'
+import { Feed, groupOf, type GroupRecord, type Note } from '@claynotch/register'
 import { provedWithin } from './freshness.js'
 import { makeRunner, type Runner } from './interpret.js'
 import { makePool, type Pool } from './pool.js'
@@ -17,12 +16,6 @@
 
 export type Proxy = { stop: () => Promise<void>; numbers: Numbers; state: State; watch: Watch; runner: Runner; sessions: Sessions; pool: Pool }
 
-const FedCell = t.intersection([t.type({ key: t.string, turn: t.number, until: t.number }), t.partial({ body: t.unknown })])
-const Feed = t.type({
-  t: t.literal('feed'), node: t.string, area: t.string, cells: t.array(FedCell), sights: t.array(Sight), moving: t.array(t.tuple([t.string, t.number])),
-  leaving: t.array(t.string), tries: t.array(t.tuple([t.string, t.number, t.number])),
-})
-
 export async function startProxy(world: World, set: ProxySettings): Promise<Proxy> {
   const stop = makeFlag()
   const numbers = makeNumbers()
@@ -94,7 +87,8 @@
     }
     numbers.set('claynotch_ready', [], ready() === undefined ? 1 : 0)
     for (const [g] of runner.groups()) numbers.set('claynotch_transactions', [['group', g]], sessions.transactions(g))
-    agent.tell({ t: 'note', life, acks: [...acked], highs, seen, moving, tries, open: sessions.open(), leaving: draining, lags })
+    const word: Note = { t: 'note', life, acks: [...acked], highs, seen, moving, tries, open: sessions.open(), leaving: draining, lags }
+    agent.tell(word)
   }
   function take(msg: unknown): undefined {
     const got = readAs(Feed, msg)
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -1,12 +1,8 @@
 import { makeBell, type Bell, type World } from '@claynotch/base'
 import { CONFIG_KEY, configFor, type Body, type Config } from '@claynotch/operator'
-import { groupKey, groupOf, slotOf, SLOTS_KEY, type GroupRecord, type Sight, type Slots } from '@claynotch/register'
+import { groupKey, groupOf, slotOf, SLOTS_KEY, type Feed, type GroupRecord, type Sight, type Slots } from '@claynotch/register'
 import { compile, type Rules } from './rules.js'
 
-// What the agent fed. Shapes are those of the agent's Feed; they are checked where they come in.
-export type FedCell = { key: string; turn: number; until: number; body?: unknown }
-export type Feed = { node: string; area: string; cells: FedCell[]; sights: Sight[]; moving: [string, number][]; leaving: string[]; tries: [string, number, number][] }
-
 // Invariants: a turn never goes back; work under a cell is done only while now < until;
 // rules are those of the configuration in the cell and of no other.
 type Cell = { turn: number; until: number; body: unknown; since: number }
--- a/packages/agent/src/words.ts
+++ b/packages/register/src/feed.ts
@@ -1,7 +1,7 @@
 import * as t from 'io-ts'
-import { Sight } from '@claynotch/register'
+import { Sight } from './words.js'
 
-// What an agent and its proxy say to each other over loopback.
+// What an agent and its proxy say to each other over loopback: registers fed one way, notes the other.
 
 // One register as it is fed. until: monotonic time of this machine up to which the proxy may work by this
 // turn; body is left out where the proxy has acknowledged the turn already.
