End a listener without waiting for the connections it accepted

Cause, by review: at SIGTERM a core waited for node's server.close(), which waits for every accepted connection; links that other cores hold stay open, so a core stopped alone never ended. Ruled out: agents' links (closed by the core itself).

--- a/packages/base/src/world.ts
+++ b/packages/base/src/world.ts
@@ -132,14 +132,9 @@
     const { host, port } = parseAddr(addr)
     function start(done: (l: Listener) => void, fail: (e: Error) => void): void {
       const server = createServer({ noDelay: true }, take)
-      function close(): Promise<void> {
-        function stop(ok: () => void): void {
-          function closed(): void {
-            ok()
-          }
-          server.close(closed)
-        }
-        return new Promise(stop)
+      // Ends the listening only. What was accepted is its owner's to end, and may outlive this.
+      async function close(): Promise<void> {
+        server.close()
       }
       function up(): void {
         server.removeListener('error', fail)
--- a/packages/fleet/src/test/processes.test.ts
+++ b/packages/fleet/src/test/processes.test.ts
@@ -83,6 +83,38 @@
   rmSync(dir, { recursive: true })
 }
 
+// A core told to stop ends, though the others go on holding their links to it.
+async function coreStops(c: Test): Promise<void> {
+  const dir = mkdtempSync(join(tmpdir(), 'claynotch-test-'))
+  const cores: { id: string; addr: string }[] = []
+  for (const id of ['c1', 'c2', 'c3']) cores.push({ id, addr: await freeAddr() })
+  const stops: (() => void)[] = []
+  const ends: Promise<Ended>[] = []
+  let founded = 0
+  for (const core of cores) {
+    const path = join(dir, `${core.id}.json`)
+    writeFileSync(path, JSON.stringify({ id: core.id, cores, data: join(dir, core.id), http: await freeAddr() }))
+    let seen = false
+    function see(err: string, kill: (signal: NodeJS.Signals) => void): void {
+      if (seen || !err.includes('event=core-founded')) return
+      seen = true
+      function stop(): void {
+        kill('SIGTERM')
+      }
+      stops.push(stop)
+      founded++
+      if (founded === cores.length) stops[0]()
+    }
+    ends.push(run(['core', '--settings', path], see))
+  }
+  // One at a time: each of the others goes on until it is told.
+  const first = await Promise.race(ends)
+  c.equal(first.code, 0, first.err)
+  for (const stop of stops) stop()
+  for (const end of await Promise.all(ends)) c.equal(end.code, 0)
+  rmSync(dir, { recursive: true })
+}
+
 // The whole path as real processes: a small fleet under traffic, a leader killed, another change, a clean end.
 async function realFleet(c: Test): Promise<void> {
   const profile = { ...kamini(), fronts: 2, cores: 3, groups: ['north', 'south'], sessions: 12, rate: 60 }
@@ -99,4 +131,5 @@
 
 void t.test('settings and flags: all findings at once, exit code 2', settings)
 void t.test('a settings file that changes', reread)
+void t.test('a core stops while others hold links to it', { timeout: 30000 }, coreStops)
 void t.test('a small fleet of real processes', realFleet)
