End an edge that is followed for ever: bound its close in time

Cause, by review: a reader of the stream of decisions keeps its request busy, and an agent's stop waited for it without end. An edge's close now ends whoever is left after DRAIN_TAIL.

--- a/packages/base/src/http.ts
+++ b/packages/base/src/http.ts
@@ -1,6 +1,6 @@
 import { Agent, createServer, request, type IncomingMessage, type ServerResponse, type ClientRequest } from 'node:http'
 import type { Duplex } from 'node:stream'
-import { BODY_LIMIT, BODY_WAIT, DIAL_LIMIT, LINE_GRACE, LINES } from './constants.js'
+import { BODY_LIMIT, BODY_WAIT, DIAL_LIMIT, DRAIN_TAIL, LINE_GRACE, LINES } from './constants.js'
 import { LATE, makeFlag, nothing, pause, within, type Flag } from './time.js'
 import type { Addr, World } from './world.js'
 import { Ok, Err, type Result } from './result.js'
@@ -158,13 +158,14 @@
   }
   // Takes no new connections, so that a caller's dial fails with nothing sent; then ends each connection once it
   // is idle and has been for LINE_GRACE. A request on its way to one idle for longer is lost with it, so drain()
-  // comes well before.
+  // comes well before. Whoever is not done by DRAIN_TAIL (a reader who follows, say) is ended all the same.
   async function close(): Promise<void> {
     ending = true
     const done = listener.close()
+    const until = world.now() + DRAIN_TAIL
     while (lines.size > 0) {
       const now = world.now()
-      for (const [sock, one] of lines) if (one.busy === 0 && now - one.last >= LINE_GRACE) sock.destroy()
+      for (const [sock, one] of lines) if (now >= until || (one.busy === 0 && now - one.last >= LINE_GRACE)) sock.destroy()
       if (lines.size > 0) await pause(world, LINE_GRACE / 5)
     }
     await done
--- a/packages/fleet/src/test/edges.test.ts
+++ b/packages/fleet/src/test/edges.test.ts
@@ -151,6 +151,20 @@
     const members = (await callOnce(world, at, 'GET', '/members', undefined, 5000)).unwrap().body as { node: string; behind: unknown[] }[]
     c.equal(members.length, 3)
     for (const m of members) c.strictSame(m.behind, [], `${m.node} has acknowledged all`)
+    // An agent that is told to stop ends, though someone follows its decisions.
+    const s2 = await world.dial(f.fronts[2].http, 1000)
+    function quiet(): void {}
+    s2.on('data', quiet)
+    s2.on('error', quiet)
+    s2.write('GET /decisions?follow=1 HTTP/1.1\r\nhost: x\r\n\r\n')
+    await pause(world, 100)
+    let ended = false
+    function over(): void {
+      ended = true
+    }
+    void f.fronts[2].agent!.stop().then(over)
+    await pause(world, 3000)
+    c.ok(ended, 'within 3 s')
   }
   await beside(f, run)
   c.strictSame(f.sim.lines, [])
