Give a call in flight at a planned stop its whole send

Cause, found by the new scenario drain-dark: a proxy stopped while calls hung at a dark leader ended their connections 4.5 s after the stop began (DRAIN and its tail), though a send may take 5 s. Ruled out: calls that wait for a promotion; those are now told at once that the node is stopping. The requesters' edge now waits a whole send and the tail.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -132,7 +132,7 @@
 export const PENDING = 256
 // ms. Open transactions get this long when their leader, lane or node is stopped on purpose.
 export const DRAIN = 3000
-// ms. Answers in flight get this long beyond DRAIN at shutdown.
+// ms. Answers in flight at an edge get this long at its end; at the requesters' edge, a whole send and this.
 export const DRAIN_TAIL = 1500
 // bytes. Largest HTTP body taken.
 export const BODY_LIMIT = 256 * 1024
--- a/packages/base/src/http.ts
+++ b/packages/base/src/http.ts
@@ -24,7 +24,7 @@
 export type Handle = (ask: Ask) => Promise<Reply | undefined> | Reply | undefined
 
 // drain: goes on answering, and asks each caller with its answer to go elsewhere. lines: connections open now.
-export type Serving = { drain: () => void; close: () => Promise<void>; busy: () => number; lines: () => number; idle: () => Promise<void> }
+export type Serving = { drain: () => void; close: (ms?: number) => Promise<void>; busy: () => number; lines: () => number; idle: () => Promise<void> }
 
 async function readBody(req: IncomingMessage, most: number): Promise<Buffer | undefined> {
   const parts: Buffer[] = []
@@ -158,11 +158,11 @@
   }
   // Takes no new connections, so that a caller's dial fails with nothing sent; then ends each connection once it
   // is idle and has been for LINE_GRACE. A request on its way to one idle for longer is lost with it, so drain()
-  // comes well before. Whoever is not done by DRAIN_TAIL (a reader who follows, say) is ended all the same.
-  async function close(): Promise<void> {
+  // comes well before. Whoever is not done by then (a reader who follows, say) is ended all the same.
+  async function close(ms = DRAIN_TAIL): Promise<void> {
     ending = true
     const done = listener.close()
-    const until = world.now() + DRAIN_TAIL
+    const until = world.now() + ms
     while (lines.size > 0) {
       const now = world.now()
       for (const [sock, one] of lines) if (now >= until || (one.busy === 0 && now - one.last >= LINE_GRACE)) sock.destroy()
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -181,6 +181,29 @@
     if (!f.cores[at].core?.serving()) f.watched.push({ rule: 'disk', what: `${f.cores[at].id} does not serve again with room on its disk` })
   }
 }
+async function drainDark(f: SimFleet): Promise<void> {
+  // A proxy is stopped while its calls hang at a leader that went dark: each still gets its answer, whatever it is.
+  const box = f.boxes[leaderIndex(f, 'g1')]
+  box.machine.dark = true
+  await wait(f, 100 + 400 * f.sim.random())
+  const { proxy, proxyProc } = f.fronts[0]
+  let over = false
+  function done(): void {
+    over = true
+  }
+  const from = f.sim.now()
+  void proxy?.stop().then(done)
+  function isOver(): boolean {
+    return over
+  }
+  await f.sim.until(isOver, 15000)
+  f.sim.kill(proxyProc)
+  for (const e of f.events) if (e.class === 'BROKE') f.watched.push({ rule: 'dropped answer', what: `${e.kind} of session ${e.session} broke ${Math.round(e.end - from)} ms after the stop began` })
+  if (f.sim.now() - from > 9000) f.watched.push({ rule: 'planned stop', what: `the proxy took ${Math.round(f.sim.now() - from)} ms to end` })
+  box.machine.dark = false
+  f.startProxyAt(0)
+  await wait(f, 4000)
+}
 async function rolling(f: SimFleet): Promise<void> {
   // Every process of ours is stopped as the platform would and started anew, in turn, under traffic.
   async function ended(run: Promise<void> | undefined): Promise<void> {
@@ -693,6 +716,7 @@
   { name: 'answers-lost', rule: 'what may have reached is not sent again; no false promise', harm: answersLost },
   { name: 'resets', rule: 'what may have reached is not sent again; no false promise', harm: resets },
   { name: 'holder-fails', rule: 'a successor finishes the move', harm: holderKilled },
+  { name: 'drain-dark', rule: 'a planned stop drops no answer, be the leader dark', shape: busy, harm: drainDark },
   { name: 'rolling', calm: true, rule: 'stopped and started in turn, no answer is dropped', harm: rolling },
   { name: 'agent-restarts', calm: true, rule: 'an agent back within its term interrupts nothing', harm: agentRestarts },
   { name: 'quick-restart', rule: 'stale connections: what may have reached is not sent again', harm: quickRestart },
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -221,6 +221,8 @@
         break
       }
       if (!state.valid() || !state.share()) return unavailable(call, 'this node lost its term', AFTER_MOVE)
+      // A call that only waits is told now, so that its requester can go elsewhere.
+      if (stopping()) return unavailable(call, 'this node is stopping', AFTER_LOAD)
       // No leader to send to: a promotion is under way, or the leader is in doubt. Waiting is no send.
       waited = true
       await waitNews(call)
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,5 +1,5 @@
 import {
-  DRAIN, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, serve, type Addr, type Ask, type Numbers, type Reply, type World,
+  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, SEND_LIMIT, serve, type Addr, type Ask, type Numbers, type Reply, type World,
 } from '@claynotch/base'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
 import { takeProbe } from '@claynotch/platform'
@@ -114,7 +114,7 @@
     while (world.now() < until && (sessions.transactions() > 0 || http.lines() > 0)) await runner.quiet.wait(world, Math.min(100, until - world.now()))
     sessions.cut(undefined, 'the node stops')
     // No new connections from here on; those that are left are answered to the end.
-    await http.close()
+    await http.close(SEND_LIMIT + DRAIN_TAIL)
     state.halt()
     note()
     await pause(world, 20)
