Take out state and a constant that nothing used

A bound no code looked at (APPLY_BOUND: each register's own time does that work), a transaction's mark and a waiter's time that nobody read, the pool's count of waiters, a group that cut() was never given, a table of teams beside the sessions it belongs to, and a register written to the agent's table twice in one step.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -68,14 +68,13 @@
     const newer = !old || value.turn > old.value.turn
     const top = old && compareBallots(old.ballot, ballot) > 0 ? old.ballot : ballot
     // A round that showed this very value proves it current as of its start.
-    const until = Math.max(old?.until ?? 0, from === undefined ? 0 : from + TERM)
-    known.set(key, { value: newer ? value : old.value, ballot: top, until })
+    let until = Math.max(old?.until ?? 0, from === undefined ? 0 : from + TERM)
     const w = wanted.get(key)
     if (w && compareBallots(w.ballot, top) <= 0) {
       wanted.delete(key)
-      const now = known.get(key) as Known
-      known.set(key, { ...now, until: Math.max(now.until, w.from + TERM) })
+      until = Math.max(until, w.from + TERM)
     }
+    known.set(key, { value: newer ? value : old.value, ballot: top, until })
     if (newer) {
       world.log.info('epoch-learnt', { key, turn: value.turn })
       duty.ring()
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -10,8 +10,6 @@
 export const TERM_SLACK = 100
 // ms. A renewal round is abandoned then; the next beat tries anew.
 export const RENEW_WAIT = 500
-// ms. A member that has seen a newer epoch and has not applied it by then takes no new work.
-export const APPLY_BOUND = 1500
 
 // --- register ---
 // ms. A proposer's prepare must end within this of its first byte, else the round is void.
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -20,7 +20,7 @@
   end: (clean: boolean) => void
 }
 
-type Waiter = { need: Need; wake: Flag; at: number }
+type Waiter = { need: Need; wake: Flag }
 type Place = { addr: string; limit: number; idle: Conn[]; lent: number; opening: number; waiters: Waiter[]; usage: Map<string, number> }
 
 export type Pool = {
@@ -28,7 +28,6 @@
   open: (instance: string) => number
   // Closes what is idle over the limit; true once no more than that are open.
   shrink: (instance: string, limit: number) => boolean
-  pending: (instance: string) => number
   close: () => void
 }
 
@@ -156,7 +155,7 @@
         return Err({ reach: 'none', class: 'RESOURCE_EXHAUSTED', transient: false, why: 'every connection to the instance is lent' })
       }
       const wake = makeFlag()
-      const mine: Waiter = { need, wake, at: world.now() }
+      const mine: Waiter = { need, wake }
       p.waiters.push(mine)
       const cancel = world.later(left, wake.fire)
       const unwatch = gone.watch(wake.fire)
@@ -205,11 +204,8 @@
     const p = places.get(instance)
     return p ? count(p) : 0
   }
-  function pending(instance: string): number {
-    return places.get(instance)?.waiters.length ?? 0
-  }
   function close(): void {
     for (const p of places.values()) for (const c of p.idle) c.port.close()
   }
-  return { borrow, open, shrink, pending, close }
+  return { borrow, open, shrink, close }
 }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -3,7 +3,7 @@
 } from '@claynotch/base'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
 import { takeProbe } from '@claynotch/platform'
-import { Feed, groupOf, type GroupRecord, type Note } from '@claynotch/register'
+import { Feed, groupOf, type Note } from '@claynotch/register'
 import { provedWithin } from './freshness.js'
 import { makeRunner, type Runner } from './interpret.js'
 import { makePool, type Pool } from './pool.js'
@@ -60,8 +60,7 @@
     }
     if (group === undefined) return true
     const known = state.group(group)
-    const rec = known?.record as GroupRecord | undefined
-    if (!known || rec?.phase !== 'drain' || known.turn !== turn) return true
+    if (known?.record.phase !== 'drain' || known.turn !== turn) return true
     return runner.writing(group) === 0 && sessions.transactions(group) === 0
   }
   function note(): void {
@@ -112,7 +111,7 @@
     const until = world.now() + DRAIN
     // Connections leave as they are answered; one that says nothing for all of DRAIN is idle and may be ended.
     while (world.now() < until && (sessions.transactions() > 0 || http.lines() > 0)) await runner.quiet.wait(world, Math.min(100, until - world.now()))
-    sessions.cut(undefined, 'the node stops')
+    sessions.cut('the node stops')
     // No new connections from here on; those that are left are answered to the end.
     await http.close(SEND_LIMIT + DRAIN_TAIL)
     state.halt()
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -13,12 +13,12 @@
 // An open transaction. Invariants: its loan is its own until it ends; statements run on that connection alone;
 // ran turns true with the first statement handed over and never back; fresh is set on a follower, where each
 // statement is held to the lane's bound anew.
-type Transaction = { loan: Loan; kind: 'read' | 'write'; group: string; epoch: number; lead: boolean; ran: boolean; last: number; mark: Mark | undefined; fresh: { within: number; own: boolean } | undefined }
+type Transaction = { loan: Loan; kind: 'read' | 'write'; group: string; epoch: number; lead: boolean; ran: boolean; last: number; fresh: { within: number; own: boolean } | undefined }
 
 // Invariants: idle sessions hold no connection; busy is true while one call of the session runs, and a second is refused;
 // token is its last write's mark; mustLead is set after a write of unknown end, until a read at the leader.
 type Session = {
-  id: string; lane: string; settings: [string, string][]; shapes: Map<string, string>
+  id: string; lane: string; team: string; settings: [string, string][]; shapes: Map<string, string>
   token: Mark | undefined; mustLead: boolean; busy: boolean; last: number; transaction: Transaction | undefined; dead: boolean
 }
 
@@ -27,8 +27,8 @@
   open: () => number
   // Open transactions of a group, or of all. Reading ones count too: they get their time like any other.
   transactions: (group?: string) => number
-  // Ends the group's (or all) open transactions.
-  cut: (group: string | undefined, why: string) => void
+  // Ends the open transactions that no call is busy with.
+  cut: (why: string) => void
 }
 
 export function makeSessions(world: World, state: State, runner: Runner, numbers: Numbers, stop: Flag, stopping: () => boolean): Sessions {
@@ -64,13 +64,11 @@
   function teamCount(team: string, by: number): void {
     counts.set(team, (counts.get(team) ?? 0) + by)
   }
-  const teams = new Map<string, string>()
   function drop(s: Session): void {
     if (s.dead) return
     s.dead = true
     all.delete(s.id)
-    teamCount(teams.get(s.id) ?? '', -1)
-    teams.delete(s.id)
+    teamCount(s.team, -1)
     if (s.transaction && !s.busy) void rollBack(s)
   }
   // Rolls back where the connection is kept; an answer that isn't clear closes it, and the instance rolls back.
@@ -115,9 +113,8 @@
     if (all.size >= SESSIONS) return refusal('RESOURCE_EXHAUSTED', `this node holds ${all.size} sessions`, true, AFTER_LOAD)
     if (most !== undefined && (counts.get(lane.team) ?? 0) >= most) return refusal('RESOURCE_EXHAUSTED', `the team ${lane.team} has its ${most} sessions on this node`, true, AFTER_LOAD)
     const id = `${prefix}-${++next}-${Math.floor(world.random() * 2 ** 40).toString(36)}`
-    all.set(id, { id, lane: name, settings, shapes: new Map(), token: mark, mustLead: false, busy: false, last: world.now(), transaction: undefined, dead: false })
+    all.set(id, { id, lane: name, team: lane.team, settings, shapes: new Map(), token: mark, mustLead: false, busy: false, last: world.now(), transaction: undefined, dead: false })
     teamCount(lane.team, 1)
-    teams.set(id, lane.team)
     return { outcome: 'done', session: id, token: writeToken(lane.group, mark) }
   }
 
@@ -172,7 +169,6 @@
     if (late) return over(s, tx, 'UNAVAILABLE', late)
     if (tx.fresh && !isFresh(got.val.mark, tx.epoch, need)) return over(s, tx, 'UNAVAILABLE', 'the follower fell behind the lane\'s bound')
     if (gone.fired()) return over(s, tx, 'ABORTED', 'the requester went away')
-    tx.mark = got.val.mark
     return { outcome: 'done', rows: got.val.rows }
   }
   async function commit(s: Session, tx: Transaction, ms: number): Promise<Verdict> {
@@ -239,7 +235,7 @@
           got.loan?.end(false)
           return refusal('ABORTED', 'the session was closed', false)
         }
-        s.transaction = { loan: got.loan!, kind, group: found.lane.group, epoch: got.epoch!, lead, ran: false, last: world.now(), mark: got.mark, fresh: lead ? undefined : freshOf(found.lane) }
+        s.transaction = { loan: got.loan!, kind, group: found.lane.group, epoch: got.epoch!, lead, ran: false, last: world.now(), fresh: lead ? undefined : freshOf(found.lane) }
       } else if (kind === 'write') s.token = got.mark
       else if (lead && s.mustLead) {
         s.mustLead = false
@@ -299,9 +295,9 @@
     for (const s of all.values()) if (s.transaction && (group === undefined || s.transaction.group === group)) out++
     return out
   }
-  function cut(group: string | undefined, why: string): void {
+  function cut(why: string): void {
     for (const s of all.values()) {
-      if (!s.transaction || s.busy || (group !== undefined && s.transaction.group !== group)) continue
+      if (!s.transaction || s.busy) continue
       world.log.info('transaction-cut', { group: s.transaction.group, why })
       void rollBack(s)
     }
