Have calls, transactions and tokens heed a changed configuration

Cause: a call kept the lane rules that it began with and may wait up to 15 s for a promotion; an open transaction never looked at its lane again; a session's mark was written as a token of whatever group its lane had by then, and a requester with a token of the old group was told INVALID_ARGUMENT. Ruled out: acknowledging later (the proxy had applied the turn; it was the work under way that did not go by it), and ending all calls at a change (nothing of a waiting call has run, so it can go on by the new rules from the first step). Also: a stage that would have a lane served by two groups is refused; rules are compiled anew only where the epoch changed, not for each refused change. Conclusion: rules are looked at in the tick of each send; transactions on a lane that no longer allows them get their 3 s.

--- a/packages/fleet/src/instance.ts
+++ b/packages/fleet/src/instance.ts
@@ -128,7 +128,7 @@
         const key = String(args[0])
         const rows = [...(table.get(key) ?? [])]
         for (const [k, tag] of s.open?.ops ?? []) if (k === key) rows.push(tag)
-        return good([key, rows])
+        return good([key, rows, set.group])
       }
       case 'append': {
         if (body.mode !== 'write') return error('NOPERM', 'a write on a statement marked read-only')
--- a/packages/fleet/src/judge.ts
+++ b/packages/fleet/src/judge.ts
@@ -4,6 +4,11 @@
 // Holds what requesters were told against what the instances recorded. The clocks are one: all of a
 // simulated fleet's, or the monotonic clock of the one machine that a local fleet runs on.
 export type Breach = { rule: string; what: string }
+// What a lane was from a time on, by an accepted change; group undefined: it was dropped.
+export type Law = { lane: string; from: number; group: string | undefined; within: number; own: boolean }
+// ms. Work by a rule that was replaced longer ago than this is a breach: the users' 3 s, and half a second for the
+// requester's own way to its node and back.
+const HEEDED = 3500
 export type Judgement = {
   breaches: Breach[]
   // Acknowledged commits that no instance holds any more because the old leader had not sent them on
@@ -12,9 +17,28 @@
   checked: { writes: number; reads: number; done: number; promised: number }
 }
 
-export function judge(events: Event[], records: InstanceRecord[]): Judgement {
+// apart: a lane's groups hold data of their own, so that what one was told the other doesn't owe.
+export function judge(events: Event[], records: InstanceRecord[], laws: Law[] = [], apart = false): Judgement {
   const breaches: Breach[] = []
   const lost = new Set<string>()
+  const byLane = new Map<string, Law[]>()
+  for (const law of laws) byLane.set(law.lane, [...(byLane.get(law.lane) ?? []), law])
+  // The laws that work between two times may go by: those in force then, and those replaced a moment before.
+  function lawsOf(lane: string, from: number, to: number): Law[] {
+    const list = byLane.get(lane) ?? []
+    const out: Law[] = []
+    for (const [k, law] of list.entries()) {
+      const next = list[k + 1]
+      if (law.from <= to && (!next || next.from + HEEDED >= from)) out.push(law)
+    }
+    return out
+  }
+  function heeds(lane: string, group: string, from: number, to: number): boolean {
+    const list = lawsOf(lane, from, to)
+    if (list.length === 0) return true
+    for (const law of list) if (law.group === group) return true
+    return false
+  }
   function breach(rule: string, what: string): void {
     breaches.push({ rule, what })
   }
@@ -67,6 +91,7 @@
         continue
       }
       for (const run of runs) {
+        if (!heeds(e.lane, run.group, run.at, run.at)) breach('unheeded', `${e.tag} of lane ${e.lane} ran in ${run.group} at ${Math.round(run.at)}, by a rule replaced long before`)
         for (const next of took.get(run.group) ?? []) {
           if (next.epoch > run.epoch && run.at > next.at) breach('old leader', `${e.tag} ran on ${run.name} in epoch ${run.epoch} at ${Math.round(run.at)}, after epoch ${next.epoch} began at ${Math.round(next.at)}, and was told done`)
         }
@@ -81,12 +106,21 @@
     if (e.list === undefined || e.outcome !== 'done') continue
     checked.reads++
     const has = new Set(e.list)
+    if (!heeds(e.lane, e.served, e.start, e.end)) breach('unheeded', `${e.kind} of lane ${e.lane} at ${Math.round(e.start)} was served by ${e.served}, by a rule replaced long before`)
+    const ruled = lawsOf(e.lane, e.start, e.end)
+    let within = ruled.length > 0 ? 0 : e.within
+    let own = ruled.length > 0 || e.own
+    for (const law of ruled) {
+      within = Math.max(within, law.within)
+      if (!law.own) own = false
+    }
     for (const w of byKey.get(e.key) ?? []) {
+      if (apart && (ranBy.get(w.tag as string) ?? [])[0]?.group !== e.served) continue
       // A session's own writes are those of its lane.
-      const mine = e.own && w.session === e.session && w.end <= e.start && e.kind.startsWith(w.kind)
-      if (!mine && !(w.end < e.start - e.within)) continue
+      const mine = own && w.session === e.session && w.end <= e.start && e.kind.startsWith(w.kind)
+      if (!mine && !(w.end < e.start - within)) continue
       if (!has.has(w.tag as string) && !lost.has(w.tag as string)) {
-        breach('stale', `${e.kind} of session ${e.session} at ${Math.round(e.start)} missed ${w.tag}, told done at ${Math.round(w.end)} (${mine ? 'its own' : `owed within ${e.within} ms`})`)
+        breach('stale', `${e.kind} of session ${e.session} at ${Math.round(e.start)} missed ${w.tag}, told done at ${Math.round(w.end)} (${mine ? 'its own' : `owed within ${within} ms`})`)
       }
     }
   }
--- a/packages/fleet/src/requester.ts
+++ b/packages/fleet/src/requester.ts
@@ -5,12 +5,13 @@
 
 // One thing that a requester was told. key and tag: what was written; list: what was read.
 // start and end: its own clock, around the whole operation. within: how old a commit a read may miss; 0 on the leader path.
+// served: the group whose rows a read was given.
 export type Event = {
-  kind: string; group: string; session: number; key: string; tag: string | undefined; list: string[] | undefined; within: number; own: boolean
+  kind: string; lane: string; group: string; served: string; session: number; key: string; tag: string | undefined; list: string[] | undefined; within: number; own: boolean
   start: number; end: number; outcome: 'done' | 'refused' | 'failed' | 'unknown' | 'none'; class: string; kept: string; sentCommit: boolean; wrong: boolean; node: string; after: boolean; why: string
 }
 
-export type Mix = { kind: string; lane: string; group: string; op: 'book' | 'deposit' | 'lookup' | 'post' | 'browse'; weight: number; within: number; own: boolean }
+export type Mix = { kind: string; lane: string; group: string; op: 'book' | 'deposit' | 'lookup' | 'post' | 'browse' | 'linger'; weight: number; within: number; own: boolean }
 
 export type RequesterSettings = { id: number; nodes: Addr[]; mixes: Mix[]; think: number; keys: number; again: boolean; until: () => boolean; note: (e: Event) => void }
 
@@ -48,7 +49,7 @@
   async function sessionFor(mix: Mix): Promise<string | undefined> {
     const has = sessions.get(mix.lane)
     if (has !== undefined) return has
-    const got = await call('POST', '/sessions', { lane: mix.lane, settings: [{ name: 'who', value: `r${set.id}` }], token: tokens.get(mix.group) ?? '' })
+    const got = await call('POST', '/sessions', { lane: mix.lane, settings: [{ name: 'who', value: `r${set.id}` }], token: tokens.get(mix.lane) ?? '' })
     if (got.outcome !== 'done' || got.session === undefined) {
       move()
       await pause(world, 200 + 300 * world.random(), stop)
@@ -76,13 +77,15 @@
     const node0 = set.nodes[node]
     let told: Told
     let list: string[] | undefined
+    let served = ''
     let sentCommit = false
     let wrong = false
     const at = `/sessions/${session}`
     function rowsOf(t: Told): void {
       if (t.outcome !== 'done') return
-      const [k, rows] = (t.rows ?? []) as [string, string[]]
+      const [k, rows, by] = (t.rows ?? []) as [string, string[], string]
       list = rows
+      served = by
       if (k !== key) wrong = true
     }
     let wrote = true
@@ -104,7 +107,7 @@
         const from = world.now()
         told = await call('POST', `${at}/statement`, { kind: 'read', text: 'list', args: [key] })
         rowsOf(told)
-        if (told.outcome === 'done') set.note({ kind: `${mix.kind} look`, group: mix.group, session: set.id, key, within: mix.within, own: mix.own, wrong, node: node0, after: false, why: '', tag: undefined, list, start: from, end: world.now(), outcome: 'done', class: '', kept: '', sentCommit: false })
+        if (told.outcome === 'done') set.note({ kind: `${mix.kind} look`, lane: mix.lane, group: mix.group, served, session: set.id, key, within: mix.within, own: mix.own, wrong, node: node0, after: false, why: '', tag: undefined, list, start: from, end: world.now(), outcome: 'done', class: '', kept: '', sentCommit: false })
       }
       list = undefined
       if (told.outcome === 'done') told = await call('POST', `${at}/commit`, {})
@@ -121,6 +124,8 @@
         told = set1
         if (told.outcome === 'done' && (told.rows ?? [])[1] !== `r${set.id}`) wrong = true
         if (told.outcome === 'done') told = await call('POST', `${at}/statement`, { kind: 'write', text: 'append', args: [key, tag] })
+        // Some keep their transaction open for a while, as a desk does that looks something up.
+        if (told.outcome === 'done' && mix.op === 'linger') await pause(world, 1000 + 6000 * world.random(), stop)
         if (told.outcome === 'done' && world.random() < 0.1) {
           // Thought better of it: a transaction rolled back keeps nothing.
           told = await call('POST', `${at}/rollback`, {})
@@ -132,16 +137,16 @@
       }
     }
     const end = world.now()
-    const base = { kind: mix.kind, group: mix.group, session: set.id, key, within: mix.within, own: mix.own, wrong, node: node0, after: told.after !== undefined, why: told.why ?? '' }
-    set.note({ ...base, tag: wrote ? tag : undefined, list, start, end, outcome: told.outcome, class: told.class ?? '', kept: told.kept ?? '', sentCommit })
-    if (told.outcome === 'done' && told.token !== undefined) tokens.set(mix.group, told.token)
+    const base = { kind: mix.kind, lane: mix.lane, group: mix.group, session: set.id, key, within: mix.within, own: mix.own, wrong, node: node0, after: told.after !== undefined, why: told.why ?? '' }
+    set.note({ ...base, served, tag: wrote ? tag : undefined, list, start, end, outcome: told.outcome, class: told.class ?? '', kept: told.kept ?? '', sentCommit })
+    if (told.outcome === 'done' && told.token !== undefined) tokens.set(mix.lane, told.token)
     // After a deposit the session looks at what it wrote.
     if (told.outcome === 'done' && mix.op === 'deposit') {
       const from = world.now()
       const seen = await call('POST', `${at}/statement`, { kind: 'read', text: 'list', args: [key] })
       list = undefined
       rowsOf(seen)
-      set.note({ ...base, kind: `${mix.kind} own`, tag: undefined, list, start: from, end: world.now(), outcome: seen.outcome, class: seen.class ?? '', kept: seen.kept ?? '', sentCommit: false, wrong })
+      set.note({ ...base, served, kind: `${mix.kind} own`, tag: undefined, list, start: from, end: world.now(), outcome: seen.outcome, class: seen.class ?? '', kept: seen.kept ?? '', sentCommit: false, wrong })
     }
     return told
   }
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -1,29 +1,12 @@
+import { leaderIndex, pick, recordOf, wait, type Outcome, type Scenario } from './harm.js'
+import { lanes } from './lanes.js'
 import { makeSimFleet, smallShape, type Shape, type SimFleet } from './simfleet.js'
 import { RETRY_TOKENS } from '@claynotch/base'
-import type { Breach, Judgement } from './judge.js'
-import type { GroupRecord } from '@claynotch/register'
+import type { Breach } from './judge.js'
 import type { Mix } from './requester.js'
 
 // Failures brought about in the simulator, by name. Each scenario starts a fleet under traffic, does its
 // harm, lets traffic run on and end, and hands what the judge found to whoever asked.
-export type Outcome = { name: string; seed: number; began: boolean; judgement: Judgement; faults: string[]; counts: Map<string, number>; notes: Map<string, number>; fleet: SimFleet }
-// calm: everything that stops does so as planned, so no answer may be dropped and no commit lost.
-export type Scenario = { name: string; rule: string; shape?: (s: Shape) => Shape; calm?: boolean; reads?: boolean; harm: (f: SimFleet, notes: Map<string, number>) => Promise<void> }
-
-function indexOf(f: SimFleet, box: { name: string } | undefined): number {
-  for (const [k, b] of f.boxes.entries()) if (b === box) return k
-  return -1
-}
-function wait(f: SimFleet, ms: number): Promise<void> {
-  return f.sim.run(f.sim.now() + ms)
-}
-function pick(f: SimFleet, n: number): number {
-  return Math.floor(f.sim.random() * n)
-}
-function leaderIndex(f: SimFleet, group: string): number {
-  return indexOf(f, f.leaderOf(group))
-}
-
 // Virtual ms from now until requesters' calls succeed again on the group's leader.
 async function untilServed(f: SimFleet, limit: number): Promise<number> {
   const from = f.sim.now()
@@ -125,15 +108,6 @@
   const lead = f.leaderOf('g1')
   if (rec?.phase !== 'steady' || rec.epoch <= first || lead?.name !== rec.leader) f.watched.push({ rule: 'unfinished', what: `15 s after its holder failed (${step}) the record is ${JSON.stringify(rec)}, ${lead?.name} leads` })
 }
-// The newest record that any agent holds.
-function recordOf(f: SimFleet): GroupRecord | undefined {
-  let best: { turn: number; body: unknown } | undefined
-  for (const x of f.fronts) {
-    const cell = x.agentProc.state === 'up' ? x.agent?.cell('group/g1') : undefined
-    if (cell && (!best || cell.turn > best.turn)) best = cell
-  }
-  return best?.body as GroupRecord | undefined
-}
 async function quickRestart(f: SimFleet): Promise<void> {
   // Instances restart within a moment: requests go out on connections that are broken already.
   for (let k = 0; k < 8; k++) {
@@ -750,6 +724,7 @@
   { name: 'swapped', rule: 'whole groups swapped one by one', harm: swapped },
   { name: 'retrying-crowd', rule: 'service back though requesters retry', shape: retrying, harm: leaderCrash },
   { name: 'sick-leader', rule: 'retries summed over nodes are capped; service comes back', shape: retrying, harm: sickLeader },
+  ...lanes,
   { name: 'mixed', rule: 'all of them', harm: mixed },
 ]
 
--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -4,12 +4,12 @@
 import { startProxy, type Proxy } from '@claynotch/proxy'
 import { startCore, type Core, type CorePlace } from '@claynotch/register'
 import { startInstance, type Instance, type InstanceRecord } from './instance.js'
-import { judge, type Breach, type Judgement } from './judge.js'
+import { judge, type Breach, type Judgement, type Law } from './judge.js'
 import { runRequester, type Event, type Mix } from './requester.js'
 import { makeSim, type Machine, type Proc, type Sim } from './sim.js'
 
 // A whole fleet in the simulator.
-export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean; latency?: number; operators?: Credential[]; suspect?: number }
+export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean; latency?: number; operators?: Credential[]; suspect?: number; apart?: boolean }
 
 export type Front = { machine: Machine; agentProc: Proc; proxyProc: Proc; agent: Agent | undefined; proxy: Proxy | undefined; node: string; http: Addr; listen: Addr }
 export type CoreBox = { machine: Machine; proc: Proc; core: Core | undefined; id: string; http: Addr }
@@ -19,6 +19,8 @@
   sim: Sim; shape: Shape; fronts: Front[]; cores: CoreBox[]; boxes: Box[]; events: Event[]; platform: Machine
   // Every decision told to an operator, and when.
   decided: { stream: string; number: number; expect: number; told: Decided; at: number }[]
+  // What each lane was by accepted changes, in order.
+  laws: Law[]
   // What watching the proxies all along has found.
   watched: Breach[]
   promotions: { group: string; instance: string; epoch: number; at: number }[]
@@ -48,6 +50,7 @@
   const promotions: SimFleet['promotions'] = []
   const decided: SimFleet['decided'] = []
   const watched: Breach[] = []
+  const laws: Law[] = []
   const stop = makeFlag()
   const places: CorePlace[] = []
   for (let k = 0; k < shape.cores; k++) places.push({ id: `core${k + 1}`, addr: `10.0.1.${k + 1}:7000` })
@@ -213,6 +216,7 @@
     if (!(await sim.until(up, 20000))) return false
     const sent = change(0, 'setup', [{ number: 1, expect: 0, whole: shape.config }])
     if (!(await sim.until(sent.done, 15000)) || sent.out()[0].decision !== 'accepted') return false
+    for (const lane of shape.config.lanes) laws.push(lawOf(lane, sim.now()))
     return await sim.until(allReady, 15000)
   }
   // Beat by beat: no proxy goes back to an older configuration, and none that takes work is more than 3 s
@@ -271,7 +275,7 @@
     return out
   }
   function judgeNow(): Judgement {
-    const got = judge(events, records())
+    const got = judge(events, records(), laws, shape.apart === true)
     got.breaches.push(...watched)
     // One winner for each expected epoch; an epoch told twice is told by two winners.
     const winners = new Map<number, string>()
@@ -312,7 +316,13 @@
     }
     return best
   }
-  return { sim, shape, decided, watched, fronts, cores, boxes, events, platform, promotions, startCoreAt, startAgentAt, startProxyAt, startBoxAt, killBox, addFront, change, ask, begin, traffic, crowdIn, quiet, judge: judgeNow, readBack, leaderOf, records }
+  return { sim, shape, decided, laws, watched, fronts, cores, boxes, events, platform, promotions, startCoreAt, startAgentAt, startProxyAt, startBoxAt, killBox, addFront, change, ask, begin, traffic, crowdIn, quiet, judge: judgeNow, readBack, leaderOf, records }
+}
+
+// A lane as the judge holds it; reads from the leader may miss nothing.
+export function lawOf(lane: Config['lanes'][number], from: number): Law {
+  const near = lane.reads === 'leader' ? { within: 0, own: false } : { within: lane.reads.within, own: lane.reads.own === true }
+  return { lane: lane.name, from, group: lane.group, ...near }
 }
 
 export function smallShape(groups = 1): Shape {
--- a/packages/operator/src/decide.ts
+++ b/packages/operator/src/decide.ts
@@ -15,6 +15,18 @@
   return { stream, number, decision: 'refused', epoch, why, findings }
 }
 
+// Lanes that two configurations in force beside each other would send to two groups, which both would write.
+function splitLanes(prior: Config, next: Config): Finding[] {
+  const out: Finding[] = []
+  const groups = new Map<string, string>()
+  for (const lane of prior.lanes) groups.set(lane.name, lane.group)
+  for (const [k, lane] of next.lanes.entries()) {
+    const was = groups.get(lane.name)
+    if (was !== undefined && was !== lane.group) out.push({ place: `/lanes/${k}/group`, what: `the lane ${lane.name} is in group ${was} where the stage isn't open yet` })
+  }
+  return out
+}
+
 // team: set where the caller may change that team's lanes only.
 export function decide(body: Body, stream: string, change: Change, team?: string): Ruling {
   const { number } = change
@@ -50,6 +62,8 @@
     if (got.err) return { decision: refused(stream, number, body.epoch, 'invalid configuration', got.val) }
     if (Array.isArray(change.stage)) {
       if (!body.config) return { decision: refused(stream, number, body.epoch, 'the first configuration can\'t be staged') }
+      const split = splitLanes(body.config, got.val)
+      if (split.length > 0) return { decision: refused(stream, number, body.epoch, 'a stage can\'t have a lane served by two groups', split) }
       return { config: got.val, stage: { areas: change.stage, prior: body.config, priorEpoch: body.epoch }, decision: wins }
     }
     return { config: got.val, decision: wins }
--- a/packages/proxy/src/freshness.ts
+++ b/packages/proxy/src/freshness.ts
@@ -29,16 +29,22 @@
   return mark.epoch === epoch && mark.position >= need
 }
 
-// A session's token as requesters carry it between nodes.
-export function writeToken(group: string, mark: Mark | undefined): string {
-  return mark ? `${group}:${mark.epoch}:${mark.position}` : ''
+// What a requester carries between nodes: a place in one group's history, and no word on any other group's.
+export type Token = { group: string; mark: Mark }
+
+export function writeToken(token: Token | undefined): string {
+  return token ? `${token.group}:${token.mark.epoch}:${token.mark.position}` : ''
 }
 
-export function readToken(group: string, text: string): Mark | undefined | 'bad' {
+export function readToken(text: string): Token | undefined | 'bad' {
   if (text === '') return undefined
   const m = /^([A-Za-z0-9_.-]+):(\d{1,15}):(\d{1,15})$/.exec(text)
-  if (!m || m[1] !== group) return 'bad'
-  return { epoch: Number(m[2]), position: Number(m[3]) }
+  return m ? { group: m[1], mark: { epoch: Number(m[2]), position: Number(m[3]) } } : 'bad'
+}
+
+// Whether a token speaks of another group than the one that serves now: it proves nothing there.
+export function isForeign(token: Token | undefined, group: string): boolean {
+  return token !== undefined && token.group !== group
 }
 
 // ms within which a follower's position is proved: the age of the youngest sample that lies at or under it.
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -4,7 +4,7 @@
 import { type Done, type Mark, type Trouble } from '@claynotch/instance'
 import { guardOf, lendable } from '@claynotch/operator'
 import { refusal, type Verdict } from '@claynotch/requester'
-import { floorOf, isFresh, needOf, provedWithin } from './freshness.js'
+import { floorOf, isForeign, isFresh, needOf, provedWithin, type Token } from './freshness.js'
 import type { Loan, Need, Pool } from './pool.js'
 import { backoff, makeAlert, makeBreaker, makeTokens, type Alert, type Breaker, type Tokens } from './retry.js'
 import type { Kind, LaneRules, Rules, Step } from './rules.js'
@@ -13,12 +13,14 @@
 
 // One call on its way. Kept for it: its deadline, its sends, its last trouble, and what became of each send.
 // Invariants: ran is 'no' only while nothing of it can have run at an instance; a write whose ran is
-// 'maybe' is never sent again; a pending place, a loan and a probe are each given up exactly once.
+// 'maybe' is never sent again; a pending place, a loan and a probe are each given up exactly once;
+// lane and need are those of rules, and nothing is sent while rules are not the ones in force.
 export type Call = {
   kind: Kind
+  rules: Rules
   lane: LaneRules
   need: Need
-  token: Mark | undefined
+  token: Token | undefined
   mustLead: boolean
   body: { text?: string; shape?: string; args: unknown[] }
   deadline: number
@@ -33,7 +35,8 @@
   loan?: Loan
   got?: Result<Done, Trouble>
   asked: number
-  pending: boolean
+  // place: the lane and team that this call is counted under as pending.
+  place?: { lane: string; team: string }
 }
 
 export type Settled = { verdict: Verdict; mark?: Mark; loan?: Loan; epoch?: number; instance?: string }
@@ -50,7 +53,7 @@
   writing: (group: string) => number
   holdWrite: (group: string, by: number) => void
   // The position that a follower must hold for a read that begins now; undefined: it can't be proved.
-  needNow: (group: string, fresh: { within: number; own: boolean }, token: Mark | undefined) => number | undefined
+  needNow: (group: string, fresh: { within: number; own: boolean }, token: Token | undefined) => number | undefined
   highs: () => Map<string, Mark>
   sawWrite: (group: string, mark: Mark) => void
   quiet: ReturnType<typeof makeBell>
@@ -99,8 +102,11 @@
   }
   function unavailable(call: Call, why: string, after: number): Verdict {
     const cls = call.byCaller && world.now() >= call.deadline ? 'DEADLINE_EXCEEDED' : 'UNAVAILABLE'
-    if (call.ran === 'no') return refusal(cls, why, true, after)
-    return { outcome: 'failed', class: cls, kept: 'unknown', again: true, why, after }
+    return refusal(cls, why, true, after)
+  }
+  // A refusal promises that nothing of the try ran; where some of it may have, it is a failure.
+  function honest(call: Call, v: Verdict): Verdict {
+    return v.outcome === 'refused' && call.ran !== 'no' ? { ...v, outcome: 'failed', kept: 'unknown' } : v
   }
   function exhausted(call: Call): Verdict {
     numbers.add('claynotch_retry_budget_exhausted_total', [['group', call.lane.group]])
@@ -109,8 +115,36 @@
   }
 
   // --- steps ---
-  // Each returns: undefined, go on; a verdict, the call ends; 'aim', back to aim.
-  type Turn = Verdict | 'aim' | undefined
+  // Each returns: undefined, go on; a verdict, the call ends; 'aim', back to aim; 'start', from the first step by new rules.
+  type Turn = Verdict | 'aim' | 'start' | undefined
+
+  function isOld(call: Call): boolean {
+    return state.rules() !== call.rules
+  }
+  // The configuration changed on the way: the call goes on by the rules of now, or ends where its lane is gone.
+  function heed(call: Call): Turn {
+    const rules = state.rules()
+    if (!rules) return refusal('UNAVAILABLE', 'no configuration is known here', true, AFTER_MOVE)
+    const lane = rules.lanes.get(call.lane.name)
+    if (!lane) return refusal('NOT_FOUND', `the lane ${call.lane.name} was dropped`, false)
+    give(call)
+    if (lane.group !== call.lane.group) {
+      if (call.probe) toolsOf(call.lane.group).breaker.note(false, true)
+      call.probe = false
+    }
+    numbers.add('claynotch_calls_rematched_total', [['lane', lane.name]])
+    call.rules = rules
+    call.lane = lane
+    call.need = needFor(lane, rules, call.need)
+    return 'start'
+  }
+  function give(call: Call): void {
+    const { place } = call
+    if (!place) return
+    delete call.place
+    pending.set(place.lane, (pending.get(place.lane) ?? 1) - 1)
+    byTeam.set(place.team, (byTeam.get(place.team) ?? 1) - 1)
+  }
 
   function gate(call: Call): Turn {
     if (stopping()) return refusal('UNAVAILABLE', 'this node is stopping', true, AFTER_LOAD)
@@ -126,7 +160,7 @@
       return refusal('RESOURCE_EXHAUSTED', `the lane ${call.lane.name} has ${now} calls pending`, true, AFTER_LOAD)
     }
     const { team } = call.lane
-    const quota = state.rules()?.pending.get(team)
+    const quota = call.rules.pending.get(team)
     const theirs = byTeam.get(team) ?? 0
     if (quota !== undefined && theirs >= quota) {
       numbers.add('claynotch_refused_quota_total', [['team', team]])
@@ -134,10 +168,11 @@
     }
     byTeam.set(team, theirs + 1)
     pending.set(call.lane.name, now + 1)
-    call.pending = true
+    call.place = { lane: call.lane.name, team }
     return undefined
   }
   function breakerStep(call: Call): Turn {
+    if (call.probe) return undefined
     const { breaker } = toolsOf(call.lane.group)
     if (!breaker.pass()) return refusal('UNAVAILABLE', `the breaker of group ${call.lane.group} is open`, true, AFTER_BREAKER)
     call.probe = breaker.probing()
@@ -205,10 +240,11 @@
   async function aim(call: Call, step: Extract<Step, { op: 'aim' }>): Promise<Turn> {
     let waited = false
     for (;;) {
-      if (call.gone.fired()) return refusalGone(call)
+      if (call.gone.fired()) return refusal('ABORTED', 'the requester went away', false)
+      if (isOld(call)) return heed(call)
       if (world.now() >= call.deadline) return exhausted(call)
       const known = state.group(call.lane.group)
-      if (step.at === 'fresh' && !call.mustLead && known) {
+      if (step.at === 'fresh' && !call.mustLead && !isForeign(call.token, call.lane.group) && known) {
         const got = followerNow(call, known, step)
         if (got) {
           call.target = got
@@ -234,9 +270,6 @@
     }
     return undefined
   }
-  function refusalGone(call: Call): Verdict {
-    return call.ran === 'no' ? refusal('ABORTED', 'the requester went away', false) : { outcome: 'failed', class: 'ABORTED', kept: 'unknown', again: false, why: 'the requester went away' }
-  }
   async function borrow(call: Call): Promise<Turn> {
     const { instance } = call.target!
     const config = state.config()
@@ -254,24 +287,18 @@
       return await again(call)
     }
     const after = got.val.class === 'RESOURCE_EXHAUSTED' ? AFTER_LOAD : undefined
-    if (call.ran !== 'no') return { outcome: 'failed', class: got.val.class, kept: 'unknown', again: after !== undefined, why: got.val.why, ...(after !== undefined ? { after } : {}) }
     return refusal(got.val.class, got.val.why, after !== undefined, after)
   }
   async function send(call: Call): Promise<Turn> {
     const { instance, epoch, floor } = call.target!
     const loan = call.loan!
     // The last look before anything goes out, with no wait between it and the send.
-    if (floor === undefined && !stands(call.lane.group, epoch)) {
-      loan.end(true)
-      delete call.loan
-      return 'aim'
-    }
     const writes = call.kind === 'write' || call.kind === 'begin write'
-    const known = state.group(call.lane.group)
-    if (writes && known?.record.phase !== 'steady') {
+    const old = isOld(call)
+    if (old || (floor === undefined && !stands(call.lane.group, epoch)) || (writes && state.group(call.lane.group)?.record.phase !== 'steady')) {
       loan.end(true)
       delete call.loan
-      return 'aim'
+      return old ? heed(call) : 'aim'
     }
     const { tokens } = toolsOf(call.lane.group)
     if (call.sends === 0) tokens.first()
@@ -339,9 +366,8 @@
     breaker.note(true, call.probe)
     if (trouble.class === 'UNKNOWN' && isWrite(call)) return unknown(trouble.why)
     const after = trouble.class === 'RESOURCE_EXHAUSTED' ? AFTER_LOAD : undefined
-    if (call.ran === 'no') return refusal(trouble.class, trouble.why, after !== undefined, after)
-    if (isWrite(call)) return unknown(trouble.why)
-    return { outcome: 'failed', class: trouble.class, kept: 'unknown', again: after !== undefined, why: trouble.why, ...(after !== undefined ? { after } : {}) }
+    if (call.ran !== 'no' && isWrite(call)) return unknown(trouble.why)
+    return refusal(trouble.class, trouble.why, after !== undefined, after)
   }
   function unknown(why: string): Verdict {
     numbers.add('claynotch_unknown_total')
@@ -365,13 +391,11 @@
   // --- the interpreter ---
 
   async function run(call: Call): Promise<Settled> {
-    const program = call.lane.programs.get(call.kind)!
     const from = world.now()
     let at = 0
-    let aimAt = 0
-    for (const [k, step] of program.entries()) if (step.op === 'aim') aimAt = k
     let turn: Turn
     for (;;) {
+      const program = call.lane.programs.get(call.kind)!
       const step: Step = program[at]
       switch (step.op) {
         case 'gate':
@@ -397,13 +421,12 @@
           break
       }
       if (turn === undefined) at++
-      else if (turn === 'aim') at = aimAt
+      else if (turn === 'aim') at = program.findIndex(isAim)
+      else if (turn === 'start') at = 0
       else break
     }
-    if (call.pending) {
-      pending.set(call.lane.name, (pending.get(call.lane.name) ?? 1) - 1)
-      byTeam.set(call.lane.team, (byTeam.get(call.lane.team) ?? 1) - 1)
-    }
+    turn = honest(call, turn)
+    give(call)
     if (call.probe && turn.outcome !== 'done') toolsOf(call.lane.group).breaker.note(false, true)
     numbers.add('claynotch_calls_total', [['lane', call.lane.name], ['kind', call.kind], ['outcome', turn.outcome], ['class', turn.class ?? '']])
     numbers.add('claynotch_call_ms_total', [['lane', call.lane.name]], Math.round(world.now() - from))
@@ -416,11 +439,14 @@
     } else if (call.loan) call.loan.end(false)
     return out
   }
-  function needNow(group: string, fresh: { within: number; own: boolean }, token: Mark | undefined): number | undefined {
+  function isAim(step: Step): boolean {
+    return step.op === 'aim'
+  }
+  function needNow(group: string, fresh: { within: number; own: boolean }, token: Token | undefined): number | undefined {
     const rec = state.group(group)?.record
     const head = rec?.leader !== undefined ? watch.get(rec.leader) : undefined
     if (!rec || !head) return undefined
-    return needOf(floorOf(head.samples, rec.epoch, fresh.within, world.now()), rec.epoch, fresh.own ? token : undefined)
+    return needOf(floorOf(head.samples, rec.epoch, fresh.within, world.now()), rec.epoch, fresh.own && token?.group === group ? token.mark : undefined)
   }
   function groups(): Map<string, Tools> {
     return tools
@@ -431,12 +457,17 @@
   return { run, tools: toolsOf, groups, stands, writing, holdWrite, needNow, highs: highsNow, sawWrite, quiet }
 }
 
-export function makeCall(world: World, kind: Kind, lane: LaneRules, rules: Rules, parts: { settings: [string, string][]; shapes: Map<string, string>; token: Mark | undefined; mustLead: boolean; body: Call['body']; ms: number | undefined; gone: Flag }): Call {
+// What a call of the lane needs in force on its connection.
+function needFor(lane: LaneRules, rules: Rules, has: { settings: [string, string][]; shapes: Map<string, string> }): Need {
+  return { database: lane.database, settings: has.settings, shapes: has.shapes, team: lane.team, share: rules.shares.get(lane.team) ?? 1 }
+}
+
+export function makeCall(world: World, kind: Kind, lane: LaneRules, rules: Rules, parts: { settings: [string, string][]; shapes: Map<string, string>; token: Token | undefined; mustLead: boolean; body: Call['body']; ms: number | undefined; gone: Flag }): Call {
   const now = world.now()
   const byCaller = parts.ms !== undefined && parts.ms < BUDGET
   return {
-    kind, lane, token: parts.token, mustLead: parts.mustLead, body: parts.body, gone: parts.gone, byCaller,
-    need: { database: lane.database, settings: parts.settings, shapes: parts.shapes, team: lane.team, share: rules.shares.get(lane.team) ?? 1 },
-    deadline: now + Math.min(BUDGET, parts.ms ?? BUDGET), sends: 0, waited: false, ran: 'no', last: undefined, probe: false, asked: now, pending: false,
+    kind, rules, lane, token: parts.token, mustLead: parts.mustLead, body: parts.body, gone: parts.gone, byCaller,
+    need: needFor(lane, rules, parts),
+    deadline: now + Math.min(BUDGET, parts.ms ?? BUDGET), sends: 0, waited: false, ran: 'no', last: undefined, probe: false, asked: now,
   }
 }
--- a/packages/proxy/src/rules.ts
+++ b/packages/proxy/src/rules.ts
@@ -16,9 +16,10 @@
 export type Kind = 'read' | 'write' | 'begin read' | 'begin write'
 export type LaneRules = { name: string; group: string; team: string; database: string; pending: number; programs: Map<Kind, Step[]> }
 // share, sessions and pending by team; a lane without a team belongs to the team ''.
-export type Rules = { epoch: number; lanes: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number>; pending: Map<string, number>; policy: { policy: Policy; fallback: string } | undefined }
+// since: when this node began to work by them.
+export type Rules = { epoch: number; since: number; lanes: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number>; pending: Map<string, number>; policy: { policy: Policy; fallback: string } | undefined }
 
-export function compile(config: Config, epoch: number): Rules {
+export function compile(config: Config, epoch: number, since: number): Rules {
   const lanes = new Map<string, LaneRules>()
   for (const lane of config.lanes) {
     const pending = lane.pending ?? PENDING
@@ -40,5 +41,5 @@
   }
   // It compiled when the configuration was taken; if it doesn't here, every call goes to the fallback.
   const policy = config.policy ? compilePolicy(config.policy.lua) : undefined
-  return { epoch, lanes, shares, sessions, pending, policy: config.policy && policy?.ok ? { policy: policy.val, fallback: config.policy.fallback } : undefined }
+  return { epoch, since, lanes, shares, sessions, pending, policy: config.policy && policy?.ok ? { policy: policy.val, fallback: config.policy.fallback } : undefined }
 }
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -1,10 +1,10 @@
 import {
   AFTER_LOAD, AFTER_MOVE, badInput, DRAIN, loop, SEND_LIMIT, SESSION_IDLE, SESSIONS, TRANSACTION_IDLE, type Ask, type Flag, type Numbers, type Reply, type World,
 } from '@claynotch/base'
-import type { Mark, Trouble } from '@claynotch/instance'
+import type { Trouble } from '@claynotch/instance'
 import { AUTO } from '@claynotch/operator'
 import { readDeadline, readWord, refusal, writeVerdict, type Verdict, type Word } from '@claynotch/requester'
-import { isFresh, readToken, writeToken } from './freshness.js'
+import { isForeign, isFresh, readToken, writeToken, type Token } from './freshness.js'
 import { makeCall, type Runner } from './interpret.js'
 import type { Loan } from './pool.js'
 import type { LaneRules, Rules } from './rules.js'
@@ -12,14 +12,17 @@
 
 // An open transaction. Invariants: its loan is its own until it ends; statements run on that connection alone;
 // ran turns true with the first statement handed over and never back; fresh is set on a follower, where each
-// statement is held to the lane's bound anew.
-type Transaction = { loan: Loan; kind: 'read' | 'write'; group: string; epoch: number; lead: boolean; ran: boolean; last: number; fresh: { within: number; own: boolean } | undefined }
+// statement is held to the lane's bound anew; stray is since when the lane as configured no longer allows it.
+type Transaction = {
+  loan: Loan; kind: 'read' | 'write'; lane: string; database: string; group: string; epoch: number; lead: boolean; ran: boolean; last: number
+  fresh: { within: number; own: boolean } | undefined; stray: number | undefined
+}
 
 // Invariants: idle sessions hold no connection; busy is true while one call of the session runs, and a second is refused;
-// token is its last write's mark; mustLead is set after a write of unknown end, until a read at the leader.
+// token is its last write's place, in the group that took it; mustLead is set after a write of unknown end, until a read at the leader.
 type Session = {
   id: string; lane: string; team: string; settings: [string, string][]; shapes: Map<string, string>
-  token: Mark | undefined; mustLead: boolean; busy: boolean; last: number; transaction: Transaction | undefined; dead: boolean
+  token: Token | undefined; mustLead: boolean; busy: boolean; last: number; transaction: Transaction | undefined; dead: boolean
 }
 
 export type Sessions = {
@@ -37,6 +40,7 @@
   const counts = new Map<string, number>()
   const prefix = Math.floor(world.random() * 2 ** 40).toString(36)
   let next = 0
+  let counted = 0
 
   function laneOf(name: string): { rules: Rules; lane: LaneRules } | undefined {
     const rules = state.rules()
@@ -64,6 +68,15 @@
   function teamCount(team: string, by: number): void {
     counts.set(team, (counts.get(team) ?? 0) + by)
   }
+  // Lanes may have gone to other teams; sessions are counted under the team of now.
+  function recount(rules: Rules): void {
+    counted = rules.epoch
+    counts.clear()
+    for (const s of all.values()) {
+      s.team = rules.lanes.get(s.lane)?.team ?? s.team
+      teamCount(s.team, 1)
+    }
+  }
   function drop(s: Session): void {
     if (s.dead) return
     s.dead = true
@@ -90,16 +103,21 @@
       }
       if (now - s.last > SESSION_IDLE) drop(s)
     }
-    for (const s of all.values()) {
-      const known = s.transaction && state.group(s.transaction.group)
-      if (!known || s.busy) continue
-      if (known.record.phase === 'drain' && now - known.since > DRAIN) void rollBack(s)
-      else if (s.transaction && s.transaction.lead && !runner.stands(s.transaction.group, s.transaction.epoch)) void rollBack(s)
-    }
+    for (const s of all.values()) if (s.transaction && !s.busy && lapsed(s.transaction) !== undefined) void rollBack(s)
+    const rules = state.rules()
+    if (rules && rules.epoch !== counted) recount(rules)
     numbers.set('claynotch_sessions', [], all.size)
   }
   void loop(world, 'sessions', 250, stop, sweep)
 
+  // A token of another group is let in: its lane may have gone elsewhere since. One that was never ours is not.
+  function tokenOf(text: string | undefined): Token | undefined | 'bad' {
+    const token = readToken(text ?? '')
+    return token !== undefined && token !== 'bad' && !state.knows(token.group) ? 'bad' : token
+  }
+  function badToken(): Verdict {
+    return refusal('INVALID_ARGUMENT', 'the token is none of ours', false)
+  }
   function open(body: Extract<Word, { w: 'open' }>['body']): Verdict {
     if (stopping()) return refusal('UNAVAILABLE', 'this node is stopping', true, AFTER_LOAD)
     const settings = pairsOf(body.settings)
@@ -107,15 +125,15 @@
     const found = laneOf(name)
     if (!found) return noLane(name)
     const { lane, rules } = found
-    const mark = readToken(lane.group, body.token ?? '')
-    if (mark === 'bad') return refusal('INVALID_ARGUMENT', 'the token is not one of this lane\'s group', false)
+    const token = tokenOf(body.token)
+    if (token === 'bad') return badToken()
     const most = rules.sessions.get(lane.team)
     if (all.size >= SESSIONS) return refusal('RESOURCE_EXHAUSTED', `this node holds ${all.size} sessions`, true, AFTER_LOAD)
     if (most !== undefined && (counts.get(lane.team) ?? 0) >= most) return refusal('RESOURCE_EXHAUSTED', `the team ${lane.team} has its ${most} sessions on this node`, true, AFTER_LOAD)
     const id = `${prefix}-${++next}-${Math.floor(world.random() * 2 ** 40).toString(36)}`
-    all.set(id, { id, lane: name, team: lane.team, settings, shapes: new Map(), token: mark, mustLead: false, busy: false, last: world.now(), transaction: undefined, dead: false })
+    all.set(id, { id, lane: name, team: lane.team, settings, shapes: new Map(), token, mustLead: false, busy: false, last: world.now(), transaction: undefined, dead: false })
     teamCount(lane.team, 1)
-    return { outcome: 'done', session: id, token: writeToken(lane.group, mark) }
+    return { outcome: 'done', session: id, token: writeToken(token) }
   }
 
   function freshOf(lane: LaneRules): { within: number; own: boolean } | undefined {
@@ -135,8 +153,19 @@
     tx.loan.end(false)
     runner.quiet.ring()
   }
+  // Why the lane as it is now would not have begun this transaction, if so.
+  function strays(tx: Transaction): string | undefined {
+    const lane = state.rules()?.lanes.get(tx.lane)
+    if (!lane) return `the lane ${tx.lane} was dropped`
+    if (lane.group !== tx.group || lane.database !== tx.database) return `the lane ${tx.lane} was moved`
+    if (tx.fresh && !freshOf(lane)) return `reads of the lane ${tx.lane} go to the leader now`
+    return undefined
+  }
   // Why nothing more may go out on this transaction, if so.
   function lapsed(tx: Transaction): string | undefined {
+    const stray = strays(tx)
+    tx.stray = stray === undefined ? undefined : (tx.stray ?? state.rules()?.since ?? world.now())
+    if (tx.stray !== undefined && world.now() - tx.stray > DRAIN) return `${stray}; open transactions had their time`
     const known = state.group(tx.group)
     if (!known || world.now() >= known.until) return 'this node lost its term'
     if (tx.lead && !runner.stands(tx.group, tx.epoch)) return 'the leader is being replaced'
@@ -156,7 +185,10 @@
     const text = word.body.shape !== undefined ? s.shapes.get(word.body.shape) : word.body.text
     if (text === undefined) return refusal('NOT_FOUND', `no shape is named ${word.body.shape}`, false)
     // A follower that was fresh when the transaction began may have stopped receiving since.
-    const need = tx.fresh ? runner.needNow(tx.group, tx.fresh, s.token) : 0
+    // A bound that was changed meanwhile holds from now on.
+    const lane = state.rules()?.lanes.get(tx.lane)
+    const fresh = tx.fresh && ((lane && freshOf(lane)) ?? tx.fresh)
+    const need = fresh ? runner.needNow(tx.group, fresh, s.token) : 0
     if (need === undefined) return over(s, tx, 'UNAVAILABLE', 'the follower can no longer be proved fresh')
     tx.ran = true
     if (tx.kind === 'write') runner.holdWrite(tx.group, 1)
@@ -189,7 +221,7 @@
     if (tx.kind === 'write') {
       if (!runner.stands(tx.group, tx.epoch) || got.val.mark.epoch !== tx.epoch) return lost(s, 'the answer came after the leader had been replaced or the term had ended')
       runner.sawWrite(tx.group, got.val.mark)
-      s.token = got.val.mark
+      s.token = { group: tx.group, mark: got.val.mark }
     }
     return { outcome: 'done', rows: got.val.rows, transaction: 'over' }
   }
@@ -235,11 +267,12 @@
           got.loan?.end(false)
           return refusal('ABORTED', 'the session was closed', false)
         }
-        s.transaction = { loan: got.loan!, kind, group: found.lane.group, epoch: got.epoch!, lead, ran: false, last: world.now(), fresh: lead ? undefined : freshOf(found.lane) }
-      } else if (kind === 'write') s.token = got.mark
-      else if (lead && s.mustLead) {
+        s.transaction = { loan: got.loan!, kind, lane: call.lane.name, database: call.lane.database, stray: undefined, group: call.lane.group, epoch: got.epoch!, lead, ran: false, last: world.now(), fresh: lead ? undefined : freshOf(call.lane) }
+      } else if (kind === 'write') s.token = { group: call.lane.group, mark: got.mark }
+      else if (lead && (s.mustLead || isForeign(s.token, call.lane.group))) {
+        // What the leader answered stands for all that this session may be owed.
         s.mustLead = false
-        s.token = got.mark
+        s.token = { group: call.lane.group, mark: got.mark }
       }
     } else if (got.verdict.outcome === 'unknown') s.mustLead = true
     return got.verdict
@@ -249,12 +282,13 @@
     const name = matchLane(word.body.lane, word.body.kind, word.body.database ?? '', settings)
     const found = laneOf(name)
     if (!found) return noLane(name)
-    const token = readToken(found.lane.group, word.body.token ?? '')
-    if (token === 'bad') return refusal('INVALID_ARGUMENT', 'the token is not one of this lane\'s group', false)
+    const token = tokenOf(word.body.token)
+    if (token === 'bad') return badToken()
     const call = makeCall(world, word.body.kind, found.lane, found.rules, { settings, shapes: new Map(), token, mustLead: false, body: { text: word.body.text, args: word.body.args ?? [] }, ms, gone })
     const got = await runner.run(call)
-    const mark = got.verdict.outcome === 'done' && word.body.kind === 'write' ? got.mark : token
-    return got.verdict.outcome === 'done' ? { ...got.verdict, token: writeToken(found.lane.group, mark) } : got.verdict
+    if (got.verdict.outcome !== 'done') return got.verdict
+    const fresh = word.body.kind === 'write' || isForeign(token, call.lane.group)
+    return { ...got.verdict, token: writeToken(fresh && got.mark ? { group: call.lane.group, mark: got.mark } : token) }
   }
   async function run(word: Word, ms: number | undefined, gone: Flag): Promise<Verdict> {
     if (word.w === 'open') return open(word.body)
@@ -270,8 +304,7 @@
     s.last = world.now()
     try {
       const verdict = await onSession(s, word, ms, gone)
-      const lane = state.rules()?.lanes.get(s.lane)
-      return verdict.outcome === 'done' && lane ? { ...verdict, token: writeToken(lane.group, s.token) } : verdict
+      return verdict.outcome === 'done' ? { ...verdict, token: writeToken(s.token) } : verdict
     } finally {
       s.busy = false
       s.last = world.now()
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -20,6 +20,8 @@
   // Whether this node holds a share of the instances' connections.
   share: () => boolean
   group: (name: string) => Known | undefined
+  // Whether a group of that name is configured, or ever had a leader here.
+  knows: (name: string) => boolean
   sights: () => Map<string, Sight>
   gone: (name: string) => boolean
   // ms since this node learned that the instance leaves; 0 if it doesn't.
@@ -63,7 +65,8 @@
       if (c.key === CONFIG_KEY) {
         const body = c.body as Body
         const mine = configFor(body, area)
-        rules = mine.config ? compile(mine.config, mine.epoch) : undefined
+        // A turn that only kept a decision leaves the rules as they are.
+        if (rules?.epoch !== mine.epoch) rules = mine.config ? compile(mine.config, mine.epoch, world.now()) : undefined
         world.log.info('configuration-applied', { epoch: mine.epoch, turn: c.turn })
       } else if (groupOf(c.key) !== undefined) {
         const rec = c.body as GroupRecord
@@ -105,6 +108,11 @@
     const c = cells.get(groupKey(name))
     return c ? { record: c.body as GroupRecord, turn: c.turn, until: c.until, since: c.since } : undefined
   }
+  function knows(name: string): boolean {
+    if (cells.has(groupKey(name))) return true
+    for (const g of config()?.groups ?? []) if (g.name === name) return true
+    return false
+  }
   function rulesNow(): Rules | undefined {
     return rules
   }
@@ -139,5 +147,5 @@
     for (const [key, c] of cells) out.set(key, c.turn)
     return out
   }
-  return { take, halt, rules: rulesNow, config, valid, share, group, sights: sightsNow, gone, goneFor, moving: movingNow, others, node: nodeNow, area: areaNow, turns, bell }
+  return { take, halt, rules: rulesNow, config, valid, share, group, knows, sights: sightsNow, gone, goneFor, moving: movingNow, others, node: nodeNow, area: areaNow, turns, bell }
 }
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -27,5 +27,7 @@
   { name: 'no-guard', rule: 'the loss with a leader is unbounded though a guard is set', scenario: 'guarded-split', seeds: [1, 6], edits: [['proxy/dist/interpret.js', 'if (guard === undefined)', 'if (guard !== 0)']] },
   { name: 'no-shares', rule: 'more machines than shares pass the cap', scenario: 'too-many', seeds: [1, 3], edits: [['proxy/dist/state.js', 'return at >= 0 && at < (config()?.proxies ?? 0) && slots[at]?.ready === true;', 'return true;']] },
   { name: 'transaction-ages', rule: 'a read in a long transaction misses a commit it was owed', scenario: 'deaf-follower', seeds: [1, 8], edits: [['proxy/dist/sessions.js', 'if (tx.fresh && !isFresh(got.val.mark, tx.epoch, need))', 'if (false)']] },
+  { name: 'old-rules', rule: 'a call goes on by a rule that was replaced', scenario: 'lanes-changed', seeds: [1, 4], edits: [['proxy/dist/interpret.js', 'return state.rules() !== call.rules;', 'return false;']] },
+  { name: 'strays-stay', rule: 'an open transaction goes on in a lane that was moved', scenario: 'lanes-changed', seeds: [1, 8], edits: [['proxy/dist/sessions.js', 'if (tx.stray !== undefined && world.now() - tx.stray > DRAIN)', 'if (false)']] },
   { name: 'caps', rule: 'more connections than the instance takes', scenario: 'crowd', seeds: [1, 3], edits: [['proxy/dist/pool.js', 'if (count(p) < limit) {', 'if (count(p) < limit * 3) {']] },
 ]
