--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,10 +1,10 @@
 import {
   answerLinks, callOnce, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, serve, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
-  OPERATOR_BODY_LIMIT, SUMMARY_EPOCH, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Ask, type Held, type Hello, type Link, type Numbers, type Reply, type World,
+  OPERATOR_BODY_LIMIT, SUMMARY_EPOCH, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Ask, type Finding, type Held, type Hello, type Link, type Numbers, type Reply, type World,
 } from '@claynotch/base'
-import { startDuty } from '@claynotch/duty'
-import { takeAnnouncement, type Announcement } from '@claynotch/instance'
-import { CONFIG_KEY, makeOperatorEdge, type Body, type Credential } from '@claynotch/operator'
+import { startDuty, startMover } from '@claynotch/duty'
+import { askStatus, takeAnnouncement, type Announcement } from '@claynotch/instance'
+import { CONFIG_KEY, makeOperatorEdge, type Body, type Credential, type Edit } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
 import { takeProbe } from '@claynotch/platform'
 import {
@@ -78,6 +78,7 @@
     if (newer) {
       world.log.info('epoch-learnt', { key, turn: value.turn })
       duty.ring()
+      mover.ring()
       news.ring()
     }
   }
@@ -453,9 +454,11 @@
   function platformNow(): Addr | undefined {
     return platform
   }
-  const duty = startDuty(world, {
-    node: set.node, suspect: set.suspect ?? SUSPECT, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, hints, askMembers, numbers,
-  }, stop)
+  const view = {
+    node: set.node, suspect: set.suspect ?? SUSPECT, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, hints, askMembers, body: config, numbers,
+  }
+  const duty = startDuty(world, view, stop)
+  const mover = startMover(world, view, stop)
   const peers = await startPeers(world, set.peer, stop, peerAddrs, summary, numbers, nothing)
 
   function readMembers(): unknown {
@@ -494,11 +497,34 @@
     if (got.value) learned(groupKey(group), got.value, got.ballot)
     return { ok: why === '', why }
   }
+  // A move needs a target that is led and, unless an operator will say so, tells itself what it holds of the source.
+  async function hinders(edits: Edit[]): Promise<Finding[]> {
+    const out: Finding[] = []
+    for (const [k, e] of edits.entries()) {
+      // A group that isn't there at all is found out when the change is decided; one that this change makes is led by nobody yet.
+      if (e.op !== 'move' || (!groups().includes(e.to) && !edits.some(isMade))) continue
+      function isMade(x: Edit): boolean {
+        return x.op === 'put' && x.what === 'group' && e.op === 'move' && (x.value as { name?: unknown } | null)?.name === e.to
+      }
+      const rec = cell(groupKey(e.to))?.body as GroupRecord | undefined
+      if (rec?.leader === undefined || rec.addr === undefined) {
+        out.push({ place: `/edits/${k}/to`, what: `the group ${e.to} has no leader` })
+        continue
+      }
+      if (e.proof === 'confirmed') continue
+      const got = await askStatus(world, rec.addr)
+      const from = new Set<string>()
+      for (const lane of config()?.config?.lanes ?? []) if (e.lanes ? e.lanes.includes(lane.name) : lane.group === e.group) from.add(lane.group)
+      if (got.err) out.push({ place: `/edits/${k}/to`, what: `the leader of ${e.to} can't be asked: ${got.val}` })
+      else for (const g of from) if (g !== e.to && got.val.source?.group !== g) out.push({ place: `/edits/${k}/to`, what: `the leader of ${e.to} doesn't report that it holds anything of ${g} (STATUS rows source, source_epoch, source_position); else give proof "confirmed"` })
+    }
+    return out
+  }
   function credentials(): Credential[] | undefined {
     return operators
   }
   if (operators === undefined) world.log.warn('operators-open', { why: 'no operators in the settings: anyone may change the configuration' })
-  const operator = makeOperatorEdge(world, proposer, { members: readMembers, groups: readGroups, replace, body: config, news }, numbers, credentials)
+  const operator = makeOperatorEdge(world, proposer, { members: readMembers, groups: readGroups, replace, hinders, body: config, news }, numbers, credentials)
   function ready(): string | undefined {
     if (stop.fired()) return 'draining'
     return world.now() < termUntil ? undefined : 'no valid term'
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -160,6 +160,9 @@
 export const DUTY_BEAT = 400
 // ms. A leader that the holder could not reach for this long is suspected (see docs/detection.md).
 export const SUSPECT = 2500
+// ms. A leader outside its group's home areas is brought home once an instance there has been well for this long without
+// a break: longer than an area that comes and goes takes to show it, as each move stalls writes for a moment.
+export const HOME_PAUSE = 20000
 // ms. The wait for a follower to catch up on a planned replacement; past it the replacement is called off.
 export const CATCH_UP = 5000
 // ms. Limit of the holder's STATUS call to a leader: shorter than a sample's, as its end decides when the next look is.
@@ -177,6 +180,13 @@
 // ms. How long one candidate is tried before another is recorded.
 export const CANDIDATE_LIFE = 4000
 
+// --- moves of lanes between groups ---
+// ms. A target that holds what the source had this long ago is near enough for writes to stop.
+export const MOVE_NEAR = 1000
+// ms. Writes of a lane under move stop for this long at most, then the move is called off: with the drain before it, a
+// call that waits is still served within its budget.
+export const MOVE_QUIET = 8000
+
 // --- settings ---
 // ms. Beat on which a settings file is looked at, for changes without a signal.
 export const SETTINGS_BEAT = 1000
--- a/packages/claynotch/src/main.ts
+++ b/packages/claynotch/src/main.ts
@@ -2,7 +2,7 @@
 import { defineCommand, runMain } from 'citty'
 import type { Flags } from '@claynotch/base'
 import { BUILD, runAgent, runCore, runProxy } from './daemons.js'
-import { apply, check, credential, replace, show } from './verbs.js'
+import { apply, check, credential, move, replace, show } from './verbs.js'
 
 process.env.UV_USE_IO_URING = '0'
 
@@ -44,6 +44,9 @@
 async function runApply({ args }: { args: { to: string; stream: string; number: string; expect?: string; whole?: string; edits?: string; stage?: string } }): Promise<void> {
   await apply(args)
 }
+async function runMove({ args }: { args: Parameters<typeof move>[0] }): Promise<void> {
+  await move(args)
+}
 async function runShow({ args }: { args: { to: string; what: string } }): Promise<void> {
   await show(args)
 }
@@ -72,8 +75,8 @@
       run: runApply,
     }),
     show: defineCommand({
-      meta: { name: 'show', description: 'Print configuration, history, decisions, members or groups' },
-      args: { to, what: { type: 'positional', description: 'configuration, history, decisions, members or groups', required: true } },
+      meta: { name: 'show', description: 'Print configuration, history, decisions, members, groups or moves' },
+      args: { to, what: { type: 'positional', description: 'configuration, history, decisions, members, groups or moves', required: true } },
       run: runShow,
     }),
     check: defineCommand({
@@ -86,6 +89,15 @@
       args: { name: { type: 'string', description: 'name', required: true }, role: { type: 'string', description: 'admin, team or reader', required: true }, team: text('team, for role team') },
       run: runCredential,
     }),
+    move: defineCommand({
+      meta: { name: 'move', description: 'Move lanes from one group to another under a fence; confirm or call off a move' },
+      args: {
+        to, stream: { type: 'string', description: 'stream of the operator', required: true }, number: { type: 'string', description: 'number in the stream', required: true },
+        group: text('group that the lanes go to'), lanes: text('lanes, parted by commas'), from: text('group, all of whose lanes go'),
+        proof: text('reported (the target tells what it holds; default) or confirmed (by --confirm)'), confirm: text('a lane of the move whose target holds everything now'), calloff: text('a lane of the move to call off'),
+      },
+      run: runMove,
+    }),
     replace: defineCommand({
       meta: { name: 'replace', description: 'Replace the leader of a group, as planned' },
       args: { to, group: { type: 'string', description: 'group', required: true }, leader: text('the instance that is to lead (default: the most caught-up)') },
--- a/packages/claynotch/src/verbs.ts
+++ b/packages/claynotch/src/verbs.ts
@@ -41,20 +41,44 @@
   if (findings.length > 0) stopWith(2, showFindings(findings))
   let expect = Number(args.expect)
   if (args.expect === undefined) expect = ((await call(args.to, 'GET', '/configuration')).body as { epoch: number }).epoch
-  const change = {
+  await send(args, {
     number, expect,
     ...(args.whole !== undefined ? { whole: await readJson(args.whole, 'whole') } : {}),
     ...(args.edits !== undefined ? { edits: await readJson(args.edits, 'edits') } : {}),
     ...(args.stage !== undefined ? { stage: args.stage === 'all' ? 'all' : args.stage.split(',') } : {}),
-  }
+  })
+}
+
+// Sends one change and ends with its decision.
+async function send(args: { to: string; stream: string }, change: unknown): Promise<never> {
   const got = await call(args.to, 'POST', `/streams/${encodeURIComponent(args.stream)}`, change)
   const body = (typeof got.body === 'string' ? JSON.parse(got.body) : got.body) as { decision?: string }
   process.stdout.write(`${JSON.stringify(body, null, 2)}\n`)
   process.exit(body.decision === 'accepted' ? 0 : body.decision === 'refused' ? 1 : 3)
 }
 
+// Opens, confirms or calls off a move of lanes between groups.
+export async function move(args: { to: string; stream: string; number: string; lanes?: string; from?: string; group?: string; proof?: string; confirm?: string; calloff?: string }): Promise<void> {
+  const findings: Finding[] = []
+  const number = Number(args.number)
+  if (!Number.isInteger(number) || number < 1) findings.push({ place: '--number', what: 'expected a whole number from 1' })
+  const edits: Edit[] = []
+  if (args.confirm !== undefined) edits.push({ op: 'confirm', lane: args.confirm })
+  if (args.calloff !== undefined) edits.push({ op: 'calloff', lane: args.calloff })
+  if (args.group !== undefined) {
+    const proof = args.proof ?? 'reported'
+    if (proof !== 'reported' && proof !== 'confirmed') findings.push({ place: '--proof', what: 'expected reported or confirmed' })
+    else if ((args.lanes === undefined) === (args.from === undefined)) findings.push({ place: '--lanes, --from', what: 'exactly one of them is needed' })
+    else edits.push({ op: 'move', to: args.group, proof, ...(args.lanes !== undefined ? { lanes: args.lanes.split(',') } : { group: args.from! }) })
+  }
+  if (findings.length === 0 && edits.length !== 1) findings.push({ place: '--group, --confirm, --calloff', what: 'exactly one of them is needed' })
+  if (findings.length > 0) stopWith(2, showFindings(findings))
+  const now = (await call(args.to, 'GET', '/configuration')).body as { epoch: number }
+  await send(args, { number, expect: now.epoch, edits })
+}
+
 export async function show(args: { to: string; what: string }): Promise<void> {
-  const known = ['configuration', 'history', 'decisions', 'members', 'groups']
+  const known = ['configuration', 'history', 'decisions', 'members', 'groups', 'moves']
   if (!known.includes(args.what)) stopWith(2, `what: expected one of ${known.join(', ')}`)
   const got = await call(args.to, 'GET', `/${args.what}`)
   process.stdout.write(typeof got.body === 'string' ? got.body : `${JSON.stringify(got.body, null, 2)}\n`)
@@ -77,7 +101,7 @@
     return got.body
   }
   const now = (await read('/configuration')) as { epoch: number; config: Config | null }
-  const fleet = { ...now, members: await read('/members'), groups: await read('/groups') } as Fleet
+  const fleet = { ...now, moves: await read('/moves'), members: await read('/members'), groups: await read('/groups') } as Fleet
   let next: unknown = now.config
   let findings: Finding[] = []
   if (args.whole !== undefined) next = await readJson(args.whole, 'whole')
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -1,5 +1,6 @@
-import { CANDIDATE_LIFE, CATCH_UP, DRAIN, DUTY_BEAT, HINT_GOOD, LOSS_WAIT, loop, makeBell, makeFlag, PROBE_LIMIT, SUSPECT_LIMIT, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World } from '@claynotch/base'
+import { CANDIDATE_LIFE, CATCH_UP, DRAIN, DUTY_BEAT, HINT_GOOD, HOME_PAUSE, LOSS_WAIT, loop, makeBell, makeFlag, PROBE_LIMIT, SUSPECT_LIMIT, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World } from '@claynotch/base'
 import { askStatus, type Mark, type Status } from '@claynotch/instance'
+import type { Body } from '@claynotch/operator'
 import { promote } from '@claynotch/platform'
 import { groupKey, type GroupRecord, type Member, type Proposer, type Sight, type Value } from '@claynotch/register'
 
@@ -19,6 +20,8 @@
   hints: () => Map<string, number>[]
   // A majority's word on the members; undefined without a majority.
   askMembers: () => Promise<{ members: Member[]; sure: boolean } | undefined>
+  // The configuration as this node knows it.
+  body: () => Body | undefined
   numbers: Numbers
 }
 
@@ -52,7 +55,8 @@
 
 // What the holder remembers of one group between beats; lost with it, and nothing rests on it.
 // leaderOk, candidateOk: when each last answered as it should. since: when this turn was first seen here.
-type Memory = { turn: number; since: number; leader: string | undefined; leaderOk: number; candidateOk: number; suspected: boolean }
+// homeSince: since when an instance of a home area has been well, while the leader lives elsewhere.
+type Memory = { turn: number; since: number; leader: string | undefined; leaderOk: number; candidateOk: number; suspected: boolean; homeSince?: number }
 
 export function startDuty(world: World, view: DutyView, stop: Flag): { ring: () => void } {
   const bells = new Map<string, Bell>()
@@ -84,6 +88,19 @@
   return { ring }
 }
 
+// Whether each proxy stopped: all acknowledged this turn of the register, or any that did not has run out of its term.
+export async function haveStopped(world: World, view: Pick<DutyView, 'askMembers'>, key: string, turn: number, since: number): Promise<boolean> {
+  if (world.now() - since > TERM + 2 * TERM_SLACK) return true
+  const got = await view.askMembers()
+  if (!got || !got.sure) return false
+  for (const m of got.members) if (!hasAcked(m, key, turn)) return false
+  return true
+}
+function hasAcked(m: Member, key: string, turn: number): boolean {
+  for (const [k, at] of m.acks) if (k === key && at >= turn) return true
+  return false
+}
+
 function tendGroup(world: World, view: DutyView, group: string, stop: Flag, bell: Bell): void {
   const key = groupKey(group)
   let mem: Memory | undefined
@@ -127,7 +144,15 @@
     for (const got of await Promise.all(sights.map(one))) if (got) out.push(got)
     return out
   }
-  // The most caught-up of those seen; the old leader only where it is strictly ahead of all others.
+  function home(): string[] {
+    for (const g of view.body()?.config?.groups ?? []) if (g.name === group) return g.home ?? []
+    return []
+  }
+  function isHome(name: string): boolean {
+    for (const s of sightsHere()) if (s.name === name) return home().includes(s.area)
+    return false
+  }
+  // The most caught-up of those seen, among equals one at home; the old leader only where it is strictly ahead of all others.
   function furthest(seen: Seen[], old: string | undefined): Seen | undefined {
     let best: Seen | undefined
     for (const s of seen) {
@@ -136,21 +161,27 @@
         continue
       }
       const by = compareMarks(s.status.mark, best.status.mark)
-      if (by > 0 || (by === 0 && (best.name === old || (s.name !== old && s.name < best.name)))) best = s
+      if (by > 0 || (by === 0 && goesBefore(s.name, best.name, old))) best = s
     }
     return best
   }
-  // Whether each proxy stopped: all acknowledged this turn, or any that did not has run out of its term.
-  async function stopped(turn: number, since: number): Promise<boolean> {
-    if (world.now() - since > TERM + 2 * TERM_SLACK) return true
-    const got = await view.askMembers()
-    if (!got || !got.sure) return false
-    for (const m of got.members) if (!hasAcked(m, turn)) return false
-    return true
+  function goesBefore(a: string, b: string, old: string | undefined): boolean {
+    if (a === old || b === old) return b === old
+    return isHome(a) !== isHome(b) ? isHome(a) : a < b
   }
-  function hasAcked(m: Member, turn: number): boolean {
-    for (const [k, at] of m.acks) if (k === key && at >= turn) return true
-    return false
+  // Whom to bring the leader home to, once someone there has been well for long enough.
+  async function homeward(rec: GroupRecord, m: Memory): Promise<string | undefined> {
+    if (home().length === 0 || isHome(rec.leader as string)) return undefined
+    const near: Sight[] = []
+    for (const s of sightsHere()) if (!s.leaving && home().includes(s.area)) near.push(s)
+    const well: Seen[] = []
+    for (const s of await look(near)) if (s.status.role === 'follower' && s.status.mark.epoch === rec.epoch) well.push(s)
+    if (well.length === 0) delete m.homeSince
+    else m.homeSince ??= world.now()
+    return m.homeSince !== undefined && world.now() - m.homeSince > HOME_PAUSE ? furthest(well, undefined)?.name : undefined
+  }
+  function stopped(turn: number, since: number): Promise<boolean> {
+    return haveStopped(world, view, key, turn, since)
   }
   async function highest(): Promise<Mark | undefined> {
     const got = await view.askMembers()
@@ -191,7 +222,10 @@
         delete next.note
         return (await put(turn, next)) === true
       }
-      return false
+      const to = await homeward(rec, m)
+      if (to === undefined) return false
+      world.log.info('leader-goes-home', { group, leader: leader.name, to })
+      return (await put(turn, { ...rec, phase: 'drain', holder: view.node, planned: true, wish: { to } })) === true
     }
     function isGoing(s: Sight): boolean {
       return s.name === leader.name && s.leaving
@@ -309,8 +343,12 @@
     return false
   }
 
+  // seen: the newest turn, and since when it is known here.
+  let seen = { turn: -1, at: 0 }
   // One look at the group: true when it moved on, so that the next look comes at once.
   async function step(): Promise<boolean> {
+    const turnNow = view.cell(key)?.turn ?? 0
+    if (turnNow !== seen.turn) seen = { turn: turnNow, at: world.now() }
     if (world.now() >= view.termUntil() || holderOf(key, view.live()) !== view.node) {
       mem = undefined
       return false
@@ -325,6 +363,8 @@
       mem = { turn: cell.turn, since: now, leader: rec.leader, leaderOk: kept && mem ? mem.leaderOk : now, candidateOk: now, suspected: kept && mem ? mem.suspected : false }
     }
     if (rec.holder !== view.node) {
+      // Two nodes that see different members would else take it from each other as fast as rounds go.
+      if (world.now() - seen.at < DUTY_BEAT) return false
       await put(cell.turn, { ...rec, holder: view.node, fence: rec.fence + 1 })
       return false
     }
--- a/packages/duty/src/index.ts
+++ b/packages/duty/src/index.ts
@@ -1,1 +1,2 @@
 export * from './duty.js'
+export * from './move.js'
--- a/packages/fleet/src/instance.ts
+++ b/packages/fleet/src/instance.ts
@@ -5,7 +5,8 @@
 // A stand-in for a database instance: a table of lists, written by 'append', read by 'list'. It speaks the
 // instance's wire of docs/wire.md, replicates asynchronously, records all that it ran, and fails on request.
 
-export type Entry = { epoch: number; ops: [string, string][] }
+// src: copied from another group's history, where it stood at that position in that entry's epoch.
+export type Entry = { epoch: number; ops: [string, string][]; src?: { group: string; epoch: number; position: number } }
 // One append that this instance ran as leader. at: its own clock.
 export type Ran = { tag: string; epoch: number; position: number; at: number }
 export type Took = { epoch: number; at: number; base: number }
@@ -16,10 +17,13 @@
   deaf: boolean // a follower stops receiving and goes on claiming that it doesn't lag
   lag: number // ms between fetches of a follower
   left: boolean // has announced that it leaves
+  uncopied: boolean // copies nothing from its source group any more
   sick: number // share of statements answered with ELECTION though STATUS looks well
 }
 export type InstanceSettings = {
   name: string; group: string; area: string; addr: Addr; peers: Addr[]; agents: Addr[]; leader: boolean; connections: number; lag: number; data: string; leaves?: boolean
+  // A leader copies all that this group has, by its leader's log.
+  source?: { group: string; peers: Addr[] }
 }
 export type Instance = {
   stop: () => Promise<void>; leave: () => Promise<void>; faults: Faults; record: () => InstanceRecord; role: () => string; epoch: () => number; position: () => number
@@ -34,7 +38,7 @@
 export async function startInstance(world: World, set: InstanceSettings): Promise<Instance> {
   const stop = makeFlag()
   const file = makeFile(world, `${set.data}/log`)
-  const faults: Faults = { dark: false, lose: [], full: false, deaf: false, lag: set.lag, left: false, sick: 0 }
+  const faults: Faults = { dark: false, lose: [], full: false, deaf: false, lag: set.lag, left: false, uncopied: false, sick: 0 }
   let log: Entry[] = []
   let table = new Map<string, string[]>()
   let role: 'leader' | 'follower' = set.leader ? 'leader' : 'follower'
@@ -158,7 +162,7 @@
     const s = sessionOf(ask.line)
     switch (ask.path) {
       case '/status':
-        return { status: 200, body: { rows: [{ field: 'name', value: set.name }, { field: 'group', value: set.group }, { field: 'role', value: role }, { field: 'epoch', value: epoch }, { field: 'position', value: log.length }] } }
+        return { status: 200, body: { rows: [{ field: 'name', value: set.name }, { field: 'group', value: set.group }, { field: 'role', value: role }, { field: 'epoch', value: epoch }, { field: 'position', value: log.length }, ...(copied && role === 'leader' ? [{ field: 'source', value: set.source!.group }, { field: 'source_epoch', value: copied.epoch }, { field: 'source_position', value: copied.position }] : [])] } }
       case '/statement':
         return await statement(s, body)
       case '/begin':
@@ -244,9 +248,9 @@
 
   // --- replication: a follower fetches from the leader of the highest epoch ---
   let from: { addr: Addr; line: Line } | undefined
-  async function findLeader(): Promise<{ addr: Addr; epoch: number } | undefined> {
+  async function findLeader(peers = set.peers): Promise<{ addr: Addr; epoch: number } | undefined> {
     let best: { addr: Addr; epoch: number } | undefined
-    for (const addr of set.peers) {
+    for (const addr of peers) {
       const got = await callOnce(world, addr, 'GET', '/status', undefined, 500)
       if (got.err || got.val.status !== 200) continue
       const rows = new Map<string, unknown>()
@@ -306,6 +310,58 @@
       await saveRole()
     }
   }
+  // --- copying from another group: a leader's own entries, so its followers get them like any other ---
+  // copied: what STATUS reports; of this life of this leader only, and gone where the source's history was cut under it.
+  let copied: { epoch: number; position: number } | undefined
+  let there: Line | undefined
+  // place: how far the source was read, with the epoch of its entry there; found again in the log by a new leader.
+  let place: { at: number; last: number } | undefined
+  async function copy(source: { group: string; peers: Addr[] }): Promise<void> {
+    if (role !== 'leader' || faults.dark || faults.uncopied) {
+      copied = undefined
+      place = undefined
+      return
+    }
+    if (!there?.alive()) {
+      const found = await findLeader(source.peers)
+      const line = found ? await openLine(world, found.addr, 500) : undefined
+      if (!line?.ok) return
+      there = line.val
+    }
+    if (!place) {
+      place = { at: 0, last: 0 }
+      for (const e of log) if (e.src?.group === source.group && e.src.position > place.at) place = { at: e.src.position, last: e.src.epoch }
+    }
+    const { at, last } = place
+    const mine = epoch
+    const got = await there.ask('POST', '/log', { position: at, last }, 1000)
+    if (got.err || got.val.status !== 200) {
+      there.close()
+      there = undefined
+      return
+    }
+    const body = got.val.body as { epoch: number; from: number; entries: Entry[]; end: number }
+    if (body.from < 0 || (role as string) !== 'leader' || epoch !== mine) {
+      copied = undefined
+      return
+    }
+    for (const [k, e] of body.entries.entries()) {
+      place = { at: body.from + k + 1, last: e.epoch }
+      // What came from here goes round no further.
+      if (e.src?.group === set.group) continue
+      put({ epoch, ops: e.ops, src: { group: source.group, epoch: e.epoch, position: place.at } })
+      unsaved.push(log[log.length - 1])
+    }
+    await save()
+    copied = { epoch: body.epoch, position: body.from + body.entries.length }
+  }
+  async function copies(source: { group: string; peers: Addr[] }): Promise<void> {
+    while (!stop.fired()) {
+      await copy(source)
+      await pauseFor(set.lag / 2)
+    }
+  }
+  if (set.source) void copies(set.source)
   async function replicate(): Promise<void> {
     while (!stop.fired()) {
       await fetch()
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -618,6 +618,31 @@
   notes.set('calls failed while it was dark', failed)
   if (failed > 3) f.watched.push({ rule: 'area', what: `${failed} calls failed while one follower was dark` })
 }
+async function homecoming(f: SimFleet, notes: Map<string, number>): Promise<void> {
+  // A group with a home area: its leader is brought there, as planned, once; put elsewhere by an operator it comes home again,
+  // not before the pause. Its home going dark and coming back costs one move away and, after the pause, one home.
+  async function home(limit: number): Promise<number> {
+    const from = f.sim.now()
+    function is(): boolean {
+      return recordOf(f)?.phase === 'steady' && recordOf(f)?.leader === 'g12'
+    }
+    if (!(await f.sim.until(is, limit))) f.watched.push({ rule: 'home', what: `after ${limit} ms the leader is ${recordOf(f)?.leader}, home is g12's` })
+    return Math.round(f.sim.now() - from)
+  }
+  await home(30000)
+  const moves = f.promotions.length
+  const sent = f.ask(0, '/groups/g1/replacement', 'POST', { to: 'g13' })
+  await f.sim.until(sent.done, 8000)
+  await wait(f, 3000)
+  if (recordOf(f)?.leader !== 'g13') f.watched.push({ rule: 'home', what: `an operator's wish for g13 left ${recordOf(f)?.leader}` })
+  const took = await home(40000)
+  notes.set('ms until home again', took)
+  if (took < 15000) f.watched.push({ rule: 'home', what: `it went home after ${took} ms already` })
+  if (f.promotions.length > moves + 2) f.watched.push({ rule: 'home', what: `${f.promotions.length - moves} promotions for one wish and one way home` })
+}
+function homed(s: Shape): Shape {
+  return { ...s, requesters: 6, config: { ...s.config, groups: [{ name: 'g1', connections: 24, home: ['b'] }] } }
+}
 async function sickLeader(f: SimFleet, notes: Map<string, number>): Promise<void> {
   // The leader fails four statements of ten while its STATUS looks well (the breaker opens at five), and requesters ask again at once: retries
   // summed over all nodes stay under a fifth of first sends, beyond the tokens that each node starts with.
@@ -720,6 +745,7 @@
   { name: 'crowd', rule: 'caps hold, new machines join', shape: crowded, harm: crowd },
   { name: 'core-away', rule: 'what a missing core should have had is handed over', harm: coreAway },
   { name: 'own-area', rule: 'reads stay near, and go elsewhere in need', harm: ownArea },
+  { name: 'homecoming', calm: true, rule: 'a leader lives in its home area, and is brought there once that is well', shape: homed, harm: homecoming },
   { name: 'noisy-team', rule: "one team's crowd doesn't starve another", shape: twoTeams, reads: false, harm: noisyTeam },
   { name: 'swapped', rule: 'whole groups swapped one by one', harm: swapped },
   { name: 'retrying-crowd', rule: 'service back though requesters retry', shape: retrying, harm: leaderCrash },
--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -8,8 +8,8 @@
 import { runRequester, type Event, type Mix } from './requester.js'
 import { makeSim, type Machine, type Proc, type Sim } from './sim.js'
 
-// A whole fleet in the simulator.
-export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean; latency?: number; operators?: Credential[]; suspect?: number; apart?: boolean }
+// A whole fleet in the simulator. copies: [source, target] groups; the target's leader copies all that the source has.
+export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean; latency?: number; operators?: Credential[]; suspect?: number; apart?: boolean; copies?: [string, string][] }
 
 export type Front = { machine: Machine; agentProc: Proc; proxyProc: Proc; agent: Agent | undefined; proxy: Proxy | undefined; node: string; http: Addr; listen: Addr }
 export type CoreBox = { machine: Machine; proc: Proc; core: Core | undefined; id: string; http: Addr }
@@ -108,8 +108,14 @@
     }
     const agents: Addr[] = []
     for (let n = 0; n < Math.min(3, fronts.length); n++) agents.push(fronts[(k + n) % fronts.length].http)
+    const from = (shape.copies ?? []).find(isTarget)?.[0]
+    function isTarget(c: [string, string]): boolean {
+      return c[1] === b.group
+    }
+    const sources: Addr[] = []
+    for (const o of boxes) if (o.group === from) sources.push(o.addr)
     async function start(world: World): Promise<void> {
-      b.instance = await startInstance(world, { name: b.name, group: b.group, area: shape.areas[k % shape.areas.length], addr: b.addr, peers, agents, leader: first, connections: shape.connections, lag: shape.lag, data: '/data' })
+      b.instance = await startInstance(world, { ...(from !== undefined ? { source: { group: from, peers: sources } } : {}), name: b.name, group: b.group, area: shape.areas[k % shape.areas.length], addr: b.addr, peers, agents, leader: first, connections: shape.connections, lag: shape.lag, data: '/data' })
     }
     b.proc = sim.spawn(b.machine, b.name, start)
   }
@@ -222,7 +228,16 @@
   // Beat by beat: no proxy goes back to an older configuration, and none that takes work is more than 3 s
   // behind one that was acknowledged.
   const lastEpoch = new Map<Proxy, number>()
+  // holders: by group, the fence some time ago; it rises with each new holder, and not many times a second.
+  const holders = new Map<string, { at: number; fence: number }>()
   function monitor(): void {
+    for (const g of shape.groups) {
+      let fence = 0
+      for (const x of fronts) fence = Math.max(fence, (x.agent?.cell(`group/${g}`)?.body as { fence?: number } | undefined)?.fence ?? 0)
+      const old = holders.get(g)
+      if (old && fence > old.fence + 4) watched.push({ rule: 'duty', what: `the record of ${g} changed holders ${fence - old.fence} times in a second` })
+      if (!old || sim.now() - old.at > 1000 || fence < old.fence) holders.set(g, { at: sim.now(), fence })
+    }
     for (const f of fronts) {
       if (!f.proxy || f.proxyProc.state !== 'up') continue
       const epoch = f.proxy.state.rules()?.epoch ?? 0
--- a/packages/instance/src/edge.ts
+++ b/packages/instance/src/edge.ts
@@ -13,7 +13,8 @@
 export type Mark = { epoch: number; position: number }
 
 export type Done = { rows: unknown[]; mark: Mark }
-export type Status = { role: 'leader' | 'follower'; mark: Mark; name: string; group: string }
+// source: of another group's history, the place up to which this instance says that it holds everything.
+export type Status = { role: 'leader' | 'follower'; mark: Mark; name: string; group: string; source?: { group: string; mark: Mark } }
 
 type Judged = { class: Class; transient: boolean }
 const codes = new Map<string, Judged>([
@@ -108,7 +109,9 @@
   const epoch = Number(rows.get('epoch'))
   const position = Number(rows.get('position'))
   if ((role !== 'leader' && role !== 'follower') || !Number.isFinite(epoch) || !Number.isFinite(position)) return Err('status rows missing')
-  return Ok({ role, mark: { epoch, position }, name: String(rows.get('name')), group: String(rows.get('group')) })
+  const source = { group: String(rows.get('source')), mark: { epoch: Number(rows.get('source_epoch')), position: Number(rows.get('source_position')) } }
+  const has = rows.has('source') && Number.isFinite(source.mark.epoch) && Number.isFinite(source.mark.position)
+  return Ok({ ...(has ? { source } : {}), role, mark: { epoch, position }, name: String(rows.get('name')), group: String(rows.get('group')) })
 }
 
 export async function askStatus(world: World, addr: Addr, ms: number = SAMPLE_LIMIT): Promise<Result<Status, string>> {
--- a/packages/operator/src/against.ts
+++ b/packages/operator/src/against.ts
@@ -1,11 +1,12 @@
 import type { Finding } from '@claynotch/base'
-import { lendable, type Config } from './config.js'
+import { lendable, type Config, type Move } from './config.js'
 
 // A configuration against the fleet as it is. What is read of the fleet is what any agent tells on
 // GET /configuration, /members and /groups.
 export type Fleet = {
   epoch: number
   config: Config | null
+  moves?: Move[]
   members: { node: string; area: string; sessions: number; behind: { key: string; has: number; present: number }[] }[]
   groups: { name: string; record: { phase: string; leader?: string } | null; instances: { name: string; area: string; role: string; leaving: boolean; lag?: number }[] }[]
 }
@@ -48,6 +49,10 @@
       out.push({ place: `/groups/${k}/name`, what: `no instance of group ${g.name} has announced itself` })
       continue
     }
+    if (g.home && !is.instances.some(isThere)) out.push({ place: `/groups/${k}/home`, what: `no instance of ${g.name} lives in ${g.home.join(', ')}: its leader will live elsewhere` })
+    function isThere(one: { area: string; leaving: boolean }): boolean {
+      return !one.leaving && g.home?.includes(one.area) === true
+    }
     if (!is.record?.leader) out.push({ place: `/groups/${k}/name`, what: is.record ? `group ${g.name} has no leader (phase ${is.record.phase})` : `group ${g.name} has no leader yet` })
     else if (is.record.phase !== 'steady') out.push({ place: `/groups/${k}/name`, what: `group ${g.name} is being moved (phase ${is.record.phase})` })
   }
@@ -70,6 +75,15 @@
     for (const lane of next.lanes) if (lane.team === team.name) lent = Math.max(lent, lendable(next, lane.group))
     if (team.pending !== undefined && lent > 0 && team.pending > lent * 8) out.push({ place: `/teams/${k}/pending`, what: `${team.pending} calls at once against ${lent} connections that a proxy can lend them: most would only wait` })
   }
+  for (const m of fleet.moves ?? []) {
+    for (const name of m.lanes) {
+      const lane = next.lanes.find(isIt)
+      function isIt(l: { name: string }): boolean {
+        return l.name === name
+      }
+      if (lane?.group !== m.from) out.push({ place: `move ${m.id}`, what: `the lane ${name} is being moved from ${m.from} to ${m.to} (phase ${m.phase}): this configuration would be refused` })
+    }
+  }
   for (const [k, lane] of (fleet.config?.lanes ?? []).entries()) {
     let kept = false
     for (const l of next.lanes) if (l.name === lane.name) kept = true
--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -7,8 +7,9 @@
 const Reads = t.union([t.literal('leader'), t.intersection([t.type({ within: Ms }), t.partial({ own: t.boolean })])])
 const Lane = t.intersection([t.type({ name: Name, database: Name, group: Name, reads: Reads }), t.partial({ team: Name, pending: Count })])
 // connections: the instance's own limit, shared by all proxies. guard: writes wait while no follower is proved to
-// hold what the leader had this many ms ago, so that no more than that can be lost with the leader.
-const Group = t.intersection([t.type({ name: Name, connections: Count }), t.partial({ guard: Ms })])
+// hold what the leader had this many ms ago, so that no more than that can be lost with the leader. home: areas that its
+// leader should live in, where an instance there is as far as any.
+const Group = t.intersection([t.type({ name: Name, connections: Count }), t.partial({ guard: Ms, home: t.array(Name) })])
 // share: weight of the team when connections are short. sessions, pending: most open sessions, and most calls
 // waiting or running, on one proxy.
 const Team = t.intersection([t.type({ name: Name }), t.partial({ share: Count, sessions: Count, pending: Count })])
@@ -90,6 +91,11 @@
   t.type({ op: t.literal('proxies'), value: Count }),
   // null: no policy any more.
   t.type({ op: t.literal('policy'), value: t.union([t.null, t.type({ lua: t.string, fallback: Name })]) }),
+  // Lanes, or all lanes of a group, go to another group under a fence (docs/design/moves.md). proof: how it is known that
+  // the target holds everything: by what its leader reports (the default), or by the operator's word.
+  t.intersection([t.type({ op: t.literal('move'), to: Name }), t.partial({ lanes: t.array(Name), group: Name, proof: t.union([t.literal('reported'), t.literal('confirmed')]) })]),
+  t.type({ op: t.literal('confirm'), lane: Name }),
+  t.type({ op: t.literal('calloff'), lane: Name }),
 ])
 export type Edit = t.TypeOf<typeof Edit>
 export const Change = t.intersection([
@@ -123,6 +129,7 @@
       policy = e.value ?? undefined
       continue
     }
+    if (e.op === 'move' || e.op === 'confirm' || e.op === 'calloff') continue
     const list = lists.get(e.what) ?? []
     if (e.op === 'put') {
       const value = e.value as { name?: unknown } | null
@@ -144,17 +151,24 @@
 // One decision of the system on one numbered change.
 export type Decision = { stream: string; number: number; decision: 'accepted' | 'refused'; epoch: number; why: string; findings: Finding[] }
 
+// A move of lanes from one group to another, under way. id: the epoch that opened it.
+// Phases: copy, the target draws near; ease, no new reading transactions, open ones get their time; drain, no new writes and transactions, open ones get their time; quiet, no write
+// of these lanes counts any more, reads go on; held, reads wait as well; then the lanes' group is the other.
+// Invariants: a lane stands in at most one move, and its group is from until the move ends; phases only go forward;
+// mark is set in held, and every acknowledged write of these lanes lies at or under it in from's history.
+export type Move = { id: number; lanes: string[]; from: string; to: string; proof: 'reported' | 'confirmed'; phase: 'copy' | 'ease' | 'drain' | 'quiet' | 'held'; mark?: { epoch: number; position: number }; confirmed?: boolean }
+
 // Body of the register 'configuration'.
-// Invariants: epoch grows by one with each accepted change and with nothing else;
+// Invariants: epoch grows by one with each accepted change and with nothing else (a move's end is one of the system's own);
 // for each stream the decisions kept are those with the highest numbers, in order;
 // history's last entry is the configuration of the present epoch.
 // stage: set while only some areas work by config; the others work by prior, that of epoch priorEpoch.
-export type Body = { epoch: number; config: Config | null; stage?: { areas: string[]; prior: Config; priorEpoch: number }; streams: { name: string; used: number; decisions: Decision[] }[]; history: { epoch: number; stream: string; number: number; config: Config }[] }
+export type Body = { epoch: number; config: Config | null; stage?: { areas: string[]; prior: Config; priorEpoch: number }; moves?: Move[]; streams: { name: string; used: number; decisions: Decision[] }[]; history: { epoch: number; stream: string; number: number; config: Config }[] }
 
-// The configuration that an area works by, and its epoch.
-export function configFor(body: Body, area: string): { config: Config | null; epoch: number } {
-  if (body.stage && !body.stage.areas.includes(area)) return { config: body.stage.prior, epoch: body.stage.priorEpoch }
-  return { config: body.config, epoch: body.epoch }
+// The configuration that an area works by, its epoch, and the moves under way (never beside a stage).
+export function configFor(body: Body, area: string): { config: Config | null; epoch: number; moves: Move[] } {
+  if (body.stage && !body.stage.areas.includes(area)) return { config: body.stage.prior, epoch: body.stage.priorEpoch, moves: [] }
+  return { config: body.config, epoch: body.epoch, moves: body.moves ?? [] }
 }
 
 export const CONFIG_KEY = 'configuration'
--- a/packages/operator/src/credentials.ts
+++ b/packages/operator/src/credentials.ts
@@ -72,7 +72,7 @@
   const teams = new Map<string, string | undefined>()
   for (const lane of now?.lanes ?? []) teams.set(lane.name, lane.team)
   for (const [k, e] of (change.edits ?? []).entries()) {
-    if (e.op === 'proxies' || e.op === 'policy' || e.what !== 'lane') {
+    if ((e.op !== 'put' && e.op !== 'drop') || e.what !== 'lane') {
       out.push({ place: `/edits/${k}`, what: `team ${team} changes lanes only` })
       continue
     }
--- a/packages/operator/src/decide.ts
+++ b/packages/operator/src/decide.ts
@@ -1,6 +1,7 @@
 import { DECISIONS_KEPT, HISTORY_KEPT, STREAMS_KEPT, type Finding } from '@claynotch/base'
-import { applyEdits, readConfig, type Body, type Change, type Config, type Decision } from './config.js'
+import { applyEdits, readConfig, type Body, type Change, type Config, type Decision, type Move } from './config.js'
 import { beyondTeam } from './credentials.js'
+import { checkMoves, editMoves, SYSTEM } from './moves.js'
 
 // What becomes of one change on the present body. Pure: the register calls it anew in each round.
 // 'known': this stream and number were decided before, the first decision stands and nothing is written.
@@ -27,8 +28,8 @@
   return out
 }
 
-// team: set where the caller may change that team's lanes only.
-export function decide(body: Body, stream: string, change: Change, team?: string): Ruling {
+// team: set where the caller may change that team's lanes only. hindered: what the fleet as it is has against the change.
+export function decide(body: Body, stream: string, change: Change, team?: string, hindered: Finding[] = []): Ruling {
   const { number } = change
   const first = findDecision(body, stream, number)
   if (first) return { known: first }
@@ -39,10 +40,12 @@
   const last = mine?.decisions[mine.decisions.length - 1]
   if (last && number < last.number) return { known: refused(stream, number, body.epoch, `number ${number} was passed by ${last.number}; its decision, if any, is forgotten`) }
 
-  function ruled(): { config?: Config; stage?: Body['stage']; decision: Decision } {
+  function ruled(): { config?: Config; stage?: Body['stage']; moves?: Move[]; decision: Decision } {
+    if (stream === SYSTEM) return { decision: refused(stream, number, body.epoch, `the stream ${SYSTEM} is the system's own`) }
     const beyond = team === undefined ? [] : beyondTeam(team, change, body.config)
     if (beyond.length > 0) return { decision: refused(stream, number, body.epoch, 'not this team\'s to change', beyond) }
     if (change.expect !== body.epoch) return { decision: refused(stream, number, body.epoch, `expected epoch ${change.expect}, the present one is ${body.epoch}`) }
+    if (hindered.length > 0) return { decision: refused(stream, number, body.epoch, 'the fleet can\'t do this now', hindered) }
     const wins: Decision = { stream, number, decision: 'accepted', epoch: body.epoch + 1, why: '', findings: [] }
     // A stage opened further, or to all, with nothing else changed.
     if (body.stage && change.stage !== undefined && change.whole === undefined && change.edits === undefined) {
@@ -60,26 +63,49 @@
     }
     const got = readConfig(next)
     if (got.err) return { decision: refused(stream, number, body.epoch, 'invalid configuration', got.val) }
+    const moved = editMoves(body, got.val, change.edits ?? [], body.stage !== undefined || change.stage !== undefined)
+    if (moved.err) return { decision: refused(stream, number, body.epoch, 'invalid move', moved.val) }
+    const moves = moved.val
+    const clash = checkMoves(moves, got.val)
+    if (moves.length > 0 && Array.isArray(change.stage)) clash.push({ place: '/stage', what: 'a move is under way, and a stage would leave areas out of it' })
+    if (clash.length > 0) return { decision: refused(stream, number, body.epoch, 'a move is under way', clash) }
     if (Array.isArray(change.stage)) {
       if (!body.config) return { decision: refused(stream, number, body.epoch, 'the first configuration can\'t be staged') }
       const split = splitLanes(body.config, got.val)
       if (split.length > 0) return { decision: refused(stream, number, body.epoch, 'a stage can\'t have a lane served by two groups', split) }
       return { config: got.val, stage: { areas: change.stage, prior: body.config, priorEpoch: body.epoch }, decision: wins }
     }
-    return { config: got.val, decision: wins }
+    return { config: got.val, moves, decision: wins }
   }
-  const { config, stage, decision } = ruled()
+  const { config, stage, moves, decision } = ruled()
+  const next: Body = { ...body }
+  if (config) {
+    delete next.stage
+    delete next.moves
+    if (stage) next.stage = stage
+    if (moves && moves.length > 0) next.moves = moves
+  }
+  return { body: keepDecision(next, decision, config), decision }
+}
+
+// The body with one more decision, and with it, where it was accepted, a configuration.
+export function keepDecision(body: Body, decision: Decision, config?: Config): Body {
+  const { stream, number, epoch } = decision
   let used = 0
-  for (const s of body.streams) used = Math.max(used, s.used)
+  let mine: Body['streams'][number] | undefined
   const streams: Body['streams'] = []
-  for (const s of body.streams) if (s.name !== stream) streams.push(s)
+  for (const s of body.streams) {
+    used = Math.max(used, s.used)
+    if (s.name === stream) mine = s
+    else streams.push(s)
+  }
   streams.push({ name: stream, used: used + 1, decisions: [...(mine?.decisions ?? []), decision].slice(-DECISIONS_KEPT) })
   streams.sort(byUse)
-  function byUse(a: { used: number }, b: { used: number }): number {
-    return a.used - b.used
-  }
   while (streams.length > STREAMS_KEPT) streams.shift()
-  if (!config) return { body: { ...body, streams }, decision }
-  const history = [...body.history, { epoch: decision.epoch, stream, number, config }].slice(-HISTORY_KEPT)
-  return { body: { epoch: decision.epoch, config, ...(stage ? { stage } : {}), streams, history }, decision }
+  if (!config) return { ...body, streams }
+  const history = [...body.history, { epoch, stream, number, config }].slice(-HISTORY_KEPT)
+  return { ...body, epoch, config, streams, history }
+}
+function byUse(a: { used: number }, b: { used: number }): number {
+  return a.used - b.used
 }
--- a/packages/operator/src/edge.ts
+++ b/packages/operator/src/edge.ts
@@ -1,7 +1,7 @@
 import { createInterface } from 'node:readline'
 import { badInput, FOLLOW_BEAT, Name, OPERATOR_BODY_LIMIT, readStrict, sendReply, type Ask, type Bell, type Finding, type Numbers, type Reply, type World } from '@claynotch/base'
 import type { Proposer, Value } from '@claynotch/register'
-import { Change, CONFIG_KEY, emptyBody, type Body, type Decision } from './config.js'
+import { Change, CONFIG_KEY, emptyBody, type Body, type Decision, type Edit } from './config.js'
 import { identify, stopCaller, type Credential } from './credentials.js'
 import { decide, findDecision } from './decide.js'
 
@@ -11,16 +11,18 @@
   members: () => unknown
   groups: () => unknown
   replace: (group: string, to: string | undefined) => Promise<{ ok: boolean; why: string }>
+  // What stands against moves that a change asks for, in the fleet as it is.
+  hinders: (edits: Edit[]) => Promise<Finding[]>
   // What this agent knows of the configuration, and a bell for news of it.
   body: () => Body | undefined
   news: Bell
 }
 
-export async function makeDecision(proposer: Proposer, stream: string, change: Change, team?: string): Promise<Decision | undefined> {
+export async function makeDecision(proposer: Proposer, stream: string, change: Change, team?: string, hindered: Finding[] = []): Promise<Decision | undefined> {
   const tag = `${stream}#${change.number}`
   let out: Decision | undefined
   function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
-    const ruling = decide((now?.body as Body | undefined) ?? emptyBody(), stream, change, team)
+    const ruling = decide((now?.body as Body | undefined) ?? emptyBody(), stream, change, team, hindered)
     if ('known' in ruling) {
       out = ruling.known
       return undefined
@@ -48,7 +50,7 @@
     }
     const got = readStrict(Change, value)
     if (got.err) return { stream, number: (value as { number?: unknown } | null)?.number, decision: 'refused', why: 'not a change', findings: got.val }
-    const made = await makeDecision(proposer, stream, got.val, team)
+    const made = await makeDecision(proposer, stream, got.val, team, await reading.hinders(got.val.edits ?? []))
     numbers.add('claynotch_decisions_total', [['decision', made?.decision ?? 'unclear']])
     return made ?? { stream, number: got.val.number, decision: 'unclear', why: 'no majority of cores settled it in time; send the same number again', findings: [] }
   }
@@ -136,6 +138,10 @@
         for (const d of out) text += `${JSON.stringify(d)}\n`
         return { status: 200, body: text, type: 'application/x-ndjson' }
       }
+      case 'moves': {
+        const now = await body()
+        return now ? { status: 200, body: now.moves ?? [] } : noMajority()
+      }
       case 'members':
         return { status: 200, body: reading.members() }
       case 'groups':
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -49,9 +49,9 @@
   groups: () => Map<string, Tools>
   // Whether the record that a leader's answer was asked under still stands.
   stands: (group: string, epoch: number) => boolean
-  // Sends in flight to a group's leader that may write.
-  writing: (group: string) => number
-  holdWrite: (group: string, by: number) => void
+  // Sends in flight that may write, by group and by lane.
+  writing: (group: string, lane?: string) => number
+  holdWrite: (group: string, lane: string, by: number) => void
   // The position that a follower must hold for a read that begins now; undefined: it can't be proved.
   needNow: (group: string, fresh: { within: number; own: boolean }, token: Token | undefined) => number | undefined
   highs: () => Map<string, Mark>
@@ -83,11 +83,14 @@
     if (!known || world.now() >= known.until || known.record.epoch !== epoch) return false
     return known.record.phase === 'steady' || known.record.phase === 'drain'
   }
-  function writing(group: string): number {
-    return writes.get(group) ?? 0
+  function keyOf(group: string, lane: string | undefined): string {
+    return lane === undefined ? group : `${group} ${lane}`
   }
-  function holdWrite(group: string, by: number): void {
-    writes.set(group, writing(group) + by)
+  function writing(group: string, lane?: string): number {
+    return writes.get(keyOf(group, lane)) ?? 0
+  }
+  function holdWrite(group: string, lane: string, by: number): void {
+    for (const key of [group, keyOf(group, lane)]) writes.set(key, (writes.get(key) ?? 0) + by)
     if (by < 0) quiet.ring()
   }
   function sawWrite(group: string, mark: Mark): void {
@@ -197,12 +200,18 @@
     if (!calm || rec.leader === undefined) return undefined
     const instance = watch.get(rec.leader)
     if (!instance || instance.doubt) return undefined
+    if (stopsHere(call)) return undefined
     const writes = call.kind === 'write' || call.kind === 'begin write'
     if (writes && !guarded(call.lane.group, rec.leader, rec.epoch)) return undefined
     // A leaving leader still leads until its successor does, but not for ever.
     if (state.goneFor(rec.leader) > LEAVING_WORK) return undefined
     return { instance, epoch: rec.epoch }
   }
+  // A lane under move takes no writes and no transactions, and in its last phase no reads either.
+  function stopsHere(call: Call): boolean {
+    if (call.lane.move === 'ease') return call.kind === 'begin read'
+    return call.lane.move === 'held' || (call.lane.move !== undefined && call.kind !== 'read')
+  }
   // Whether some follower is proved to hold what the leader had within the group's guard, where it has one.
   function guarded(group: string, leader: string, epoch: number): boolean {
     const guard = guardOf(state.config(), group)
@@ -218,7 +227,7 @@
   }
   function followerNow(call: Call, known: Known, step: { within: number; own: boolean }): { instance: Instance; epoch: number; floor: number } | undefined {
     const rec = known.record
-    if (rec.leader === undefined || world.now() >= known.until) return undefined
+    if (rec.leader === undefined || world.now() >= known.until || stopsHere(call)) return undefined
     // A transaction begun now would be cut when the drain ends; it waits for the next leader.
     if (rec.phase === 'drain' && call.kind === 'begin read') return undefined
     const need = needNow(call.lane.group, step, call.token)
@@ -307,13 +316,14 @@
     const limit = Math.max(1, Math.min(SEND_LIMIT, call.deadline - world.now()))
     call.asked = world.now()
     instance.usage++
-    if (writes) holdWrite(call.lane.group, 1)
+    const { group, name } = call.lane
+    if (writes) holdWrite(group, name, 1)
     if (call.kind === 'begin read' || call.kind === 'begin write') call.got = await loan.port.begin(call.kind === 'begin read' ? 'read' : 'write', limit)
     else {
       const text = call.body.text
       call.got = await loan.port.statement({ ...(text !== undefined ? { text } : { shape: loan.shapeId(call.need.shapes.get(call.body.shape!)!) }), args: call.body.args, mode: call.kind === 'write' ? 'write' : 'read' }, limit)
     }
-    if (writes) holdWrite(call.lane.group, -1)
+    if (writes) holdWrite(group, name, -1)
     instance.usage--
     return undefined
   }
@@ -327,7 +337,8 @@
     if (got.ok) {
       const { mark, rows } = got.val
       watch.saw(instance.name, call.asked, mark, lead)
-      const good = lead ? stands(group, epoch) && mark.epoch === epoch : isFresh(mark, epoch, floor)
+      const counted = !isWrite(call) || state.counts(call.lane.name, group, call.asked)
+      const good = lead ? stands(group, epoch) && mark.epoch === epoch && counted : isFresh(mark, epoch, floor)
       if (good) {
         breaker.note(true, call.probe)
         if (call.sends > 1 || call.waited) {
@@ -346,7 +357,7 @@
       loan.end(call.kind === 'read' || call.kind === 'write')
       delete call.loan
       call.ran = 'maybe'
-      if (isWrite(call)) return unknown('the answer came after the leader had been replaced or the term had ended')
+      if (isWrite(call)) return unknown('the answer came after the leader had been replaced, the lane moved, or the term had ended')
       call.last = { reach: 'maybe', class: 'UNAVAILABLE', transient: true, why: 'the answer came under a record that no longer stands' }
       return await again(call)
     }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -56,6 +56,11 @@
       const config = state.config()
       let whole = true
       for (const [name, one] of watch.all()) if (config && !pool.shrink(name, lendable(config, one.group))) whole = false
+      // A lane whose move eases or drains has done so once what was to end has ended.
+      for (const lane of state.rules()?.lanes.values() ?? []) {
+        if (lane.move === 'ease' && sessions.transactions(lane.group, lane.name, 'read') > 0) whole = false
+        if (lane.move === 'drain' && (runner.writing(lane.group, lane.name) > 0 || sessions.transactions(lane.group, lane.name) > 0)) whole = false
+      }
       return whole
     }
     if (group === undefined) return true
--- a/packages/proxy/src/rules.ts
+++ b/packages/proxy/src/rules.ts
@@ -1,5 +1,5 @@
 import { PENDING } from '@claynotch/base'
-import { compilePolicy, type Config, type Policy } from '@claynotch/operator'
+import { compilePolicy, moveOf, type Config, type Move, type Policy } from '@claynotch/operator'
 
 // The way of a request: a short list of steps, compiled from the configuration for each lane and kind of call.
 // The interpreter (interpret.ts) runs them in order; judge ends the call or goes back to aim.
@@ -14,22 +14,24 @@
   | { op: 'judge' }
 
 export type Kind = 'read' | 'write' | 'begin read' | 'begin write'
-export type LaneRules = { name: string; group: string; team: string; database: string; pending: number; programs: Map<Kind, Step[]> }
+// move: the phase of the move that the lane is in, from where it stops anything.
+export type LaneRules = { name: string; group: string; team: string; database: string; pending: number; programs: Map<Kind, Step[]>; move: Exclude<Move['phase'], 'copy'> | undefined }
 // share, sessions and pending by team; a lane without a team belongs to the team ''.
 // since: when this node began to work by them.
 export type Rules = { epoch: number; since: number; lanes: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number>; pending: Map<string, number>; policy: { policy: Policy; fallback: string } | undefined }
 
-export function compile(config: Config, epoch: number, since: number): Rules {
+export function compile(config: Config, epoch: number, moves: Move[], since: number): Rules {
   const lanes = new Map<string, LaneRules>()
   for (const lane of config.lanes) {
     const pending = lane.pending ?? PENDING
+    const phase = moveOf(moves, lane.name)?.phase
     const lead: Step = { op: 'aim', at: 'leader' }
     const near: Step = lane.reads === 'leader' ? lead : { op: 'aim', at: 'fresh', within: lane.reads.within, own: lane.reads.own === true }
     const programs = new Map<Kind, Step[]>()
     for (const [kind, aim] of [['read', near], ['write', lead], ['begin read', near], ['begin write', lead]] as [Kind, Step][]) {
       programs.set(kind, [{ op: 'gate' }, { op: 'take', pending }, { op: 'breaker' }, aim, { op: 'borrow' }, { op: 'send' }, { op: 'judge' }])
     }
-    lanes.set(lane.name, { name: lane.name, group: lane.group, team: lane.team ?? '', database: lane.database, pending, programs })
+    lanes.set(lane.name, { name: lane.name, group: lane.group, team: lane.team ?? '', database: lane.database, pending, programs, move: phase === 'copy' ? undefined : phase })
   }
   const shares = new Map<string, number>()
   const sessions = new Map<string, number>()
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -14,7 +14,7 @@
 // ran turns true with the first statement handed over and never back; fresh is set on a follower, where each
 // statement is held to the lane's bound anew; stray is since when the lane as configured no longer allows it.
 type Transaction = {
-  loan: Loan; kind: 'read' | 'write'; lane: string; database: string; group: string; epoch: number; lead: boolean; ran: boolean; last: number
+  loan: Loan; kind: 'read' | 'write'; lane: string; database: string; group: string; epoch: number; lead: boolean; ran: boolean; begun: number; last: number
   fresh: { within: number; own: boolean } | undefined; stray: number | undefined
 }
 
@@ -29,7 +29,7 @@
   take: (ask: Ask) => Promise<Reply>
   open: () => number
   // Open transactions of a group, or of all. Reading ones count too: they get their time like any other.
-  transactions: (group?: string) => number
+  transactions: (group?: string, lane?: string, kind?: 'read' | 'write') => number
   // Ends the open transactions that no call is busy with.
   cut: (why: string) => void
 }
@@ -158,11 +158,14 @@
     const lane = state.rules()?.lanes.get(tx.lane)
     if (!lane) return `the lane ${tx.lane} was dropped`
     if (lane.group !== tx.group || lane.database !== tx.database) return `the lane ${tx.lane} was moved`
+    if (lane.move && (lane.move !== 'ease' || tx.kind === 'read')) return `the lane ${tx.lane} is being moved`
     if (tx.fresh && !freshOf(lane)) return `reads of the lane ${tx.lane} go to the leader now`
     return undefined
   }
   // Why nothing more may go out on this transaction, if so.
   function lapsed(tx: Transaction): string | undefined {
+    // A move's fence went by meanwhile: nothing of this transaction may count any more.
+    if (!state.counts(tx.lane, tx.group, tx.begun)) return `the lane ${tx.lane} was moved`
     const stray = strays(tx)
     tx.stray = stray === undefined ? undefined : (tx.stray ?? state.rules()?.since ?? world.now())
     if (tx.stray !== undefined && world.now() - tx.stray > DRAIN) return `${stray}; open transactions had their time`
@@ -191,9 +194,9 @@
     const need = fresh ? runner.needNow(tx.group, fresh, s.token) : 0
     if (need === undefined) return over(s, tx, 'UNAVAILABLE', 'the follower can no longer be proved fresh')
     tx.ran = true
-    if (tx.kind === 'write') runner.holdWrite(tx.group, 1)
+    if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, 1)
     const got = await tx.loan.port.statement({ text, args: word.body.args ?? [], mode: word.body.kind }, Math.min(ms, SEND_LIMIT))
-    if (tx.kind === 'write') runner.holdWrite(tx.group, -1)
+    if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, -1)
     tx.last = world.now()
     if (s.transaction !== tx) return { outcome: 'failed', class: 'ABORTED', kept: 'unknown', again: true, why: 'the transaction was ended meanwhile', transaction: 'over' }
     if (got.err) return troubled(s, tx, got.val)
@@ -206,9 +209,9 @@
   async function commit(s: Session, tx: Transaction, ms: number): Promise<Verdict> {
     const why = lapsed(tx)
     if (why) return over(s, tx, 'UNAVAILABLE', why)
-    if (tx.kind === 'write') runner.holdWrite(tx.group, 1)
+    if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, 1)
     const got = await tx.loan.port.commit(Math.min(ms, SEND_LIMIT))
-    if (tx.kind === 'write') runner.holdWrite(tx.group, -1)
+    if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, -1)
     if (s.transaction === tx) s.transaction = undefined
     tx.loan.end(got.ok || got.val.reach === 'answered')
     runner.quiet.ring()
@@ -219,7 +222,7 @@
       return lost(s, got.val.why)
     }
     if (tx.kind === 'write') {
-      if (!runner.stands(tx.group, tx.epoch) || got.val.mark.epoch !== tx.epoch) return lost(s, 'the answer came after the leader had been replaced or the term had ended')
+      if (!runner.stands(tx.group, tx.epoch) || got.val.mark.epoch !== tx.epoch || !state.counts(tx.lane, tx.group, tx.begun)) return lost(s, 'the answer came after the leader had been replaced, the lane moved, or the term had ended')
       runner.sawWrite(tx.group, got.val.mark)
       s.token = { group: tx.group, mark: got.val.mark }
     }
@@ -267,7 +270,7 @@
           got.loan?.end(false)
           return refusal('ABORTED', 'the session was closed', false)
         }
-        s.transaction = { loan: got.loan!, kind, lane: call.lane.name, database: call.lane.database, stray: undefined, group: call.lane.group, epoch: got.epoch!, lead, ran: false, last: world.now(), fresh: lead ? undefined : freshOf(call.lane) }
+        s.transaction = { loan: got.loan!, kind, lane: call.lane.name, database: call.lane.database, stray: undefined, group: call.lane.group, epoch: got.epoch!, lead, ran: false, begun: call.asked, last: world.now(), fresh: lead ? undefined : freshOf(call.lane) }
       } else if (kind === 'write') s.token = { group: call.lane.group, mark: got.mark }
       else if (lead && (s.mustLead || isForeign(s.token, call.lane.group))) {
         // What the leader answered stands for all that this session may be owed.
@@ -323,9 +326,9 @@
   function openNow(): number {
     return all.size
   }
-  function transactions(group?: string): number {
+  function transactions(group?: string, lane?: string, kind?: 'read' | 'write'): number {
     let out = 0
-    for (const s of all.values()) if (s.transaction && (group === undefined || s.transaction.group === group)) out++
+    for (const s of all.values()) if (s.transaction && (group === undefined || s.transaction.group === group) && (lane === undefined || s.transaction.lane === lane) && (kind === undefined || s.transaction.kind === kind)) out++
     return out
   }
   function cut(why: string): void {
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -20,6 +20,8 @@
   // Whether this node holds a share of the instances' connections.
   share: () => boolean
   group: (name: string) => Known | undefined
+  // Whether a write of the lane that went to the group at that time may be told done, if a move was on its way.
+  counts: (lane: string, group: string, sent: number) => boolean
   // Whether a group of that name is configured, or ever had a leader here.
   knows: (name: string) => boolean
   sights: () => Map<string, Sight>
@@ -38,6 +40,11 @@
   const cells = new Map<string, Cell>()
   const bell = makeBell()
   let rules: Rules | undefined
+  let made = ''
+  // shut: when each lane was last seen in a phase of a move in which its writes don't count. unbroken: since when this
+  // node has worked under the configuration without a break.
+  const shut = new Map<string, number>()
+  let unbroken = 0
   let sights = new Map<string, Sight>()
   let leaving = new Set<string>()
   let moving = new Map<string, number>()
@@ -55,18 +62,23 @@
       const old = cells.get(c.key)
       if (old && c.turn < old.turn) continue
       if (old && c.turn === old.turn) {
+        if (c.key === CONFIG_KEY && old.until <= world.now()) unbroken = world.now()
         old.until = Math.max(old.until, c.until)
         continue
       }
       // A newer turn whose body did not come along can't be applied; the agent sends it once more on a new link.
       if (c.body === undefined) continue
       // A time up to which nothing newer than the old turn was known to a majority holds for a newer turn as well.
+      if (c.key === CONFIG_KEY && (!old || old.until <= world.now())) unbroken = world.now()
       cells.set(c.key, { turn: c.turn, until: Math.max(old?.until ?? 0, c.until), body: c.body, since: world.now() })
       if (c.key === CONFIG_KEY) {
         const body = c.body as Body
         const mine = configFor(body, area)
         // A turn that only kept a decision leaves the rules as they are.
-        if (rules?.epoch !== mine.epoch) rules = mine.config ? compile(mine.config, mine.epoch, world.now()) : undefined
+        const next = `${mine.epoch} ${JSON.stringify(mine.moves)}`
+        if (next !== made) rules = mine.config ? compile(mine.config, mine.epoch, mine.moves, world.now()) : undefined
+        made = next
+        for (const m of mine.moves) if (m.phase === 'quiet' || m.phase === 'held') for (const lane of m.lanes) shut.set(lane, world.now())
         world.log.info('configuration-applied', { epoch: mine.epoch, turn: c.turn })
       } else if (groupOf(c.key) !== undefined) {
         const rec = c.body as GroupRecord
@@ -113,6 +125,11 @@
     for (const g of config()?.groups ?? []) if (g.name === name) return true
     return false
   }
+  // A node that a move's holder waited out by its term has a break; one that acknowledged saw the lane shut.
+  function counts(lane: string, group: string, sent: number): boolean {
+    if ((shut.get(lane) ?? -1) >= sent) return false
+    return rules?.lanes.get(lane)?.group === group || unbroken <= sent
+  }
   function rulesNow(): Rules | undefined {
     return rules
   }
@@ -147,5 +164,5 @@
     for (const [key, c] of cells) out.set(key, c.turn)
     return out
   }
-  return { take, halt, rules: rulesNow, config, valid, share, group, knows, sights: sightsNow, gone, goneFor, moving: movingNow, others, node: nodeNow, area: areaNow, turns, bell }
+  return { take, halt, rules: rulesNow, config, valid, share, group, counts, knows, sights: sightsNow, gone, goneFor, moving: movingNow, others, node: nodeNow, area: areaNow, turns, bell }
 }
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -29,5 +29,9 @@
   { name: 'transaction-ages', rule: 'a read in a long transaction misses a commit it was owed', scenario: 'deaf-follower', seeds: [1, 8], edits: [['proxy/dist/sessions.js', 'if (tx.fresh && !isFresh(got.val.mark, tx.epoch, need))', 'if (false)']] },
   { name: 'old-rules', rule: 'a call goes on by a rule that was replaced', scenario: 'lanes-changed', seeds: [1, 4], edits: [['proxy/dist/interpret.js', 'return state.rules() !== call.rules;', 'return false;']] },
   { name: 'strays-stay', rule: 'an open transaction goes on in a lane that was moved', scenario: 'lanes-changed', seeds: [1, 8], edits: [['proxy/dist/sessions.js', 'if (tx.stray !== undefined && world.now() - tx.stray > DRAIN)', 'if (false)']] },
+  { name: 'move-no-wait', rule: 'a write on both sides of a move', scenario: 'move-harmed', seeds: [1, 40], edits: [['duty/dist/move.js', 'return haveStopped(world, view, CONFIG_KEY, m.turn, from);', 'return Promise.resolve(true);']] },
+  { name: 'move-unchecked', rule: 'a move to a target that lacks acknowledged writes', scenario: 'move-harmed', seeds: [1, 40], edits: [['duty/dist/move.js', 'if (mark && (head.source?.group', 'if (false && (head.source?.group']] },
+  { name: 'home-at-once', rule: 'a leader is brought home without a pause', scenario: 'homecoming', seeds: [1, 2], edits: [['duty/dist/duty.js', 'world.now() - m.homeSince > HOME_PAUSE', 'world.now() >= m.homeSince']] },
+  { name: 'claim-fight', rule: 'a duty changes hands as fast as rounds go', scenario: 'move-harmed', seeds: [14, 14], edits: [['duty/dist/duty.js', 'if (world.now() - seen.at < DUTY_BEAT)', 'if (false)']] },
   { name: 'caps', rule: 'more connections than the instance takes', scenario: 'crowd', seeds: [1, 3], edits: [['proxy/dist/pool.js', 'if (count(p) < limit) {', 'if (count(p) < limit * 3) {']] },
 ]
