--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -25,8 +25,10 @@
 export const DECISIONS_KEPT = 256
 // count. Operator streams kept; the one unused for longest is dropped first.
 export const STREAMS_KEPT = 32
-// count. Accepted configurations kept for reading back.
-export const HISTORY_KEPT = 32
+// count. Accepted changes kept for reading back, by epoch, stream and number: more than a day brings, and about 100 KiB.
+export const HISTORY_KEPT = 2048
+// count. The latest of them that are kept with their whole configuration.
+export const CONFIGS_KEPT = 8
 // bytes. A data file is rewritten when longer than this and than REWRITE_RATIO times what lives in it.
 export const REWRITE_FLOOR = 1024 * 1024
 // ratio. See REWRITE_FLOOR; 4 keeps the mean cost of rewriting under a third of appending.
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -1,4 +1,5 @@
 import { leaderIndex, pick, recordOf, wait, type Outcome, type Scenario } from './harm.js'
+import { days } from './days.js'
 import { lanes } from './lanes.js'
 import { makeSimFleet, smallShape, type Shape, type SimFleet } from './simfleet.js'
 import { RETRY_TOKENS } from '@claynotch/base'
@@ -751,6 +752,7 @@
   { name: 'retrying-crowd', rule: 'service back though requesters retry', shape: retrying, harm: leaderCrash },
   { name: 'sick-leader', rule: 'retries summed over nodes are capped; service comes back', shape: retrying, harm: sickLeader },
   ...lanes,
+  ...days,
   { name: 'mixed', rule: 'all of them', harm: mixed },
 ]
 
--- a/packages/fleet/src/test/parts.test.ts
+++ b/packages/fleet/src/test/parts.test.ts
@@ -138,7 +138,7 @@
   }
   c.ok(epoch > 100)
   c.equal(body.history[body.history.length - 1].epoch, epoch)
-  c.ok(body.history.length <= 32, 'history is bounded')
+  c.equal(body.history.filter(hasConfig).length, Math.min(8, epoch), 'the latest configurations are kept whole')
   const old = decide(body, 's0', { number: 1, expect: epoch, whole: good })
   c.ok('known' in old, 'a number of long ago is known or passed, never taken anew')
 }
@@ -206,6 +206,9 @@
   for (const n of counts.values()) c.ok(n > 50 && n < 170, `${n} of 900 keys at one of nine nodes`)
 }
 
+function hasConfig(h: { config?: unknown }): boolean {
+  return h.config !== undefined
+}
 void t.test('freshness: the proof against the whole history', freshness)
 void t.test('data file: torn ends are cut, damage is seen', dataFile)
 void t.test('configuration: all findings at once, with their places', configuration)
--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -161,9 +161,10 @@
 // Body of the register 'configuration'.
 // Invariants: epoch grows by one with each accepted change and with nothing else (a move's end is one of the system's own);
 // for each stream the decisions kept are those with the highest numbers, in order;
-// history's last entry is the configuration of the present epoch.
+// history's last entry is the configuration of the present epoch; older ones tell who made which epoch, the latest few
+// with their configuration; neither other streams nor refused changes push an accepted one out.
 // stage: set while only some areas work by config; the others work by prior, that of epoch priorEpoch.
-export type Body = { epoch: number; config: Config | null; stage?: { areas: string[]; prior: Config; priorEpoch: number }; moves?: Move[]; streams: { name: string; used: number; decisions: Decision[] }[]; history: { epoch: number; stream: string; number: number; config: Config }[] }
+export type Body = { epoch: number; config: Config | null; stage?: { areas: string[]; prior: Config; priorEpoch: number }; moves?: Move[]; streams: { name: string; used: number; decisions: Decision[] }[]; history: { epoch: number; stream: string; number: number; config?: Config }[] }
 
 // The configuration that an area works by, its epoch, and the moves under way (never beside a stage).
 export function configFor(body: Body, area: string): { config: Config | null; epoch: number; moves: Move[] } {
--- a/packages/operator/src/decide.ts
+++ b/packages/operator/src/decide.ts
@@ -1,4 +1,4 @@
-import { DECISIONS_KEPT, HISTORY_KEPT, STREAMS_KEPT, type Finding } from '@claynotch/base'
+import { CONFIGS_KEPT, DECISIONS_KEPT, HISTORY_KEPT, STREAMS_KEPT, type Finding } from '@claynotch/base'
 import { applyEdits, readConfig, type Body, type Change, type Config, type Decision, type Move } from './config.js'
 import { beyondTeam } from './credentials.js'
 import { checkMoves, editMoves, SYSTEM } from './moves.js'
@@ -9,8 +9,25 @@
 
 export function findDecision(body: Body, stream: string, number: number): Decision | undefined {
   for (const s of body.streams) if (s.name === stream) for (const d of s.decisions) if (d.number === number) return d
+  for (const h of body.history) if (h.stream === stream && h.number === number) return accepted(h)
   return undefined
 }
+function accepted(h: Body['history'][number]): Decision {
+  return { stream: h.stream, number: h.number, decision: 'accepted', epoch: h.epoch, why: '', findings: [] }
+}
+
+// Every decision there is to read back, by stream and number.
+export function allDecisions(body: Body, stream?: string): Decision[] {
+  const byKey = new Map<string, Decision>()
+  for (const h of body.history) byKey.set(`${h.stream} ${h.number}`, accepted(h))
+  for (const s of body.streams) for (const d of s.decisions) byKey.set(`${d.stream} ${d.number}`, d)
+  const out: Decision[] = []
+  for (const d of byKey.values()) if (stream === undefined || d.stream === stream) out.push(d)
+  return out.sort(byPlace)
+}
+function byPlace(a: Decision, b: Decision): number {
+  return a.stream !== b.stream ? (a.stream < b.stream ? -1 : 1) : a.number - b.number
+}
 
 function refused(stream: string, number: number, epoch: number, why: string, findings: Finding[] = []): Decision {
   return { stream, number, decision: 'refused', epoch, why, findings }
@@ -103,7 +120,11 @@
   streams.sort(byUse)
   while (streams.length > STREAMS_KEPT) streams.shift()
   if (!config) return { ...body, streams }
-  const history = [...body.history, { epoch, stream, number, config }].slice(-HISTORY_KEPT)
+  const history: Body['history'] = []
+  const least = body.history.length + 1 - CONFIGS_KEPT
+  for (const [k, h] of body.history.entries()) history.push(k >= least ? h : { epoch: h.epoch, stream: h.stream, number: h.number })
+  history.push({ epoch, stream, number, config })
+  while (history.length > HISTORY_KEPT) history.shift()
   return { ...body, epoch, config, streams, history }
 }
 function byUse(a: { used: number }, b: { used: number }): number {
--- a/packages/operator/src/edge.ts
+++ b/packages/operator/src/edge.ts
@@ -3,7 +3,7 @@
 import type { Proposer, Value } from '@claynotch/register'
 import { Change, CONFIG_KEY, emptyBody, type Body, type Decision, type Edit } from './config.js'
 import { identify, stopCaller, type Credential } from './credentials.js'
-import { decide, findDecision } from './decide.js'
+import { allDecisions, decide, findDecision } from './decide.js'
 
 // The operator's edge: numbered changes in, decisions out, and what there is to read.
 // 'unclear' is said where no majority settled the change in time: the same number may be sent again.
@@ -132,10 +132,8 @@
         if (ask.query.has('follow')) return await follow(ask, parts[1])
         const now = await body()
         if (!now) return noMajority()
-        const out: Decision[] = []
-        for (const s of now.streams) if (parts[1] === undefined || parts[1] === s.name) out.push(...s.decisions)
         let text = ''
-        for (const d of out) text += `${JSON.stringify(d)}\n`
+        for (const d of allDecisions(now, parts[1])) text += `${JSON.stringify(d)}\n`
         return { status: 200, body: text, type: 'application/x-ndjson' }
       }
       case 'moves': {
