--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -7,6 +7,7 @@
 import { runLocal } from './local.js'
 import { profileOf } from './profile.js'
 import { runScenario, scenarios } from './scenarios.js'
+import { runWhole } from './whole.js'
 
 process.env.UV_USE_IO_URING = '0'
 
@@ -83,6 +84,16 @@
   process.exit(bad === 0 ? 0 : 1)
 }
 
+// A deployment at its full shape, in the simulator.
+async function whole({ args }: { args: { profile: string; seed: string } }): Promise<void> {
+  const profile = profileOf(args.profile)
+  if (!profile || !Number.isInteger(Number(args.seed))) {
+    process.stderr.write('--profile: expected kamini or peach-state; --seed: expected a whole number\n')
+    process.exit(2)
+  }
+  process.exit((await runWhole(profile, Number(args.seed), out)) === 0 ? 0 : 1)
+}
+
 // Detection time against false alarms, from the simulator; docs/design/detection.md has the table.
 async function detection({ args }: { args: { seeds: string } }): Promise<void> {
   await measureDetection(Number(args.seeds), out)
@@ -106,6 +117,11 @@
       args: { from: { type: 'string', default: '1', description: 'first seed' }, to: { type: 'string', default: '20', description: 'last seed' }, only: { type: 'string', description: 'one scenario' }, trace: { type: 'string', description: 'file for the log of the last run' } },
       run: sweep,
     }),
+    whole: defineCommand({
+      meta: { name: 'whole', description: 'Run a deployment at its full shape in the simulator: a day in small' },
+      args: { profile: { type: 'string', default: 'kamini', description: 'kamini or peach-state' }, seed: { type: 'string', default: '1', description: 'seed' } },
+      run: whole,
+    }),
     detection: defineCommand({ meta: { name: 'detection', description: 'Measure failure detection' }, args: { seeds: { type: 'string', default: '4', description: 'seeds for each cell' } }, run: detection }),
     instance: defineCommand({ meta: { name: 'instance', description: 'A stand-in instance' }, args: { settings }, run: instance }),
     platform: defineCommand({ meta: { name: 'platform', description: 'A stand-in platform' }, args: { settings }, run: platform }),
