End a follower's reading transaction with the drain again, as leaders' are

Ruled out: the holder's wait (unchanged) and the idle limit (10 s, later still). The new test fails without the change. Conclusion: one rule for both kinds, in lapsed() itself.

--- a/packages/fleet/src/test/lanes.test.ts
+++ b/packages/fleet/src/test/lanes.test.ts
@@ -143,6 +143,26 @@
   await beside(f, run)
 }
 
+// A reading transaction that is left open on a follower is ended once it had its time, and holds no replacement up for longer.
+async function leftOpen(c: Test): Promise<void> {
+  const f = twoGroups(false)
+  c.ok(await f.begin())
+  async function run(world: World): Promise<void> {
+    await pause(world, 1500)
+    const at = f.fronts[0].listen
+    const opened = (await callOnce(world, at, 'POST', '/sessions', { lane: 'cal-g1' }, 5000)).unwrap().body as { session: string }
+    const begun = (await callOnce(world, at, 'POST', `/sessions/${opened.session}/begin`, { kind: 'read' }, 5000)).unwrap()
+    c.equal(begun.status, 200)
+    const from = world.now()
+    c.equal((await callOnce(world, f.fronts[0].http, 'POST', '/groups/g1/replacement', {}, 5000)).unwrap().status, 202)
+    while (f.promotions.length === 0 && world.now() - from < 12000) await pause(world, 50)
+    const spent = world.now() - from
+    c.ok(spent > 2900 && spent < 4500, `replaced after ${Math.round(spent)} ms`)
+  }
+  await beside(f, run)
+}
+
+void t.test('a transaction left open on a follower delays a replacement by its time alone', leftOpen)
 void t.test('moves and stages that cannot be done are refused whole, with their places', refusals)
 void t.test("a move by the operator's word, and one that nobody confirms", byWord)
 void t.test('tokens speak of their own group alone', tokens)
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -175,7 +175,7 @@
     if (!known || world.now() >= known.until) return 'this node lost its term'
     if (tx.lead && !runner.stands(tx.group, tx.epoch)) return 'the leader is being replaced'
     if (known.record.epoch !== tx.epoch) return 'the leader was replaced'
-    if (known.record.phase === 'drain' && tx.lead && world.now() - known.since > DRAIN) return 'the leader is being replaced; open transactions had their time'
+    if (known.record.phase === 'drain' && world.now() - known.since > DRAIN) return 'the leader is being replaced; open transactions had their time'
     if (!tx.loan.port.alive()) return 'the connection to the instance broke'
     return undefined
   }
