--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -4,7 +4,7 @@
 } from '@claynotch/base'
 import { startDuty, startMover } from '@claynotch/duty'
 import { askStatus, takeAnnouncement, type Announcement } from '@claynotch/instance'
-import { CONFIG_KEY, makeOperatorEdge, type Body, type Credential, type Edit } from '@claynotch/operator'
+import { CONFIG_KEY, makeOperatorEdge, meantBy, type Body, type Credential, type Edit } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
 import { takeProbe } from '@claynotch/platform'
 import {
@@ -519,7 +519,7 @@
       if (e.proof === 'confirmed') continue
       const got = await askStatus(world, rec.addr)
       const from = new Set<string>()
-      for (const lane of config()?.config?.lanes ?? []) if (e.lanes ? e.lanes.includes(lane.name) : lane.group === e.group) from.add(lane.group)
+      for (const lane of meantBy(e, config()?.config)) from.add(lane.group)
       if (got.err) out.push({ place: `/edits/${k}/to`, what: `the leader of ${e.to} can't be asked: ${got.val}` })
       else for (const g of from) if (g !== e.to && got.val.source?.group !== g) out.push({ place: `/edits/${k}/to`, what: `the leader of ${e.to} doesn't report that it holds anything of ${g} (STATUS rows source, source_epoch, source_position); else give proof "confirmed"` })
     }
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -101,6 +101,11 @@
   return false
 }
 
+export function addrIn(view: Pick<DutyView, 'sights'>, group: string, name: string, recorded: string): string {
+  for (const s of view.sights()) if (s.name === name && s.group === group) return s.addr
+  return recorded
+}
+
 function tendGroup(world: World, view: DutyView, group: string, stop: Flag, bell: Bell): void {
   const key = groupKey(group)
   let mem: Memory | undefined
@@ -131,8 +136,7 @@
   // brief: one that is suspected, and is not waited for as long as the others.
   // Where an instance says that it is goes before where the record says it was.
   function addrOf(name: string, recorded: string): string {
-    for (const s of view.sights()) if (s.name === name && s.group === group) return s.addr
-    return recorded
+    return addrIn(view, group, name, recorded)
   }
   async function look(sights: { name: string; addr: string }[], brief?: string): Promise<Seen[]> {
     async function one(s: { name: string; addr: string }): Promise<Seen | undefined> {
--- a/packages/fleet/src/harm.ts
+++ b/packages/fleet/src/harm.ts
@@ -23,12 +23,15 @@
   return Math.max(0, indexOf(f, f.leaderOf(group)))
 }
 
-// The newest record that any agent holds.
-export function recordOf(f: SimFleet, group = 'g1'): GroupRecord | undefined {
+// The newest value of a register that any agent holds.
+export function newestOf(f: SimFleet, key: string): unknown {
   let best: { turn: number; body: unknown } | undefined
   for (const x of f.fronts) {
-    const cell = x.agentProc.state === 'up' ? x.agent?.cell(`group/${group}`) : undefined
+    const cell = x.agentProc.state === 'up' ? x.agent?.cell(key) : undefined
     if (cell && (!best || cell.turn > best.turn)) best = cell
   }
-  return best?.body as GroupRecord | undefined
+  return best?.body
+}
+export function recordOf(f: SimFleet, group = 'g1'): GroupRecord | undefined {
+  return newestOf(f, `group/${group}`) as GroupRecord | undefined
 }
--- a/packages/fleet/src/lanes.ts
+++ b/packages/fleet/src/lanes.ts
@@ -1,6 +1,6 @@
 import { holderOf } from '@claynotch/duty'
 import type { Body, Config, Move } from '@claynotch/operator'
-import { leaderIndex, pick, wait, type Scenario } from './harm.js'
+import { leaderIndex, newestOf, pick, wait, type Scenario } from './harm.js'
 import { lawOf, smallShape, type Decided, type Shape, type SimFleet } from './simfleet.js'
 
 // Scenarios of lanes: what a configuration does to calls, sessions and transactions that exist already, and moves
@@ -82,12 +82,7 @@
 }
 // The configuration's register as the agent that has most of it knows it.
 function bodyNow(f: SimFleet): Body | undefined {
-  let best: { turn: number; body: unknown } | undefined
-  for (const x of f.fronts) {
-    const cell = x.agentProc.state === 'up' ? x.agent?.cell('configuration') : undefined
-    if (cell && (!best || cell.turn > best.turn)) best = cell
-  }
-  return best?.body as Body | undefined
+  return newestOf(f, 'configuration') as Body | undefined
 }
 // Sends one change of edits; what was told.
 async function send(f: SimFleet, stream: string, edits: unknown[]): Promise<Decided> {
--- a/packages/operator/src/moves.ts
+++ b/packages/operator/src/moves.ts
@@ -13,6 +13,13 @@
   return undefined
 }
 
+// The lanes that an edit means to move, as far as they are there.
+export function meantBy(e: Extract<Edit, { op: 'move' }>, config: Config | null | undefined): Config['lanes'] {
+  const out: Config['lanes'] = []
+  for (const lane of config?.lanes ?? []) if (e.lanes ? e.lanes.includes(lane.name) : lane.group === e.group) out.push(lane)
+  return out
+}
+
 // Moves after a change's edits; config is what the change's other edits make of it.
 export function editMoves(body: Body, config: Config, edits: Edit[], staged: boolean): Result<Move[], Finding[]> {
   const out: Finding[] = []
@@ -20,7 +27,7 @@
   for (const [k, e] of edits.entries()) {
     if (e.op === 'move') {
       const lanes: string[] = []
-      for (const lane of config.lanes) if (e.lanes ? e.lanes.includes(lane.name) : lane.group === e.group) lanes.push(lane.name)
+      for (const lane of meantBy(e, config)) lanes.push(lane.name)
       const bad: Finding[] = []
       if ((e.lanes === undefined) === (e.group === undefined)) bad.push({ place: `/edits/${k}`, what: 'exactly one of lanes and group is needed' })
       if (staged) bad.push({ place: `/edits/${k}`, what: 'a stage is open, and a move is for all areas' })
