Give each peer's edge a seam: the instance first; the host package hands its old name to the adapter

Cause: the users' platform speaks otherwise, and the adapter's folder needs the name that packages/platform had.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,5 +19,5 @@
 
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**'] },
-  { files: ['packages/**/*.ts'], languageOptions: { parser, sourceType: 'module' }, linterOptions: { reportUnusedDisableDirectives: 'error' }, rules },
+  { files: ['packages/**/*.ts', 'platform/**/*.ts'], languageOptions: { parser, sourceType: 'module' }, linterOptions: { reportUnusedDisableDirectives: 'error' }, rules },
 ]
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -6,7 +6,7 @@
 import { askStatus, takeAnnouncement, type Announcement } from '@claynotch/instance'
 import { CONFIG_KEY, makeOperatorEdge, meantBy, type Body, type Credential, type Edit } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
-import { takeProbe } from '@claynotch/platform'
+import { takeProbe } from '@claynotch/host'
 import {
   compareBallots, gather, groupKey, laterSight, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
   type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type Sight, type Slots, type Value, type Voter,
--- a/packages/claynotch/src/daemons.ts
+++ b/packages/claynotch/src/daemons.ts
@@ -1,7 +1,7 @@
 import type * as t from 'io-ts'
 import { makeBell, makeFlag, makeLog, readSettings, realWorld, serve, showFindings, watchSettings, type Ask, type Finding, type Flags, type Reply, type World } from '@claynotch/base'
 import { startAgent } from '@claynotch/agent'
-import { takeProbe } from '@claynotch/platform'
+import { takeProbe } from '@claynotch/host'
 import { startProxy } from '@claynotch/proxy'
 import { startCore } from '@claynotch/register'
 import { AgentShape, checkAgent, checkCore, CoreShape, ProxyShape } from './settings.js'
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -1,7 +1,7 @@
 import { CANDIDATE_LIFE, CATCH_UP, DRAIN, DUTY_BEAT, HINT_GOOD, HOME_PAUSE, LOSS_WAIT, loop, makeBell, makeFlag, PROBE_LIMIT, SUSPECT_LIMIT, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World } from '@claynotch/base'
 import { askStatus, type Mark, type Status } from '@claynotch/instance'
 import type { Body } from '@claynotch/operator'
-import { promote } from '@claynotch/platform'
+import { promote } from '@claynotch/host'
 import { groupKey, type GroupRecord, type Member, type Proposer, type Sight, type Value } from '@claynotch/register'
 
 export type DutyView = {
--- a/packages/instance/src/edge.ts
+++ b/packages/instance/src/edge.ts
@@ -1,21 +1,9 @@
 import * as t from 'io-ts'
-import { openLine, readAs, SAMPLE_LIMIT, callOnce, type Addr, type Answer, type Fail, type Line, type World, Ok, Err, type Result } from '@claynotch/base'
+import { openLine, POOL_IDLE, readAs, SAMPLE_LIMIT, callOnce, type Addr, type Answer, type Fail, type World, Ok, Err, type Result } from '@claynotch/base'
+import type { Class, Done, InstanceEdge, Port, Sampler, Status, Trouble, Who } from './seam.js'
 
 // The instance's wire (docs/wire.md) and how its words are classified. Wire names stay in this file.
 
-export type Class = 'UNAVAILABLE' | 'RESOURCE_EXHAUSTED' | 'INVALID_ARGUMENT' | 'PERMISSION_DENIED' | 'NOT_FOUND' | 'DEADLINE_EXCEEDED' | 'ABORTED' | 'UNKNOWN' | 'INTERNAL'
-
-// What became of one send that failed.
-// reach: none, nothing was handed over; maybe, it may have reached and run; answered, the instance says that it did not run.
-export type Trouble = { reach: 'none' | 'maybe' | 'answered'; class: Class; transient: boolean; why: string; code?: string }
-
-// A place in a group's history. Positions of different epochs are never compared as of one line.
-export type Mark = { epoch: number; position: number }
-
-export type Done = { rows: unknown[]; mark: Mark }
-// source: of another group's history, the place up to which this instance says that it holds everything.
-export type Status = { role: 'leader' | 'follower'; mark: Mark; name: string; group: string; source?: { group: string; mark: Mark } }
-
 type Judged = { class: Class; transient: boolean }
 const codes = new Map<string, Judged>([
   ['READONLY', { class: 'UNAVAILABLE', transient: true }],
@@ -52,29 +40,16 @@
   return Err({ reach: judged.class === 'INTERNAL' ? 'maybe' : 'answered', ...judged, why: got.val.message ?? got.val.code, code: got.val.code })
 }
 
-export type Port = {
-  // Names of shapes and the settings now in force on this connection, as its pool set them.
-  statement: (body: { text?: string; shape?: string; args: unknown[]; mode: 'read' | 'write' }, ms: number) => Promise<Result<Done, Trouble>>
-  begin: (mode: 'read' | 'write', ms: number) => Promise<Result<Done, Trouble>>
-  commit: (ms: number) => Promise<Result<Done, Trouble>>
-  rollback: (ms: number) => Promise<Result<Done, Trouble>>
-  settings: (pairs: [string, string][], ms: number) => Promise<Result<Done, Trouble>>
-  shape: (name: string, text: string, ms: number) => Promise<Result<Done, Trouble>>
-  reset: (ms: number) => Promise<Result<Done, Trouble>>
-  alive: () => boolean
-  close: () => void
-  line: Line
-}
-
-export async function openPort(world: World, addr: Addr, ms: number): Promise<Result<Port, Trouble>> {
+async function openPort(world: World, { addr }: Who, ms: number): Promise<Result<Port, Trouble>> {
   const opened = await openLine(world, addr, ms)
   if (opened.err) return Err({ reach: 'none', class: 'UNAVAILABLE', transient: true, why: opened.val.why })
   const line = opened.val
   async function post(path: string, body: unknown, limit: number): Promise<Result<Done, Trouble>> {
     return read(await line.ask('POST', path, body, limit))
   }
-  function statement(body: unknown, limit: number) {
-    return post('/statement', body, limit)
+  function statement(body: { text?: string; shape?: string; args: unknown[]; mode: string }, limit: number) {
+    const { text, shape, args, mode } = body
+    return post('/statement', { ...(text !== undefined ? { text } : { shape }), args, mode }, limit)
   }
   function begin(mode: string, limit: number) {
     return post('/begin', { mode }, limit)
@@ -96,7 +71,7 @@
   function reset(limit: number) {
     return post('/reset', {}, limit)
   }
-  return Ok({ statement, begin, commit, rollback, settings, shape, reset, alive: line.alive, close: line.close, line })
+  return Ok({ statement, begin, commit, rollback, settings, shape, reset, alive: line.alive, close: line.close })
 }
 
 function readStatus(answer: Result<Answer, Fail>): Result<Status, string> {
@@ -118,6 +93,18 @@
   return readStatus(await callOnce(world, addr, 'GET', '/status', undefined, ms))
 }
 
-export async function statusOn(line: Line): Promise<Result<Status, string>> {
-  return readStatus(await line.ask('GET', '/status', undefined, SAMPLE_LIMIT))
+async function openSampler(world: World, { addr }: Who, ms: number): Promise<Result<Sampler, string>> {
+  const got = await openLine(world, addr, ms)
+  if (got.err) return Err(got.val.why)
+  const line = got.val
+  async function status(): Promise<Result<Status, string>> {
+    return readStatus(await line.ask('GET', '/status', undefined, SAMPLE_LIMIT))
+  }
+  return Ok({ status, alive: line.alive, close: line.close })
 }
+async function statusOf(world: World, who: Who, ms: number): Promise<Result<Status, string>> {
+  return await askStatus(world, who.addr, ms)
+}
+
+// Our own wire. A follower's place is known by samples only; a promotion is refused for an epoch that was passed.
+export const httpInstance: InstanceEdge = { sampler: openSampler, idle: POOL_IDLE, open: openPort, status: statusOf }
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,2 +1,3 @@
+export * from './seam.js'
 export * from './edge.js'
 export * from './announcement.js'
--- /dev/null
+++ b/packages/instance/src/seam.ts
@@ -0,0 +1,54 @@
+import type { Addr, World, Result } from '@claynotch/base'
+
+// What the product needs of an instance, whatever wire it speaks. edge.ts fills it with our own HTTP.
+
+export type Class = 'UNAVAILABLE' | 'RESOURCE_EXHAUSTED' | 'INVALID_ARGUMENT' | 'PERMISSION_DENIED' | 'NOT_FOUND' | 'DEADLINE_EXCEEDED' | 'ABORTED' | 'UNKNOWN' | 'INTERNAL'
+
+// What became of one send that failed.
+// reach: none, nothing was handed over; maybe, it may have reached and run; answered, the instance says that it did not run.
+// lags: the instance says that its history lacks the place asked for.
+// lead: the instance says that it does not lead.
+export type Trouble = { reach: 'none' | 'maybe' | 'answered'; class: Class; transient: boolean; why: string; code?: string; lags?: boolean; lead?: boolean }
+
+// A place in a group's history. Positions of different epochs are never compared as of one line.
+export type Mark = { epoch: number; position: number }
+
+// stamp: the instance's own proof of this answer, handed on to the requester as it is. mark: undefined where the
+// answer told none.
+export type Done = { rows: unknown[]; mark: Mark; stamp?: string }
+// source: of another group's history, the place up to which this instance says that it holds everything.
+export type Status = { role: 'leader' | 'follower'; mark: Mark; name: string; group: string; source?: { group: string; mark: Mark }; epoch?: number }
+
+// id: the requester's own mark of the statement, handed on unchanged where the wire carries one.
+// after: a place that the instance must hold, or refuse (lags); only where the edge proves.
+export type Sent = { id?: string; after?: Mark }
+
+export type Port = {
+  // shape: the name of a shape put in force on this connection before.
+  statement: (body: { text?: string; shape?: string; args: unknown[]; mode: 'read' | 'write' } & Sent, ms: number) => Promise<Result<Done, Trouble>>
+  begin: (mode: 'read' | 'write', ms: number, sent?: Sent) => Promise<Result<Done, Trouble>>
+  commit: (ms: number, sent?: Sent) => Promise<Result<Done, Trouble>>
+  rollback: (ms: number, sent?: Sent) => Promise<Result<Done, Trouble>>
+  settings: (pairs: [string, string][], ms: number) => Promise<Result<Done, Trouble>>
+  shape: (name: string, text: string, ms: number) => Promise<Result<Done, Trouble>>
+  reset: (ms: number) => Promise<Result<Done, Trouble>>
+  alive: () => boolean
+  close: () => void
+}
+
+export type Who = { name: string; group: string; addr: Addr }
+
+// A held line on which an instance is asked for its status again and again.
+export type Sampler = { status: () => Promise<Result<Status, string>>; alive: () => boolean; close: () => void }
+
+export type InstanceEdge = {
+  // Set where a follower's place is known by samples only. Without it a follower itself refuses (lags) a read whose
+  // place (after) it lacks, and nobody asks instances anything while all is well.
+  sampler?: (world: World, who: Who, ms: number) => Promise<Result<Sampler, string>>
+  // ms for which an idle connection may be kept: less than the instance itself keeps it.
+  idle: number
+  open: (world: World, who: Who, ms: number) => Promise<Result<Port, Trouble>>
+  status: (world: World, who: Who, ms: number) => Promise<Result<Status, string>>
+  // Makes an instance that leads in an epoch below this one a follower; undefined where promotion itself fences.
+  demote?: (world: World, who: Who, epoch: number, ms: number) => Promise<Result<Status, string>>
+}
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -284,7 +284,7 @@
     const config = state.config()
     const limit = config ? lendable(config, call.lane.group) : 0
     instance.usage++
-    const got = await pool.borrow(instance.name, instance.addr, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now()), call.gone)
+    const got = await pool.borrow(instance, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now()), call.gone)
     instance.usage--
     if (got.ok) {
       call.loan = got.val
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto'
-import { BORROW_LIMIT, DIAL_LIMIT, loop, makeFlag, POOL_IDLE, RESET_LIMIT, type Flag, type Numbers, type World, Ok, Err, type Result } from '@claynotch/base'
-import { openPort, type Port, type Trouble } from '@claynotch/instance'
+import { BORROW_LIMIT, DIAL_LIMIT, loop, makeFlag, RESET_LIMIT, type Flag, type Numbers, type World, Ok, Err, type Result } from '@claynotch/base'
+import type { InstanceEdge, Port, Trouble, Who } from '@claynotch/instance'
 
 // What a borrower needs in force on its connection.
 export type Need = { database: string; settings: [string, string][]; shapes: Map<string, string>; team: string; share: number }
@@ -24,7 +24,7 @@
 type Place = { addr: string; limit: number; idle: Conn[]; lent: number; opening: number; waiters: Waiter[]; usage: Map<string, number> }
 
 export type Pool = {
-  borrow: (instance: string, addr: string, limit: number, need: Need, ms: number, gone: Flag) => Promise<Result<Loan, Trouble>>
+  borrow: (who: Who, limit: number, need: Need, ms: number, gone: Flag) => Promise<Result<Loan, Trouble>>
   open: (instance: string) => number
   // Closes what is idle over the limit; true once no more than that are open.
   shrink: (instance: string, limit: number) => boolean
@@ -39,7 +39,7 @@
   return `s${createHash('sha1').update(text).digest('hex').slice(0, 20)}`
 }
 
-export function makePool(world: World, stop: Flag, numbers: Numbers): Pool {
+export function makePool(world: World, edge: InstanceEdge, stop: Flag, numbers: Numbers): Pool {
   const places = new Map<string, Place>()
 
   function place(instance: string, addr: string): Place {
@@ -56,13 +56,13 @@
       const keep: Conn[] = []
       for (const c of p.idle) {
         // Closed before the instance's own keep-alive would, so that a stale connection is not written to.
-        if (!c.port.alive() || now - c.idleSince > POOL_IDLE) c.port.close()
+        if (!c.port.alive() || now - c.idleSince > edge.idle) c.port.close()
         else keep.push(c)
       }
       p.idle = keep
     }
   }
-  void loop(world, 'pool', POOL_IDLE / 6, stop, sweep)
+  void loop(world, 'pool', edge.idle / 6, stop, sweep)
 
   function count(p: Place): number {
     return p.idle.length + p.lent + p.opening
@@ -121,7 +121,8 @@
     p.usage.set(team, (p.usage.get(team) ?? 0) + by)
   }
 
-  async function borrow(instance: string, addr: string, limit: number, need: Need, ms: number, gone: Flag): Promise<Result<Loan, Trouble>> {
+  async function borrow(who: Who, limit: number, need: Need, ms: number, gone: Flag): Promise<Result<Loan, Trouble>> {
+    const { name: instance, addr } = who
     const p = place(instance, addr)
     const key = settingsKey(need)
     p.limit = limit
@@ -136,7 +137,7 @@
       }
       if (count(p) < limit) {
         p.opening++
-        const got = await openPort(world, addr, Math.min(DIAL_LIMIT, Math.max(1, end - world.now())))
+        const got = await edge.open(world, who, Math.min(DIAL_LIMIT, Math.max(1, end - world.now())))
         p.opening--
         if (got.err) {
           numbers.add('claynotch_pool_dials_failed_total', [['instance', instance]])
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,8 +1,9 @@
 import {
   DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, SEND_LIMIT, serve, type Addr, type Ask, type Numbers, type Reply, type World,
 } from '@claynotch/base'
+import { httpInstance, type InstanceEdge } from '@claynotch/instance'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
-import { takeProbe } from '@claynotch/platform'
+import { takeProbe } from '@claynotch/host'
 import { Feed, groupOf, type Note } from '@claynotch/register'
 import { provedWithin } from './freshness.js'
 import { makeRunner, type Runner } from './interpret.js'
@@ -16,7 +17,11 @@
 
 export type Proxy = { stop: () => Promise<void>; numbers: Numbers; state: State; watch: Watch; runner: Runner; sessions: Sessions; pool: Pool }
 
-export async function startProxy(world: World, set: ProxySettings): Promise<Proxy> {
+// The ways in which this process speaks with its peers.
+export type ProxyEdges = { instance: InstanceEdge }
+export const ownEdges: ProxyEdges = { instance: httpInstance }
+
+export async function startProxy(world: World, set: ProxySettings, edges: ProxyEdges = ownEdges): Promise<Proxy> {
   const stop = makeFlag()
   const numbers = makeNumbers()
   const life = Math.floor(world.random() * 2 ** 40).toString(36)
@@ -25,8 +30,8 @@
   function stopping(): boolean {
     return draining
   }
-  const watch = startWatch(world, state, stop, numbers)
-  const pool = makePool(world, stop, numbers)
+  const watch = startWatch(world, state, edges.instance, stop, numbers)
+  const pool = makePool(world, edges.instance, stop, numbers)
   const runner = makeRunner(world, state, watch, pool, numbers, stopping)
   const sessions = makeSessions(world, state, runner, numbers, stop, stopping)
   // acked: turns applied in full; a drain counts only once no transaction and no write is left open.
--- a/packages/proxy/src/watch.ts
+++ b/packages/proxy/src/watch.ts
@@ -1,5 +1,5 @@
-import { loop, makeBell, makeFlag, openLine, pause, SAMPLE_BEAT, SAMPLE_LIMIT, type Flag, type Line, type Numbers, type World } from '@claynotch/base'
-import { statusOn, type Mark, type Status } from '@claynotch/instance'
+import { loop, makeBell, makeFlag, pause, SAMPLE_BEAT, SAMPLE_LIMIT, type Flag, type Numbers, type World } from '@claynotch/base'
+import type { InstanceEdge, Mark, Sampler, Status } from '@claynotch/instance'
 import type { Sample } from './freshness.js'
 import type { State } from './state.js'
 
@@ -24,7 +24,7 @@
   bell: ReturnType<typeof makeBell>
 }
 
-export function startWatch(world: World, state: State, stop: Flag, numbers: Numbers): Watch {
+export function startWatch(world: World, state: State, edge: InstanceEdge, stop: Flag, numbers: Numbers): Watch {
   const all = new Map<string, Instance>()
   const ends = new Map<string, Flag>()
   const bell = makeBell()
@@ -57,7 +57,7 @@
       stop.watch(end.fire)
       all.set(name, one)
       ends.set(name, end)
-      void sample(one, end)
+      if (edge.sampler) void sample(one, end, edge.sampler)
     }
     for (const [name, end] of ends) {
       if (wanted.has(name)) continue
@@ -69,15 +69,15 @@
   void loop(world, 'watch', SAMPLE_BEAT, stop, tend, state.bell)
 
   // One task for each instance: asks its STATUS on a connection of its own, beat by beat.
-  async function sample(one: Instance, end: Flag): Promise<void> {
-    let line: Line | undefined
+  async function sample(one: Instance, end: Flag, ask: NonNullable<InstanceEdge['sampler']>): Promise<void> {
+    let line: Sampler | undefined
     while (!end.fired()) {
       const asked = world.now()
       if (!line?.alive()) {
-        const got = await openLine(world, one.addr, SAMPLE_LIMIT)
+        const got = await ask(world, one, SAMPLE_LIMIT)
         line = got.ok ? got.val : undefined
       }
-      const got = line ? await statusOn(line) : undefined
+      const got = line ? await line.status() : undefined
       if (end.fired()) break
       if (got?.ok && got.val.name === one.name) {
         one.status = got.val
