Seams for operators, announcements, probes and the promotion call of an agent

Cause: an agent reached its peers by calls to our own HTTP edge in the middle of its tasks. Each peer's edge is now handed in when the process starts; our own stays the default.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,16 +1,16 @@
 import {
-  answerLinks, callOnce, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, serve, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
-  OPERATOR_BODY_LIMIT, SUMMARY_EPOCH, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Ask, type Finding, type Held, type Hello, type Link, type Numbers, type Reply, type World,
+  answerLinks, callOnce, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
+  SAMPLE_LIMIT, SUMMARY_EPOCH, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
 } from '@claynotch/base'
 import { startDuty, startMover } from '@claynotch/duty'
-import { askStatus, takeAnnouncement, type Announcement } from '@claynotch/instance'
-import { CONFIG_KEY, makeOperatorEdge, meantBy, type Body, type Credential, type Edit } from '@claynotch/operator'
+import type { Announcement } from '@claynotch/instance'
+import { CONFIG_KEY, emptyBody, makeDecision, makeOperatorEdge, meantBy, type Body, type Change, type Credential, type Decision, type Edit } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
-import { takeProbe } from '@claynotch/host'
 import {
   compareBallots, gather, groupKey, laterSight, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
   type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type Sight, type Slots, type Value, type Voter,
 } from '@claynotch/register'
+import { ownEdges, type AgentEdges } from './seam.js'
 
 // link: where the proxy of this machine finds its agent. peer: UDP, for summaries. http: operators, instances,
 // the platform, and nodes that look for the cores. seeds: http addresses of three other processes.
@@ -24,7 +24,7 @@
 // while a majority knows of something newer than value.
 type Known = { value: Value; ballot: Ballot; until: number }
 
-export async function startAgent(world: World, set: AgentSettings): Promise<Agent> {
+export async function startAgent(world: World, set: AgentSettings, edges: AgentEdges = ownEdges): Promise<Agent> {
   const stop = makeFlag()
   const numbers = makeNumbers()
   const life = Math.floor(world.random() * 2 ** 40).toString(36)
@@ -455,7 +455,7 @@
     return platform
   }
   const view = {
-    node: set.node, suspect: set.suspect ?? SUSPECT, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, hints, askMembers, body: config, numbers,
+    node: set.node, suspect: set.suspect ?? SUSPECT, instance: edges.instance, promotion: edges.promotion, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, hints, askMembers, body: config, numbers,
   }
   const duty = startDuty(world, view, stop)
   const mover = startMover(world, view, stop)
@@ -517,7 +517,7 @@
         continue
       }
       if (e.proof === 'confirmed') continue
-      const got = await askStatus(world, rec.addr)
+      const got = await edges.instance.status(world, { name: rec.leader, group: e.to, addr: rec.addr }, SAMPLE_LIMIT)
       const from = new Set<string>()
       for (const lane of meantBy(e, config()?.config)) from.add(lane.group)
       if (got.err) out.push({ place: `/edits/${k}/to`, what: `the leader of ${e.to} can't be asked: ${got.val}` })
@@ -534,14 +534,17 @@
     if (stop.fired()) return 'draining'
     return world.now() < termUntil ? undefined : 'no valid term'
   }
-  async function handle(ask: Ask): Promise<Reply | undefined> {
-    const probe = takeProbe(ask, { ready, numbers })
-    if (probe) return probe
-    if (ask.path === '/seeds') return places.length > 0 ? { status: 200, body: { cores: places } } : { status: 503, body: { cores: [] }, after: 1 }
-    if (ask.path === '/announcement') return takeAnnouncement(ask, heard)
-    return await operator.take(ask)
+  function placesNow(): CorePlace[] {
+    return places
   }
-  const http = await serve(world, set.http, handle, { raw: operator.raw, limit: OPERATOR_BODY_LIMIT })
+  function change(stream: string, one: Change): Promise<Decision | undefined> {
+    return makeDecision(proposer, stream, one)
+  }
+  async function readBody(): Promise<Body | undefined> {
+    const got = await proposer.read(CONFIG_KEY)
+    return got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
+  }
+  const http = await edges.control(world, set.http, { numbers, heard, change, read: readBody, body: config, places: placesNow, ready, operator })
   const listener = await world.listen(set.link, answerLinks(world, mine, serveProxy, lostProxy))
 
   void loop(world, 'renew', TERM_BEAT, stop, renew, linked)
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,1 +1,2 @@
 export * from './agent.js'
+export * from './seam.js'
--- /dev/null
+++ b/packages/agent/src/seam.ts
@@ -0,0 +1,44 @@
+import { OPERATOR_BODY_LIMIT, serve, type Addr, type Ask, type Numbers, type Reply, type Serving, type World } from '@claynotch/base'
+import { promote, takeProbe, type PromotionEdge } from '@claynotch/host'
+import { httpInstance, takeAnnouncement, type Announcement, type InstanceEdge } from '@claynotch/instance'
+import type { Body, Change, Decision } from '@claynotch/operator'
+import type { CorePlace } from '@claynotch/register'
+
+// What operators, instances and probes may have of an agent, whatever they speak.
+export type Desk = {
+  numbers: Numbers
+  // An instance's word of itself.
+  heard: (a: Announcement) => void
+  // One numbered change, decided at the cores; undefined: unclear, the same may be asked again.
+  change: (stream: string, change: Change) => Promise<Decision | undefined>
+  // The configuration, read at a majority; undefined: no majority. body: as known here.
+  read: () => Promise<Body | undefined>
+  body: () => Body | undefined
+  places: () => CorePlace[]
+  // Why this node is not ready, if so.
+  ready: () => string | undefined
+  // Our own operators' calls.
+  operator: { take: (ask: Ask) => Promise<Reply | undefined>; raw: (path: string) => boolean }
+}
+export type ControlEdge = (world: World, addr: Addr, desk: Desk) => Promise<Serving>
+
+// How an agent speaks with its peers, chosen when the process starts.
+export type AgentEdges = { instance: InstanceEdge; promotion: PromotionEdge; control: ControlEdge }
+
+// Where nodes that look for the cores are answered.
+export function takeSeeds(ask: Ask, places: CorePlace[]): Reply | undefined {
+  if (ask.path !== '/seeds') return undefined
+  return places.length > 0 ? { status: 200, body: { cores: places } } : { status: 503, body: { cores: [] }, after: 1 }
+}
+
+function httpControl(world: World, addr: Addr, desk: Desk): Promise<Serving> {
+  async function handle(ask: Ask): Promise<Reply | undefined> {
+    const first = takeProbe(ask, desk) ?? takeSeeds(ask, desk.places())
+    if (first) return first
+    if (ask.path === '/announcement') return takeAnnouncement(ask, desk.heard)
+    return await desk.operator.take(ask)
+  }
+  return serve(world, addr, handle, { raw: desk.operator.raw, limit: OPERATOR_BODY_LIMIT })
+}
+
+export const ownEdges: AgentEdges = { instance: httpInstance, promotion: promote, control: httpControl }
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -1,13 +1,16 @@
 import { CANDIDATE_LIFE, CATCH_UP, DRAIN, DUTY_BEAT, HINT_GOOD, HOME_PAUSE, LOSS_WAIT, loop, makeBell, makeFlag, PROBE_LIMIT, SUSPECT_LIMIT, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World } from '@claynotch/base'
-import { askStatus, type Mark, type Status } from '@claynotch/instance'
+import type { InstanceEdge, Mark, Status } from '@claynotch/instance'
 import type { Body } from '@claynotch/operator'
-import { promote } from '@claynotch/host'
+import type { PromotionEdge } from '@claynotch/host'
 import { groupKey, type GroupRecord, type Member, type Proposer, type Sight, type Value } from '@claynotch/register'
 
 export type DutyView = {
   node: string
   // ms without a good answer after which a leader is suspected.
   suspect: number
+  instance: InstanceEdge
+  promotion: PromotionEdge
+  // Where the promotion call goes.
   platform: () => string | undefined
   proposer: Proposer
   termUntil: () => number
@@ -140,7 +143,7 @@
   }
   async function look(sights: { name: string; addr: string }[], brief?: string): Promise<Seen[]> {
     async function one(s: { name: string; addr: string }): Promise<Seen | undefined> {
-      const got = await askStatus(world, s.addr, s.name === brief ? SUSPECT_LIMIT : PROBE_LIMIT)
+      const got = await view.instance.status(world, { ...s, group }, s.name === brief ? SUSPECT_LIMIT : PROBE_LIMIT)
       // Another instance may answer at an address that was used before.
       return got.ok && got.val.name === s.name ? { name: s.name, addr: s.addr, status: got.val } : undefined
     }
@@ -330,7 +333,7 @@
       const now = await view.proposer.read(key)
       if (!now.done || now.value?.turn !== turn || (now.value.body as GroupRecord).holder !== view.node) return false
       if (world.now() >= view.termUntil()) return false
-      const got = await promote(world, view.platform() ?? who.addr, { group, instance: who.name, epoch: rec.epoch })
+      const got = await view.promotion(world, view.platform(), { group, instance: who.name, addr: who.addr, epoch: rec.epoch, holder: view.node, fence: rec.fence })
       view.numbers.add('claynotch_duty_promotions_total', [['end', got.end]])
       world.log.info('promotion-called', { group, candidate: who.name, epoch: rec.epoch, end: got.end, why: got.why })
       is = await confirmed()
--- a/packages/duty/src/move.ts
+++ b/packages/duty/src/move.ts
@@ -1,5 +1,5 @@
-import { DRAIN, DUTY_BEAT, loop, makeBell, MOVE_NEAR, MOVE_QUIET, type Bell, type Flag, type World } from '@claynotch/base'
-import { askStatus, type Mark, type Status } from '@claynotch/instance'
+import { DRAIN, DUTY_BEAT, loop, makeBell, MOVE_NEAR, MOVE_QUIET, SAMPLE_LIMIT, type Bell, type Flag, type World } from '@claynotch/base'
+import type { Mark, Status } from '@claynotch/instance'
 import { callOff, CONFIG_KEY, stepMove, switchMove, type Body, type Move } from '@claynotch/operator'
 import { groupKey, type GroupRecord, type Value } from '@claynotch/register'
 import { addrIn, compareMarks, haveStopped, holderOf, type DutyView } from './duty.js'
@@ -56,7 +56,7 @@
   async function leader(group: string): Promise<Status | undefined> {
     const rec = view.cell(groupKey(group))?.body as GroupRecord | undefined
     if (rec?.phase !== 'steady' || rec.leader === undefined || rec.addr === undefined) return undefined
-    const got = await askStatus(world, addrIn(view, group, rec.leader, rec.addr))
+    const got = await view.instance.status(world, { name: rec.leader, group, addr: addrIn(view, group, rec.leader, rec.addr) }, SAMPLE_LIMIT)
     return got.ok && got.val.name === rec.leader && got.val.role === 'leader' && got.val.mark.epoch === rec.epoch ? got.val : undefined
   }
   // Whether the target's leader holds the mark, and one of its followers all that the leader had then, so that the loss
@@ -65,11 +65,11 @@
     const head = await leader(move.to)
     if (!head) return false
     if (mark && (head.source?.group !== move.from || compareMarks(head.source.mark, mark) < 0)) return false
-    const rest: string[] = []
-    for (const s of view.sights()) if (s.group === move.to && s.name !== head.name && !s.leaving) rest.push(s.addr)
+    const rest: { name: string; addr: string }[] = []
+    for (const s of view.sights()) if (s.group === move.to && s.name !== head.name && !s.leaving) rest.push(s)
     if (rest.length === 0) return true
-    async function has(addr: string): Promise<boolean> {
-      const got = await askStatus(world, addr)
+    async function has(s: { name: string; addr: string }): Promise<boolean> {
+      const got = await view.instance.status(world, { ...s, group: move.to }, SAMPLE_LIMIT)
       return got.ok && got.val.group === move.to && compareMarks(got.val.mark, head!.mark) >= 0
     }
     return (await Promise.all(rest.map(has))).includes(true)
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -1,6 +1,13 @@
 import { callOnce, PROMOTION_LIMIT, type Addr, type Ask, type Numbers, type Reply, type World } from '@claynotch/base'
 
-// The platform's edge: probes in, the single promotion call out.
+// The call that makes an instance the leader. at: where the machines' keeper takes it; undefined: straight to the instance.
+// epoch: the one that it is to lead. holder, fence: the node that holds the group's duty; the fence rises with each holder.
+export type Promotion = { group: string; instance: string; addr: Addr; epoch: number; holder: string; fence: number }
+// done: it was carried out, or will be. refused: it was not. unclear: the instance's status must tell.
+export type PromotionEnd = { end: 'done' | 'refused' | 'unclear'; why: string }
+export type PromotionEdge = (world: World, at: Addr | undefined, what: Promotion) => Promise<PromotionEnd>
+
+// The edge to whoever keeps the machines: probes in, the single promotion call out.
 
 export type Probes = { ready: () => string | undefined; numbers: Numbers }
 
@@ -15,11 +22,10 @@
   return undefined
 }
 
-export type Promotion = { group: string; instance: string; epoch: number }
-
-// done: the platform says that it was carried out. refused: it says that it was not. unclear: STATUS must tell.
-export async function promote(world: World, addr: Addr, what: Promotion): Promise<{ end: 'done' | 'refused' | 'unclear'; why: string }> {
-  const got = await callOnce(world, addr, 'POST', '/promotion', what, PROMOTION_LIMIT)
+// Our own promotion call: an instance refuses an epoch that is not above its own.
+export async function promote(world: World, at: Addr | undefined, what: Promotion): Promise<PromotionEnd> {
+  const { group, instance, epoch } = what
+  const got = await callOnce(world, at ?? what.addr, 'POST', '/promotion', { group, instance, epoch }, PROMOTION_LIMIT)
   if (got.err) return { end: got.val.reach === 'none' ? 'refused' : 'unclear', why: got.val.why }
   if (got.val.status === 200) return { end: 'done', why: '' }
   return { end: got.val.status >= 500 ? 'unclear' : 'refused', why: `status ${got.val.status}` }
