--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,5 +1,5 @@
 import {
-  answerLinks, callOnce, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
+  answerLinks, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
   SAMPLE_LIMIT, SUMMARY_EPOCH, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
 } from '@claynotch/base'
 import { startDuty, startMover } from '@claynotch/duty'
@@ -7,15 +7,16 @@
 import { CONFIG_KEY, emptyBody, makeDecision, makeOperatorEdge, meantBy, type Body, type Change, type Credential, type Decision, type Edit } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
 import {
-  compareBallots, gather, groupKey, laterSight, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
+  askSeeds, compareBallots, gather, groupKey, laterSight, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
   type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type Sight, type Slots, type Value, type Voter,
 } from '@claynotch/register'
-import { ownEdges, type AgentEdges } from './seam.js'
+import { ownEdges, type AgentEdges, type Desk } from './seam.js'
 
-// link: where the proxy of this machine finds its agent. peer: UDP, for summaries. http: operators, instances,
-// the platform, and nodes that look for the cores. seeds: http addresses of three other processes.
+// link: where the proxy of this machine finds its agent; none: it has no proxy. peer: UDP, for summaries. http: operators,
+// instances, the platform, and nodes that look for the cores; none: it serves none of them and holds no duties. seeds: http
+// addresses of three other processes. cores: the core set where this process knows it by itself, asked before the seeds.
 // suspect: SUSPECT unless an experiment asks for another.
-export type AgentSettings = { node: string; area: string; link: Addr; peer: Addr; http: Addr; seeds: Addr[]; platform?: Addr; operators?: Credential[]; build: string; suspect?: number }
+export type AgentSettings = { node: string; area: string; link?: Addr; peer: Addr; http?: Addr; seeds: Addr[]; cores?: () => CorePlace[]; platform?: Addr; operators?: Credential[]; build: string; suspect?: number }
 
 export type Agent = { stop: () => Promise<void>; numbers: Numbers; termUntil: () => number; cell: (key: string) => Value | undefined; apply: (next: { seeds: Addr[]; platform: Addr | undefined; operators: Credential[] | undefined }) => void }
 
@@ -44,7 +45,7 @@
   // proxy: the one linked now. given: the latest time up to which any proxy of this machine may hold a term;
   // an agent that has just started may have a predecessor's word out for one whole term.
   let proxy: { link: Link; sent: Map<string, number>; note: Note | undefined } | undefined
-  let given = born + TERM
+  let given = set.link === undefined ? 0 : born + TERM
   const acked = new Map<string, number>()
   const pushNums = new Map<string, number>()
   let { seeds, platform, operators } = set
@@ -97,15 +98,12 @@
   // --- cores: found through seeds, then held ---
 
   async function discover(): Promise<void> {
-    for (const seed of seeds) {
-      if (places.length > 0 || stop.fired()) return
-      const got = await callOnce(world, seed, 'GET', '/seeds', undefined, ROUND_LIFE)
-      const list = got.ok && got.val.status === 200 ? (got.val.body as { cores?: CorePlace[] }).cores : undefined
-      if (!Array.isArray(list) || list.length === 0) continue
-      places = list
-      for (const c of list) cores.set(c.id, holdLink(world, c.addr, mine, makeTake(c.id), stop, onCore))
-      world.log.info('cores-found', { seed, cores: list.length })
-    }
+    const own = set.cores?.() ?? []
+    const got = own.length > 0 ? { seed: undefined, cores: own } : await askSeeds(world, seeds)
+    if (!got || stop.fired()) return
+    places = got.cores
+    for (const c of places) cores.set(c.id, holdLink(world, c.addr, mine, makeTake(c.id), stop, onCore))
+    world.log.info('cores-found', { seed: got.seed ?? 'itself', cores: places.length })
   }
   // The first term isn't waited for longer than it takes to reach the cores.
   function onCore(): void {
@@ -157,7 +155,7 @@
     }
     const from = world.now()
     const highs = proxy?.note?.highs ?? []
-    const msg = { t: 'renew', node: set.node, life, area: set.area, addr: set.peer, operator: set.http, build: set.build, acks: [...acked], sights: ownSights(), open: proxy?.note?.open ?? 0, highs, remembers: known.size > 0 }
+    const msg = { t: 'renew', node: set.node, life, area: set.area, addr: set.peer, operator: set.http ?? '', build: set.build, acks: [...acked], sights: ownSights(), open: proxy?.note?.open ?? 0, highs, remembers: known.size > 0, proxy: set.link !== undefined }
     type Got = { id: string; got: RenewAnswer | undefined }
     async function ask(id: string, held: Held): Promise<Got> {
       const raw = await held.ask(msg, RENEW_WAIT)
@@ -258,7 +256,8 @@
   // Wanted: a ready slot. Taken from those free, or from one whose node a majority knows to be gone.
   async function holdSlot(): Promise<void> {
     const size = config()?.config?.proxies
-    if (size === undefined || world.now() >= termUntil) return
+    // Shares by the live proxies need no slots.
+    if (typeof size !== 'number' || set.link === undefined || world.now() >= termUntil) return
     const now = known.get(SLOTS_KEY)?.value
     const slots = (now?.body as Slots | undefined)?.slots ?? []
     const mineAt = slotOf(slots, set.node)
@@ -345,7 +344,7 @@
     }
     const triesList: [string, number, number][] = []
     for (const [g, [a, b]] of tries) triesList.push([g, a, b])
-    const word: Feed = { t: 'feed', node: set.node, area: set.area, cells: list, sights: ownSights(), moving: [...moving], leaving: [...leaving], tries: triesList }
+    const word: Feed = { t: 'feed', node: set.node, area: set.area, cells: list, sights: ownSights(), moving: [...moving], leaving: [...leaving], tries: triesList, live: proxies() }
     proxy.link.tell(word)
   }
   function serveProxy(peer: Hello, link: Link) {
@@ -434,11 +433,17 @@
     }
     return { members: [...byNode.values()], sure }
   }
+  // Who may hold duties: members that serve operators, as they hear announcements first.
   function live(): string[] {
     const out: string[] = []
-    for (const m of members) out.push(m.node)
+    for (const m of members) if (m.operator !== '') out.push(m.node)
     return out
   }
+  function proxies(): number {
+    let count = 0
+    for (const m of members) if (m.proxy !== false) count++
+    return Math.max(1, count)
+  }
   function hints(): Map<string, number>[] {
     const out: Map<string, number>[] = []
     for (const h of peers.hints()) out.push(new Map(h.seen))
@@ -528,7 +533,7 @@
   function credentials(): Credential[] | undefined {
     return operators
   }
-  if (operators === undefined) world.log.warn('operators-open', { why: 'no operators in the settings: anyone may change the configuration' })
+  if (operators === undefined && set.http !== undefined) world.log.warn('operators-open', { why: 'no operators in the settings: anyone may change the configuration' })
   const operator = makeOperatorEdge(world, proposer, { members: readMembers, groups: readGroups, replace, hinders, body: config, news }, numbers, credentials)
   function ready(): string | undefined {
     if (stop.fired()) return 'draining'
@@ -544,8 +549,9 @@
     const got = await proposer.read(CONFIG_KEY)
     return got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
   }
-  const http = await edges.control(world, set.http, { numbers, heard, change, read: readBody, body: config, places: placesNow, ready, operator })
-  const listener = await world.listen(set.link, answerLinks(world, mine, serveProxy, lostProxy))
+  const desk: Desk = { numbers, heard, change, read: readBody, body: config, places: placesNow, ready, operator }
+  const http = set.http !== undefined ? await edges.control(world, set.http, desk) : undefined
+  const listener = set.link !== undefined ? await world.listen(set.link, answerLinks(world, mine, serveProxy, lostProxy)) : undefined
 
   void loop(world, 'renew', TERM_BEAT, stop, renew, linked)
   // A ring of the bell between two beats must not be lost: the loop looks at what is wanted, not at the ring.
@@ -555,7 +561,7 @@
   }
   void loop(world, 'feed', TERM_BEAT, stop, feed, news)
   void loop(world, 'slot', TERM_BEAT, stop, holdSlot, news)
-  world.log.info('agent-started', { node: set.node, area: set.area, http: set.http })
+  world.log.info('agent-started', { node: set.node, area: set.area, http: set.http ?? 'none' })
 
   async function end(): Promise<void> {
     // The term is given up only when no proxy can be working under it; else it runs out by itself.
@@ -563,7 +569,7 @@
     await pause(world, 20)
     stop.fire()
     proxy?.link.close()
-    await Promise.all([http.close(), listener.close(), peers.close()])
+    await Promise.all([http?.close(), listener?.close(), peers.close()])
   }
   // What a changed settings file may change while we run.
   function apply(next: { seeds: Addr[]; platform: Addr | undefined; operators: Credential[] | undefined }): void {
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -42,6 +42,8 @@
 // ms. A core that holds nothing waits this long before it founds a set, so that agents which remember one can say so:
 // longer than an agent's longest pause between dials and one renewal beat together.
 export const FOUND_WAIT = 2000
+// ms. Pause between two rounds of asking the seeds for the core set: a first set is there within a second or so.
+export const SEEDS_BEAT = 500
 
 // --- links ---
 // ms. A dial on the local network that takes longer is a failure.
--- a/packages/base/src/settings.ts
+++ b/packages/base/src/settings.ts
@@ -1,5 +1,5 @@
 import type * as t from 'io-ts'
-import { readStrict, type Finding } from './check.js'
+import { readAs, readStrict, type Finding } from './check.js'
 import { SETTINGS_BEAT } from './constants.js'
 import { loop, type Bell, type Flag } from './time.js'
 import type { World } from './world.js'
@@ -8,31 +8,39 @@
 // Settings of one process: a JSON file, with flags that go before it. Lists in flags are parted by commas.
 export type Flags = [string, string][]
 
-function parse(path: string, bytes: Uint8Array | undefined): Result<object, Finding[]> {
+// How a settings file is written: JSON of ours, unless a source says otherwise. open: fields that we don't know are ignored.
+export type Format = { name: string; parse: (text: string) => unknown; open: boolean }
+function parseJson(text: string): unknown {
+  return JSON.parse(text)
+}
+const JSON_FORMAT: Format = { name: 'JSON', parse: parseJson, open: false }
+
+function parse(path: string, bytes: Uint8Array | undefined, format: Format): Result<object, Finding[]> {
   if (!bytes) return Err([{ place: path, what: 'no such file' }])
   let value: unknown
   try {
-    value = JSON.parse(Buffer.from(bytes).toString('utf8'))
+    value = format.parse(Buffer.from(bytes).toString('utf8'))
   } catch (e) {
-    return Err([{ place: path, what: `malformed JSON: ${(e as Error).message}` }])
+    return Err([{ place: path, what: `malformed ${format.name}: ${(e as Error).message}` }])
   }
   if (value === null || typeof value !== 'object' || Array.isArray(value)) return Err([{ place: path, what: 'expected an object' }])
   return Ok(value)
 }
 
-export type Source<T> = { path: string | undefined; flags: Flags; lists: string[]; more?: (set: T) => Finding[] }
+export type Source<T> = { path: string | undefined; flags: Flags; lists: string[]; more?: (set: T) => Finding[]; format?: Format }
 
 export async function readSettings<T>(world: World, codec: t.Type<T, unknown, unknown>, from: Source<T>): Promise<Result<T, Finding[]>> {
   const all = new Map<string, unknown>()
+  const format = from.format ?? JSON_FORMAT
   if (from.path !== undefined) {
-    const got = parse(from.path, await world.disk.read(from.path))
+    const got = parse(from.path, await world.disk.read(from.path), format)
     if (got.err) return got
     // eslint-disable-next-line no-restricted-syntax -- walking a JSON document as it came
     for (const [name, value] of Object.entries(got.val)) all.set(name, value)
   }
   for (const [name, text] of from.flags) all.set(name, from.lists.includes(name) ? text.split(',') : text)
   // eslint-disable-next-line no-restricted-syntax -- the codec reads a JSON document
-  const read = readStrict(codec, Object.fromEntries(all))
+  const read = (format.open ? readAs : readStrict)(codec, Object.fromEntries(all))
   const more = read.ok && from.more ? from.more(read.val) : []
   const got: Result<T, Finding[]> = more.length > 0 ? Err(more) : read
   if (got.ok) return got
--- /dev/null
+++ b/packages/claynotch/src/build.ts
@@ -0,0 +1,1 @@
+export const BUILD = '0.1.0'
--- a/packages/claynotch/src/daemons.ts
+++ b/packages/claynotch/src/daemons.ts
@@ -4,10 +4,9 @@
 import { takeProbe } from '@claynotch/host'
 import { startProxy } from '@claynotch/proxy'
 import { startCore } from '@claynotch/register'
+import { BUILD } from './build.js'
 import { AgentShape, checkAgent, checkCore, CoreShape, ProxyShape } from './settings.js'
 
-export const BUILD = '0.1.0'
-
 type Running<T> = { stop: () => Promise<void>; apply: (next: T) => void }
 
 // Runs a daemon until it is told to stop: SIGTERM and SIGINT drain it and end with 0; SIGHUP reads its settings again.
--- a/packages/claynotch/src/index.ts
+++ b/packages/claynotch/src/index.ts
@@ -1,1 +1,2 @@
-export { BUILD } from './daemons.js'
+export * from './build.js'
+export * from './machine.js'
--- a/packages/claynotch/src/main.ts
+++ b/packages/claynotch/src/main.ts
@@ -1,7 +1,8 @@
 #!/usr/bin/env node
 import { defineCommand, runMain } from 'citty'
 import type { Flags } from '@claynotch/base'
-import { BUILD, runAgent, runCore, runProxy } from './daemons.js'
+import { BUILD } from './build.js'
+import { runAgent, runCore, runProxy } from './daemons.js'
 import { apply, check, credential, move, replace, show } from './verbs.js'
 
 process.env.UV_USE_IO_URING = '0'
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -3,7 +3,7 @@
 } from '@claynotch/base'
 import { httpInstance, type InstanceEdge } from '@claynotch/instance'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
-import { takeProbe } from '@claynotch/host'
+import { takeProbe, type Probes } from '@claynotch/host'
 import { Feed, groupOf, type Note } from '@claynotch/register'
 import { provedWithin } from './freshness.js'
 import { makeRunner, type Runner } from './interpret.js'
@@ -17,9 +17,11 @@
 
 export type Proxy = { stop: () => Promise<void>; numbers: Numbers; state: State; watch: Watch; runner: Runner; sessions: Sessions; pool: Pool }
 
+// Answers who asks whether this process is well; undefined: no such path.
+export type ProbeEdge = (ask: Ask, probes: Probes) => Reply | undefined
 // The ways in which this process speaks with its peers.
-export type ProxyEdges = { instance: InstanceEdge }
-export const ownEdges: ProxyEdges = { instance: httpInstance }
+export type ProxyEdges = { instance: InstanceEdge; probes: ProbeEdge }
+export const ownEdges: ProxyEdges = { instance: httpInstance, probes: takeProbe }
 
 export async function startProxy(world: World, set: ProxySettings, edges: ProxyEdges = ownEdges): Promise<Proxy> {
   const stop = makeFlag()
@@ -50,7 +52,7 @@
   // here, so an agent never feeds one while another may still work.
   const http = await serve(world, set.listen, handle)
   function admin(ask: Ask): Reply {
-    return takeProbe(ask, { ready, numbers }) ?? { status: 404, body: { why: 'no such path' } }
+    return edges.probes(ask, { ready, numbers }) ?? { status: 404, body: { why: 'no such path' } }
   }
   const probes = await serve(world, set.admin, admin)
 
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -19,6 +19,8 @@
   valid: () => boolean
   // Whether this node holds a share of the instances' connections.
   share: () => boolean
+  // Live members that have a proxy, at least 1.
+  live: () => number
   group: (name: string) => Known | undefined
   // Whether a write of the lane that went to the group at that time may be told done, if a move was on its way.
   counts: (lane: string, group: string, sent: number) => boolean
@@ -50,6 +52,7 @@
   let moving = new Map<string, number>()
   let tries = new Map<string, { firsts: number; retries: number }>()
   const goneSince = new Map<string, number>()
+  let live = 1
   let node = ''
   let area = ''
   let halted = false
@@ -58,6 +61,7 @@
     if (halted) return
     node = f.node
     area = f.area
+    live = f.live
     for (const c of f.cells) {
       const old = cells.get(c.key)
       if (old && c.turn < old.turn) continue
@@ -111,11 +115,17 @@
     return c !== undefined && world.now() < c.until
   }
   function share(): boolean {
+    // Shares by the live proxies need no register: whoever has a term has one.
+    const size = config()?.proxies
+    if (typeof size === 'string') return valid()
     const c = cells.get(SLOTS_KEY)
     if (!c || world.now() >= c.until) return false
     const { slots } = c.body as Slots
     const at = slotOf(slots, node)
-    return at >= 0 && at < (config()?.proxies ?? 0) && slots[at]?.ready === true
+    return at >= 0 && at < (size ?? 0) && slots[at]?.ready === true
+  }
+  function liveNow(): number {
+    return live
   }
   function group(name: string): Known | undefined {
     const c = cells.get(groupKey(name))
@@ -165,5 +175,5 @@
     for (const [key, c] of cells) out.set(key, c.turn)
     return out
   }
-  return { take, halt, rules: rulesNow, config, valid, share, group, counts, knows, sights: sightsNow, gone, goneFor, moving: movingNow, others, node: nodeNow, area: areaNow, turns, bell }
+  return { take, halt, rules: rulesNow, config, valid, share, live: liveNow, group, counts, knows, sights: sightsNow, gone, goneFor, moving: movingNow, others, node: nodeNow, area: areaNow, turns, bell }
 }
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -1,15 +1,19 @@
-import { answerLinks, FOUND_WAIT, HANDOVER_BEAT, hello, holdLink, loop, makeFlag, makeNumbers, MISSED_KEPT, pause, readAs, ROUND_LIFE, type Held, type Hello, type Link, type Listener, type Numbers, type World } from '@claynotch/base'
+import { answerLinks, FOUND_WAIT, HANDOVER_BEAT, hello, holdLink, loop, makeFlag, makeNumbers, MISSED_KEPT, pause, readAs, ROUND_LIFE, SEEDS_BEAT, type Addr, type Held, type Hello, type Link, type Listener, type Numbers, type World } from '@claynotch/base'
 import { compareBallots, type Ballot } from './ballot.js'
+import { askSeeds, type CorePlace } from './coreset.js'
 import { gather, makeProposer, type Voter } from './proposer.js'
 import { makeStore, type Cell, type Phase, type Store, type Value } from './store.js'
 import { makeTerms } from './terms.js'
 import { CoreWord, type KeyLine } from './words.js'
 
-export type CorePlace = { id: string; addr: string }
+// cores: the set as an operator gives it, this core among it. Else the disk's set holds, else founders, else what the seeds
+// tell; only founders are founded. founders: given at the very first start of the whole system, with empty disks, to all
+// alike. addr: where this machine takes links. seeds: http addresses of others, asked again until one tells.
 // foundAnew: an operator's word that all cores lost their disks and everything is to begin again.
-export type CoreSettings = { id: string; cores: CorePlace[]; data: string; foundAnew?: boolean }
+export type CoreSettings = { id: string; data: string; foundAnew?: boolean } & ({ cores: CorePlace[] } | { addr: Addr; seeds: () => Addr[]; founders?: CorePlace[] })
 
-export type Core = { stop: () => Promise<void>; serving: () => boolean; store: Store; numbers: Numbers; state: () => string; agents: () => string[] }
+// places: the set, empty until it is known.
+export type Core = { stop: () => Promise<void>; serving: () => boolean; store: Store; numbers: Numbers; state: () => string; agents: () => string[]; places: () => CorePlace[] }
 
 type State = { t: 'state'; id: string; phase: Phase; serving: boolean; cores: string[] }
 
@@ -20,10 +24,12 @@
   const store = makeStore(world, `${set.data}/register`)
   const terms = makeTerms(world)
   const born = world.now()
+  const given = 'cores' in set ? set.cores : undefined
+  // places, ids, most: the set once it is known, then unchanged in this life. voter: this core is of it.
+  let places: CorePlace[] = []
   const ids: string[] = []
-  for (const c of set.cores) ids.push(c.id)
-  ids.sort()
-  const most = Math.floor(ids.length / 2) + 1
+  let most = 1
+  let voter = false
   // serving: votes are given only while this is true; it never turns false again in a life.
   let serving = false
   // remembered: some agent knows registers of this set, so having nothing on disk means loss, not beginning.
@@ -39,23 +45,47 @@
 
   const findings = await store.open()
   for (const f of findings) world.log.warn('data-file', { place: f.place, what: f.what })
-  const lost = findings.some(isLoss)
+  // lost: what this disk held is gone, until the refill has ended.
+  let lost = findings.some(isLoss)
   function isLoss(f: { what: string }): boolean {
     return f.what.includes('lost its memory')
   }
-  if (store.phase() !== 'none' && store.cores().join() !== ids.join()) throw new Error(`the data folder belongs to the core set ${store.cores().join()}, not ${ids.join()}`)
-  if (store.phase() === 'founded' && !lost) serving = true
 
   const mine = hello('core', set.id)
   const others: { id: string; held: Held }[] = []
   function ignore(): undefined {
     return undefined
   }
-  for (const c of set.cores) {
-    if (c.id === set.id) continue
-    others.push({ id: c.id, held: holdLink(world, c.addr, mine, ignore, stop) })
-    missed.set(c.id, 'all')
+  function isMe(c: CorePlace): boolean {
+    return c.id === set.id
+  }
+  // Takes the set as known. A machine that isn't of it keeps it on disk only to tell it.
+  async function join(known: CorePlace[]): Promise<void> {
+    const names: string[] = []
+    for (const c of known) names.push(c.id)
+    names.sort()
+    if (store.phase() !== 'none' && store.cores().join() !== names.join()) throw new Error(`the data folder belongs to the core set ${store.cores().join()}, not ${names.join()}`)
+    voter = known.some(isMe)
+    if (!voter && given) throw new Error(`core ${set.id} is not among its own set`)
+    if (!voter && store.places().length === 0) await store.mark('none', known)
+    places = known
+    ids.push(...names)
+    most = Math.floor(ids.length / 2) + 1
+    if (!voter) {
+      world.log.info('core-aside', { core: set.id, set: ids.join() })
+      return
+    }
+    for (const c of known) {
+      if (c.id === set.id) continue
+      others.push({ id: c.id, held: holdLink(world, c.addr, mine, ignore, stop) })
+      missed.set(c.id, 'all')
+    }
+    if (store.phase() === 'founded' && !lost) serving = true
   }
+  // begins: whether this core may begin a founding.
+  const begins = 'cores' in set || (set.founders?.length ?? 0) > 0
+  const first = given ?? (store.places().length > 0 ? store.places() : 'founders' in set ? set.founders : undefined)
+  if (first) await join(first)
 
   function keyLines(): KeyLine[] {
     const out: KeyLine[] = []
@@ -130,7 +160,7 @@
       case 'state':
         return state()
       case 'seeds':
-        return { cores: set.cores }
+        return { cores: places }
     }
     if (msg.t === 'renew' && msg.remembers && !serving && set.foundAnew !== true && store.phase() !== 'founded' && !remembered) {
       remembered = true
@@ -194,12 +224,8 @@
   function lostLink(_peer: Hello, link: Link): void {
     agents.delete(link)
   }
-  const here = set.cores.find(isMe)
-  function isMe(c: CorePlace): boolean {
-    return c.id === set.id
-  }
-  if (!here) throw new Error(`core ${set.id} is not among its own set`)
-  const listener: Listener = await world.listen(here.addr, answerLinks(world, mine, serveLink, lostLink))
+  const here = 'cores' in set ? set.cores.find(isMe)!.addr : set.addr
+  const listener: Listener = await world.listen(here, answerLinks(world, mine, serveLink, lostLink))
 
   // --- founding and refill ---
 
@@ -211,12 +237,14 @@
   // Founding in two steps, each at every core: intent is stored by all before any is founded, so a core
   // that holds intent has lost nothing, and one that holds nothing while another is founded has.
   async function found(): Promise<boolean> {
+    const asked = world.now()
     const states = await askStates()
     let up = 0
     let founded = 0
     let intent = 0
     for (const s of states) {
-      if (!s) continue
+      // One that doesn't know its set yet can't found.
+      if (!s || s.cores.length === 0) continue
       if (s.cores.join() !== ids.join()) {
         world.log.error('core-set-differs', { core: s.id, theirs: s.cores.join(), ours: ids.join() })
         return false
@@ -227,16 +255,22 @@
     }
     if (founded > 0) {
       if (store.phase() === 'intent' && !lost) {
-        await store.mark('founded', ids)
+        await store.mark('founded', places)
         world.log.info('core-founded', { core: set.id })
         return true
       }
       return await refill()
     }
-    if (lost || remembered || up < others.length || world.now() - born < FOUND_WAIT) return false
-    if (store.phase() === 'none') await store.mark('intent', ids)
+    if (lost || remembered || up < others.length) return false
+    // Those who were told that this is the very first start know it from the one who started them; with a set given by an
+    // operator the agents are heard first.
+    if (given && world.now() - born < FOUND_WAIT) return false
+    // Without that word a core with nothing on disk never begins. It may only end a founding that all the others hold
+    // intent for: none of them has served yet, and what its own lost life promised is void after this wait.
+    if (store.phase() === 'none' && !begins && (others.length === 0 || intent < others.length || asked - born < 2 * ROUND_LIFE)) return false
+    if (store.phase() === 'none') await store.mark('intent', places)
     if (intent === others.length) {
-      await store.mark('founded', ids)
+      await store.mark('founded', places)
       world.log.info('core-founded', { core: set.id })
       return true
     }
@@ -284,7 +318,8 @@
     for (const k of again) floor = Math.max(floor, k!.top)
     floor += 1
     for (const [key, c] of cells) cells.set(key, { ...c, promise: [floor, ''] })
-    await store.refill(cells, floor, ids)
+    await store.refill(cells, floor, places)
+    lost = false
     for (const [key, c] of cells) settled.set(key, c.ballot)
     world.log.info('core-refilled', { core: set.id, keys: keys.size, floor })
     numbers.add('claynotch_core_refills_total')
@@ -294,10 +329,21 @@
     return v.ask({ t: 'keys' }, ROUND_LIFE) as never
   }
   async function settle(): Promise<void> {
-    if (!serving && store.failed() === undefined) serving = await found()
+    if (voter && !serving && store.failed() === undefined) serving = await found()
     numbers.set('claynotch_core_serving', [], servingNow() ? 1 : 0)
     numbers.set('claynotch_core_members', [], terms.members().length)
   }
+  const told = makeFlag()
+  stop.watch(told.fire)
+  async function seek(): Promise<void> {
+    if (places.length > 0 || !('seeds' in set)) return
+    const got = await askSeeds(world, set.seeds())
+    if (!got || stop.fired()) return
+    world.log.info('core-set-told', { core: set.id, seed: got.seed, set: got.cores.length })
+    await join(got.cores)
+    told.fire()
+  }
+  if (places.length === 0) void loop(world, 'core-set', SEEDS_BEAT, told, seek)
   void loop(world, 'found', 200, stop, settle)
   void loop(world, 'handover', HANDOVER_BEAT, stop, handOver)
 
@@ -310,13 +356,16 @@
     return serving && store.failed() === undefined
   }
   function stateNow(): string {
-    return store.failed() !== undefined ? 'disk failed' : serving ? 'serving' : lost || remembered ? 'lost' : store.phase()
+    return store.failed() !== undefined ? 'disk failed' : serving ? 'serving' : places.length === 0 ? 'looking' : !voter ? 'aside' : lost || remembered ? 'lost' : store.phase()
   }
   function agentsNow(): string[] {
     const out: string[] = []
     for (const a of agents.values()) out.push(a.node)
     return out
   }
-  world.log.info('core-started', { core: set.id, addr: here.addr, state: stateNow() })
-  return { stop: end, serving: servingNow, store, numbers, state: stateNow, agents: agentsNow }
+  world.log.info('core-started', { core: set.id, addr: here, state: stateNow() })
+  function placesNow(): CorePlace[] {
+    return places
+  }
+  return { stop: end, serving: servingNow, store, numbers, state: stateNow, agents: agentsNow, places: placesNow }
 }
--- a/packages/register/src/feed.ts
+++ b/packages/register/src/feed.ts
@@ -9,9 +9,10 @@
 export type FedCell = t.TypeOf<typeof FedCell>
 
 // moving: [group, epoch] that some node knows to be under promotion. tries: [group, firsts, retries] of the other nodes.
+// live: members that have a proxy, at least 1.
 export const Feed = t.type({
   t: t.literal('feed'), node: t.string, area: t.string, cells: t.array(FedCell), sights: t.array(Sight), moving: t.array(t.tuple([t.string, t.number])),
-  leaving: t.array(t.string), tries: t.array(t.tuple([t.string, t.number, t.number])),
+  leaving: t.array(t.string), tries: t.array(t.tuple([t.string, t.number, t.number])), live: t.number,
 })
 export type Feed = t.TypeOf<typeof Feed>
 
--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -1,3 +1,4 @@
+export * from './coreset.js'
 export * from './ballot.js'
 export * from './store.js'
 export * from './proposer.js'
--- a/packages/register/src/store.ts
+++ b/packages/register/src/store.ts
@@ -1,5 +1,6 @@
 import { makeFile, makeTurnstile, type World, type Finding } from '@claynotch/base'
 import { ZERO, compareBallots, type Ballot } from './ballot.js'
+import type { CorePlace } from './coreset.js'
 
 // What a core knows of one register.
 // Invariants: promise >= ballot; both only grow; value is the one accepted at ballot;
@@ -12,7 +13,9 @@
 
 export type Phase = 'none' | 'intent' | 'founded'
 
-type SetRecord = { k: 'set'; phase: Phase; cores: string[] }
+// places: the set with its addresses; files of before this field have the ids alone. A set with phase none is kept by a
+// machine that isn't of it, so that it can tell others.
+type SetRecord = { k: 'set'; phase: Phase; cores: string[]; places?: CorePlace[] }
 type FloorRecord = { k: 'floor'; floor: number }
 type PromiseRecord = { k: 'promise'; key: string; promise: Ballot }
 type CellRecord = { k: 'cell'; key: string; promise: Ballot; ballot: Ballot; value: Value | undefined }
@@ -24,8 +27,10 @@
 export type Store = {
   open: () => Promise<Finding[]>
   phase: () => Phase
+  // The ids of the set that this disk knows, and the set whole where the file holds it.
   cores: () => string[]
-  mark: (phase: Phase, cores: string[]) => Promise<void>
+  places: () => CorePlace[]
+  mark: (phase: Phase, set: CorePlace[]) => Promise<void>
   prepare: (key: string, ballot: Ballot) => Promise<PrepareAnswer>
   accept: (key: string, ballot: Ballot, value: Value) => Promise<AcceptAnswer>
   cells: () => Map<string, Cell>
@@ -33,7 +38,7 @@
   // Set once a write failed: what is in memory may not be on disk, so nothing is answered from here any more.
   failed: () => string | undefined
   // The last step of a refill: everything at once, then founded.
-  refill: (cells: Map<string, Cell>, floor: number, cores: string[]) => Promise<void>
+  refill: (cells: Map<string, Cell>, floor: number, set: CorePlace[]) => Promise<void>
 }
 
 export function makeStore(world: World, path: string): Store {
@@ -42,6 +47,7 @@
   const enter = makeTurnstile()
   let phase: Phase = 'none'
   let cores: string[] = []
+  let places: CorePlace[] = []
   // floor: prepares and accepts under this number are refused for every key (set by a refill).
   let floor = 0
 
@@ -52,6 +58,7 @@
     if (rec.k === 'set') {
       phase = rec.phase
       cores = rec.cores
+      places = rec.places ?? []
     } else if (rec.k === 'floor') floor = rec.floor
     else if (rec.k === 'promise') cells.set(rec.key, { ...cell(rec.key), promise: rec.promise })
     else cells.set(rec.key, { promise: rec.promise, ballot: rec.ballot, value: rec.value ?? undefined })
@@ -60,7 +67,7 @@
     const out: Rec[] = [{ k: 'floor', floor }]
     for (const [key, c] of cells) out.push({ k: 'cell', key, promise: c.promise, ballot: c.ballot, value: c.value })
     // The phase comes last: a file that lost its tail must not look founded.
-    out.push({ k: 'set', phase, cores })
+    out.push({ k: 'set', phase, cores, places })
     return out
   }
   async function open(): Promise<Finding[]> {
@@ -102,10 +109,16 @@
   function failed(): string | undefined {
     return failure
   }
-  function mark(to: Phase, set: string[]): Promise<void> {
+  function keep(to: Phase, set: CorePlace[]): void {
+    phase = to
+    places = set
+    cores = []
+    for (const c of set) cores.push(c.id)
+    cores.sort()
+  }
+  function mark(to: Phase, set: CorePlace[]): Promise<void> {
     async function run(): Promise<void> {
-      phase = to
-      cores = set
+      keep(to, set)
       await rewrite()
     }
     return enter(run)
@@ -132,13 +145,12 @@
     }
     return enter(run)
   }
-  function refill(from: Map<string, Cell>, least: number, set: string[]): Promise<void> {
+  function refill(from: Map<string, Cell>, least: number, set: CorePlace[]): Promise<void> {
     async function run(): Promise<void> {
       cells.clear()
       for (const [key, c] of from) cells.set(key, c)
       floor = least
-      phase = 'founded'
-      cores = set
+      keep('founded', set)
       await rewrite()
     }
     return enter(run)
@@ -154,8 +166,11 @@
   function coresNow(): string[] {
     return cores
   }
+  function placesNow(): CorePlace[] {
+    return places
+  }
   function cellsNow(): Map<string, Cell> {
     return cells
   }
-  return { open, phase: phaseNow, cores: coresNow, mark, prepare, accept, cells: cellsNow, top, failed, refill }
+  return { open, phase: phaseNow, cores: coresNow, places: placesNow, mark, prepare, accept, cells: cellsNow, top, failed, refill }
 }
--- a/packages/register/src/terms.ts
+++ b/packages/register/src/terms.ts
@@ -55,7 +55,7 @@
         continue
       }
       const r = one.last
-      out.push({ node, life: r.life, area: r.area, addr: r.addr, operator: r.operator, build: r.build, open: r.open, left: one.until - now, acks: [...one.acks], highs: r.highs })
+      out.push({ node, life: r.life, area: r.area, addr: r.addr, operator: r.operator, build: r.build, open: r.open, left: one.until - now, acks: [...one.acks], highs: r.highs, proxy: r.proxy })
     }
     return out
   }
--- a/packages/register/src/words.ts
+++ b/packages/register/src/words.ts
@@ -17,6 +17,8 @@
   highs: t.array(t.tuple([t.string, t.number, t.number])),
   // remembers: this node knows settled registers, so the set was founded once.
   remembers: t.boolean,
+  // proxy: whether it feeds a proxy; those who don't say do.
+  proxy: t.union([t.boolean, t.undefined]),
 })
 export type Renew = t.TypeOf<typeof Renew>
 
@@ -43,6 +45,7 @@
 export const Member = t.type({
   node: t.string, life: t.string, area: t.string, addr: t.string, operator: t.string, build: t.string, left: t.number,
   acks: t.array(t.tuple([t.string, t.number])), open: t.number, highs: t.array(t.tuple([t.string, t.number, t.number])),
+  proxy: t.union([t.boolean, t.undefined]),
 })
 export type Member = t.TypeOf<typeof Member>
 
