--- a/tools/verdict.js
+++ b/tools/verdict.js
@@ -8,14 +8,16 @@
 
 function findTests() {
   const out = []
-  for (const pack of readdirSync('packages')) {
+  const places = ['platform/dist/test']
+  for (const pack of readdirSync('packages')) places.push(`packages/${pack}/dist/test`)
+  for (const place of places) {
     let list = []
     try {
-      list = readdirSync(`packages/${pack}/dist/test`)
+      list = readdirSync(place)
     } catch {
       continue
     }
-    for (const file of list) if (file.endsWith('.test.js')) out.push(`packages/${pack}/dist/test/${file}`)
+    for (const file of list) if (file.endsWith('.test.js')) out.push(`${place}/${file}`)
   }
   return out.sort()
 }
