--- a/packages/claynotch/src/index.ts
+++ b/packages/claynotch/src/index.ts
@@ -1,2 +1,3 @@
 export * from './build.js'
 export * from './machine.js'
+export * from './run.js'
