Let changes name their epoch and lanes carry limits, ranks and labels; order an instance's words

Cause: operators of other platforms number their versions in uneven steps, send the same version again to any node, and want their own documents back; and an instance's late call took back what a later one had said, as sights were ordered by the time they were heard alone.

A change that names its epoch is judged against the present one; refused ones write nothing, accepted ones stand in the history without a configuration, 256 of them. Ruled out: a stream for each in the streams' table (32 streams, so they'd push out everyone else's), and remembering refusals (the value would grow with them; an epoch once passed stays passed, so a repeat is refused again).

An instance's own count decides between words of one address heard less than 10 s apart; beyond it time does, so that one that starts its count anew is heard. News of a role or of leaving goes to the cores at once instead of with the next beat.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,6 +1,6 @@
 import {
   answerLinks, callOnce, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
-  SAMPLE_LIMIT, SUMMARY_EPOCH, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
+  CHANGE_ANSWER, LATE, SAMPLE_LIMIT, SIGHTS_KEPT, SUMMARY_EPOCH, within, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
 } from '@claynotch/base'
 import { startDuty, startMover } from '@claynotch/duty'
 import type { Announcement } from '@claynotch/instance'
@@ -17,6 +17,9 @@
 // suspect: SUSPECT unless an experiment asks for another.
 export type AgentSettings = { node: string; area: string; link: Addr; peer: Addr; http: Addr; seeds: Addr[]; platform?: Addr; operators?: Credential[]; build: string; suspect?: number }
 
+// Above every count of announcements, and a whole number that links carry.
+const LAST_SEQUENCE = 2 ** 52
+
 export type Agent = { stop: () => Promise<void>; numbers: Numbers; termUntil: () => number; cell: (key: string) => Value | undefined; apply: (next: { seeds: Addr[]; platform: Addr | undefined; operators: Credential[] | undefined }) => void }
 
 // What is known of one register.
@@ -258,7 +261,7 @@
   // Wanted: a ready slot. Taken from those free, or from one whose node a majority knows to be gone.
   async function holdSlot(): Promise<void> {
     const size = config()?.config?.proxies
-    if (size === undefined || world.now() >= termUntil) return
+    if (size === undefined || size === 'live' || world.now() >= termUntil) return
     const now = known.get(SLOTS_KEY)?.value
     const slots = (now?.body as Slots | undefined)?.slots ?? []
     const mineAt = slotOf(slots, set.node)
@@ -379,15 +382,30 @@
 
   function heard(a: Announcement): void {
     const old = sights.get(a.name)
-    const leaving = a.leaving === true
-    if (leaving && !old?.sight.leaving) world.log.info('instance-leaving', { instance: a.name, group: a.group })
-    sights.set(a.name, laterSight(old, { name: a.name, group: a.group, addr: a.addr, area: a.area, role: a.role, leaving, gone: 0, age: 0 }, world.now()))
     numbers.add('claynotch_announcements_total')
-    if (leaving || !old) {
-      lag.ring()
+    if (!old && sights.size >= SIGHTS_KEPT) {
+      numbers.add('claynotch_announcements_dropped_total')
+      return
+    }
+    const leaving = a.leaving === true || a.gone === true
+    // Whatever it said before it went comes before that.
+    const sequence = a.gone === true ? LAST_SEQUENCE : a.sequence
+    const next: Sight = { name: a.name, group: a.group, addr: a.addr, area: a.area, role: a.role, leaving, gone: 0, age: 0, ...(sequence === undefined ? {} : { sequence }) }
+    const got = laterSight(old, next, world.now())
+    sights.set(a.name, got)
+    if (got.sight.leaving && !old?.sight.leaving) world.log.info('instance-leaving', { instance: a.name, group: a.group })
+    // News goes to the proxy and to the cores at once, all else with the next beat.
+    if (got.sight.leaving !== old?.sight.leaving || got.sight.role !== old.sight.role || got.sight.addr !== old.sight.addr || got.sight.group !== old.sight.group) {
+      linked.ring()
       void feed()
     }
   }
+  // An instance's last word, of which it tells nothing but its name. false: nobody here knows it.
+  function left(name: string): boolean {
+    const one = sights.get(name)?.sight
+    if (one) heard({ name, group: one.group, addr: one.addr, area: one.area, role: one.role === 'leader' ? 'leader' : 'follower', gone: true })
+    return one !== undefined
+  }
   function peerAddrs(): Addr[] {
     const out: Addr[] = []
     for (const m of members) out.push(m.addr)
@@ -537,14 +555,17 @@
   function placesNow(): CorePlace[] {
     return places
   }
-  function change(stream: string, one: Change): Promise<Decision | undefined> {
-    return makeDecision(proposer, stream, one)
+  // Both answer in time for a caller that goes elsewhere after a second; what is under way ends by itself.
+  async function change(stream: string, one: Change): Promise<Decision | undefined> {
+    const got = await within(world, CHANGE_ANSWER, makeDecision(proposer, stream, one, undefined, [], CHANGE_ANSWER))
+    numbers.add('claynotch_decisions_total', [['decision', got === LATE ? 'unclear' : (got?.decision ?? 'unclear')]])
+    return got === LATE ? undefined : got
   }
   async function readBody(): Promise<Body | undefined> {
-    const got = await proposer.read(CONFIG_KEY)
-    return got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
+    const got = await within(world, CHANGE_ANSWER, proposer.read(CONFIG_KEY, CHANGE_ANSWER))
+    return got !== LATE && got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
   }
-  const http = await edges.control(world, set.http, { numbers, heard, change, read: readBody, body: config, places: placesNow, ready, operator })
+  const http = await edges.control(world, set.http, { numbers, heard, left, change, read: readBody, body: config, places: placesNow, ready, operator })
   const listener = await world.listen(set.link, answerLinks(world, mine, serveProxy, lostProxy))
 
   void loop(world, 'renew', TERM_BEAT, stop, renew, linked)
--- a/packages/agent/src/seam.ts
+++ b/packages/agent/src/seam.ts
@@ -9,9 +9,11 @@
   numbers: Numbers
   // An instance's word of itself.
   heard: (a: Announcement) => void
-  // One numbered change, decided at the cores; undefined: unclear, the same may be asked again.
+  // An instance's last word, where it tells its name alone; false: not known here.
+  left: (name: string) => boolean
+  // One numbered change, decided at the cores; undefined after CHANGE_ANSWER at most: unclear, the same may be asked again.
   change: (stream: string, change: Change) => Promise<Decision | undefined>
-  // The configuration, read at a majority; undefined: no majority. body: as known here.
+  // The configuration, read at a majority; undefined after CHANGE_ANSWER at most: no majority. body: as known here.
   read: () => Promise<Body | undefined>
   body: () => Body | undefined
   places: () => CorePlace[]
--- a/packages/base/src/check.ts
+++ b/packages/base/src/check.ts
@@ -112,6 +112,10 @@
   return Number.isInteger(x) && (x as number) >= 1 && (x as number) <= 1e6
 }
 export const Count = refine('a whole number from 1 to 1000000', isCount)
+function isWhole(x: unknown): x is number {
+  return Number.isSafeInteger(x) && (x as number) >= 0
+}
+export const Whole = refine('a whole number from 0', isWhole)
 function isMs(x: unknown): x is number {
   return typeof x === 'number' && Number.isFinite(x) && x >= 0 && x <= 86400000
 }
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -19,6 +19,8 @@
 export const ROUND_PAUSE = 30
 // ms. A change that has not been settled then ends unclear and its caller must ask again.
 export const CHANGE_LIMIT = 5000
+// ms. A caller that goes to another node after a second of silence is told within this what became of its change.
+export const CHANGE_ANSWER = 900
 // bytes. Longest frame on an internal link: a whole configuration with its decisions fits many times.
 export const FRAME_LIMIT = 8 * 1024 * 1024
 // count. Decisions kept for each operator stream; older numbers answer "forgotten".
@@ -29,6 +31,9 @@
 export const HISTORY_KEPT = 2048
 // count. The latest of them that are kept with their whole configuration.
 export const CONFIGS_KEPT = 8
+// count. Accepted changes that named their epoch, kept so that the same one sent again is told that it was taken: at
+// 47,000 changes a day (one in 1.8 s) these are the last 8 minutes, and about 15 KiB; a caller asks again within seconds.
+export const NAMED_KEPT = 256
 // bytes. A data file is rewritten when longer than this and than REWRITE_RATIO times what lives in it.
 export const REWRITE_FLOOR = 1024 * 1024
 // ratio. See REWRITE_FLOOR; 4 keeps the mean cost of rewriting under a third of appending.
@@ -60,6 +65,11 @@
 export const NOTE_BEAT = 300
 // ms. An announcement not renewed for this long marks the instance as unheard (it announces each second).
 export const ANNOUNCE_LIFE = 3500
+// ms. How long an instance's word may be held up on its way, in a node that was frozen say: within it, its own count tells
+// which of two words is the later; beyond it, the time at which they were heard.
+export const LATE_CALL = 10000
+// count. Instances that a node keeps in mind; further ones are not heard until others are forgotten.
+export const SIGHTS_KEPT = 4096
 // ms. A leaving mark outlives the instance's last word for this long, so that nodes that were away learn it.
 export const LEAVING_LIFE = 120000
 // ms. A leaving leader whose successor isn't there yet gets new work for this long; the users' bound is 7 s,
--- a/packages/instance/src/announcement.ts
+++ b/packages/instance/src/announcement.ts
@@ -1,10 +1,12 @@
 import * as t from 'io-ts'
-import { Address, badInput, Name, readStrict, type Ask, type Reply } from '@claynotch/base'
+import { Address, badInput, Name, readStrict, Whole, type Ask, type Reply } from '@claynotch/base'
 
 // POST /announcement, by an instance about once a second, and once more with leaving before it goes.
+// sequence: grows with each announcement of one life of an instance, so that one held up on its way takes nothing back.
+// gone: it has ended, and its name doesn't come back.
 export const Announcement = t.intersection([
   t.type({ name: Name, group: Name, addr: Address, area: Name, role: t.union([t.literal('leader'), t.literal('follower')]) }),
-  t.partial({ leaving: t.boolean }),
+  t.partial({ leaving: t.boolean, sequence: Whole, gone: t.boolean }),
 ])
 export type Announcement = t.TypeOf<typeof Announcement>
 
--- a/packages/operator/src/against.ts
+++ b/packages/operator/src/against.ts
@@ -41,7 +41,7 @@
   const out: Finding[] = []
   const groups = new Map<string, Fleet['groups'][number]>()
   for (const g of fleet.groups) groups.set(g.name, g)
-  if (fleet.members.length > next.proxies) out.push({ place: '/proxies', what: `${fleet.members.length} members are up, and connections are shared out over ${next.proxies}: the instances' limits would be passed` })
+  if (next.proxies !== 'live' && fleet.members.length > next.proxies) out.push({ place: '/proxies', what: `${fleet.members.length} members are up, and connections are shared out over ${next.proxies}: the instances' limits would be passed` })
   for (const m of fleet.members) for (const b of m.behind) out.push({ place: `member ${m.node}`, what: `is behind on ${b.key}: has turn ${b.has}, the present one is ${b.present}` })
   for (const [k, g] of next.groups.entries()) {
     const is = groups.get(g.name)
@@ -72,7 +72,7 @@
   }
   for (const [k, team] of (next.teams ?? []).entries()) {
     let lent = 0
-    for (const lane of next.lanes) if (lane.team === team.name) lent = Math.max(lent, lendable(next, lane.group))
+    for (const lane of next.lanes) if (lane.team === team.name) lent = Math.max(lent, lendable(next, lane.group, fleet.members.length))
     if (team.pending !== undefined && lent > 0 && team.pending > lent * 8) out.push({ place: `/teams/${k}/pending`, what: `${team.pending} calls at once against ${lent} connections that a proxy can lend them: most would only wait` })
   }
   for (const m of fleet.moves ?? []) {
--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -1,20 +1,31 @@
 import * as t from 'io-ts'
-import { Count, Ms, Name, POLICY_LIMIT, readStrict, type Finding, Ok, Err, type Result } from '@claynotch/base'
+import { Count, Ms, Name, POLICY_LIMIT, readStrict, Whole, type Finding, Ok, Err, type Result } from '@claynotch/base'
 import { compilePolicy } from './policy.js'
 
 // The operator's configuration.
 // reads: 'leader', every read goes to the leader; else within ms, and own (a session reads its own writes).
 const Reads = t.union([t.literal('leader'), t.intersection([t.type({ within: Ms }), t.partial({ own: t.boolean })])])
-const Lane = t.intersection([t.type({ name: Name, database: Name, group: Name, reads: Reads }), t.partial({ team: Name, pending: Count })])
+// path: tells lanes of one database apart; of those that have one, no two may have database and path alike.
+// limit: ms that one statement may take. aim: ms that a call should be answered within. sends: most sends of a call.
+// rank: who is served first where there isn't enough for all, 0 before 1.
+// label, here and below: the operator's own words on it, kept as they are, given back and read by nobody.
+const Lane = t.intersection([
+  t.type({ name: Name, database: Name, group: Name, reads: Reads }),
+  t.partial({ team: Name, pending: Count, path: t.string, limit: Ms, aim: Ms, sends: Count, rank: Whole, label: t.unknown }),
+])
 // connections: the instance's own limit, shared by all proxies. guard: writes wait while no follower is proved to
 // hold what the leader had this many ms ago, so that no more than that can be lost with the leader. home: areas that its
-// leader should live in, where an instance there is as far as any.
-const Group = t.intersection([t.type({ name: Name, connections: Count }), t.partial({ guard: Ms, home: t.array(Name) })])
+// leader should live in, where an instance there is as far as any. sync: how many followers hold a commit before the
+// instance acknowledges it.
+const Group = t.intersection([t.type({ name: Name, connections: Count }), t.partial({ guard: Ms, home: t.array(Name), sync: t.union([t.literal(0), t.literal(1)]), label: t.unknown })])
 // share: weight of the team when connections are short. sessions, pending: most open sessions, and most calls
 // waiting or running, on one proxy.
 const Team = t.intersection([t.type({ name: Name }), t.partial({ share: Count, sessions: Count, pending: Count })])
 export const Config = t.intersection([
-  t.type({ proxies: Count, groups: t.array(Group), lanes: t.array(Lane) }),
+  // proxies: how many share each instance's connections; 'live': as many as are members with a proxy now.
+  t.type({ proxies: t.union([Count, t.literal('live')]), groups: t.array(Group), lanes: t.array(Lane) }),
+  // transactionIdle: ms; an open transaction that rests for longer may be ended.
+  t.partial({ transactionIdle: Ms, label: t.unknown }),
   // policy: a Lua text that matches calls for the lane 'auto' to lanes; fallback: the lane where it fails.
   t.partial({ teams: t.array(Team), policy: t.type({ lua: t.string, fallback: Name }) }),
 ])
@@ -29,9 +40,17 @@
 // Connections of each instance that a proxy does not lend: one for its STATUS samples, one for the duty's probes.
 export const KEPT_BACK = 2
 
-// The most connections to one instance that one proxy may lend.
-export function lendable(config: Config, group: string): number {
-  for (const g of config.groups) if (g.name === group) return Math.max(0, Math.floor(g.connections / config.proxies) - KEPT_BACK)
+// The same where shares go by live members: nobody samples there, and one is left for the duty's calls.
+export const LIVE_KEPT_BACK = 1
+
+// The most connections to one instance that one proxy may lend. live: members with a proxy, for configurations that
+// share by them; while it isn't known, each proxy has a single one.
+export function lendable(config: Config, group: string, live?: number): number {
+  for (const g of config.groups) {
+    if (g.name !== group) continue
+    if (config.proxies !== 'live') return Math.max(0, Math.floor(g.connections / config.proxies) - KEPT_BACK)
+    return live === undefined ? 1 : Math.max(1, Math.floor(g.connections / Math.max(1, live)) - LIVE_KEPT_BACK)
+  }
   return 0
 }
 
@@ -60,8 +79,14 @@
   for (const g of config.groups) groups.add(g.name)
   const teams = new Set<string>()
   for (const one of config.teams ?? []) teams.add(one.name)
+  // Names hold no blanks, so database and path can't run into each other.
+  const places = new Map<string, string>()
   for (const [k, lane] of config.lanes.entries()) {
     if (!groups.has(lane.group)) out.push({ place: `/lanes/${k}/group`, what: `no group is named ${lane.group}` })
+    if (lane.limit === 0) out.push({ place: `/lanes/${k}/limit`, what: 'no statement ends within 0 ms' })
+    const other = places.get(`${lane.database} ${lane.path}`)
+    if (lane.path !== undefined && other !== undefined) out.push({ place: `/lanes/${k}/path`, what: `the lane ${other} has database ${lane.database} and path ${lane.path} too` })
+    if (lane.path !== undefined) places.set(`${lane.database} ${lane.path}`, lane.name)
     if (lane.team !== undefined && !teams.has(lane.team)) out.push({ place: `/lanes/${k}/team`, what: `no team is named ${lane.team}` })
   }
   if (config.policy) {
@@ -87,8 +112,9 @@
 const What = t.union([t.literal('lane'), t.literal('group'), t.literal('team')])
 const Edit = t.union([
   t.type({ op: t.literal('put'), what: What, value: t.unknown }),
-  t.type({ op: t.literal('drop'), what: What, name: Name }),
-  t.type({ op: t.literal('proxies'), value: Count }),
+  // loose: nothing is wrong where none has that name.
+  t.intersection([t.type({ op: t.literal('drop'), what: What, name: Name }), t.partial({ loose: t.boolean })]),
+  t.type({ op: t.literal('proxies'), value: t.union([Count, t.literal('live')]) }),
   // null: no policy any more.
   t.type({ op: t.literal('policy'), value: t.union([t.null, t.type({ lua: t.string, fallback: Name })]) }),
   // Lanes, or all lanes of a group, go to another group under a fence (docs/design/moves.md). proof: how it is known that
@@ -100,6 +126,8 @@
 export type Edit = t.TypeOf<typeof Edit>
 export const Change = t.intersection([
   t.type({ number: Count, expect: t.number }),
+  // epoch: the one that the change makes, above the present one; without it the next.
+  t.partial({ epoch: Whole }),
   // stage: areas that work by the new configuration; the others keep the one before until a later change says all.
   t.partial({ whole: t.unknown, edits: t.array(Edit), stage: t.union([t.literal('all'), t.array(Name)]) }),
 ])
@@ -138,12 +166,13 @@
     } else {
       const left: { name: string }[] = []
       for (const one of list) if (one.name !== e.name) left.push(one)
-      if (left.length === list.length) out.push({ place: `/edits/${k}/name`, what: `no ${e.what} is named ${e.name}` })
+      if (left.length === list.length && e.loose !== true) out.push({ place: `/edits/${k}/name`, what: `no ${e.what} is named ${e.name}` })
       lists.set(e.what, left)
     }
   }
   if (out.length > 0) return Err(out)
-  return Ok({ proxies, groups: lists.get('group'), lanes: lists.get('lane'), teams: lists.get('team'), ...(policy ? { policy } : {}) })
+  const { policy: _was, ...rest } = from
+  return Ok({ ...rest, proxies, groups: lists.get('group'), lanes: lists.get('lane'), teams: lists.get('team'), ...(policy ? { policy } : {}) })
 }
 
 // --- the register's value ---
@@ -159,12 +188,16 @@
 export type Move = { id: number; lanes: string[]; from: string; to: string; proof: 'reported' | 'confirmed'; phase: 'copy' | 'ease' | 'drain' | 'quiet' | 'held'; mark?: { epoch: number; position: number }; confirmed?: boolean }
 
 // Body of the register 'configuration'.
-// Invariants: epoch grows by one with each accepted change and with nothing else (a move's end is one of the system's own);
+// Invariants: epoch grows with each accepted change and with nothing else (a move's end is one of the system's own): to the
+// epoch that the change names, else by one;
 // for each stream the decisions kept are those with the highest numbers, in order;
-// history's last entry is the configuration of the present epoch; older ones tell who made which epoch, the latest few
-// with their configuration; neither other streams nor refused changes push an accepted one out.
+// history is in the order of epochs, and its last entry is the change that made the present one; older ones tell who made
+// which epoch, the latest few with their configuration; neither other streams nor refused changes push an accepted one out.
+// Changes that name their epoch come by the ten thousand a day, each in a stream of its own: they stand in history alone
+// (named), without a configuration beside the present one, the last NAMED_KEPT of them, and push out nobody else's.
+// What is kept is so bounded by HISTORY_KEPT, CONFIGS_KEPT, NAMED_KEPT, STREAMS_KEPT times DECISIONS_KEPT, and one configuration.
 // stage: set while only some areas work by config; the others work by prior, that of epoch priorEpoch.
-export type Body = { epoch: number; config: Config | null; stage?: { areas: string[]; prior: Config; priorEpoch: number }; moves?: Move[]; streams: { name: string; used: number; decisions: Decision[] }[]; history: { epoch: number; stream: string; number: number; config?: Config }[] }
+export type Body = { epoch: number; config: Config | null; stage?: { areas: string[]; prior: Config; priorEpoch: number }; moves?: Move[]; streams: { name: string; used: number; decisions: Decision[] }[]; history: { epoch: number; stream: string; number: number; config?: Config; named?: true }[] }
 
 // The configuration that an area works by, its epoch, and the moves under way (never beside a stage).
 export function configFor(body: Body, area: string): { config: Config | null; epoch: number; moves: Move[] } {
--- a/packages/operator/src/decide.ts
+++ b/packages/operator/src/decide.ts
@@ -1,10 +1,11 @@
-import { CONFIGS_KEPT, DECISIONS_KEPT, HISTORY_KEPT, STREAMS_KEPT, type Finding } from '@claynotch/base'
+import { CONFIGS_KEPT, DECISIONS_KEPT, HISTORY_KEPT, NAMED_KEPT, STREAMS_KEPT, type Finding } from '@claynotch/base'
 import { applyEdits, readConfig, type Body, type Change, type Config, type Decision, type Move } from './config.js'
 import { beyondTeam } from './credentials.js'
 import { checkMoves, editMoves, SYSTEM } from './moves.js'
 
 // What becomes of one change on the present body. Pure: the register calls it anew in each round.
-// 'known': this stream and number were decided before, the first decision stands and nothing is written.
+// 'known': nothing is written: this stream and number were decided before, and the first decision stands; or the change
+// names its epoch and is refused (the same one sent again is judged anew, and an epoch once passed stays so).
 export type Ruling = { known: Decision } | { body: Body; decision: Decision }
 
 export function findDecision(body: Body, stream: string, number: number): Decision | undefined {
@@ -48,6 +49,7 @@
 // team: set where the caller may change that team's lanes only. hindered: what the fleet as it is has against the change.
 export function decide(body: Body, stream: string, change: Change, team?: string, hindered: Finding[] = []): Ruling {
   const { number } = change
+  const epoch = change.epoch ?? body.epoch + 1
   const first = findDecision(body, stream, number)
   if (first) return { known: first }
   const mine = body.streams.find(isMine)
@@ -63,7 +65,8 @@
     if (beyond.length > 0) return { decision: refused(stream, number, body.epoch, 'not this team\'s to change', beyond) }
     if (change.expect !== body.epoch) return { decision: refused(stream, number, body.epoch, `expected epoch ${change.expect}, the present one is ${body.epoch}`) }
     if (hindered.length > 0) return { decision: refused(stream, number, body.epoch, 'the fleet can\'t do this now', hindered) }
-    const wins: Decision = { stream, number, decision: 'accepted', epoch: body.epoch + 1, why: '', findings: [] }
+    if (epoch <= body.epoch) return { decision: refused(stream, number, body.epoch, `the present epoch is ${body.epoch}, and ${epoch} isn't above it`, [{ place: '/epoch', what: `not above ${body.epoch}` }]) }
+    const wins: Decision = { stream, number, decision: 'accepted', epoch, why: '', findings: [] }
     // A stage opened further, or to all, with nothing else changed.
     if (body.stage && change.stage !== undefined && change.whole === undefined && change.edits === undefined) {
       if (change.stage === 'all') return { config: body.config as Config, decision: wins }
@@ -80,7 +83,7 @@
     }
     const got = readConfig(next)
     if (got.err) return { decision: refused(stream, number, body.epoch, 'invalid configuration', got.val) }
-    const moved = editMoves(body, got.val, change.edits ?? [], body.stage !== undefined || change.stage !== undefined)
+    const moved = editMoves(body, got.val, change.edits ?? [], body.stage !== undefined || change.stage !== undefined, epoch)
     if (moved.err) return { decision: refused(stream, number, body.epoch, 'invalid move', moved.val) }
     const moves = moved.val
     const clash = checkMoves(moves, got.val)
@@ -95,6 +98,7 @@
     return { config: got.val, moves, decision: wins }
   }
   const { config, stage, moves, decision } = ruled()
+  if (change.epoch !== undefined && !config) return { known: decision }
   const next: Body = { ...body }
   if (config) {
     delete next.stage
@@ -102,7 +106,7 @@
     if (stage) next.stage = stage
     if (moves && moves.length > 0) next.moves = moves
   }
-  return { body: keepDecision(next, decision, config), decision }
+  return { body: config && change.epoch !== undefined ? keepNamed(next, decision, config) : keepDecision(next, decision, config), decision }
 }
 
 // The body with one more decision, and with it, where it was accepted, a configuration.
@@ -120,12 +124,28 @@
   streams.sort(byUse)
   while (streams.length > STREAMS_KEPT) streams.shift()
   if (!config) return { ...body, streams }
-  const history: Body['history'] = []
-  const least = body.history.length + 1 - CONFIGS_KEPT
-  for (const [k, h] of body.history.entries()) history.push(k >= least ? h : { epoch: h.epoch, stream: h.stream, number: h.number })
-  history.push({ epoch, stream, number, config })
-  while (history.length > HISTORY_KEPT) history.shift()
-  return { ...body, epoch, config, streams, history }
+  const old: Body['history'] = []
+  const least = countOf(body.history, false) + 1 - CONFIGS_KEPT
+  let k = 0
+  for (const h of body.history) old.push(h.named || k++ >= least ? h : { epoch: h.epoch, stream: h.stream, number: h.number })
+  return { ...body, epoch, config, streams, history: [...lastOf(old, false, HISTORY_KEPT - 1), { epoch, stream, number, config }] }
+}
+// The body with an accepted change that named its epoch.
+function keepNamed(body: Body, decision: Decision, config: Config): Body {
+  const { stream, number, epoch } = decision
+  return { ...body, epoch, config, history: [...lastOf(body.history, true, NAMED_KEPT - 1), { epoch, stream, number, named: true }] }
+}
+function countOf(history: Body['history'], named: boolean): number {
+  let out = 0
+  for (const h of history) if ((h.named === true) === named) out++
+  return out
+}
+// All of the other kind, and of this kind the latest so many.
+function lastOf(history: Body['history'], named: boolean, most: number): Body['history'] {
+  let over = countOf(history, named) - most
+  const out: Body['history'] = []
+  for (const h of history) if ((h.named === true) !== named || over-- <= 0) out.push(h)
+  return out
 }
 function byUse(a: { used: number }, b: { used: number }): number {
   return a.used - b.used
--- a/packages/operator/src/edge.ts
+++ b/packages/operator/src/edge.ts
@@ -18,7 +18,7 @@
   news: Bell
 }
 
-export async function makeDecision(proposer: Proposer, stream: string, change: Change, team?: string, hindered: Finding[] = []): Promise<Decision | undefined> {
+export async function makeDecision(proposer: Proposer, stream: string, change: Change, team?: string, hindered: Finding[] = [], limit?: number): Promise<Decision | undefined> {
   const tag = `${stream}#${change.number}`
   let out: Decision | undefined
   function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
@@ -30,7 +30,7 @@
     out = ruling.decision
     return { body: ruling.body, tag }
   }
-  const got = await proposer.change(CONFIG_KEY, edit)
+  const got = await proposer.change(CONFIG_KEY, edit, limit)
   if (!got.done) return undefined
   // What is chosen is read back: it must hold the decision that is about to be told.
   const kept = got.value ? findDecision(got.value.body as Body, stream, change.number) : undefined
--- a/packages/operator/src/moves.ts
+++ b/packages/operator/src/moves.ts
@@ -20,8 +20,8 @@
   return out
 }
 
-// Moves after a change's edits; config is what the change's other edits make of it.
-export function editMoves(body: Body, config: Config, edits: Edit[], staged: boolean): Result<Move[], Finding[]> {
+// Moves after a change's edits; config is what the change's other edits make of it, epoch the one that it makes.
+export function editMoves(body: Body, config: Config, edits: Edit[], staged: boolean, epoch = body.epoch + 1): Result<Move[], Finding[]> {
   const out: Finding[] = []
   let moves = body.moves ?? []
   for (const [k, e] of edits.entries()) {
@@ -46,7 +46,7 @@
       for (const lane of config.lanes) if (froms.has(lane.group) && databases.has(lane.database) && !lanes.includes(lane.name)) bad.push({ place: `/edits/${k}/lanes`, what: `the lane ${lane.name} is to the same database ${lane.database} and has to go along` })
       for (const name of lanes) if (moveOf(moves, name)) bad.push({ place: `/edits/${k}`, what: `the lane ${name} is being moved already` })
       out.push(...bad)
-      if (bad.length === 0) moves = [...moves, { id: body.epoch + 1, lanes, from: [...froms][0], to: e.to, proof: e.proof ?? 'reported', phase: 'copy' }]
+      if (bad.length === 0) moves = [...moves, { id: epoch, lanes, from: [...froms][0], to: e.to, proof: e.proof ?? 'reported', phase: 'copy' }]
     } else if (e.op === 'confirm' || e.op === 'calloff') {
       const mine = moveOf(moves, e.lane)
       if (!mine) out.push({ place: `/edits/${k}/lane`, what: `no move of the lane ${e.lane} is under way` })
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -111,11 +111,14 @@
     return c !== undefined && world.now() < c.until
   }
   function share(): boolean {
+    // Live shares go by the members, not by slots.
+    const size = config()?.proxies ?? 0
+    if (size === 'live') return true
     const c = cells.get(SLOTS_KEY)
     if (!c || world.now() >= c.until) return false
     const { slots } = c.body as Slots
     const at = slotOf(slots, node)
-    return at >= 0 && at < (config()?.proxies ?? 0) && slots[at]?.ready === true
+    return at >= 0 && at < size && slots[at]?.ready === true
   }
   function group(name: string): Known | undefined {
     const c = cells.get(groupKey(name))
--- a/packages/register/src/words.ts
+++ b/packages/register/src/words.ts
@@ -1,3 +1,4 @@
+import { LATE_CALL } from '@claynotch/base'
 import * as t from 'io-ts'
 import { Ballot } from './ballot.js'
 
@@ -5,8 +6,8 @@
 export const Value = t.type({ turn: t.number, tag: t.string, body: t.unknown })
 
 // What a node saw of an instance. age: ms since the announcement was heard; leaving: it said that it goes, and first
-// did so gone ms before that announcement.
-export const Sight = t.intersection([t.type({ name: t.string, group: t.string, addr: t.string, area: t.string, role: t.string, leaving: t.boolean, age: t.number }), t.partial({ gone: t.number })])
+// did so gone ms before that announcement. sequence: the instance's own count of its announcements.
+export const Sight = t.intersection([t.type({ name: t.string, group: t.string, addr: t.string, area: t.string, role: t.string, leaving: t.boolean, age: t.number }), t.partial({ gone: t.number, sequence: t.number })])
 export type Sight = t.TypeOf<typeof Sight>
 
 // What a member says of itself with each renewal. acks: [key, turn] that its proxy applied.
@@ -56,10 +57,16 @@
 export const MembersAnswer = t.type({ ok: t.boolean, members: t.array(Member), sure: t.boolean })
 export type MembersAnswer = t.TypeOf<typeof MembersAnswer>
 
+// Whether the instance spoke b after a, whatever came first to us. By its own count, where both are of one life (one
+// address) and near enough in time that either may have been held up on its way; else by the time they were heard.
+function isLater(b: Sight, bAt: number, a: Sight, aAt: number): boolean {
+  if (a.sequence === undefined || b.sequence === undefined || a.sequence === b.sequence) return bAt > aAt
+  return a.addr === b.addr && Math.abs(bAt - aAt) < LATE_CALL ? b.sequence > a.sequence : bAt > aAt
+}
 // Of two sights of one instance the later, with the earliest notice of either.
 export function laterSight(old: { sight: Sight; at: number } | undefined, next: Sight, at: number): { sight: Sight; at: number } {
   if (!old) return { sight: next, at }
-  const late = at > old.at ? { sight: next, at } : old
+  const late = isLater(next, at, old.sight, old.at) ? { sight: next, at } : old
   if (!next.leaving || !old.sight.leaving) return late
   return { sight: { ...late.sight, gone: late.at - Math.min(at - (next.gone ?? 0), old.at - (old.sight.gone ?? 0)) }, at: late.at }
 }
