--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -116,13 +116,13 @@
   }
   function share(): boolean {
     // Shares by the live proxies need no register: whoever has a term has one.
-    const size = config()?.proxies
-    if (typeof size === 'string') return valid()
+    const size = config()?.proxies ?? 0
+    if (size === 'live') return valid()
     const c = cells.get(SLOTS_KEY)
     if (!c || world.now() >= c.until) return false
     const { slots } = c.body as Slots
     const at = slotOf(slots, node)
-    return at >= 0 && at < (size ?? 0) && slots[at]?.ready === true
+    return at >= 0 && at < size && slots[at]?.ready === true
   }
   function liveNow(): number {
     return live
