--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -561,9 +561,24 @@
     numbers.add('claynotch_decisions_total', [['decision', got === LATE ? 'unclear' : (got?.decision ?? 'unclear')]])
     return got === LATE ? undefined : got
   }
+  // A round costs each core a write to its disk: whoever asks while one runs shares the next, which starts after all of
+  // them asked, so that a crowd of readers makes no more than one at a time.
+  let reading: Promise<unknown> = Promise.resolve()
+  let shared: Promise<Body | undefined> | undefined
+  function startRead(): Promise<Body | undefined> {
+    shared = undefined
+    const got = readOnce()
+    reading = got.catch(nothing)
+    return got
+  }
+  async function readOnce(): Promise<Body | undefined> {
+    const got = await proposer.read(CONFIG_KEY, CHANGE_ANSWER)
+    return got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
+  }
   async function readBody(): Promise<Body | undefined> {
-    const got = await within(world, CHANGE_ANSWER, proposer.read(CONFIG_KEY, CHANGE_ANSWER))
-    return got !== LATE && got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
+    shared ??= reading.then(startRead)
+    const got = await within(world, CHANGE_ANSWER, shared)
+    return got === LATE ? undefined : got
   }
   const http = await edges.control(world, set.http, { numbers, heard, left, change, read: readBody, body: config, places: placesNow, ready, operator })
   const listener = await world.listen(set.link, answerLinks(world, mine, serveProxy, lostProxy))
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -34,6 +34,8 @@
 // count. Accepted changes that named their epoch, kept so that the same one sent again is told that it was taken: at
 // 47,000 changes a day (one in 1.8 s) these are the last 8 minutes, and about 15 KiB; a caller asks again within seconds.
 export const NAMED_KEPT = 256
+// bytes. Largest value of the configuration's register: half a frame, so that its first and any later word of it fits one.
+export const VALUE_LIMIT = 4 * 1024 * 1024
 // bytes. A data file is rewritten when longer than this and than REWRITE_RATIO times what lives in it.
 export const REWRITE_FLOOR = 1024 * 1024
 // ratio. See REWRITE_FLOOR; 4 keeps the mean cost of rewriting under a third of appending.
@@ -154,6 +156,12 @@
 export const LINE_GRACE = 250
 // count. Connections that one edge holds at most; further ones are closed at once.
 export const LINES = 20000
+// count. Connections that the edge for operators and announcements holds: some hundred instances keep one each.
+export const CONTROL_LINES = 1024
+// ms. A connection there that asks nothing for this long is closed; instances speak each second or so.
+export const CONTROL_QUIET = 15000
+// bytes. Largest announcement.
+export const ANNOUNCE_LIMIT = 4096
 // ms. A reader of the stream of decisions is looked after at least this often, to notice that it went away.
 export const FOLLOW_BEAT = 2000
 // s. Retry-After for refusals by overload, and while a promotion or a term is awaited.
--- a/packages/base/src/http.ts
+++ b/packages/base/src/http.ts
@@ -26,15 +26,17 @@
 // drain: goes on answering, and asks each caller with its answer to go elsewhere. lines: connections open now.
 export type Serving = { drain: () => void; close: (ms?: number) => Promise<void>; busy: () => number; lines: () => number; idle: () => Promise<void> }
 
+// A body that is somewhat too long is read to its end all the same and thrown away: a connection closed with
+// unread bytes is reset, and its caller might never see the refusal.
 async function readBody(req: IncomingMessage, most: number): Promise<Buffer | undefined> {
   const parts: Buffer[] = []
   let size = 0
   for await (const part of req) {
     size += (part as Buffer).length
-    if (size > most) return undefined
-    parts.push(part as Buffer)
+    if (size > 4 * most) return undefined
+    if (size <= most) parts.push(part as Buffer)
   }
-  return Buffer.concat(parts)
+  return size > most ? undefined : Buffer.concat(parts)
 }
 
 export function sendReply(res: ServerResponse, reply: Reply): void {
@@ -51,15 +53,26 @@
   return { status, body: { outcome: 'refused', class: 'INVALID_ARGUMENT', kept: 'nothing', again: false, why, findings } }
 }
 
-export async function serve(world: World, addr: Addr, handle: Handle, opt: { limit?: number; onLine?: (line: object, closed: Flag) => void; raw?: (path: string) => boolean } = {}): Promise<Serving> {
-  const most = opt.limit ?? BODY_LIMIT
+// limit: bytes of a body, for all paths or by path. lines: connections at most. quiet: ms after which a connection that
+// asked nothing whole is closed, and BODY_WAIT later one whose answer isn't taken; without it, never.
+export type Serve = { limit?: number | ((path: string) => number); lines?: number; quiet?: number; onLine?: (line: object, closed: Flag) => void; raw?: (path: string) => boolean }
+
+export async function serve(world: World, addr: Addr, handle: Handle, opt: Serve = {}): Promise<Serving> {
   const lines = new Map<Duplex, { closed: Flag; busy: number; last: number }>()
   let busy = 0
   let ending = false
   let quiet = makeFlag()
 
   async function answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const url = new URL(req.url ?? '/', 'http://x')
+    let url: URL
+    try {
+      url = new URL(req.url ?? '/', 'http://x')
+    } catch {
+      res.setHeader('connection', 'close')
+      sendReply(res, badInput(400, 'malformed path'))
+      return
+    }
+    const most = typeof opt.limit === 'function' ? opt.limit(url.pathname) : (opt.limit ?? BODY_LIMIT)
     let body: unknown
     if (!(opt.raw && opt.raw(url.pathname))) {
       const bytes = await within(world, BODY_WAIT, readBody(req, most))
@@ -98,7 +111,10 @@
   async function take(req: IncomingMessage, res: ServerResponse): Promise<void> {
     busy++
     const line = lines.get(req.socket)
-    if (line) line.busy++
+    if (line) {
+      line.busy++
+      line.last = world.now()
+    }
     res.sendDate = false
     function over(): void {
       busy--
@@ -129,7 +145,7 @@
   server.on('clientError', clientError)
 
   function line(sock: Duplex): void {
-    if (lines.size >= LINES) {
+    if (lines.size >= (opt.lines ?? LINES)) {
       sock.on('error', nothing)
       sock.destroy()
       return
@@ -143,8 +159,22 @@
     sock.on('error', nothing)
     sock.on('close', end)
     opt.onLine?.(sock, closed)
+    watchQuiet()
     server.emit('connection', sock)
   }
+  // One timer for all connections, set while there are any.
+  let watching = false
+  function watchQuiet(): void {
+    if (watching || opt.quiet === undefined) return
+    watching = true
+    world.later(opt.quiet / 4, endQuiet)
+  }
+  function endQuiet(): void {
+    watching = false
+    const now = world.now()
+    for (const [sock, one] of lines) if (now - one.last >= opt.quiet! + (one.busy > 0 ? BODY_WAIT : 0)) sock.destroy()
+    if (lines.size > 0) watchQuiet()
+  }
   const listener = await world.listen(addr, line)
 
   async function idle(): Promise<void> {
--- a/packages/operator/src/decide.ts
+++ b/packages/operator/src/decide.ts
@@ -1,4 +1,4 @@
-import { CONFIGS_KEPT, DECISIONS_KEPT, HISTORY_KEPT, NAMED_KEPT, STREAMS_KEPT, type Finding } from '@claynotch/base'
+import { CONFIGS_KEPT, DECISIONS_KEPT, encode, HISTORY_KEPT, NAMED_KEPT, STREAMS_KEPT, VALUE_LIMIT, type Finding } from '@claynotch/base'
 import { applyEdits, readConfig, type Body, type Change, type Config, type Decision, type Move } from './config.js'
 import { beyondTeam } from './credentials.js'
 import { checkMoves, editMoves, SYSTEM } from './moves.js'
@@ -106,7 +106,12 @@
     if (stage) next.stage = stage
     if (moves && moves.length > 0) next.moves = moves
   }
-  return { body: config && change.epoch !== undefined ? keepNamed(next, decision, config) : keepDecision(next, decision, config), decision }
+  const after = config && change.epoch !== undefined ? keepNamed(next, decision, config) : keepDecision(next, decision, config)
+  if (config && encode(after).length > VALUE_LIMIT) {
+    const big = refused(stream, number, body.epoch, 'too large', [{ place: '', what: `with what is kept of earlier ones over ${VALUE_LIMIT} bytes` }])
+    return change.epoch !== undefined ? { known: big } : { body: keepDecision(body, big), decision: big }
+  }
+  return { body: after, decision }
 }
 
 // The body with one more decision, and with it, where it was accepted, a configuration.
