--- a/packages/claynotch/src/index.ts
+++ b/packages/claynotch/src/index.ts
@@ -1,1 +1,3 @@
-export { BUILD } from './daemons.js'
+export * from './build.js'
+export * from './machine.js'
+export * from './run.js'
