--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -92,6 +92,10 @@
 // calls. A follower in another area is chosen only where the own one has this many more calls in flight: high
 // enough to keep reads near, low enough that a slow one near isn't flooded.
 export const AREA_COST = 4
+// ms. First and longest pause before one call tries an instance in doubt, where nothing samples it: short beside a
+// promotion, long beside a call's way there.
+export const TRY_PAUSE = 100
+export const TRY_PAUSE_MOST = 1000
 // ms. An idle instance connection is closed after this, before an instance's own keep-alive (5 s or more).
 export const POOL_IDLE = 3000
 // ms. Most time that a pool spends in waiting for a connection in one send.
@@ -108,6 +112,11 @@
 export const SENDS = 3
 // ms. Base of the exponential pause: 2^attempt times this.
 export const BACKOFF = 500
+// ratio. A lane that names the latency it aims at has its calls wait this much of it for a leader or a connection; past
+// it they are refused at once, with nothing run, and told when to come back.
+export const HOLD_SHARE = 0.2
+// ratio. Base of the pause between sends, of the lane's aim, where that is under BACKOFF.
+export const BACKOFF_SHARE = 0.1
 // ms. Spread over which calls that waited for a promotion wake, so that the new leader isn't hit at once.
 export const WAKE_SPREAD = 250
 // tokens. Retry tokens per group and proxy: what it starts with and can hold at most.
@@ -142,6 +151,9 @@
 export const PENDING = 256
 // ms. Open transactions get this long when their leader, lane or node is stopped on purpose.
 export const DRAIN = 3000
+// ms. A node that leaves takes new connections for this long after it first said so: whoever hands them out asks each
+// second, and believes the second miss.
+export const NOTICE = 2500
 // ms. Answers in flight at an edge get this long at its end; at the requesters' edge, a whole send and this.
 export const DRAIN_TAIL = 1500
 // bytes. Largest HTTP body taken.
--- /dev/null
+++ b/packages/base/src/streams.ts
@@ -0,0 +1,69 @@
+import type { Duplex } from 'node:stream'
+import { DRAIN_TAIL, LINES, LINE_GRACE } from './constants.js'
+import type { Serving } from './http.js'
+import { makeFlag, nothing, pause } from './time.js'
+import type { Addr, World } from './world.js'
+
+// A listener for connections that each are one long talk, with the same planned end as the HTTP edge's.
+// resting: nothing is asked and nothing is open, so that an end harms nobody. end: says its last and closes.
+export type Talk = { resting: () => boolean; end: () => void; gone: () => void }
+// answered: to be called after each answer, so that a planned end can come right then. busy: by how many more questions.
+export type Seat = { busy: (by: number) => void; answered: () => void }
+
+export async function serveStreams(world: World, addr: Addr, open: (stream: Duplex, seat: Seat) => Talk, most: number = LINES): Promise<Serving> {
+  const talks = new Map<Duplex, Talk>()
+  let busy = 0
+  let ending = false
+  let quiet = makeFlag()
+
+  function count(by: number): void {
+    busy += by
+    if (busy > 0) return
+    quiet.fire()
+    quiet = makeFlag()
+  }
+  function accept(stream: Duplex): void {
+    stream.on('error', nothing)
+    if (talks.size >= most) {
+      stream.destroy()
+      return
+    }
+    function answered(): void {
+      if (ending && talk.resting()) talk.end()
+    }
+    const talk = open(stream, { busy: count, answered })
+    talks.set(stream, talk)
+    function over(): void {
+      talks.delete(stream)
+      talk.gone()
+    }
+    stream.on('close', over)
+  }
+  const listener = await world.listen(addr, accept)
+
+  // Whoever rests is let go at once, the others right after the answer that brings them to rest. New ones are still
+  // taken: whoever hands them out learns a little later that this node leaves.
+  function drain(): void {
+    if (ending) return
+    ending = true
+    for (const talk of [...talks.values()]) if (talk.resting()) talk.end()
+  }
+  async function close(ms = DRAIN_TAIL): Promise<void> {
+    drain()
+    const done = listener.close()
+    const until = world.now() + ms
+    while (talks.size > 0 && world.now() < until) await pause(world, LINE_GRACE / 5)
+    for (const stream of [...talks.keys()]) stream.destroy()
+    await done
+  }
+  async function idle(): Promise<void> {
+    while (busy > 0) await quiet.wait()
+  }
+  function linesNow(): number {
+    return talks.size
+  }
+  function busyNow(): number {
+    return busy
+  }
+  return { drain, close, busy: busyNow, lines: linesNow, idle }
+}
--- a/packages/fleet/src/test/parts.test.ts
+++ b/packages/fleet/src/test/parts.test.ts
@@ -37,14 +37,15 @@
     const samples: Sample[] = []
     for (let k = 0; k < 20; k++) {
       const asked = rnd() * now
-      samples.push({ asked, mark: positionAt(Math.min(now, asked + rnd() * 600)) })
+      const mark = positionAt(Math.min(now, asked + rnd() * 600))
+      samples.push({ asked, reign: mark.epoch, mark })
     }
     const mark = commits[Math.floor(rnd() * commits.length)]
     const follower = { epoch: rnd() < 0.8 ? epoch : mark.epoch, position: mark.position }
     let token: { epoch: number; position: number } | undefined
     for (const m of commits) if (m.session) token = { epoch: m.epoch, position: m.position }
     const need = needOf(floorOf(samples, epoch, within, now), epoch, token)
-    if (need === undefined || !isFresh(follower, epoch, need)) continue
+    if (need === undefined || !isFresh(follower, need, true)) continue
     allowed++
     // The plain model: every commit owed must lie at or under what the follower holds.
     for (const m of commits) if ((m.at < now - within || m.session) && m.position > follower.position && !(m.epoch < epoch)) wrong++
--- a/packages/instance/src/edge.ts
+++ b/packages/instance/src/edge.ts
@@ -107,4 +107,4 @@
 }
 
 // Our own wire. A follower's place is known by samples only; a promotion is refused for an epoch that was passed.
-export const httpInstance: InstanceEdge = { sampler: openSampler, idle: POOL_IDLE, open: openPort, status: statusOf }
+export const httpInstance: InstanceEdge = { sampler: openSampler, exact: true, named: true, idle: POOL_IDLE, open: openPort, status: statusOf }
--- a/packages/instance/src/seam.ts
+++ b/packages/instance/src/seam.ts
@@ -45,6 +45,10 @@
   // Set where a follower's place is known by samples only. Without it a follower itself refuses (lags) a read whose
   // place (after) it lacks, and nobody asks instances anything while all is well.
   sampler?: (world: World, who: Who, ms: number) => Promise<Result<Sampler, string>>
+  // Whether each answer of a leader carries the epoch that it leads in; else a place may be that of an earlier entry.
+  exact: boolean
+  // Whether a connection must be told its database; else an instance's databases are told apart by its name alone.
+  named: boolean
   // ms for which an idle connection may be kept: less than the instance itself keeps it.
   idle: number
   open: (world: World, who: Who, ms: number) => Promise<Result<Port, Trouble>>
--- a/packages/proxy/src/freshness.ts
+++ b/packages/proxy/src/freshness.ts
@@ -2,31 +2,38 @@
 
 // The proof that a follower is fresh enough. Nothing here takes a follower's word on its lag.
 // asked: local time just before the leader was asked. What the leader answered covers every commit
-// acknowledged before asked, so the sample speaks for that time and no later one.
-export type Sample = { asked: number; mark: Mark }
+// acknowledged before asked, so the sample speaks for that time and no later one. reign: the record's epoch under
+// which it was asked; its mark may be that of an earlier epoch's last entry, where nothing was written since.
+export type Sample = { asked: number; reign: number; mark: Mark }
 
-// The position that every commit older than now - within lies at or under: the least among the samples
-// young enough to prove it. undefined: none is.
-export function floorOf(samples: Sample[], epoch: number, within: number, now: number): number | undefined {
-  let least: number | undefined
+export function compareMarks(a: Mark, b: Mark): number {
+  return a.epoch !== b.epoch ? a.epoch - b.epoch : a.position - b.position
+}
+
+// The place that every commit older than now - within lies at or under: the least among the samples of this reign that
+// are young enough to prove it. undefined: none is.
+export function floorOf(samples: Sample[], reign: number, within: number, now: number): Mark | undefined {
+  let least: Mark | undefined
   for (const s of samples) {
-    if (s.mark.epoch !== epoch || s.asked < now - within) continue
-    if (least === undefined || s.mark.position < least) least = s.mark.position
+    if (s.reign !== reign || s.asked < now - within) continue
+    if (least === undefined || compareMarks(s.mark, least) < 0) least = s.mark
   }
   return least
 }
 
-// What a follower must hold: the floor, and the session's last write where that was in this epoch. A write of
-// an earlier epoch lies under the start of this one, which each instance of this epoch holds.
+// What a follower must hold: the floor, and the session's last write. Where epochs are exact, a write of an earlier one
+// lies under every floor of this reign.
 // undefined: it can't be proved. A token of a later epoch than the record's can't be met here at all.
-export function needOf(floor: number | undefined, epoch: number, token: Mark | undefined): number | undefined {
+export function needOf(floor: Mark | undefined, reign: number, token: Mark | undefined): Mark | undefined {
   if (floor === undefined) return undefined
-  if (!token || token.epoch < epoch) return floor
-  return token.epoch > epoch ? undefined : Math.max(floor, token.position)
+  if (!token) return floor
+  if (token.epoch > reign) return undefined
+  return compareMarks(token, floor) > 0 ? token : floor
 }
 
-export function isFresh(mark: Mark, epoch: number, need: number): boolean {
-  return mark.epoch === epoch && mark.position >= need
+// Epochs must be alike where answers always carry theirs; else the order of places tells.
+export function isFresh(mark: Mark, need: Mark, exact: boolean): boolean {
+  return (!exact || mark.epoch === need.epoch) && compareMarks(mark, need) >= 0
 }
 
 // What a requester carries between nodes: a place in one group's history, and no word on any other group's.
@@ -50,6 +57,6 @@
 // ms within which a follower's position is proved: the age of the youngest sample that lies at or under it.
 export function provedWithin(samples: Sample[], epoch: number, mark: Mark, now: number): number | undefined {
   let best: number | undefined
-  for (const s of samples) if (s.mark.epoch === epoch && mark.epoch === epoch && s.mark.position <= mark.position) best = Math.min(best ?? Infinity, now - s.asked)
+  for (const s of samples) if (s.reign === epoch && compareMarks(s.mark, mark) <= 0) best = Math.min(best ?? Infinity, now - s.asked)
   return best
 }
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -1,7 +1,7 @@
 import {
-  AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
+  BACKOFF, BACKOFF_SHARE, HOLD_SHARE, AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
 } from '@claynotch/base'
-import { type Done, type Mark, type Trouble } from '@claynotch/instance'
+import type { Done, InstanceEdge, Mark, Trouble } from '@claynotch/instance'
 import { guardOf, lendable } from '@claynotch/operator'
 import { refusal, type Verdict } from '@claynotch/requester'
 import { floorOf, isForeign, isFresh, needOf, provedWithin, type Token } from './freshness.js'
@@ -22,7 +22,12 @@
   need: Need
   token: Token | undefined
   mustLead: boolean
-  body: { text?: string; shape?: string; args: unknown[] }
+  body: { text?: string; shape?: string; args: unknown[]; id?: string }
+  // find: the call's lane in other rules. hold: until when it waits for a leader or a connection. behind: followers that
+  // said in this call that they lack the place.
+  find: (rules: Rules) => LaneRules | undefined
+  hold: number
+  behind: Set<string>
   deadline: number
   byCaller: boolean
   gone: Flag
@@ -31,7 +36,7 @@
   ran: 'no' | 'maybe'
   last: Trouble | undefined
   probe: boolean
-  target?: { instance: Instance; epoch: number; floor: number | undefined }
+  target?: { instance: Instance; epoch: number; floor: Mark | undefined }
   loan?: Loan
   got?: Result<Done, Trouble>
   asked: number
@@ -53,13 +58,13 @@
   writing: (group: string, lane?: string) => number
   holdWrite: (group: string, lane: string, by: number) => void
   // The position that a follower must hold for a read that begins now; undefined: it can't be proved.
-  needNow: (group: string, fresh: { within: number; own: boolean }, token: Token | undefined) => number | undefined
+  needNow: (group: string, fresh: { within: number; own: boolean }, token: Token | undefined) => Mark | undefined
   highs: () => Map<string, Mark>
   sawWrite: (group: string, mark: Mark) => void
   quiet: ReturnType<typeof makeBell>
 }
 
-export function makeRunner(world: World, state: State, watch: Watch, pool: Pool, numbers: Numbers, stopping: () => boolean): Runner {
+export function makeRunner(world: World, state: State, watch: Watch, pool: Pool, edge: InstanceEdge, numbers: Numbers, stopping: () => boolean): Runner {
   const tools = new Map<string, Tools>()
   const pending = new Map<string, number>()
   const byTeam = new Map<string, number>()
@@ -128,8 +133,8 @@
   function heed(call: Call): Turn {
     const rules = state.rules()
     if (!rules) return refusal('UNAVAILABLE', 'no configuration is known here', true, AFTER_MOVE)
-    const lane = rules.lanes.get(call.lane.name)
-    if (!lane) return refusal('NOT_FOUND', `the lane ${call.lane.name} was dropped`, false)
+    const lane = call.find(rules)
+    if (!lane) return { ...refusal('NOT_FOUND', `the lane ${call.lane.name} was dropped`, false), lacks: 'lane' }
     give(call)
     if (lane.group !== call.lane.group) {
       if (call.probe) toolsOf(call.lane.group).breaker.note(false, true)
@@ -186,7 +191,7 @@
     call.waited = true
     const wake = makeFlag()
     const unwatch = call.gone.watch(wake.fire)
-    const left = Math.max(1, Math.min(call.deadline - world.now(), 250))
+    const left = Math.max(1, Math.min(call.deadline - world.now(), call.hold - world.now(), 250))
     void state.bell.wait(world, left, wake).then(wake.fire)
     void watch.bell.wait(world, left, wake).then(wake.fire)
     await wake.wait()
@@ -199,12 +204,13 @@
     const calm = rec.phase === 'steady' || (rec.phase === 'drain' && call.kind === 'read')
     if (!calm || rec.leader === undefined) return undefined
     const instance = watch.get(rec.leader)
-    if (!instance || instance.doubt) return undefined
+    if (!instance || !watch.usable(instance, false)) return undefined
     if (stopsHere(call)) return undefined
     const writes = call.kind === 'write' || call.kind === 'begin write'
     if (writes && !guarded(call.lane.group, rec.leader, rec.epoch)) return undefined
     // A leaving leader still leads until its successor does, but not for ever.
     if (state.goneFor(rec.leader) > LEAVING_WORK) return undefined
+    watch.usable(instance, true)
     return { instance, epoch: rec.epoch }
   }
   // A lane under move takes no writes and no transactions, and in its last phase no reads either.
@@ -225,7 +231,7 @@
     numbers.add('claynotch_guard_waits_total', [['group', group]])
     return false
   }
-  function followerNow(call: Call, known: Known, step: { within: number; own: boolean }): { instance: Instance; epoch: number; floor: number } | undefined {
+  function followerNow(call: Call, known: Known, step: { within: number; own: boolean }): { instance: Instance; epoch: number; floor: Mark } | undefined {
     const rec = known.record
     if (rec.leader === undefined || world.now() >= known.until || stopsHere(call)) return undefined
     // A transaction begun now would be cut when the drain ends; it waits for the next leader.
@@ -235,8 +241,9 @@
     let best: Instance | undefined
     let least = Infinity
     for (const one of watch.all().values()) {
-      if (one.group !== call.lane.group || one.name === rec.leader || one.doubt || state.gone(one.name)) continue
-      if (!one.mark || one.status?.role !== 'follower' || !isFresh(one.mark, rec.epoch, need)) continue
+      if (one.group !== call.lane.group || one.name === rec.leader || !watch.usable(one, false) || state.gone(one.name) || call.behind.has(one.name)) continue
+      // Where followers are sampled, what they hold is known; else each proves it itself, on the send.
+      if (edge.sampler && (!one.mark || one.status?.role !== 'follower' || !isFresh(one.mark, need, edge.exact))) continue
       // The own area first, then the least usage.
       const cost = one.usage + (one.area === state.area() ? 0 : AREA_COST)
       if (cost < least) {
@@ -244,7 +251,9 @@
         best = one
       }
     }
-    return best ? { instance: best, epoch: rec.epoch, floor: need } : undefined
+    if (!best) return undefined
+    watch.usable(best, true)
+    return { instance: best, epoch: rec.epoch, floor: need }
   }
   async function aim(call: Call, step: Extract<Step, { op: 'aim' }>): Promise<Turn> {
     let waited = false
@@ -268,13 +277,14 @@
       if (!state.valid() || !state.share()) return unavailable(call, 'this node lost its term', AFTER_MOVE)
       // A call that only waits is told now, so that its requester can go elsewhere.
       if (stopping()) return unavailable(call, 'this node is stopping', AFTER_LOAD)
+      if (world.now() >= call.hold) return unavailable(call, call.last?.why ?? `the group ${call.lane.group} has no leader to send to`, AFTER_MOVE)
       // No leader to send to: a promotion is under way, or the leader is in doubt. Waiting is no send.
       waited = true
       await waitNews(call)
     }
     if (waited) {
       // All who waited wake at once; they spread out, so that the leader isn't hit by all together.
-      await pause(world, Math.min(world.random() * WAKE_SPREAD, Math.max(0, call.deadline - world.now())), call.gone)
+      await pause(world, Math.min(world.random() * WAKE_SPREAD, Math.max(0, call.deadline - world.now()), Math.max(0, call.hold - world.now())), call.gone)
       if (call.target && call.target.floor === undefined && !stands(call.lane.group, call.target.epoch)) return 'aim'
     }
     return undefined
@@ -284,7 +294,7 @@
     const config = state.config()
     const limit = config ? lendable(config, call.lane.group) : 0
     instance.usage++
-    const got = await pool.borrow(instance, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now()), call.gone)
+    const got = await pool.borrow(instance, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now(), Math.max(1, call.hold - world.now())), call.gone)
     instance.usage--
     if (got.ok) {
       call.loan = got.val
@@ -318,10 +328,11 @@
     instance.usage++
     const { group, name } = call.lane
     if (writes) holdWrite(group, name, 1)
-    if (call.kind === 'begin read' || call.kind === 'begin write') call.got = await loan.port.begin(call.kind === 'begin read' ? 'read' : 'write', limit)
+    const sent = { ...(call.body.id !== undefined ? { id: call.body.id } : {}), ...(floor !== undefined && !edge.sampler ? { after: floor } : {}) }
+    if (call.kind === 'begin read' || call.kind === 'begin write') call.got = await loan.port.begin(call.kind === 'begin read' ? 'read' : 'write', limit, sent)
     else {
       const text = call.body.text
-      call.got = await loan.port.statement({ ...(text !== undefined ? { text } : { shape: loan.shapeId(call.need.shapes.get(call.body.shape!)!) }), args: call.body.args, mode: call.kind === 'write' ? 'write' : 'read' }, limit)
+      call.got = await loan.port.statement({ ...(text !== undefined ? { text } : { shape: loan.shapeId(call.need.shapes.get(call.body.shape!)!) }), args: call.body.args, mode: call.kind === 'write' ? 'write' : 'read', ...sent }, limit)
     }
     if (writes) holdWrite(group, name, -1)
     instance.usage--
@@ -335,10 +346,10 @@
     const { breaker, alert } = toolsOf(group)
     const lead = floor === undefined
     if (got.ok) {
-      const { mark, rows } = got.val
-      watch.saw(instance.name, call.asked, mark, lead)
+      const { mark, rows, stamp } = got.val
+      watch.saw(instance.name, call.asked, mark, lead ? epoch : undefined)
       const counted = !isWrite(call) || state.counts(call.lane.name, group, call.asked)
-      const good = lead ? stands(group, epoch) && mark.epoch === epoch && counted : isFresh(mark, epoch, floor)
+      const good = lead ? stands(group, epoch) && (!edge.exact || mark.epoch === epoch) && counted : isFresh(mark, floor, edge.exact)
       if (good) {
         breaker.note(true, call.probe)
         if (call.sends > 1 || call.waited) {
@@ -351,7 +362,7 @@
           loan.end(true)
           delete call.loan
         }
-        return { outcome: 'done', rows }
+        return { outcome: 'done', rows, ...(stamp !== undefined ? { stamp } : {}) }
       }
       // It ran, but under a record that no longer stands (or on a follower that fell back).
       loan.end(call.kind === 'read' || call.kind === 'write')
@@ -365,6 +376,7 @@
     call.last = trouble
     numbers.add('claynotch_error_classification_total', [['class', trouble.class], ['retryable', trouble.transient ? 'yes' : 'no']])
     if (trouble.reach === 'maybe') call.ran = 'maybe'
+    else if (trouble.lags && floor !== undefined) return behind(call, instance, loan)
     loan.end(trouble.reach === 'answered' && (call.kind === 'read' || call.kind === 'write'))
     delete call.loan
     if (trouble.transient) {
@@ -380,19 +392,28 @@
     if (call.ran !== 'no' && isWrite(call)) return unknown(trouble.why)
     return refusal(trouble.class, trouble.why, after !== undefined, after)
   }
+  // A follower that lacks the place has run nothing and is not in trouble; another, or the leader, is asked at once.
+  function behind(call: Call, instance: Instance, loan: Loan): Turn {
+    numbers.add('claynotch_reads_behind_total', [['instance', instance.name]])
+    call.behind.add(instance.name)
+    call.sends--
+    loan.end(call.kind === 'read')
+    delete call.loan
+    return 'aim'
+  }
   function unknown(why: string): Verdict {
     numbers.add('claynotch_unknown_total')
     return { outcome: 'unknown', class: 'UNKNOWN', kept: 'unknown', again: false, why }
   }
   // Whether a further send is allowed; sleeps before it, cut short when the caller goes.
   async function again(call: Call): Promise<Turn> {
-    if (call.sends >= SENDS) return exhausted(call)
+    if (call.sends >= Math.min(SENDS, call.lane.sends ?? SENDS)) return exhausted(call)
     const { tokens } = toolsOf(call.lane.group)
     if (call.sends > 0 && !tokens.spend()) {
       numbers.add('claynotch_retry_tokens_out_total', [['group', call.lane.group]])
       return unavailable(call, `the group's retries are used up: ${call.last?.why ?? ''}`, AFTER_LOAD)
     }
-    const wait = backoff(world, Math.max(0, call.sends - 1))
+    const wait = backoff(world, Math.max(0, call.sends - 1), call.lane.aim === undefined ? BACKOFF : Math.min(BACKOFF, call.lane.aim * BACKOFF_SHARE))
     // A sleep that would outlast the deadline is not slept: the final answer goes out at once.
     if (world.now() + wait >= call.deadline) return exhausted(call)
     await pause(world, wait, call.gone)
@@ -453,7 +474,7 @@
   function isAim(step: Step): boolean {
     return step.op === 'aim'
   }
-  function needNow(group: string, fresh: { within: number; own: boolean }, token: Token | undefined): number | undefined {
+  function needNow(group: string, fresh: { within: number; own: boolean }, token: Token | undefined): Mark | undefined {
     const rec = state.group(group)?.record
     const head = rec?.leader !== undefined ? watch.get(rec.leader) : undefined
     if (!rec || !head) return undefined
@@ -473,12 +494,14 @@
   return { database: lane.database, settings: has.settings, shapes: has.shapes, team: lane.team, share: rules.shares.get(lane.team) ?? 1 }
 }
 
-export function makeCall(world: World, kind: Kind, lane: LaneRules, rules: Rules, parts: { settings: [string, string][]; shapes: Map<string, string>; token: Token | undefined; mustLead: boolean; body: Call['body']; ms: number | undefined; gone: Flag }): Call {
+export function makeCall(world: World, kind: Kind, lane: LaneRules, rules: Rules, parts: { settings: [string, string][]; shapes: Map<string, string>; token: Token | undefined; mustLead: boolean; body: Call['body']; find: Call['find']; ms: number | undefined; gone: Flag }): Call {
   const now = world.now()
   const byCaller = parts.ms !== undefined && parts.ms < BUDGET
+  const budget = Math.min(BUDGET, parts.ms ?? BUDGET, lane.limit ?? BUDGET)
   return {
     kind, rules, lane, token: parts.token, mustLead: parts.mustLead, body: parts.body, gone: parts.gone, byCaller,
     need: needFor(lane, rules, parts),
-    deadline: now + Math.min(BUDGET, parts.ms ?? BUDGET), sends: 0, waited: false, ran: 'no', last: undefined, probe: false, asked: now,
+    find: parts.find, hold: now + (lane.aim === undefined ? budget : lane.aim * HOLD_SHARE), behind: new Set(),
+    deadline: now + budget, sends: 0, waited: false, ran: 'no', last: undefined, probe: false, asked: now,
   }
 }
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -10,12 +10,15 @@
 // - lent + idle + opening never passes the limit given by the configuration for this node;
 // - only a connection known to be clean is lent again; whatever ended unclear is closed;
 // - set holds exactly the settings, and shapes the shapes, that were put in force and answered for.
-type Conn = { port: Port; set: string; shapes: Set<string>; idleSince: number }
+type Conn = { port: Port; set: Map<string, string>; shapes: Set<string>; idleSince: number }
 
 export type Loan = {
   port: Port
   instance: string
   shapeId: (text: string) => string
+  // Puts a shape, or one more setting, in force on the connection as it is, also within a transaction.
+  shape: (text: string) => Promise<Trouble | undefined>
+  setting: (name: string, value: string) => Promise<Trouble | undefined>
   // Gives the connection back; clean is false where its state isn't known for sure.
   end: (clean: boolean) => void
 }
@@ -31,8 +34,17 @@
   close: () => void
 }
 
-export function settingsKey(need: Need): string {
-  return JSON.stringify([need.database, [...need.settings].sort()])
+// The settings that must be in force, and no others. A connection that must be told its database takes it as one.
+function wantedOf(need: Need, named: boolean): Map<string, string> {
+  const out = new Map<string, string>(named ? [[BASE, need.database]] : [])
+  for (const [name, value] of need.settings) out.set(name, value)
+  return out
+}
+const BASE = 'database'
+function sameSettings(a: Map<string, string>, b: Map<string, string>): boolean {
+  if (a.size !== b.size) return false
+  for (const [name, value] of a) if (b.get(name) !== value) return false
+  return true
 }
 
 function shapeId(text: string): string {
@@ -82,41 +94,57 @@
     p.waiters.splice(p.waiters.indexOf(best), 1)
     best.wake.fire()
   }
-  function pick(p: Place, key: string): Conn | undefined {
+  // First one that has just what is wanted, then one with nothing to take back, then any.
+  function pick(p: Place, want: Map<string, string>): Conn | undefined {
     let any = -1
+    let bare = -1
     for (let k = p.idle.length - 1; k >= 0; k--) {
       const c = p.idle[k]
       if (!c.port.alive()) {
         p.idle.splice(k, 1)
         if (any > k) any--
+        if (bare > k) bare--
         continue
       }
-      if (c.set === key) return p.idle.splice(k, 1)[0]
+      if (sameSettings(c.set, want)) return p.idle.splice(k, 1)[0]
+      if (c.set.size === 0) bare = k
       any = k
     }
-    return any >= 0 ? p.idle.splice(any, 1)[0] : undefined
+    const at = bare >= 0 ? bare : any
+    return at >= 0 ? p.idle.splice(at, 1)[0] : undefined
   }
   // Puts the settings in force. false: unclear, the connection must go.
-  async function prepare(c: Conn, need: Need, key: string): Promise<Trouble | undefined> {
-    if (c.set !== key) {
+  async function prepare(c: Conn, need: Need, want: Map<string, string>): Promise<Trouble | undefined> {
+    let stray = false
+    for (const name of c.set.keys()) if (!want.has(name)) stray = true
+    if (stray) {
       const clear = await c.port.reset(RESET_LIMIT)
       if (clear.err) return { ...clear.val, reach: 'none' }
-      c.set = ''
+      c.set.clear()
       c.shapes.clear()
-      const put = await c.port.settings([['database', need.database], ...need.settings], RESET_LIMIT)
+    }
+    const pairs: [string, string][] = []
+    for (const [name, value] of want) if (c.set.get(name) !== value) pairs.push([name, value])
+    if (pairs.length > 0) {
+      const put = await c.port.settings(pairs, RESET_LIMIT)
       // The instance's own refusal of a setting is final; reach speaks of the try, which has not begun.
       if (put.err) return put.val.reach === 'answered' ? put.val : { ...put.val, reach: 'none' }
-      c.set = key
+      for (const [name, value] of pairs) c.set.set(name, value)
     }
     for (const text of need.shapes.values()) {
-      const id = shapeId(text)
-      if (c.shapes.has(id)) continue
-      const put = await c.port.shape(id, text, RESET_LIMIT)
-      if (put.err) return put.val.reach === 'answered' ? put.val : { ...put.val, reach: 'none' }
-      c.shapes.add(id)
+      const bad = await putShape(c, text)
+      if (bad) return bad
     }
     return undefined
   }
+  async function putShape(c: Conn, text: string): Promise<Trouble | undefined> {
+    const id = shapeId(text)
+    if (c.shapes.has(id)) return undefined
+    const put = await c.port.shape(id, text, RESET_LIMIT)
+    if (put.err) return put.val.reach === 'answered' ? put.val : { ...put.val, reach: 'none' }
+    c.shapes.add(id)
+    return undefined
+  }
   function usageOf(p: Place, team: string, by: number): void {
     p.usage.set(team, (p.usage.get(team) ?? 0) + by)
   }
@@ -124,13 +152,13 @@
   async function borrow(who: Who, limit: number, need: Need, ms: number, gone: Flag): Promise<Result<Loan, Trouble>> {
     const { name: instance, addr } = who
     const p = place(instance, addr)
-    const key = settingsKey(need)
+    const want = wantedOf(need, edge.named)
     p.limit = limit
     const end = world.now() + Math.min(ms, BORROW_LIMIT)
     let c: Conn | undefined
     for (;;) {
       // Those who wait already are not overtaken by one who just came.
-      c = p.waiters.length === 0 || p.idle.length > p.waiters.length ? pick(p, key) : undefined
+      c = p.waiters.length === 0 || p.idle.length > p.waiters.length ? pick(p, want) : undefined
       if (c) {
         p.lent++
         break
@@ -145,7 +173,7 @@
           return got
         }
         numbers.add('claynotch_pool_dials_total', [['instance', instance]])
-        c = { port: got.val, set: 'new', shapes: new Set(), idleSince: 0 }
+        c = { port: got.val, set: new Map(), shapes: new Set(), idleSince: 0 }
         p.lent++
         break
       }
@@ -166,7 +194,7 @@
       const at = p.waiters.indexOf(mine)
       if (at >= 0) p.waiters.splice(at, 1)
       else if (p.idle.length > 0) {
-        c = pick(p, key)
+        c = pick(p, want)
         if (c) {
           p.lent++
           break
@@ -187,12 +215,21 @@
       } else conn.port.close()
       wakeNext(p)
     }
-    const bad = await prepare(conn, need, key)
+    const bad = await prepare(conn, need, want)
     if (bad) {
       finish(false)
       return Err(bad)
     }
-    return Ok({ port: conn.port, instance, shapeId, end: finish })
+    function shape(text: string): Promise<Trouble | undefined> {
+      return putShape(conn, text)
+    }
+    async function setting(name: string, value: string): Promise<Trouble | undefined> {
+      const put = await conn.port.settings([[name, value]], RESET_LIMIT)
+      if (put.err) return put.val
+      conn.set.set(name, value)
+      return undefined
+    }
+    return Ok({ port: conn.port, instance, shapeId, shape, setting, end: finish })
   }
   function shrink(instance: string, limit: number): boolean {
     const p = places.get(instance)
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,14 +1,13 @@
 import {
-  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, SEND_LIMIT, serve, type Addr, type Ask, type Numbers, type Reply, type World,
+  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, NOTICE, pause, readAs, SEND_LIMIT, type Addr, type Numbers, type World,
 } from '@claynotch/base'
-import { httpInstance, type InstanceEdge } from '@claynotch/instance'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
-import { takeProbe } from '@claynotch/host'
 import { Feed, groupOf, type Note } from '@claynotch/register'
 import { provedWithin } from './freshness.js'
 import { makeRunner, type Runner } from './interpret.js'
 import { makePool, type Pool } from './pool.js'
 import { makeSessions, type Sessions } from './sessions.js'
+import { ownEdges, type ProxyEdges } from './seam.js'
 import { makeState, type State } from './state.js'
 import { startWatch, type Watch } from './watch.js'
 
@@ -17,42 +16,34 @@
 
 export type Proxy = { stop: () => Promise<void>; numbers: Numbers; state: State; watch: Watch; runner: Runner; sessions: Sessions; pool: Pool }
 
-// The ways in which this process speaks with its peers.
-export type ProxyEdges = { instance: InstanceEdge }
-export const ownEdges: ProxyEdges = { instance: httpInstance }
-
 export async function startProxy(world: World, set: ProxySettings, edges: ProxyEdges = ownEdges): Promise<Proxy> {
   const stop = makeFlag()
   const numbers = makeNumbers()
   const life = Math.floor(world.random() * 2 ** 40).toString(36)
   const state = makeState(world)
+  // leaving: not ready any more, what is open is served on. draining: nothing new is begun either.
+  let leaving = false
   let draining = false
   function stopping(): boolean {
     return draining
   }
   const watch = startWatch(world, state, edges.instance, stop, numbers)
   const pool = makePool(world, edges.instance, stop, numbers)
-  const runner = makeRunner(world, state, watch, pool, numbers, stopping)
-  const sessions = makeSessions(world, state, runner, numbers, stop, stopping)
+  const runner = makeRunner(world, state, watch, pool, edges.instance, numbers, stopping)
+  const sessions = makeSessions(world, state, runner, edges.instance, numbers, stop, stopping)
   // acked: turns applied in full; a drain counts only once no transaction and no write is left open.
   const acked = new Map<string, number>()
 
   function ready(): string | undefined {
-    if (draining) return 'draining'
+    if (leaving) return 'draining'
     if (!state.valid()) return 'no valid term'
     if (!state.share()) return 'no share of the connections'
     return undefined
   }
-  async function handle(ask: Ask): Promise<Reply> {
-    return await sessions.take(ask)
-  }
   // The requester's address is bound before the agent is dialled: a second proxy of this machine fails
   // here, so an agent never feeds one while another may still work.
-  const http = await serve(world, set.listen, handle)
-  function admin(ask: Ask): Reply {
-    return takeProbe(ask, { ready, numbers }) ?? { status: 404, body: { why: 'no such path' } }
-  }
-  const probes = await serve(world, set.admin, admin)
+  const http = await edges.requester(world, set.listen, sessions)
+  const probes = await edges.probes(world, set.admin, { ready, numbers })
 
   function applied(key: string, turn: number): boolean {
     const group = groupOf(key)
@@ -96,7 +87,7 @@
     }
     numbers.set('claynotch_ready', [], ready() === undefined ? 1 : 0)
     for (const [g] of runner.groups()) numbers.set('claynotch_transactions', [['group', g]], sessions.transactions(g))
-    const word: Note = { t: 'note', life, acks: [...acked], highs, seen, moving, tries, open: sessions.open(), leaving: draining, lags }
+    const word: Note = { t: 'note', life, acks: [...acked], highs, seen, moving, tries, open: sessions.open(), leaving, lags }
     agent.tell(word)
   }
   function take(msg: unknown): undefined {
@@ -113,14 +104,18 @@
   void loop(world, 'note', NOTE_BEAT, stop, note, runner.quiet)
   world.log.info('proxy-started', { listen: set.listen, admin: set.admin })
 
-  // A planned stop: no new work, open transactions get DRAIN, answers in flight go out, then the end.
+  // A planned stop: this node says that it isn't ready, and serves on for as long as others may not have noticed and
+  // transactions are open, DRAIN at most; then nothing new is begun, answers in flight go out, and it ends.
   async function end(): Promise<void> {
-    draining = true
+    leaving = true
+    note()
     http.drain()
     world.log.info('draining', { sessions: sessions.open(), transactions: sessions.transactions(), calls: http.busy() })
-    const until = world.now() + DRAIN
+    const from = world.now()
+    const until = from + DRAIN
     // Connections leave as they are answered; one that says nothing for all of DRAIN is idle and may be ended.
-    while (world.now() < until && (sessions.transactions() > 0 || http.lines() > 0)) await runner.quiet.wait(world, Math.min(100, until - world.now()))
+    while (world.now() < until && (world.now() < from + NOTICE || sessions.transactions() > 0 || http.lines() > 0)) await runner.quiet.wait(world, Math.min(100, until - world.now()))
+    draining = true
     sessions.cut('the node stops')
     // No new connections from here on; those that are left are answered to the end.
     await http.close(SEND_LIMIT + DRAIN_TAIL)
--- a/packages/proxy/src/retry.ts
+++ b/packages/proxy/src/retry.ts
@@ -5,8 +5,8 @@
 
 // The retry policy of one node, by group: pauses, tokens, breaker, alert. docs/retry.md tells where each comes from.
 
-export function backoff(world: World, sends: number): number {
-  const base = 2 ** sends * BACKOFF
+export function backoff(world: World, sends: number, first = BACKOFF): number {
+  const base = 2 ** sends * first
   return base + world.random() * (base / 2)
 }
 
--- a/packages/proxy/src/rules.ts
+++ b/packages/proxy/src/rules.ts
@@ -19,11 +19,12 @@
 export type LaneRules = { name: string; group: string; team: string; database: string; pending: number; limit: number | undefined; aim: number | undefined; sends: number | undefined; programs: Map<Kind, Step[]>; move: Exclude<Move['phase'], 'copy'> | undefined }
 // share, sessions and pending by team; a lane without a team belongs to the team ''.
 // transactionIdle: ms; a transaction that rests for longer may be ended.
-// since: when this node began to work by them.
-export type Rules = { epoch: number; since: number; lanes: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number>; pending: Map<string, number>; transactionIdle: number | undefined; policy: { policy: Policy; fallback: string } | undefined }
+// since: when this node began to work by them. bases: the first lane of each database.
+export type Rules = { epoch: number; since: number; lanes: Map<string, LaneRules>; bases: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number>; pending: Map<string, number>; transactionIdle: number | undefined; policy: { policy: Policy; fallback: string } | undefined }
 
 export function compile(config: Config, epoch: number, moves: Move[], since: number): Rules {
   const lanes = new Map<string, LaneRules>()
+  const bases = new Map<string, LaneRules>()
   for (const lane of config.lanes) {
     const pending = lane.pending ?? PENDING
     const phase = moveOf(moves, lane.name)?.phase
@@ -33,7 +34,9 @@
     for (const [kind, aim] of [['read', near], ['write', lead], ['begin read', near], ['begin write', lead]] as [Kind, Step][]) {
       programs.set(kind, [{ op: 'gate' }, { op: 'take', pending }, { op: 'breaker' }, aim, { op: 'borrow' }, { op: 'send' }, { op: 'judge' }])
     }
-    lanes.set(lane.name, { name: lane.name, group: lane.group, team: lane.team ?? '', database: lane.database, pending, limit: lane.limit, aim: lane.aim, sends: lane.sends, programs, move: phase === 'copy' ? undefined : phase })
+    const one: LaneRules = { name: lane.name, group: lane.group, team: lane.team ?? '', database: lane.database, pending, limit: lane.limit, aim: lane.aim, sends: lane.sends, programs, move: phase === 'copy' ? undefined : phase }
+    lanes.set(lane.name, one)
+    if (!bases.has(lane.database)) bases.set(lane.database, one)
   }
   const shares = new Map<string, number>()
   const sessions = new Map<string, number>()
@@ -45,5 +48,5 @@
   }
   // It compiled when the configuration was taken; if it doesn't here, every call goes to the fallback.
   const policy = config.policy ? compilePolicy(config.policy.lua) : undefined
-  return { epoch, since, lanes, shares, sessions, pending, transactionIdle: config.transactionIdle, policy: config.policy && policy?.ok ? { policy: policy.val, fallback: config.policy.fallback } : undefined }
+  return { epoch, since, lanes, bases, shares, sessions, pending, transactionIdle: config.transactionIdle, policy: config.policy && policy?.ok ? { policy: policy.val, fallback: config.policy.fallback } : undefined }
 }
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -1,9 +1,9 @@
 import {
-  AFTER_LOAD, AFTER_MOVE, badInput, DRAIN, LEAVING_WORK, loop, SEND_LIMIT, SESSION_IDLE, SESSIONS, TRANSACTION_IDLE, type Ask, type Flag, type Numbers, type Reply, type World,
+  AFTER_LOAD, AFTER_MOVE, DRAIN, LEAVING_WORK, loop, SEND_LIMIT, SESSION_IDLE, SESSIONS, TRANSACTION_IDLE, Err, type Flag, type Numbers, type World,
 } from '@claynotch/base'
-import type { Trouble } from '@claynotch/instance'
+import type { Done, InstanceEdge, Trouble } from '@claynotch/instance'
 import { AUTO } from '@claynotch/operator'
-import { readDeadline, readWord, refusal, writeVerdict, type Verdict, type Word } from '@claynotch/requester'
+import { refusal, type Kind, type Verdict, type Word } from '@claynotch/requester'
 import { isForeign, isFresh, readToken, writeToken, type Token } from './freshness.js'
 import { makeCall, type Runner } from './interpret.js'
 import type { Loan } from './pool.js'
@@ -18,15 +18,20 @@
   fresh: { within: number; own: boolean } | undefined; stray: number | undefined
 }
 
+// kind undefined: each statement by the shape says its own.
+type Shape = { text: string; kind: Kind | undefined }
+
+// lane undefined: matched by the database, anew for each call.
 // Invariants: idle sessions hold no connection; busy is true while one call of the session runs, and a second is refused;
 // token is its last write's place, in the group that took it; mustLead is set after a write of unknown end, until a read at the leader.
 type Session = {
-  id: string; lane: string; team: string; settings: [string, string][]; shapes: Map<string, string>
+  id: string; lane: string | undefined; database: string; team: string; settings: [string, string][]; shapes: Map<string, Shape>
   token: Token | undefined; mustLead: boolean; busy: boolean; last: number; transaction: Transaction | undefined; dead: boolean
 }
 
 export type Sessions = {
-  take: (ask: Ask) => Promise<Reply>
+  // One word of a requester. ms: how long it will wait; gone: it went away.
+  run: (word: Word, ms: number | undefined, gone: Flag) => Promise<Verdict>
   open: () => number
   // Open transactions of a group, or of all. Reading ones count too: they get their time like any other.
   transactions: (group?: string, lane?: string, kind?: 'read' | 'write') => number
@@ -34,7 +39,11 @@
   cut: (why: string) => void
 }
 
-export function makeSessions(world: World, state: State, runner: Runner, numbers: Numbers, stop: Flag, stopping: () => boolean): Sessions {
+function findLane(rules: Rules, name: string | undefined, database: string): LaneRules | undefined {
+  return name === undefined ? rules.bases.get(database) : rules.lanes.get(name)
+}
+
+export function makeSessions(world: World, state: State, runner: Runner, edge: InstanceEdge, numbers: Numbers, stop: Flag, stopping: () => boolean): Sessions {
   const all = new Map<string, Session>()
   // counts: open sessions by team.
   const counts = new Map<string, number>()
@@ -42,9 +51,9 @@
   let next = 0
   let counted = 0
 
-  function laneOf(name: string): { rules: Rules; lane: LaneRules } | undefined {
+  function laneOf(name: string | undefined, database: string): { rules: Rules; lane: LaneRules } | undefined {
     const rules = state.rules()
-    const lane = rules?.lanes.get(name)
+    const lane = rules ? findLane(rules, name, database) : undefined
     return rules && lane ? { rules, lane } : undefined
   }
   // The lane 'auto' is matched by the operator's policy; a policy that fails, or names no lane, by its fallback.
@@ -63,7 +72,7 @@
     return out
   }
   function noLane(name: string): Verdict {
-    return state.rules() ? refusal('NOT_FOUND', `no lane is named ${name}`, false) : refusal('UNAVAILABLE', 'no configuration is known here yet', true, AFTER_MOVE)
+    return state.rules() ? { ...refusal('NOT_FOUND', `no lane is named ${name}`, false), lacks: 'lane' } : refusal('UNAVAILABLE', 'no configuration is known here yet', true, AFTER_MOVE)
   }
   function teamCount(team: string, by: number): void {
     counts.set(team, (counts.get(team) ?? 0) + by)
@@ -73,7 +82,7 @@
     counted = rules.epoch
     counts.clear()
     for (const s of all.values()) {
-      s.team = rules.lanes.get(s.lane)?.team ?? s.team
+      s.team = findLane(rules, s.lane, s.database)?.team ?? s.team
       teamCount(s.team, 1)
     }
   }
@@ -97,7 +106,7 @@
     const now = world.now()
     for (const s of all.values()) {
       if (s.busy) continue
-      if (s.transaction && now - s.transaction.last > TRANSACTION_IDLE) {
+      if (s.transaction && now - s.transaction.last > (state.rules()?.transactionIdle ?? TRANSACTION_IDLE)) {
         numbers.add('claynotch_transactions_idle_total')
         void rollBack(s)
       }
@@ -121,9 +130,10 @@
   function open(body: Extract<Word, { w: 'open' }>['body']): Verdict {
     if (stopping()) return refusal('UNAVAILABLE', 'this node is stopping', true, AFTER_LOAD)
     const settings = pairsOf(body.settings)
-    const name = matchLane(body.lane, 'session', body.database ?? '', settings)
-    const found = laneOf(name)
-    if (!found) return noLane(name)
+    const database = body.database ?? ''
+    const name = body.lane === undefined ? undefined : matchLane(body.lane, 'session', database, settings)
+    const found = laneOf(name, database)
+    if (!found) return noLane(name ?? database)
     const { lane, rules } = found
     const token = tokenOf(body.token)
     if (token === 'bad') return badToken()
@@ -131,7 +141,7 @@
     if (all.size >= SESSIONS) return refusal('RESOURCE_EXHAUSTED', `this node holds ${all.size} sessions`, true, AFTER_LOAD)
     if (most !== undefined && (counts.get(lane.team) ?? 0) >= most) return refusal('RESOURCE_EXHAUSTED', `the team ${lane.team} has its ${most} sessions on this node`, true, AFTER_LOAD)
     const id = `${prefix}-${++next}-${Math.floor(world.random() * 2 ** 40).toString(36)}`
-    all.set(id, { id, lane: name, team: lane.team, settings, shapes: new Map(), token, mustLead: false, busy: false, last: world.now(), transaction: undefined, dead: false })
+    all.set(id, { id, lane: name, database, team: lane.team, settings, shapes: new Map(), token, mustLead: false, busy: false, last: world.now(), transaction: undefined, dead: false })
     teamCount(lane.team, 1)
     return { outcome: 'done', session: id, token: writeToken(token) }
   }
@@ -186,33 +196,39 @@
   async function inTransaction(s: Session, tx: Transaction, word: Extract<Word, { w: 'statement' }>, ms: number, gone: Flag): Promise<Verdict> {
     const why = lapsed(tx)
     if (why) return over(s, tx, 'UNAVAILABLE', why)
-    if (word.body.kind === 'write' && tx.kind === 'read') return refusal('INVALID_ARGUMENT', 'a write in a transaction that was begun to read', false)
-    const text = word.body.shape !== undefined ? s.shapes.get(word.body.shape) : word.body.text
-    if (text === undefined) return refusal('NOT_FOUND', `no shape is named ${word.body.shape}`, false)
+    const shape = word.body.shape !== undefined ? s.shapes.get(word.body.shape) : undefined
+    if (word.body.shape !== undefined && !shape) return noShape(word.body.shape)
+    const kind = word.body.kind ?? shape?.kind ?? 'write'
+    if (kind === 'write' && tx.kind === 'read') return refusal('INVALID_ARGUMENT', 'a write in a transaction that was begun to read', false)
     // A follower that was fresh when the transaction began may have stopped receiving since.
     // A bound that was changed meanwhile holds from now on.
     const lane = state.rules()?.lanes.get(tx.lane)
     const fresh = tx.fresh && ((lane && freshOf(lane)) ?? tx.fresh)
-    const need = fresh ? runner.needNow(tx.group, fresh, s.token) : 0
-    if (need === undefined) return over(s, tx, 'UNAVAILABLE', 'the follower can no longer be proved fresh')
+    const need = fresh ? runner.needNow(tx.group, fresh, s.token) : undefined
+    if (fresh && need === undefined) return over(s, tx, 'UNAVAILABLE', 'the follower can no longer be proved fresh')
     tx.ran = true
     if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, 1)
-    const got = await tx.loan.port.statement({ text, args: word.body.args ?? [], mode: word.body.kind }, Math.min(ms, SEND_LIMIT))
+    const bad = shape ? await tx.loan.shape(shape.text) : undefined
+    const sent = { args: word.body.args ?? [], mode: kind, ...(word.id !== undefined ? { id: word.id } : {}) }
+    const got = bad ? Err(bad) : await tx.loan.port.statement({ ...(shape ? { shape: tx.loan.shapeId(shape.text) } : { text: word.body.text ?? '' }), ...sent }, Math.min(ms, SEND_LIMIT))
     if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, -1)
     tx.last = world.now()
     if (s.transaction !== tx) return { outcome: 'failed', class: 'ABORTED', kept: 'unknown', again: true, why: 'the transaction was ended meanwhile', transaction: 'over' }
     if (got.err) return troubled(s, tx, got.val)
     const late = lapsed(tx)
     if (late) return over(s, tx, 'UNAVAILABLE', late)
-    if (tx.fresh && !isFresh(got.val.mark, tx.epoch, need)) return over(s, tx, 'UNAVAILABLE', 'the follower fell behind the lane\'s bound')
+    if (need !== undefined && !isFresh(got.val.mark, need, edge.exact)) return over(s, tx, 'UNAVAILABLE', 'the follower fell behind the lane\'s bound')
     if (gone.fired()) return over(s, tx, 'ABORTED', 'the requester went away')
-    return { outcome: 'done', rows: got.val.rows }
+    return { outcome: 'done', rows: got.val.rows, ...proofOf(got.val) }
+  }
+  function proofOf(d: Done): { stamp?: string; mark: Done['mark'] } {
+    return { mark: d.mark, ...(d.stamp !== undefined ? { stamp: d.stamp } : {}) }
   }
-  async function commit(s: Session, tx: Transaction, ms: number): Promise<Verdict> {
+  async function commit(s: Session, tx: Transaction, ms: number, id: string | undefined): Promise<Verdict> {
     const why = lapsed(tx)
     if (why) return over(s, tx, 'UNAVAILABLE', why)
     if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, 1)
-    const got = await tx.loan.port.commit(Math.min(ms, SEND_LIMIT))
+    const got = await tx.loan.port.commit(Math.min(ms, SEND_LIMIT), id !== undefined ? { id } : undefined)
     if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, -1)
     if (s.transaction === tx) s.transaction = undefined
     tx.loan.end(got.ok || got.val.reach === 'answered')
@@ -224,11 +240,11 @@
       return lost(s, got.val.why)
     }
     if (tx.kind === 'write') {
-      if (!runner.stands(tx.group, tx.epoch) || got.val.mark.epoch !== tx.epoch || !state.counts(tx.lane, tx.group, tx.begun)) return lost(s, 'the answer came after the leader had been replaced, the lane moved, or the term had ended')
+      if (!runner.stands(tx.group, tx.epoch) || (edge.exact && got.val.mark.epoch !== tx.epoch) || !state.counts(tx.lane, tx.group, tx.begun)) return lost(s, 'the answer came after the leader had been replaced, the lane moved, or the term had ended')
       runner.sawWrite(tx.group, got.val.mark)
       s.token = { group: tx.group, mark: got.val.mark }
     }
-    return { outcome: 'done', rows: got.val.rows, transaction: 'over' }
+    return { outcome: 'done', rows: got.val.rows, transaction: 'over', ...proofOf(got.val) }
   }
   function lost(s: Session, why: string): Verdict {
     s.mustLead = true
@@ -238,15 +254,36 @@
 
   // --- words ---
 
+  function noShape(name: string): Verdict {
+    return { ...refusal('NOT_FOUND', `no shape is named ${name}`, false), lacks: 'shape' }
+  }
+  // In an open transaction the setting is put in force at once, as its statements run on that connection alone.
+  async function setting(s: Session, tx: Transaction | undefined, name: string, value: string): Promise<Verdict> {
+    if (tx) {
+      const why = lapsed(tx)
+      if (why) return over(s, tx, 'UNAVAILABLE', why)
+      const bad = await tx.loan.setting(name, value)
+      if (bad) return troubled(s, tx, bad)
+    }
+    const next: [string, string][] = []
+    for (const pair of s.settings) if (pair[0] !== name) next.push(pair)
+    s.settings = [...next, [name, value]]
+    return { outcome: 'done' }
+  }
+
   async function onSession(s: Session, word: Word, ms: number | undefined, gone: Flag): Promise<Verdict> {
     const tx = s.transaction
     const left = ms ?? SEND_LIMIT
     switch (word.w) {
       case 'shape':
-        s.shapes.set(word.body.name, word.body.text)
+        s.shapes.set(word.body.name, { text: word.body.text, kind: word.body.kind })
         return { outcome: 'done' }
+      case 'unshape':
+        return s.shapes.delete(word.name) ? { outcome: 'done' } : noShape(word.name)
+      case 'set':
+        return await setting(s, tx, word.name, word.value)
       case 'commit':
-        return tx ? await commit(s, tx, left) : refusal('INVALID_ARGUMENT', 'no transaction is open', false)
+        return tx ? await commit(s, tx, left, word.id) : refusal('INVALID_ARGUMENT', 'no transaction is open', false)
       case 'rollback':
         if (!tx) return refusal('INVALID_ARGUMENT', 'no transaction is open', false)
         await rollBack(s)
@@ -255,15 +292,20 @@
     if (word.w === 'statement' && tx) return await inTransaction(s, tx, word, left, gone)
     if (word.w === 'begin' && tx) return refusal('INVALID_ARGUMENT', 'a transaction is open already', false)
     if (word.w !== 'statement' && word.w !== 'begin') return refusal('INVALID_ARGUMENT', 'not a session call', false)
-    const found = laneOf(s.lane)
-    if (!found) return noLane(s.lane)
-    const kind = word.body.kind ?? 'write'
-    if (word.w === 'statement' && word.body.shape !== undefined && !s.shapes.has(word.body.shape)) return refusal('NOT_FOUND', `no shape is named ${word.body.shape}`, false)
-    const body: { text?: string; shape?: string; args: unknown[] } = word.w === 'statement' ? { ...(word.body.text !== undefined ? { text: word.body.text } : { shape: word.body.shape! }), args: word.body.args ?? [] } : { args: [] }
+    const found = laneOf(s.lane, s.database)
+    if (!found) return noLane(s.lane ?? s.database)
+    const shape = word.w === 'statement' && word.body.shape !== undefined ? s.shapes.get(word.body.shape) : undefined
+    if (word.w === 'statement' && word.body.shape !== undefined && !shape) return noShape(word.body.shape)
+    const kind = word.body.kind ?? shape?.kind ?? 'write'
+    const { id } = word
+    const body: { text?: string; shape?: string; args: unknown[]; id?: string } = word.w === 'statement' ? { ...(id !== undefined ? { id } : {}), ...(word.body.text !== undefined ? { text: word.body.text } : { shape: word.body.shape! }), args: word.body.args ?? [] } : { args: [], ...(id !== undefined ? { id } : {}) }
     // Only the shapes that a call uses are put in force for it; a transaction's statements carry their texts.
     const shapes = new Map<string, string>()
-    if (body.shape !== undefined) shapes.set(body.shape, s.shapes.get(body.shape)!)
-    const call = makeCall(world, word.w === 'begin' ? `begin ${kind}` : kind, found.lane, found.rules, { settings: s.settings, shapes, token: s.token, mustLead: s.mustLead, body, ms, gone })
+    if (body.shape !== undefined && shape) shapes.set(body.shape, shape.text)
+    function find(rules: Rules): LaneRules | undefined {
+      return findLane(rules, s.lane, s.database)
+    }
+    const call = makeCall(world, word.w === 'begin' ? `begin ${kind}` : kind, found.lane, found.rules, { settings: s.settings, shapes, token: s.token, mustLead: s.mustLead, body, find, ms, gone })
     const got = await runner.run(call)
     if (got.verdict.outcome === 'done' && got.mark) {
       const lead = call.target?.floor === undefined
@@ -272,7 +314,7 @@
           got.loan?.end(false)
           return refusal('ABORTED', 'the session was closed', false)
         }
-        s.transaction = { loan: got.loan!, kind, lane: call.lane.name, database: call.lane.database, stray: undefined, group: call.lane.group, epoch: got.epoch!, lead, ran: false, begun: call.asked, last: world.now(), fresh: lead ? undefined : freshOf(call.lane) }
+        s.transaction = { loan: got.loan!, kind, lane: call.lane.name, database: call.lane.database, stray: undefined, group: call.lane.group, epoch: got.epoch!, lead, ran: false, begun: call.asked, last: world.now(), fresh: lead || !edge.sampler ? undefined : freshOf(call.lane) }
       } else if (kind === 'write') s.token = { group: call.lane.group, mark: got.mark }
       else if (lead && (s.mustLead || isForeign(s.token, call.lane.group))) {
         // What the leader answered stands for all that this session may be owed.
@@ -280,16 +322,19 @@
         s.token = { group: call.lane.group, mark: got.mark }
       }
     } else if (got.verdict.outcome === 'unknown') s.mustLead = true
-    return got.verdict
+    return { ...got.verdict, reads: kind === 'read', ...(got.mark ? { mark: got.mark } : {}) }
   }
   async function once(word: Extract<Word, { w: 'call' }>, ms: number | undefined, gone: Flag): Promise<Verdict> {
     const settings = pairsOf(word.body.settings)
     const name = matchLane(word.body.lane, word.body.kind, word.body.database ?? '', settings)
-    const found = laneOf(name)
+    const found = laneOf(name, '')
     if (!found) return noLane(name)
+    function find(rules: Rules): LaneRules | undefined {
+      return rules.lanes.get(name)
+    }
     const token = tokenOf(word.body.token)
     if (token === 'bad') return badToken()
-    const call = makeCall(world, word.body.kind, found.lane, found.rules, { settings, shapes: new Map(), token, mustLead: false, body: { text: word.body.text, args: word.body.args ?? [] }, ms, gone })
+    const call = makeCall(world, word.body.kind, found.lane, found.rules, { settings, shapes: new Map(), token, mustLead: false, body: { text: word.body.text, args: word.body.args ?? [] }, find, ms, gone })
     const got = await runner.run(call)
     if (got.verdict.outcome !== 'done') return got.verdict
     const fresh = word.body.kind === 'write' || isForeign(token, call.lane.group)
@@ -318,13 +363,6 @@
       else if (gone.fired() && s.transaction) void rollBack(s)
     }
   }
-  async function take(ask: Ask): Promise<Reply> {
-    const word = readWord(ask)
-    if (word.err) return badInput(word.val.status, word.val.why, word.val.findings)
-    const ms = readDeadline(ask)
-    if (ms.err) return badInput(400, 'not understood', ms.val)
-    return writeVerdict(await run(word.val, ms.val, ask.gone))
-  }
   function openNow(): number {
     return all.size
   }
@@ -340,5 +378,5 @@
       void rollBack(s)
     }
   }
-  return { take, open: openNow, transactions, cut }
+  return { run, open: openNow, transactions, cut }
 }
--- a/packages/proxy/src/watch.ts
+++ b/packages/proxy/src/watch.ts
@@ -1,4 +1,4 @@
-import { loop, makeBell, makeFlag, pause, SAMPLE_BEAT, SAMPLE_LIMIT, type Flag, type Numbers, type World } from '@claynotch/base'
+import { loop, makeBell, makeFlag, pause, SAMPLE_BEAT, SAMPLE_LIMIT, TRY_PAUSE, TRY_PAUSE_MOST, type Flag, type Numbers, type World } from '@claynotch/base'
 import type { InstanceEdge, Mark, Sampler, Status } from '@claynotch/instance'
 import type { Sample } from './freshness.js'
 import type { State } from './state.js'
@@ -8,19 +8,23 @@
 
 // What this node saw of one instance.
 // Invariants: samples hold only what it answered as leader; mark is the last it answered, as of a time not after now.
-// doubt: something failed there after it was last seen to lead as it should.
+// doubt: something failed there after it was last seen to lead as it should. again: where no samples clear a doubt, one
+// call may try from then on, with pauses that grow until one succeeds.
 export type Instance = {
   name: string; group: string; addr: string; area: string
   lastOk: number; status: Status | undefined; mark: Mark | undefined; samples: Sample[]
-  doubt: boolean; usage: number
+  doubt: boolean; again: number; pause: number; usage: number
 }
 
 export type Watch = {
   get: (name: string) => Instance | undefined
   all: () => Map<string, Instance>
   // A good answer, asked at that time, with the place the instance was at.
-  saw: (name: string, asked: number, mark: Mark, lead: boolean) => void
+  // reign: the record's epoch that it was asked under as leader; undefined: it was asked as a follower.
+  saw: (name: string, asked: number, mark: Mark, reign: number | undefined) => void
   failed: (name: string) => void
+  // Whether a call may go there; claim: it does, and while there is doubt no other may for a while.
+  usable: (one: Instance, claim: boolean) => boolean
   bell: ReturnType<typeof makeBell>
 }
 
@@ -52,7 +56,7 @@
         continue
       }
       ends.get(name)?.fire()
-      const one: Instance = { name, ...w, lastOk: 0, status: undefined, mark: undefined, samples: [], doubt: false, usage: 0 }
+      const one: Instance = { name, ...w, lastOk: 0, status: undefined, mark: undefined, samples: [], doubt: false, again: 0, pause: 0, usage: 0 }
       const end = makeFlag()
       stop.watch(end.fire)
       all.set(name, one)
@@ -81,7 +85,7 @@
       if (end.fired()) break
       if (got?.ok && got.val.name === one.name) {
         one.status = got.val
-        saw(one.name, asked, got.val.mark, got.val.role === 'leader')
+        saw(one.name, asked, got.val.mark, got.val.role === 'leader' ? got.val.mark.epoch : undefined)
       } else {
         numbers.add('claynotch_samples_failed_total', [['instance', one.name]])
         line?.close()
@@ -93,34 +97,45 @@
     }
     line?.close()
   }
-  function saw(name: string, asked: number, mark: Mark, lead: boolean): void {
+  function saw(name: string, asked: number, mark: Mark, reign: number | undefined): void {
     const one = all.get(name)
     if (!one) return
     const now = world.now()
     one.lastOk = now
+    const lead = reign !== undefined
     if (!one.mark || mark.epoch !== one.mark.epoch || mark.position > one.mark.position || !lead) one.mark = mark
     if (lead) {
-      one.samples.push({ asked, mark })
+      one.samples.push({ asked, reign, mark })
       while (one.samples.length > 0 && one.samples[0].asked < now - SAMPLES_LIFE) one.samples.shift()
     }
     const rec = state.group(one.group)?.record
-    const fits = rec?.leader === name ? lead && mark.epoch === rec.epoch : true
+    const fits = rec?.leader === name ? lead && reign === rec.epoch : true
     if (one.doubt && fits) {
       one.doubt = false
+      one.pause = 0
       bell.ring()
     } else if (!fits) one.doubt = true
   }
   function failed(name: string): void {
     const one = all.get(name)
-    if (!one || one.doubt) return
+    if (!one) return
+    one.pause = Math.min(TRY_PAUSE_MOST, one.pause === 0 ? TRY_PAUSE : one.pause * 2)
+    one.again = world.now() + one.pause
+    if (one.doubt) return
     one.doubt = true
     numbers.add('claynotch_doubts_total', [['instance', name]])
   }
+  function usable(one: Instance, claim: boolean): boolean {
+    if (!one.doubt) return true
+    if (edge.sampler || world.now() < one.again) return false
+    if (claim) one.again = world.now() + one.pause
+    return true
+  }
   function get(name: string): Instance | undefined {
     return all.get(name)
   }
   function allNow(): Map<string, Instance> {
     return all
   }
-  return { get, all: allNow, saw, failed, bell }
+  return { get, all: allNow, saw, failed, usable, bell }
 }
--- a/packages/requester/src/index.ts
+++ b/packages/requester/src/index.ts
@@ -4,22 +4,27 @@
 // The requester's wire: what is asked, how each verdict is written. docs/wire.md tells it to users.
 
 const Pair = t.type({ name: Name, value: t.string })
-const Kind = t.union([t.literal('read'), t.literal('write')])
+const KindShape = t.union([t.literal('read'), t.literal('write')])
 export const OpenBody = t.intersection([t.type({ lane: Name }), t.partial({ settings: t.array(Pair), token: t.string, database: Name })])
 export const ShapeBody = t.type({ name: Name, text: t.string })
-export const BeginBody = t.partial({ kind: Kind })
-export const StatementBody = t.intersection([t.type({ kind: Kind }), t.partial({ text: t.string, shape: Name, args: t.array(t.unknown) })])
-export const CallBody = t.intersection([t.type({ lane: Name, kind: Kind, text: t.string }), t.partial({ args: t.array(t.unknown), settings: t.array(Pair), token: t.string, database: Name })])
+export const BeginBody = t.partial({ kind: KindShape })
+export const StatementBody = t.intersection([t.type({ kind: KindShape }), t.partial({ text: t.string, shape: Name, args: t.array(t.unknown) })])
+export const CallBody = t.intersection([t.type({ lane: Name, kind: KindShape, text: t.string }), t.partial({ args: t.array(t.unknown), settings: t.array(Pair), token: t.string, database: Name })])
 const Empty = t.partial({})
 
+// lane undefined: the lane is matched by the database, anew for each call. id: the requester's own mark of a statement,
+// handed on to the instance. kind of a shape: what its statements do; a statement by shape may then leave its kind out.
+export type Kind = 'read' | 'write'
 export type Word =
-  | { w: 'open'; body: t.TypeOf<typeof OpenBody> }
+  | { w: 'open'; body: Omit<t.TypeOf<typeof OpenBody>, 'lane'> & { lane?: string } }
   | { w: 'close'; session: string }
-  | { w: 'shape'; session: string; body: t.TypeOf<typeof ShapeBody> }
-  | { w: 'begin'; session: string; body: t.TypeOf<typeof BeginBody> }
-  | { w: 'statement'; session: string; body: t.TypeOf<typeof StatementBody> }
-  | { w: 'commit'; session: string }
-  | { w: 'rollback'; session: string }
+  | { w: 'shape'; session: string; body: t.TypeOf<typeof ShapeBody> & { kind?: Kind } }
+  | { w: 'unshape'; session: string; name: string }
+  | { w: 'set'; session: string; name: string; value: string }
+  | { w: 'begin'; session: string; body: t.TypeOf<typeof BeginBody>; id?: string }
+  | { w: 'statement'; session: string; body: { kind?: Kind; text?: string; shape?: string; args?: unknown[] }; id?: string }
+  | { w: 'commit'; session: string; id?: string }
+  | { w: 'rollback'; session: string; id?: string }
   | { w: 'call'; body: t.TypeOf<typeof CallBody> }
 
 // outcome: done, with rows; refused, nothing of the try ran; failed, some of it may have run and none of it
@@ -36,6 +41,12 @@
   token?: string
   session?: string
   transaction?: 'over'
+  // lacks: what was asked for by a name that isn't there.
+  lacks?: 'lane' | 'shape'
+  // stamp, mark: the instance's own proof of its answer, and its place then. reads: nothing of the try could write.
+  stamp?: string
+  mark?: { epoch: number; position: number }
+  reads?: boolean
 }
 
 const statuses = new Map<string, number>([
@@ -45,8 +56,8 @@
 
 // 503 and 429 promise that nothing was kept, so they are used only where that holds; 502 and 504 promise nothing.
 export function writeVerdict(v: Verdict): Reply {
-  if (v.outcome === 'done') return { status: 200, body: v }
-  const { after, ...body } = v
+  const { after, lacks: _lacks, stamp: _stamp, mark: _mark, reads: _reads, ...body } = v
+  if (v.outcome === 'done') return { status: 200, body }
   let status: number
   if (v.outcome === 'unknown') status = 504
   else if (v.kept !== 'nothing') status = v.transaction === 'over' ? 409 : 502
