--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,5 +1,5 @@
 import {
-  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, NOTICE, pause, readAs, SEND_LIMIT, type Addr, type Numbers, type World,
+  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, NOTICE, pause, readAs, SEND_LIMIT, serve, type Addr, type Ask, type Numbers, type Reply, type World,
 } from '@claynotch/base'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
 import { Feed, groupOf, type Note } from '@claynotch/register'
@@ -43,7 +43,10 @@
   // The requester's address is bound before the agent is dialled: a second proxy of this machine fails
   // here, so an agent never feeds one while another may still work.
   const http = await edges.requester(world, set.listen, sessions)
-  const probes = await edges.probes(world, set.admin, { ready, numbers })
+  function admin(ask: Ask): Reply {
+    return edges.probes(ask, { ready, numbers }) ?? { status: 404, body: { why: 'no such path' } }
+  }
+  const probes = await serve(world, set.admin, admin)
 
   function applied(key: string, turn: number): boolean {
     const group = groupOf(key)
@@ -51,7 +54,7 @@
       // A configuration with smaller shares is applied once no more is open than it allows.
       const config = state.config()
       let whole = true
-      for (const [name, one] of watch.all()) if (config && !pool.shrink(name, lendable(config, one.group))) whole = false
+      for (const [name, one] of watch.all()) if (config && !pool.shrink(name, lendable(config, one.group, state.live()))) whole = false
       // A lane whose move eases or drains has done so once what was to end has ended.
       for (const lane of state.rules()?.lanes.values() ?? []) {
         if (lane.move === 'ease' && sessions.transactions(lane.group, lane.name, 'read') > 0) whole = false
--- a/packages/proxy/src/seam.ts
+++ b/packages/proxy/src/seam.ts
@@ -6,7 +6,8 @@
 
 // How a proxy speaks with its peers, chosen when the process starts.
 export type RequesterEdge = (world: World, addr: Addr, sessions: Sessions) => Promise<Serving>
-export type ProbeEdge = (world: World, addr: Addr, probes: Probes) => Promise<Serving>
+// Answers who asks whether this process is well; undefined: no such path.
+export type ProbeEdge = (ask: Ask, probes: Probes) => Reply | undefined
 export type ProxyEdges = { instance: InstanceEdge; requester: RequesterEdge; probes: ProbeEdge }
 
 function httpRequester(world: World, addr: Addr, sessions: Sessions): Promise<Serving> {
@@ -19,11 +20,4 @@
   }
   return serve(world, addr, handle)
 }
-function httpProbes(world: World, addr: Addr, probes: Probes): Promise<Serving> {
-  function handle(ask: Ask): Reply {
-    return takeProbe(ask, probes) ?? { status: 404, body: { why: 'no such path' } }
-  }
-  return serve(world, addr, handle)
-}
-
-export const ownEdges: ProxyEdges = { instance: httpInstance, requester: httpRequester, probes: httpProbes }
+export const ownEdges: ProxyEdges = { instance: httpInstance, requester: httpRequester, probes: takeProbe }
