Tell a requester that its transaction was ended before anything else of it runs

Cause: a transaction that the node ended by itself (rested too long, instance gone, leader replaced, node stopping) was dropped without a word; what its requester sent on then ran as single statements, outside its transaction, and a write was kept at once. Ruled out: the platform's wire, whose state was T as its requester had been told; our own interface has the same fault. A session now remembers what became of such a transaction until it has told it; ROLLBACK ends it in peace.

--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -23,10 +23,12 @@
 
 // lane undefined: matched by the database, anew for each call.
 // Invariants: idle sessions hold no connection; busy is true while one call of the session runs, and a second is refused;
-// token is its last write's place, in the group that took it; mustLead is set after a write of unknown end, until a read at the leader.
+// token is its last write's place, in the group that took it; mustLead is set after a write of unknown end, until a read at the leader;
+// ended is what became of a transaction that this node ended by itself, until the requester was told: till then nothing
+// that it sends runs, as it was meant for that transaction.
 type Session = {
   id: string; lane: string | undefined; database: string; team: string; settings: [string, string][]; shapes: Map<string, Shape>
-  token: Token | undefined; mustLead: boolean; busy: boolean; last: number; transaction: Transaction | undefined; dead: boolean
+  token: Token | undefined; mustLead: boolean; busy: boolean; last: number; transaction: Transaction | undefined; ended: Verdict | undefined; dead: boolean
 }
 
 export type Sessions = {
@@ -102,17 +104,25 @@
     tx.loan.end(got.ok)
     runner.quiet.ring()
   }
+  // Ends it unasked.
+  function endUnasked(s: Session, cls: string, why: string): void {
+    if (s.transaction) s.ended = verdictOver(s.transaction, cls, why)
+    void rollBack(s)
+  }
   function sweep(): void {
     const now = world.now()
     for (const s of all.values()) {
       if (s.busy) continue
       if (s.transaction && now - s.transaction.last > (state.rules()?.transactionIdle ?? TRANSACTION_IDLE)) {
         numbers.add('claynotch_transactions_idle_total')
-        void rollBack(s)
+        endUnasked(s, 'ABORTED', 'the transaction rested too long')
       }
       if (now - s.last > SESSION_IDLE) drop(s)
     }
-    for (const s of all.values()) if (s.transaction && !s.busy && lapsed(s.transaction) !== undefined) void rollBack(s)
+    for (const s of all.values()) {
+      const why = s.transaction && !s.busy ? lapsed(s.transaction) : undefined
+      if (why !== undefined) endUnasked(s, 'UNAVAILABLE', why)
+    }
     const rules = state.rules()
     if (rules && rules.epoch !== counted) recount(rules)
     numbers.set('claynotch_sessions', [], all.size)
@@ -141,7 +151,7 @@
     if (all.size >= SESSIONS) return refusal('RESOURCE_EXHAUSTED', `this node holds ${all.size} sessions`, true, AFTER_LOAD)
     if (most !== undefined && (counts.get(lane.team) ?? 0) >= most) return refusal('RESOURCE_EXHAUSTED', `the team ${lane.team} has its ${most} sessions on this node`, true, AFTER_LOAD)
     const id = `${prefix}-${++next}-${Math.floor(world.random() * 2 ** 40).toString(36)}`
-    all.set(id, { id, lane: name, database, team: lane.team, settings, shapes: new Map(), token, mustLead: false, busy: false, last: world.now(), transaction: undefined, dead: false })
+    all.set(id, { id, lane: name, database, team: lane.team, settings, shapes: new Map(), token, mustLead: false, busy: false, last: world.now(), transaction: undefined, ended: undefined, dead: false })
     teamCount(lane.team, 1)
     return { outcome: 'done', session: id, token: writeToken(token) }
   }
@@ -155,6 +165,9 @@
 
   function over(s: Session, tx: Transaction, cls: string, why: string): Verdict {
     void (s.transaction === tx ? endTx(s, tx) : undefined)
+    return verdictOver(tx, cls, why)
+  }
+  function verdictOver(tx: Transaction, cls: string, why: string): Verdict {
     const kept = tx.ran ? 'unknown' : 'nothing'
     return { outcome: tx.ran ? 'failed' : 'refused', class: cls, kept, again: cls === 'UNAVAILABLE', why, transaction: 'over', ...(cls === 'UNAVAILABLE' ? { after: AFTER_MOVE } : {}) }
   }
@@ -213,7 +226,10 @@
     const got = bad ? Err(bad) : await tx.loan.port.statement({ ...(shape ? { shape: tx.loan.shapeId(shape.text) } : { text: word.body.text ?? '' }), ...sent }, Math.min(ms, SEND_LIMIT))
     if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, -1)
     tx.last = world.now()
-    if (s.transaction !== tx) return { outcome: 'failed', class: 'ABORTED', kept: 'unknown', again: true, why: 'the transaction was ended meanwhile', transaction: 'over' }
+    if (s.transaction !== tx) {
+      s.ended = undefined
+      return { outcome: 'failed', class: 'ABORTED', kept: 'unknown', again: true, why: 'the transaction was ended meanwhile', transaction: 'over' }
+    }
     if (got.err) return troubled(s, tx, got.val)
     const late = lapsed(tx)
     if (late) return over(s, tx, 'UNAVAILABLE', late)
@@ -274,6 +290,11 @@
   async function onSession(s: Session, word: Word, ms: number | undefined, gone: Flag): Promise<Verdict> {
     const tx = s.transaction
     const left = ms ?? SEND_LIMIT
+    const { ended } = s
+    if (ended && word.w !== 'shape' && word.w !== 'unshape') {
+      s.ended = undefined
+      if (word.w !== 'rollback') return ended
+    }
     switch (word.w) {
       case 'shape':
         s.shapes.set(word.body.name, { text: word.body.text, kind: word.body.kind })
@@ -285,6 +306,7 @@
       case 'commit':
         return tx ? await commit(s, tx, left, word.id) : refusal('INVALID_ARGUMENT', 'no transaction is open', false)
       case 'rollback':
+        if (!tx && ended) return { outcome: 'done', transaction: 'over' }
         if (!tx) return refusal('INVALID_ARGUMENT', 'no transaction is open', false)
         await rollBack(s)
         return { outcome: 'done', transaction: 'over' }
@@ -360,7 +382,7 @@
       s.last = world.now()
       if (s.dead && s.transaction) void rollBack(s)
       // A requester that went away in the middle of its transaction won't end it.
-      else if (gone.fired() && s.transaction) void rollBack(s)
+      else if (gone.fired() && s.transaction) endUnasked(s, 'ABORTED', 'the requester went away')
     }
   }
   function openNow(): number {
@@ -375,7 +397,7 @@
     for (const s of all.values()) {
       if (!s.transaction || s.busy) continue
       world.log.info('transaction-cut', { group: s.transaction.group, why })
-      void rollBack(s)
+      endUnasked(s, 'UNAVAILABLE', why)
     }
   }
   return { run, open: openNow, transactions, cut }
