Bound the bodies that the control edge holds at one time

Cause: a thousand connections may each have sent most of a body of 4 MiB, more than a small machine's memory. Past 16 MiB of bodies read or answered at one time a caller is told 503 and goes to another node.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -163,6 +163,8 @@
 export const CONTROL_LINES = 1024
 // ms. A connection there that asks nothing for this long is closed; instances speak each second or so.
 export const CONTROL_QUIET = 15000
+// bytes. All bodies there that are read or answered at one time: four of the largest, well within a small machine's memory.
+export const CONTROL_HELD = 16 * 1024 * 1024
 // bytes. Largest announcement.
 export const ANNOUNCE_LIMIT = 4096
 // ms. A reader of the stream of decisions is looked after at least this often, to notice that it went away.
--- a/packages/base/src/http.ts
+++ b/packages/base/src/http.ts
@@ -1,6 +1,6 @@
 import { Agent, createServer, request, type IncomingMessage, type ServerResponse, type ClientRequest } from 'node:http'
 import type { Duplex } from 'node:stream'
-import { BODY_LIMIT, BODY_WAIT, DIAL_LIMIT, DRAIN_TAIL, LINE_GRACE, LINES } from './constants.js'
+import { AFTER_LOAD, BODY_LIMIT, BODY_WAIT, DIAL_LIMIT, DRAIN_TAIL, LINE_GRACE, LINES } from './constants.js'
 import { LATE, makeFlag, nothing, pause, within, type Flag } from './time.js'
 import type { Addr, World } from './world.js'
 import { Ok, Err, type Result } from './result.js'
@@ -28,15 +28,19 @@
 
 // A body that is somewhat too long is read to its end all the same and thrown away: a connection closed with
 // unread bytes is reset, and its caller might never see the refusal.
-async function readBody(req: IncomingMessage, most: number): Promise<Buffer | undefined> {
+// hold: whether so many more bytes may be kept in memory now.
+async function readBody(req: IncomingMessage, most: number, hold: (size: number) => boolean): Promise<Buffer | 'long' | 'full'> {
   const parts: Buffer[] = []
   let size = 0
-  for await (const part of req) {
-    size += (part as Buffer).length
-    if (size > 4 * most) return undefined
-    if (size <= most) parts.push(part as Buffer)
+  for await (const one of req) {
+    const part = one as Buffer
+    size += part.length
+    if (size > 4 * most) return 'long'
+    if (size > most) continue
+    if (!hold(part.length)) return 'full'
+    parts.push(part)
   }
-  return size > most ? undefined : Buffer.concat(parts)
+  return size > most ? 'long' : Buffer.concat(parts)
 }
 
 export function sendReply(res: ServerResponse, reply: Reply): void {
@@ -53,9 +57,9 @@
   return { status, body: { outcome: 'refused', class: 'INVALID_ARGUMENT', kept: 'nothing', again: false, why, findings } }
 }
 
-// limit: bytes of a body, for all paths or by path. lines: connections at most. quiet: ms after which a connection that
+// limit: bytes of a body, for all paths or by path. held: bytes of all bodies that are read or answered now. lines: connections at most. quiet: ms after which a connection that
 // asked nothing whole is closed, and BODY_WAIT later one whose answer isn't taken; without it, never.
-export type Serve = { limit?: number | ((path: string) => number); lines?: number; quiet?: number; onLine?: (line: object, closed: Flag) => void; raw?: (path: string) => boolean }
+export type Serve = { limit?: number | ((path: string) => number); held?: number; lines?: number; quiet?: number; onLine?: (line: object, closed: Flag) => void; raw?: (path: string) => boolean }
 
 export async function serve(world: World, addr: Addr, handle: Handle, opt: Serve = {}): Promise<Serving> {
   const lines = new Map<Duplex, { closed: Flag; busy: number; last: number }>()
@@ -63,7 +67,25 @@
   let ending = false
   let quiet = makeFlag()
 
+  // held: bytes of bodies in memory; each request gives back what it took once it is answered.
+  let held = 0
   async function answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    let mine = 0
+    let over = false
+    function hold(size: number): boolean {
+      if (over || held + size > (opt.held ?? Infinity)) return false
+      held += size
+      mine += size
+      return true
+    }
+    try {
+      await answerHeld(req, res, hold)
+    } finally {
+      over = true
+      held -= mine
+    }
+  }
+  async function answerHeld(req: IncomingMessage, res: ServerResponse, hold: (size: number) => boolean): Promise<void> {
     let url: URL
     try {
       url = new URL(req.url ?? '/', 'http://x')
@@ -75,13 +97,18 @@
     const most = typeof opt.limit === 'function' ? opt.limit(url.pathname) : (opt.limit ?? BODY_LIMIT)
     let body: unknown
     if (!(opt.raw && opt.raw(url.pathname))) {
-      const bytes = await within(world, BODY_WAIT, readBody(req, most))
+      const bytes = await within(world, BODY_WAIT, readBody(req, most, hold))
       if (bytes === LATE) {
         res.setHeader('connection', 'close')
         sendReply(res, badInput(408, `body not whole within ${BODY_WAIT} ms`))
         return
       }
-      if (bytes === undefined) {
+      if (bytes === 'full') {
+        res.setHeader('connection', 'close')
+        sendReply(res, { status: 503, body: { outcome: 'refused', class: 'UNAVAILABLE', kept: 'nothing', again: true, why: 'too much to read at once' }, after: AFTER_LOAD })
+        return
+      }
+      if (bytes === 'long') {
         res.setHeader('connection', 'close')
         sendReply(res, badInput(413, `body over ${most} bytes`))
         return
