--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -292,7 +292,7 @@
   async function borrow(call: Call): Promise<Turn> {
     const { instance } = call.target!
     const config = state.config()
-    const limit = config ? lendable(config, call.lane.group) : 0
+    const limit = config ? lendable(config, call.lane.group, state.live()) : 0
     instance.usage++
     const got = await pool.borrow(instance, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now(), Math.max(1, call.hold - world.now())), call.gone)
     instance.usage--
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -54,7 +54,7 @@
       // A configuration with smaller shares is applied once no more is open than it allows.
       const config = state.config()
       let whole = true
-      for (const [name, one] of watch.all()) if (config && !pool.shrink(name, lendable(config, one.group, state.live()))) whole = false
+      if (config && config.proxies !== 'live') for (const [name, one] of watch.all()) if (!pool.shrink(name, lendable(config, one.group))) whole = false
       // A lane whose move eases or drains has done so once what was to end has ended.
       for (const lane of state.rules()?.lanes.values() ?? []) {
         if (lane.move === 'ease' && sessions.transactions(lane.group, lane.name, 'read') > 0) whole = false
