--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,5 +1,5 @@
 import {
-  answerLinks, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
+  LEAVE_LIMIT, NOTE_BEAT, answerLinks, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
   CHANGE_ANSWER, LATE, SAMPLE_LIMIT, SIGHTS_KEPT, SUMMARY_EPOCH, within, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
 } from '@claynotch/base'
 import { startDuty, startMover } from '@claynotch/duty'
@@ -600,6 +600,10 @@
   world.log.info('agent-started', { node: set.node, area: set.area, http: set.http ?? 'none' })
 
   async function end(): Promise<void> {
+    // A proxy of this machine that is told to stop as well has calls to end under this machine's term.
+    const until = world.now() + LEAVE_LIMIT
+    if (proxy) await pause(world, NOTE_BEAT)
+    while (proxy?.note?.leaving === true && world.now() < until) await pause(world, NOTE_BEAT / 6)
     // The term is given up only when no proxy can be working under it; else it runs out by itself.
     if (!proxy && world.now() > given) for (const held of cores.values()) held.tell({ t: 'leave', node: set.node, life })
     await pause(world, 20)
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -158,6 +158,9 @@
 // ms. A node that leaves takes new connections for this long after it first said so: whoever hands them out asks each
 // second, and believes the second miss.
 export const NOTICE = 2500
+// ms. An agent that stops waits this long for its proxy, where that stops too: DRAIN and a send, and less than machines
+// are given to stop.
+export const LEAVE_LIMIT = 5500
 // ms. Answers in flight at an edge get this long at its end; at the requesters' edge, a whole send and this.
 export const DRAIN_TAIL = 1500
 // bytes. Largest HTTP body taken.
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,5 +1,5 @@
 import {
-  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, NOTICE, pause, readAs, SEND_LIMIT, serve, type Addr, type Ask, type Numbers, type Reply, type World,
+  DRAIN, DRAIN_TAIL, hello, holdLink, loop, LINE_GRACE, makeFlag, makeNumbers, NOTE_BEAT, NOTICE, pause, readAs, SEND_LIMIT, serve, type Addr, type Ask, type Numbers, type Reply, type World,
 } from '@claynotch/base'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
 import { Feed, groupOf, type Note } from '@claynotch/register'
@@ -12,7 +12,8 @@
 import { startWatch, type Watch } from './watch.js'
 
 // listen: requesters. admin: the platform's probes. agent: the agent's link on this machine.
-export type ProxySettings = { listen: Addr; admin: Addr; agent: Addr }
+// grace: ms that it is given from being told to stop, open transactions half of them.
+export type ProxySettings = { listen: Addr; admin: Addr; agent: Addr; grace?: number }
 
 export type Proxy = { stop: () => Promise<void>; numbers: Numbers; state: State; watch: Watch; runner: Runner; sessions: Sessions; pool: Pool }
 
@@ -115,13 +116,14 @@
     http.drain()
     world.log.info('draining', { sessions: sessions.open(), transactions: sessions.transactions(), calls: http.busy() })
     const from = world.now()
-    const until = from + DRAIN
+    const half = set.grace === undefined ? DRAIN : set.grace / 2
+    const until = from + half
     // Connections leave as they are answered; one that says nothing for all of DRAIN is idle and may be ended.
     while (world.now() < until && (world.now() < from + NOTICE || sessions.transactions() > 0 || http.lines() > 0)) await runner.quiet.wait(world, Math.min(100, until - world.now()))
     draining = true
     sessions.cut('the node stops')
     // No new connections from here on; those that are left are answered to the end.
-    await http.close(SEND_LIMIT + DRAIN_TAIL)
+    await http.close(set.grace === undefined ? SEND_LIMIT + DRAIN_TAIL : half - LINE_GRACE)
     state.halt()
     note()
     await pause(world, 20)
