--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -97,6 +97,8 @@
 // calls. A follower in another area is chosen only where the own one has this many more calls in flight: high
 // enough to keep reads near, low enough that a slow one near isn't flooded.
 export const AREA_COST = 4
+// count. Failed sends in a row, with no answer between, that put an instance in doubt where nothing samples it.
+export const FAILED_ROW = 2
 // ms. First and longest pause before one call tries an instance in doubt, where nothing samples it: short beside a
 // promotion, long beside a call's way there.
 export const TRY_PAUSE = 100
@@ -120,6 +122,10 @@
 // ratio. A lane that names the latency it aims at has its calls wait this much of it for a leader or a connection; past
 // it they are refused at once, with nothing run, and told when to come back.
 export const HOLD_SHARE = 0.2
+// ratio. Of the lane's aim: how long a read's send waits for its answer while another send may follow, and how long a
+// statement in a transaction waits, which ends the transaction. Both well above the work of one statement.
+export const SEND_SHARE = 0.5
+export const STATEMENT_SHARE = 1.5
 // ratio. Base of the pause between sends, of the lane's aim, where that is under BACKOFF.
 export const BACKOFF_SHARE = 0.1
 // ms. Spread over which calls that waited for a promotion wake, so that the new leader isn't hit at once.
--- a/packages/instance/src/edge.ts
+++ b/packages/instance/src/edge.ts
@@ -4,10 +4,10 @@
 
 // The instance's wire (docs/wire.md) and how its words are classified. Wire names stay in this file.
 
-type Judged = { class: Class; transient: boolean }
+type Judged = { class: Class; transient: boolean; lead?: boolean }
 const codes = new Map<string, Judged>([
-  ['READONLY', { class: 'UNAVAILABLE', transient: true }],
-  ['ELECTION', { class: 'UNAVAILABLE', transient: true }],
+  ['READONLY', { class: 'UNAVAILABLE', transient: true, lead: false }],
+  ['ELECTION', { class: 'UNAVAILABLE', transient: true, lead: false }],
   ['BUSY', { class: 'UNAVAILABLE', transient: true }],
   ['OOM', { class: 'RESOURCE_EXHAUSTED', transient: false }],
   ['WRONGTYPE', { class: 'INVALID_ARGUMENT', transient: false }],
--- a/packages/instance/src/seam.ts
+++ b/packages/instance/src/seam.ts
@@ -8,7 +8,8 @@
 // reach: none, nothing was handed over; maybe, it may have reached and run; answered, the instance says that it did not run.
 // lags: the instance says that its history lacks the place asked for.
 // lead: the instance says that it does not lead.
-export type Trouble = { reach: 'none' | 'maybe' | 'answered'; class: Class; transient: boolean; why: string; code?: string; lags?: boolean; lead?: boolean }
+// full: it takes no more connections now.
+export type Trouble = { reach: 'none' | 'maybe' | 'answered'; class: Class; transient: boolean; why: string; code?: string; lags?: boolean; lead?: boolean; full?: boolean }
 
 // A place in a group's history. Positions of different epochs are never compared as of one line.
 export type Mark = { epoch: number; position: number }
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -1,5 +1,5 @@
 import {
-  BACKOFF, BACKOFF_SHARE, HOLD_SHARE, AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
+  BACKOFF, BACKOFF_SHARE, HOLD_SHARE, SEND_SHARE, AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
 } from '@claynotch/base'
 import type { Done, InstanceEdge, Mark, Trouble } from '@claynotch/instance'
 import { guardOf, lendable } from '@claynotch/operator'
@@ -105,6 +105,9 @@
 
   // --- ends of a call ---
 
+  function sendsOf(call: Call): number {
+    return Math.min(SENDS, call.lane.sends ?? SENDS)
+  }
   function isWrite(call: Call): boolean {
     return call.kind === 'write'
   }
@@ -293,6 +296,7 @@
     const { instance } = call.target!
     const config = state.config()
     const limit = config ? lendable(config, call.lane.group, state.live()) : 0
+    const from = world.now()
     instance.usage++
     const got = await pool.borrow(instance, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now(), Math.max(1, call.hold - world.now())), call.gone)
     instance.usage--
@@ -302,7 +306,7 @@
     }
     call.last = got.val
     if (got.val.transient) {
-      watch.failed(instance.name)
+      if (got.val.full !== true) watch.failed(instance.name, from)
       return await again(call)
     }
     const after = got.val.class === 'RESOURCE_EXHAUSTED' ? AFTER_LOAD : undefined
@@ -323,7 +327,8 @@
     if (call.sends === 0) tokens.first()
     call.sends++
     numbers.add('claynotch_retry_attempt_total', [['group', call.lane.group], ['send', String(call.sends)]])
-    const limit = Math.max(1, Math.min(SEND_LIMIT, call.deadline - world.now()))
+    const left = Math.max(1, Math.min(SEND_LIMIT, call.deadline - world.now()))
+    const limit = call.lane.aim !== undefined && !isWrite(call) && call.sends < sendsOf(call) ? Math.min(left, call.lane.aim * SEND_SHARE) : left
     call.asked = world.now()
     instance.usage++
     const { group, name } = call.lane
@@ -380,7 +385,8 @@
     loan.end(trouble.reach === 'answered' && (call.kind === 'read' || call.kind === 'write'))
     delete call.loan
     if (trouble.transient) {
-      watch.failed(instance.name)
+      // One that answers is there; that it doesn't lead is another matter.
+      if (trouble.reach !== 'answered' || trouble.lead === false) watch.failed(instance.name, trouble.lead === false ? undefined : call.asked)
       // A known promotion is no reason to open the breaker: it has its own end.
       if (!state.moving(group)) breaker.note(false, call.probe)
       if (trouble.reach === 'maybe' && isWrite(call)) return unknown(trouble.why)
@@ -407,7 +413,7 @@
   }
   // Whether a further send is allowed; sleeps before it, cut short when the caller goes.
   async function again(call: Call): Promise<Turn> {
-    if (call.sends >= Math.min(SENDS, call.lane.sends ?? SENDS)) return exhausted(call)
+    if (call.sends >= sendsOf(call)) return exhausted(call)
     const { tokens } = toolsOf(call.lane.group)
     if (call.sends > 0 && !tokens.spend()) {
       numbers.add('claynotch_retry_tokens_out_total', [['group', call.lane.group]])
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -1,5 +1,5 @@
 import {
-  AFTER_LOAD, AFTER_MOVE, DRAIN, LEAVING_WORK, loop, SEND_LIMIT, SESSION_IDLE, SESSIONS, TRANSACTION_IDLE, Err, type Flag, type Numbers, type World,
+  AFTER_LOAD, AFTER_MOVE, DRAIN, LEAVING_WORK, loop, SEND_LIMIT, SESSION_IDLE, SESSIONS, STATEMENT_SHARE, TRANSACTION_IDLE, Err, type Flag, type Numbers, type World,
 } from '@claynotch/base'
 import type { Done, InstanceEdge, Trouble } from '@claynotch/instance'
 import { AUTO } from '@claynotch/operator'
@@ -210,7 +210,8 @@
     if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, 1)
     const bad = shape ? await tx.loan.shape(shape.text) : undefined
     const sent = { args: word.body.args ?? [], mode: kind, ...(word.id !== undefined ? { id: word.id } : {}) }
-    const got = bad ? Err(bad) : await tx.loan.port.statement({ ...(shape ? { shape: tx.loan.shapeId(shape.text) } : { text: word.body.text ?? '' }), ...sent }, Math.min(ms, SEND_LIMIT))
+    const most = lane?.aim !== undefined ? Math.min(ms, lane.aim * STATEMENT_SHARE) : ms
+    const got = bad ? Err(bad) : await tx.loan.port.statement({ ...(shape ? { shape: tx.loan.shapeId(shape.text) } : { text: word.body.text ?? '' }), ...sent }, Math.min(most, SEND_LIMIT))
     if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, -1)
     tx.last = world.now()
     if (s.transaction !== tx) return { outcome: 'failed', class: 'ABORTED', kept: 'unknown', again: true, why: 'the transaction was ended meanwhile', transaction: 'over' }
@@ -273,7 +274,8 @@
 
   async function onSession(s: Session, word: Word, ms: number | undefined, gone: Flag): Promise<Verdict> {
     const tx = s.transaction
-    const left = ms ?? SEND_LIMIT
+    const lane = state.rules()?.lanes.get(tx?.lane ?? '')
+    const left = Math.min(ms ?? SEND_LIMIT, lane?.limit ?? SEND_LIMIT)
     switch (word.w) {
       case 'shape':
         s.shapes.set(word.body.name, { text: word.body.text, kind: word.body.kind })
--- a/packages/proxy/src/watch.ts
+++ b/packages/proxy/src/watch.ts
@@ -1,4 +1,4 @@
-import { loop, makeBell, makeFlag, pause, SAMPLE_BEAT, SAMPLE_LIMIT, TRY_PAUSE, TRY_PAUSE_MOST, type Flag, type Numbers, type World } from '@claynotch/base'
+import { loop, makeBell, makeFlag, pause, SAMPLE_BEAT, FAILED_ROW, SAMPLE_LIMIT, TRY_PAUSE, TRY_PAUSE_MOST, type Flag, type Numbers, type World } from '@claynotch/base'
 import type { InstanceEdge, Mark, Sampler, Status } from '@claynotch/instance'
 import type { Sample } from './freshness.js'
 import type { State } from './state.js'
@@ -13,7 +13,7 @@
 export type Instance = {
   name: string; group: string; addr: string; area: string
   lastOk: number; status: Status | undefined; mark: Mark | undefined; samples: Sample[]
-  doubt: boolean; again: number; pause: number; usage: number
+  doubt: boolean; row: number; again: number; pause: number; usage: number
 }
 
 export type Watch = {
@@ -22,7 +22,8 @@
   // A good answer, asked at that time, with the place the instance was at.
   // reign: the record's epoch that it was asked under as leader; undefined: it was asked as a follower.
   saw: (name: string, asked: number, mark: Mark, reign: number | undefined) => void
-  failed: (name: string) => void
+  // asked: when what failed was sent; undefined: no connection could be had. An answer that came after it speaks for the instance.
+  failed: (name: string, asked?: number) => void
   // Whether a call may go there; claim: it does, and while there is doubt no other may for a while.
   usable: (one: Instance, claim: boolean) => boolean
   bell: ReturnType<typeof makeBell>
@@ -56,7 +57,7 @@
         continue
       }
       ends.get(name)?.fire()
-      const one: Instance = { name, ...w, lastOk: 0, status: undefined, mark: undefined, samples: [], doubt: false, again: 0, pause: 0, usage: 0 }
+      const one: Instance = { name, ...w, lastOk: 0, status: undefined, mark: undefined, samples: [], doubt: false, row: 0, again: 0, pause: 0, usage: 0 }
       const end = makeFlag()
       stop.watch(end.fire)
       all.set(name, one)
@@ -102,6 +103,7 @@
     if (!one) return
     const now = world.now()
     one.lastOk = now
+    one.row = 0
     const lead = reign !== undefined
     if (!one.mark || mark.epoch !== one.mark.epoch || mark.position > one.mark.position || !lead) one.mark = mark
     if (lead) {
@@ -116,9 +118,14 @@
       bell.ring()
     } else if (!fits) one.doubt = true
   }
-  function failed(name: string): void {
+  // One lost answer among many is no reason to keep everyone away: where nothing samples the instance, the second in a row is.
+  function failed(name: string, asked?: number): void {
     const one = all.get(name)
     if (!one) return
+    if (!edge.sampler && asked !== undefined) {
+      if (one.lastOk >= asked) return
+      if (++one.row < FAILED_ROW) return
+    }
     one.pause = Math.min(TRY_PAUSE_MOST, one.pause === 0 ? TRY_PAUSE : one.pause * 2)
     one.again = world.now() + one.pause
     if (one.doubt) return
