Tell with a renewal only what changed since what the other side has

Cause: every agent sent all its sights to each core every 600 ms, and each core answered with all members, sights and keys. Now a core counts the changes of its tables in a life; an agent echoes life and count and keeps a picture of each core, on which it merges as it did on whole answers. An agent sends a core what that life of it doesn't have yet: itself once, acks, highs, sights that it heard itself. A sight that only says the same again isn't told; it is alive until the core says that it is lost, so an instance expires at agents one renewal after the cores. Ruled out: telling ages on each beat (nobody but the leaving mark uses them). Operators' list of members is asked at a majority now, and says 503 where there is none. Terms and what a renewal proves of a register are as they were.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -7,8 +7,8 @@
 import { CONFIG_KEY, emptyBody, makeDecision, makeOperatorEdge, meantBy, type Body, type Change, type Credential, type Decision, type Edit } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
 import {
-  askSeeds, compareBallots, gather, groupKey, laterSight, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
-  type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type Sight, type Slots, type Value, type Voter,
+  askSeeds, compareBallots, gather, groupKey, laterSight, makePicture, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
+  type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type MemberLine, type Picture, type Sight, type Slots, type Value, type Voter,
 } from '@claynotch/register'
 import { ownEdges, type AgentEdges, type Desk } from './seam.js'
 
@@ -28,6 +28,9 @@
 // while a majority knows of something newer than value.
 type Known = { value: Value; ballot: Ballot; until: number }
 
+// What a life of a core has of this agent. sights: all own sights heard before this time.
+type Told = { core: string; self: boolean; acks: Map<string, number>; highs: Map<string, string>; sights: number }
+
 export async function startAgent(world: World, set: AgentSettings, edges: AgentEdges = ownEdges): Promise<Agent> {
   const stop = makeFlag()
   const numbers = makeNumbers()
@@ -42,8 +45,14 @@
   const news = makeBell()
   const lag = makeBell()
   const linked = makeBell()
-  const sights = new Map<string, { sight: Sight; at: number }>()
-  let members: Member[] = []
+  // own: what instances told this node itself. sights: that and what the cores tell, with the last time at which
+  // someone knew it to be alive.
+  const own = new Map<string, { sight: Sight; at: number }>()
+  const sights = new Map<string, { sight: Sight; at: number; alive: number }>()
+  // pictures: what each core told of itself so far. told: what each core has of us, by the core's life.
+  const pictures = new Map<string, Picture>()
+  const told = new Map<string, Told>()
+  let members: MemberLine[] = []
   let termUntil = 0
   // proxy: the one linked now. given: the latest time up to which any proxy of this machine may hold a term;
   // an agent that has just started may have a predecessor's word out for one whole term.
@@ -105,7 +114,10 @@
     const got = own.length > 0 ? { seed: undefined, cores: own } : await askSeeds(world, seeds)
     if (!got || stop.fired()) return
     places = got.cores
-    for (const c of places) cores.set(c.id, holdLink(world, c.addr, mine, makeTake(c.id), stop, onCore))
+    for (const c of places) {
+      pictures.set(c.id, makePicture(world))
+      cores.set(c.id, holdLink(world, c.addr, mine, makeTake(c.id), stop, onCore))
+    }
     world.log.info('cores-found', { seed: got.seed ?? 'itself', cores: places.length })
   }
   // The first term isn't waited for longer than it takes to reach the cores.
@@ -141,29 +153,80 @@
 
   // --- the term ---
 
-  function ownSights(): Sight[] {
+  // All sights that stand, with their age. One is alive while this node hears it, or while a core that answers tells it.
+  function allSights(): Sight[] {
     const out: Sight[] = []
     const now = world.now()
+    for (const [name, one] of own) if (now - one.at > (one.sight.leaving ? LEAVING_LIFE : ANNOUNCE_LIFE)) own.delete(name)
     for (const [name, one] of sights) {
-      const age = now - one.at
-      if (age > (one.sight.leaving ? LEAVING_LIFE : ANNOUNCE_LIFE)) sights.delete(name)
-      else out.push({ ...one.sight, age })
+      if (now - one.alive > ANNOUNCE_LIFE && !own.has(name)) sights.delete(name)
+      else out.push({ ...one.sight, age: now - one.at })
     }
     return out
   }
+  function mergeSights(): void {
+    const now = world.now()
+    sights.clear()
+    for (const [name, one] of own) sights.set(name, { ...one, alive: one.at })
+    for (const picture of pictures.values()) {
+      if (now - picture.heard() > ANNOUNCE_LIFE) continue
+      for (const [name, one] of picture.sights()) {
+        const old = sights.get(name)
+        sights.set(name, { ...laterSight(old, one.sight, one.at), alive: Math.max(old?.alive ?? 0, picture.heard()) })
+      }
+    }
+  }
+  // What this life of the core doesn't have of us yet.
+  function renewalFor(id: string): { msg: unknown; keep: () => void } {
+    const now = world.now()
+    const picture = pictures.get(id)!
+    const old = told.get(id)
+    const has = old && old.core === picture.core() ? old : undefined
+    const acks: [string, number][] = []
+    for (const [key, turn] of acked) if ((has?.acks.get(key) ?? 0) < turn) acks.push([key, turn])
+    const highs: [string, number, number][] = []
+    for (const [g, epoch, position] of proxy?.note?.highs ?? []) if (has?.highs.get(g) !== `${epoch}/${position}`) highs.push([g, epoch, position])
+    const heardHere: Sight[] = []
+    for (const one of own.values()) if (!has || one.at >= has.sights) heardHere.push({ ...one.sight, age: now - one.at })
+    const self = { area: set.area, addr: set.peer, operator: set.http ?? '', build: set.build, proxy: set.link !== undefined }
+    const msg = {
+      t: 'renew', node: set.node, life, core: picture.core(), count: picture.count(), acks, sights: heardHere, open: proxy?.note?.open ?? 0, highs, remembers: known.size > 0,
+      ...(has?.self === true ? {} : { self }),
+    }
+    function keep(): void {
+      const next = has && has.core === picture.core() ? has : { core: picture.core(), self: true, acks: new Map<string, number>(), highs: new Map<string, string>(), sights: 0 }
+      for (const [key, turn] of acks) next.acks.set(key, turn)
+      for (const [g, epoch, position] of highs) next.highs.set(g, `${epoch}/${position}`)
+      next.sights = Math.max(next.sights, now)
+      told.set(id, next)
+    }
+    return { msg, keep }
+  }
   async function renew(): Promise<void> {
     if (places.length === 0) {
       await discover()
       if (places.length === 0) return
     }
     const from = world.now()
-    const highs = proxy?.note?.highs ?? []
-    const msg = { t: 'renew', node: set.node, life, area: set.area, addr: set.peer, operator: set.http ?? '', build: set.build, acks: [...acked], sights: ownSights(), open: proxy?.note?.open ?? 0, highs, remembers: known.size > 0, proxy: set.link !== undefined }
     type Got = { id: string; got: RenewAnswer | undefined }
     async function ask(id: string, held: Held): Promise<Got> {
-      const raw = await held.ask(msg, RENEW_WAIT)
-      const got = readAs(RenewAnswer, raw)
-      return { id, got: got.ok ? got.val : undefined }
+      const { msg, keep } = renewalFor(id)
+      const got = readAs(RenewAnswer, await held.ask(msg, RENEW_WAIT))
+      if (got.err) return { id, got: undefined }
+      const picture = pictures.get(id)!
+      if (got.val.ok && picture.take(got.val)) {
+        keep()
+        return { id, got: got.val }
+      }
+      if (!got.val.ok && got.val.unknown !== true) return { id, got: got.val }
+      // The core was restarted, or has forgotten us: it is told everything and asked for everything.
+      picture.reset()
+      told.delete(id)
+      const whole = renewalFor(id)
+      const again = readAs(RenewAnswer, await held.ask(whole.msg, RENEW_WAIT))
+      if (again.err || !again.val.ok || !picture.take(again.val)) return { id, got: undefined }
+      whole.keep()
+      return { id, got: again.val }
     }
     const asks: Promise<Got>[] = []
     for (const [id, held] of cores) asks.push(ask(id, held))
@@ -171,12 +234,12 @@
       return g.got?.ok === true
     }
     const all = await gather(world, asks, majority(), isOk, RENEW_WAIT)
-    const good: { id: string; got: RenewAnswer }[] = []
-    for (const g of all) if (g.got?.ok) good.push({ id: g.id, got: g.got })
+    const good: string[] = []
+    for (const g of all) if (g.got?.ok) good.push(g.id)
     // A core that knows our node under another life refuses: two agents run under one name.
     const replaced = all.some(isRefused)
     function isRefused(g: Got): boolean {
-      return g.got?.ok === false
+      return g.got?.replaced === true
     }
     if (replaced) world.log.error('node-replaced', { node: set.node, life, why: 'another agent runs under this name' })
     if (good.length < majority()) {
@@ -192,23 +255,15 @@
     merge(good, from)
     await feed()
   }
-  function merge(good: { id: string; got: RenewAnswer }[], from: number): void {
-    const now = world.now()
-    const byNode = new Map<string, Member>()
+  // good: a majority that answered since from; their pictures are as new as those answers.
+  function merge(good: string[], from: number): void {
+    const byNode = new Map<string, { line: MemberLine; at: number }>()
     // high: for each key, the newest ballot that any of the majority holds, and how many hold just that.
     const high = new Map<string, { ballot: Ballot; count: number; chosenAt: string | undefined }>()
-    for (const { id, got } of good) {
-      for (const m of got.members) {
-        const old = byNode.get(m.node)
-        if (!old || m.left > old.left) byNode.set(m.node, m)
-      }
-      for (const s of got.sights) {
-        const at = now - s.age
-        const old = sights.get(s.name)
-        // Only what was heard from others is taken over, so that it ages here as it does there.
-        sights.set(s.name, !old || at > old.at + 1 ? laterSight(old, s, at) : laterSight(old, s, Math.min(at, old.at)))
-      }
-      for (const k of got.keys) {
+    for (const id of good) {
+      const picture = pictures.get(id)!
+      for (const [node, one] of picture.members()) if (one.at > (byNode.get(node)?.at ?? -Infinity)) byNode.set(node, one)
+      for (const k of picture.keys().values()) {
         const old = high.get(k.key)
         const by = old ? compareBallots(k.ballot, old.ballot) : 1
         if (by > 0) high.set(k.key, { ballot: k.ballot, count: 1, chosenAt: k.chosen ? id : undefined })
@@ -219,7 +274,9 @@
         }
       }
     }
-    members = [...byNode.values()]
+    members = []
+    for (const one of byNode.values()) members.push(one.line)
+    mergeSights()
     for (const [key, h] of high) {
       const k = known.get(key)
       if (k && compareBallots(h.ballot, k.ballot) <= 0) {
@@ -347,7 +404,7 @@
     }
     const triesList: [string, number, number][] = []
     for (const [g, [a, b]] of tries) triesList.push([g, a, b])
-    const word: Feed = { t: 'feed', node: set.node, area: set.area, cells: list, sights: ownSights(), moving: [...moving], leaving: [...leaving], tries: triesList, live: proxies() }
+    const word: Feed = { t: 'feed', node: set.node, area: set.area, cells: list, sights: allSights(), moving: [...moving], leaving: [...leaving], tries: triesList, live: proxies() }
     proxy.link.tell(word)
   }
   function serveProxy(peer: Hello, link: Link) {
@@ -390,8 +447,10 @@
     // Whatever it said before it went comes before that.
     const sequence = a.gone === true ? LAST_SEQUENCE : a.sequence
     const next: Sight = { name: a.name, group: a.group, addr: a.addr, area: a.area, role: a.role, leaving, gone: 0, age: 0, ...(sequence === undefined ? {} : { sequence }) }
-    const got = laterSight(old, next, world.now())
-    sights.set(a.name, got)
+    const now = world.now()
+    own.set(a.name, laterSight(own.get(a.name), next, now))
+    const got = laterSight(old, next, now)
+    sights.set(a.name, { ...got, alive: now })
     if (got.sight.leaving && !old?.sight.leaving) world.log.info('instance-leaving', { instance: a.name, group: a.group })
     // News goes to the proxy and to the cores at once, all else with the next beat.
     if (got.sight.leaving !== old?.sight.leaving || got.sight.role !== old.sight.role || got.sight.addr !== old.sight.addr || got.sight.group !== old.sight.group) {
@@ -459,7 +518,7 @@
   }
   function proxies(): number {
     let count = 0
-    for (const m of members) if (m.proxy !== false) count++
+    for (const m of members) if (m.proxy) count++
     return Math.max(1, count)
   }
   function hints(): Map<string, number>[] {
@@ -469,7 +528,7 @@
     return out
   }
   function sightList(): Sight[] {
-    return ownSights()
+    return allSights()
   }
   function termNow(): number {
     return termUntil
@@ -484,9 +543,12 @@
   const mover = startMover(world, view, stop)
   const peers = await startPeers(world, set.peer, stop, peerAddrs, summary, numbers, nothing)
 
-  function readMembers(): unknown {
+  // Undefined: no majority of cores answered.
+  async function readMembers(): Promise<unknown> {
+    const got = await askMembers()
+    if (!got) return undefined
     const out: unknown[] = []
-    for (const m of members) {
+    for (const m of got.members) {
       const behind: { key: string; has: number; present: number }[] = []
       const acks = new Map(m.acks)
       for (const [key, k] of known) if ((acks.get(key) ?? 0) < k.value.turn) behind.push({ key, has: acks.get(key) ?? 0, present: k.value.turn })
@@ -499,7 +561,7 @@
     const lags = new Map(proxy?.note?.lags ?? [])
     for (const g of groups()) {
       const instances: unknown[] = []
-      for (const s of ownSights()) if (s.group === g) instances.push({ name: s.name, addr: s.addr, area: s.area, role: s.role, leaving: s.leaving, age: Math.round(s.age), lag: lags.get(s.name) })
+      for (const s of allSights()) if (s.group === g) instances.push({ name: s.name, addr: s.addr, area: s.area, role: s.role, leaving: s.leaving, age: Math.round(s.age), lag: lags.get(s.name) })
       out.push({ name: g, record: cell(groupKey(g))?.body ?? null, instances })
     }
     return out
--- a/packages/operator/src/edge.ts
+++ b/packages/operator/src/edge.ts
@@ -8,7 +8,8 @@
 // The operator's edge: numbered changes in, decisions out, and what there is to read.
 // 'unclear' is said where no majority settled the change in time: the same number may be sent again.
 export type Reading = {
-  members: () => unknown
+  // undefined: no majority.
+  members: () => Promise<unknown>
   groups: () => unknown
   replace: (group: string, to: string | undefined) => Promise<{ ok: boolean; why: string }>
   // What stands against moves that a change asks for, in the fleet as it is.
@@ -140,8 +141,10 @@
         const now = await body()
         return now ? { status: 200, body: now.moves ?? [] } : noMajority()
       }
-      case 'members':
-        return { status: 200, body: reading.members() }
+      case 'members': {
+        const got = await reading.members()
+        return got === undefined ? noMajority() : { status: 200, body: got }
+      }
       case 'groups':
         return { status: 200, body: reading.groups() }
     }
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -1,10 +1,11 @@
 import { answerLinks, FOUND_WAIT, HANDOVER_BEAT, hello, holdLink, loop, makeFlag, makeNumbers, MISSED_KEPT, pause, readAs, ROUND_LIFE, SEEDS_BEAT, type Addr, type Held, type Hello, type Link, type Listener, type Numbers, type World } from '@claynotch/base'
 import { compareBallots, type Ballot } from './ballot.js'
+import { makeTable } from './changes.js'
 import { askSeeds, type CorePlace } from './coreset.js'
 import { gather, makeProposer, type Voter } from './proposer.js'
 import { makeStore, type Cell, type Phase, type Store, type Value } from './store.js'
 import { makeTerms } from './terms.js'
-import { CoreWord, type KeyLine } from './words.js'
+import { CoreWord, type KeyLine, type MemberLine, type Renew, type RenewAnswer, type Sight } from './words.js'
 
 // cores: the set as an operator gives it, this core among it. Else the disk's set holds, else founders, else what the seeds
 // tell; only founders are founded. founders: given at the very first start of the whole system, with empty disks, to all
@@ -185,10 +186,8 @@
         const keys: string[] = [...store.cells().keys()]
         return { ok: true, keys, top: store.top() }
       }
-      case 'renew': {
-        const ok = terms.renew(msg)
-        return { ok, keys: keyLines(), members: terms.members(), sights: terms.sights(), sure: terms.sure() }
-      }
+      case 'renew':
+        return renewed(msg)
       case 'leave':
         terms.leave(msg.node, msg.life)
         return { ok: true }
@@ -203,6 +202,47 @@
       }
     }
   }
+  // --- renewals: what changed since what the agent has ---
+  const life = Math.floor(world.random() * 2 ** 40).toString(36)
+  const count = { at: 0 }
+  const keyTable = makeTable(count, signKey)
+  const memberTable = makeTable(count, signMember)
+  const sightTable = makeTable(count, signSight)
+  function signKey(k: KeyLine): string {
+    return `${k.ballot[0]} ${k.ballot[1]} ${k.turn} ${k.chosen}`
+  }
+  function signMember(m: MemberLine): string {
+    return `${m.life} ${m.area} ${m.addr} ${m.operator} ${m.build} ${m.proxy}`
+  }
+  // Not its age, nor how far its instance has counted: an instance that only says the same again has not changed.
+  function signSight(s: Sight): string {
+    return `${s.group} ${s.addr} ${s.area} ${s.role} ${s.leaving}`
+  }
+  function tally(): void {
+    const keys = new Map<string, KeyLine>()
+    for (const k of keyLines()) keys.set(k.key, k)
+    const members = new Map<string, MemberLine>()
+    for (const { node, life: its, area, addr, operator, build, proxy } of terms.members()) members.set(node, { node, life: its, area, addr, operator, build, proxy })
+    const sights = new Map<string, Sight>()
+    for (const s of terms.sights()) sights.set(s.name, s)
+    keyTable.update(keys)
+    memberTable.update(members)
+    sightTable.update(sights)
+  }
+  function renewed(msg: Renew): RenewAnswer {
+    const end = terms.renew(msg)
+    if (end !== 'held') return { ok: false, [end]: true }
+    tally()
+    const whole = msg.core !== life || msg.count < Math.max(memberTable.least(), sightTable.least())
+    const since = whole ? 0 : msg.count
+    const keys = keyTable.since(since).lines
+    const members = memberTable.since(since)
+    const sights = sightTable.since(since)
+    return {
+      ok: true, sure: terms.sure(), core: life, since, count: count.at, ...(keys.length > 0 ? { keys } : {}), ...(members.lines.length > 0 ? { members: members.lines } : {}),
+      ...(sights.lines.length > 0 ? { sights: sights.lines } : {}), ...(members.gone.length > 0 ? { left: members.gone } : {}), ...(sights.gone.length > 0 ? { lost: sights.gone } : {}),
+    }
+  }
   function serveLink(peer: Hello, link: Link) {
     if (peer.kind === 'agent') agents.set(link, { node: peer.node, num: 0, acked: 0 })
     async function take(msg: unknown): Promise<unknown> {
--- a/packages/register/src/terms.ts
+++ b/packages/register/src/terms.ts
@@ -1,14 +1,15 @@
 import { ANNOUNCE_LIFE, LEAVING_LIFE, TERM, TERM_SLACK, type World } from '@claynotch/base'
-import { laterSight, type Member, type Renew, type Sight } from './words.js'
+import { laterSight, type Member, type Renew, type Self, type Sight } from './words.js'
 
 // Terms held at this core, in memory only.
 // Invariants: a term ends here later than at its holder (the holder counts from before it asked);
 // for one whole term after the start of this core, members may exist that it does not know (sure() is false).
 // A restarted agent takes its node's term over at once; the life that was replaced is refused from then on.
-type Term = { until: number; last: Renew; acks: Map<string, number>; past: Set<string> }
+// self, acks and highs are of this life; a renewal brings what is new of them.
+type Term = { until: number; life: string; self: Self; open: number; acks: Map<string, number>; highs: Map<string, [number, number]>; past: Set<string> }
 
 export type Terms = {
-  renew: (r: Renew) => boolean
+  renew: (r: Renew) => 'held' | 'replaced' | 'unknown'
   leave: (node: string, life: string) => void
   ack: (node: string, key: string, turn: number) => void
   members: () => Member[]
@@ -25,22 +26,30 @@
     const at = now - s.age
     seen.set(s.name, laterSight(seen.get(s.name), s, at))
   }
-  // false: another life of the same node has taken the term over.
-  function renew(r: Renew): boolean {
+  // replaced: another life of the same node has taken the term over. unknown: no Self of this life was told here.
+  function renew(r: Renew): 'held' | 'replaced' | 'unknown' {
     const now = world.now()
     const old = terms.get(r.node)
-    if (old?.past.has(r.life)) return false
+    if (old?.past.has(r.life)) return 'replaced'
+    const same = old?.life === r.life ? old : undefined
+    const self = r.self ?? same?.self
+    if (!self) return 'unknown'
     const past = old?.past ?? new Set<string>()
-    if (old && old.last.life !== r.life) past.add(old.last.life)
-    const acks = old && old.last.life === r.life ? old.acks : new Map<string, number>()
+    if (old && !same) past.add(old.life)
+    const acks = same?.acks ?? new Map<string, number>()
     for (const [key, turn] of r.acks) acks.set(key, Math.max(turn, acks.get(key) ?? 0))
-    terms.set(r.node, { until: now + TERM + TERM_SLACK, last: r, acks, past })
+    const highs = same?.highs ?? new Map<string, [number, number]>()
+    for (const [group, epoch, position] of r.highs) {
+      const high = highs.get(group)
+      if (!high || epoch > high[0] || (epoch === high[0] && position > high[1])) highs.set(group, [epoch, position])
+    }
+    terms.set(r.node, { until: now + TERM + TERM_SLACK, life: r.life, self, open: r.open, acks, highs, past })
     for (const s of r.sights) see(s, now)
-    return true
+    return 'held'
   }
   function leave(node: string, life: string): void {
     const old = terms.get(node)
-    if (old && old.last.life === life) terms.delete(node)
+    if (old && old.life === life) terms.delete(node)
   }
   function ack(node: string, key: string, turn: number): void {
     const one = terms.get(node)
@@ -54,8 +63,9 @@
         terms.delete(node)
         continue
       }
-      const r = one.last
-      out.push({ node, life: r.life, area: r.area, addr: r.addr, operator: r.operator, build: r.build, open: r.open, left: one.until - now, acks: [...one.acks], highs: r.highs, proxy: r.proxy })
+      const highs: [string, number, number][] = []
+      for (const [group, [epoch, position]] of one.highs) highs.push([group, epoch, position])
+      out.push({ node, life: one.life, ...one.self, open: one.open, acks: [...one.acks], highs })
     }
     return out
   }
--- a/packages/register/src/words.ts
+++ b/packages/register/src/words.ts
@@ -10,17 +10,24 @@
 export const Sight = t.intersection([t.type({ name: t.string, group: t.string, addr: t.string, area: t.string, role: t.string, leaving: t.boolean, age: t.number }), t.partial({ gone: t.number, sequence: t.number })])
 export type Sight = t.TypeOf<typeof Sight>
 
-// What a member says of itself with each renewal. acks: [key, turn] that its proxy applied.
-export const Renew = t.type({
-  t: t.literal('renew'), node: t.string, life: t.string, area: t.string, addr: t.string, operator: t.string, build: t.string,
-  acks: t.array(t.tuple([t.string, t.number])), sights: t.array(Sight), open: t.number,
-  // highs: [group, epoch, position], the highest acknowledged commit that its proxy saw.
-  highs: t.array(t.tuple([t.string, t.number, t.number])),
-  // remembers: this node knows settled registers, so the set was founded once.
-  remembers: t.boolean,
-  // proxy: whether it feeds a proxy; those who don't say do.
-  proxy: t.union([t.boolean, t.undefined]),
-})
+// What a member is, told to each core once in its life. addr: where it takes summaries; operator: where it serves operators,
+// '' if it doesn't; proxy: whether it feeds a proxy.
+export const Self = t.type({ area: t.string, addr: t.string, operator: t.string, build: t.string, proxy: t.boolean })
+export type Self = t.TypeOf<typeof Self>
+
+// A renewal: what changed since the last one that this core answered. core, count: which life of the core the agent has
+// a picture of, and up to which count. acks: [key, turn] that its proxy applied.
+export const Renew = t.intersection([
+  t.type({
+    t: t.literal('renew'), node: t.string, life: t.string, core: t.string, count: t.number,
+    acks: t.array(t.tuple([t.string, t.number])), sights: t.array(Sight), open: t.number,
+    // highs: [group, epoch, position], the highest acknowledged commit that its proxy saw.
+    highs: t.array(t.tuple([t.string, t.number, t.number])),
+    // remembers: this node knows settled registers, so the set was founded once.
+    remembers: t.boolean,
+  }),
+  t.partial({ self: Self }),
+])
 export type Renew = t.TypeOf<typeof Renew>
 
 export const CoreWord = t.union([
@@ -43,18 +50,26 @@
 export const Push = t.type({ t: t.literal('push'), num: t.number, key: t.string, ballot: Ballot, value: Value })
 export type Push = t.TypeOf<typeof Push>
 
-export const Member = t.type({
-  node: t.string, life: t.string, area: t.string, addr: t.string, operator: t.string, build: t.string, left: t.number,
-  acks: t.array(t.tuple([t.string, t.number])), open: t.number, highs: t.array(t.tuple([t.string, t.number, t.number])),
-  proxy: t.union([t.boolean, t.undefined]),
-})
+// A member as every agent knows it, and as whoever needs more asks for it.
+export const MemberLine = t.intersection([t.type({ node: t.string, life: t.string }), Self])
+export type MemberLine = t.TypeOf<typeof MemberLine>
+export const Member = t.intersection([MemberLine, t.type({ acks: t.array(t.tuple([t.string, t.number])), open: t.number, highs: t.array(t.tuple([t.string, t.number, t.number])) })])
 export type Member = t.TypeOf<typeof Member>
 
 export const KeyLine = t.type({ key: t.string, ballot: Ballot, turn: t.number, chosen: t.boolean })
 export type KeyLine = t.TypeOf<typeof KeyLine>
 
-// sure: false while this core has run for less than a whole term, as it may have forgotten members.
-export const RenewAnswer = t.type({ ok: t.boolean, keys: t.array(KeyLine), members: t.array(Member), sights: t.array(Sight), sure: t.boolean })
+// sure: false while this core has run for less than a whole term, as it may have forgotten members. unknown: this core has
+// no Self of the node and asks for a whole renewal. replaced: another life of the node holds its term.
+// core, since, count: the lines are what changed in this life of the core from since to count; since 0: all there is.
+// left, lost: members and instances that went. A sight is told when what it says changes, with its age; it is alive until lost.
+export const RenewAnswer = t.intersection([
+  t.type({ ok: t.boolean }),
+  t.partial({
+    unknown: t.boolean, replaced: t.boolean, sure: t.boolean, core: t.string, since: t.number, count: t.number,
+    keys: t.array(KeyLine), members: t.array(MemberLine), sights: t.array(Sight), left: t.array(t.string), lost: t.array(t.string),
+  }),
+])
 export type RenewAnswer = t.TypeOf<typeof RenewAnswer>
 
 export const MembersAnswer = t.type({ ok: t.boolean, members: t.array(Member), sure: t.boolean })
