--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,5 +1,5 @@
 import {
-  answerLinks, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
+  LEAVE_LIMIT, NOTE_BEAT, answerLinks, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
   CHANGE_ANSWER, LATE, SAMPLE_LIMIT, SIGHTS_KEPT, SUMMARY_EPOCH, within, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
 } from '@claynotch/base'
 import { startDuty, startMover } from '@claynotch/duty'
@@ -628,9 +628,24 @@
     numbers.add('claynotch_decisions_total', [['decision', got === LATE ? 'unclear' : (got?.decision ?? 'unclear')]])
     return got === LATE ? undefined : got
   }
+  // A round costs each core a write to its disk: whoever asks while one runs shares the next, which starts after all of
+  // them asked, so that a crowd of readers makes no more than one at a time.
+  let reading: Promise<unknown> = Promise.resolve()
+  let shared: Promise<Body | undefined> | undefined
+  function startRead(): Promise<Body | undefined> {
+    shared = undefined
+    const got = readOnce()
+    reading = got.catch(nothing)
+    return got
+  }
+  async function readOnce(): Promise<Body | undefined> {
+    const got = await proposer.read(CONFIG_KEY, CHANGE_ANSWER)
+    return got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
+  }
   async function readBody(): Promise<Body | undefined> {
-    const got = await within(world, CHANGE_ANSWER, proposer.read(CONFIG_KEY, CHANGE_ANSWER))
-    return got !== LATE && got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
+    shared ??= reading.then(startRead)
+    const got = await within(world, CHANGE_ANSWER, shared)
+    return got === LATE ? undefined : got
   }
   const desk: Desk = { numbers, heard, left, change, read: readBody, body: config, places: placesNow, ready, operator }
   const http = set.http !== undefined ? await edges.control(world, set.http, desk) : undefined
@@ -647,6 +662,10 @@
   world.log.info('agent-started', { node: set.node, area: set.area, http: set.http ?? 'none' })
 
   async function end(): Promise<void> {
+    // A proxy of this machine that is told to stop as well has calls to end under this machine's term.
+    const until = world.now() + LEAVE_LIMIT
+    if (proxy) await pause(world, NOTE_BEAT)
+    while (proxy?.note?.leaving === true && world.now() < until) await pause(world, NOTE_BEAT / 6)
     // The term is given up only when no proxy can be working under it; else it runs out by itself.
     if (!proxy && world.now() > given) for (const held of cores.values()) held.tell({ t: 'leave', node: set.node, life })
     await pause(world, 20)
