--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -3,6 +3,7 @@
 import { defineCommand, runMain } from 'citty'
 import { callOnce, makeLog, realWorld, serve, type Addr, type Ask, type Reply } from '@claynotch/base'
 import { measureDetection } from './detection.js'
+import { measureSteps } from './steps.js'
 import { startInstance, type InstanceSettings } from './instance.js'
 import { runLocal } from './local.js'
 import { profileOf } from './profile.js'
@@ -99,6 +100,11 @@
   await measureDetection(Number(args.seeds), out)
 }
 
+// The steps of a replacement, one by one.
+async function steps({ args }: { args: { seeds: string } }): Promise<void> {
+  await measureSteps(Number(args.seeds), out)
+}
+
 const settings = { type: 'string', description: 'settings file', required: true } as const
 const main = defineCommand({
   meta: { name: 'fleet', description: 'Local fleets, stand-ins and the simulator' },
@@ -123,6 +129,7 @@
       run: whole,
     }),
     detection: defineCommand({ meta: { name: 'detection', description: 'Measure failure detection' }, args: { seeds: { type: 'string', default: '4', description: 'seeds for each cell' } }, run: detection }),
+    steps: defineCommand({ meta: { name: 'steps', description: 'Measure the steps of a replacement' }, args: { seeds: { type: 'string', default: '8', description: 'seeds for each kind' } }, run: steps }),
     instance: defineCommand({ meta: { name: 'instance', description: 'A stand-in instance' }, args: { settings }, run: instance }),
     platform: defineCommand({ meta: { name: 'platform', description: 'A stand-in platform' }, args: { settings }, run: platform }),
   },
