--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -19,6 +19,8 @@
 export const ROUND_PAUSE = 30
 // ms. A change that has not been settled then ends unclear and its caller must ask again.
 export const CHANGE_LIMIT = 5000
+// ms. A caller that goes to another node after a second of silence is told within this what became of its change.
+export const CHANGE_ANSWER = 900
 // bytes. Longest frame on an internal link: a whole configuration with its decisions fits many times.
 export const FRAME_LIMIT = 8 * 1024 * 1024
 // count. Decisions kept for each operator stream; older numbers answer "forgotten".
@@ -29,6 +31,11 @@
 export const HISTORY_KEPT = 2048
 // count. The latest of them that are kept with their whole configuration.
 export const CONFIGS_KEPT = 8
+// count. Accepted changes that named their epoch, kept so that the same one sent again is told that it was taken: at
+// 47,000 changes a day (one in 1.8 s) these are the last 8 minutes, and about 15 KiB; a caller asks again within seconds.
+export const NAMED_KEPT = 256
+// bytes. Largest value of the configuration's register: half a frame, so that its first and any later word of it fits one.
+export const VALUE_LIMIT = 4 * 1024 * 1024
 // bytes. A data file is rewritten when longer than this and than REWRITE_RATIO times what lives in it.
 export const REWRITE_FLOOR = 1024 * 1024
 // ratio. See REWRITE_FLOOR; 4 keeps the mean cost of rewriting under a third of appending.
@@ -42,6 +49,8 @@
 // ms. A core that holds nothing waits this long before it founds a set, so that agents which remember one can say so:
 // longer than an agent's longest pause between dials and one renewal beat together.
 export const FOUND_WAIT = 2000
+// ms. Pause between two rounds of asking the seeds for the core set: a first set is there within a second or so.
+export const SEEDS_BEAT = 500
 
 // --- links ---
 // ms. A dial on the local network that takes longer is a failure.
@@ -60,6 +69,11 @@
 export const NOTE_BEAT = 300
 // ms. An announcement not renewed for this long marks the instance as unheard (it announces each second).
 export const ANNOUNCE_LIFE = 3500
+// ms. How long an instance's word may be held up on its way, in a node that was frozen say: within it, its own count tells
+// which of two words is the later; beyond it, the time at which they were heard.
+export const LATE_CALL = 10000
+// count. Instances that a node keeps in mind; further ones are not heard until others are forgotten.
+export const SIGHTS_KEPT = 4096
 // ms. A leaving mark outlives the instance's last word for this long, so that nodes that were away learn it.
 export const LEAVING_LIFE = 120000
 // ms. A leaving leader whose successor isn't there yet gets new work for this long; the users' bound is 7 s,
@@ -144,6 +158,12 @@
 export const LINE_GRACE = 250
 // count. Connections that one edge holds at most; further ones are closed at once.
 export const LINES = 20000
+// count. Connections that the edge for operators and announcements holds: some hundred instances keep one each.
+export const CONTROL_LINES = 1024
+// ms. A connection there that asks nothing for this long is closed; instances speak each second or so.
+export const CONTROL_QUIET = 15000
+// bytes. Largest announcement.
+export const ANNOUNCE_LIMIT = 4096
 // ms. A reader of the stream of decisions is looked after at least this often, to notice that it went away.
 export const FOLLOW_BEAT = 2000
 // s. Retry-After for refusals by overload, and while a promotion or a term is awaited.
