--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,7 +2,7 @@
   answerLinks, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
   CHANGE_ANSWER, LATE, SAMPLE_LIMIT, SIGHTS_KEPT, SUMMARY_EPOCH, within, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
 } from '@claynotch/base'
-import { startDuty, startMover } from '@claynotch/duty'
+import { startDuty, startMover, type Report } from '@claynotch/duty'
 import type { Announcement } from '@claynotch/instance'
 import { CONFIG_KEY, emptyBody, makeDecision, makeOperatorEdge, meantBy, type Body, type Change, type Credential, type Decision, type Edit } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
@@ -47,7 +47,8 @@
   let termUntil = 0
   // proxy: the one linked now. given: the latest time up to which any proxy of this machine may hold a term;
   // an agent that has just started may have a predecessor's word out for one whole term.
-  let proxy: { link: Link; sent: Map<string, number>; note: Note | undefined } | undefined
+  // at: when the note came.
+  let proxy: { link: Link; sent: Map<string, number>; note: Note | undefined; at: number } | undefined
   let given = set.link === undefined ? 0 : born + TERM
   const acked = new Map<string, number>()
   const pushNums = new Map<string, number>()
@@ -353,7 +354,7 @@
   function serveProxy(peer: Hello, link: Link) {
     if (peer.kind !== 'proxy') throw new Error(`a ${peer.kind} dialled the proxy's link`)
     proxy?.link.close('another proxy came')
-    proxy = { link, sent: new Map(), note: undefined }
+    proxy = { link, sent: new Map(), note: undefined, at: 0 }
     world.log.info('proxy-linked', { node: set.node })
     function take(msg: unknown): undefined {
       const got = readAs(Note, msg)
@@ -363,7 +364,20 @@
       }
       if (proxy?.link !== link) return undefined
       const first = proxy.note === undefined
+      const before = proxy.note?.bad ?? []
       proxy.note = got.val
+      proxy.at = world.now()
+      // That an instance began to fail is told at once; how long it has been, with the beats.
+      if (tellNext) peers.ring()
+      tellNext = false
+      if ((got.val.bad ?? []).some(isNew)) {
+        peers.ring()
+        duty.ring()
+      }
+      function isNew([name]: [string, number]): boolean {
+        for (const [old] of before) if (old === name) return false
+        return true
+      }
       for (const [key, turn] of got.val.acks) ackAll(key, turn)
       if (first) void feed()
       return undefined
@@ -410,6 +424,18 @@
     for (const m of members) out.push(m.addr)
     return out
   }
+  // What others need to know: those that the records name.
+  function ofLeaders(list: [string, number][]): [string, number][] {
+    const names = new Set<string>()
+    for (const g of groups()) {
+      const rec = cell(groupKey(g))?.body as GroupRecord | undefined
+      for (const name of [rec?.leader, rec?.old, rec?.candidate]) if (name !== undefined) names.add(name)
+    }
+    const age = world.now() - (proxy?.at ?? 0)
+    const out: [string, number][] = []
+    for (const [name, ms] of list) if (names.has(name)) out.push([name, ms + age])
+    return out
+  }
   function summary(): Summary {
     const leaving: string[] = []
     for (const one of sights.values()) if (one.sight.leaving) leaving.push(one.sight.name)
@@ -419,7 +445,7 @@
       const rec = cell(groupKey(g))?.body as GroupRecord | undefined
       if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
     }
-    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, seen: note?.seen ?? [], moving, leaving, tries: note?.tries ?? [] }
+    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, seen: ofLeaders(note?.seen ?? []), bad: proxy?.note?.bad ? [...aged(proxy.note.bad, world.now() - proxy.at)] : [], moving, leaving, tries: note?.tries ?? [] }
   }
   async function askMembers(): Promise<{ members: Member[]; sure: boolean } | undefined> {
     async function ask(held: Held): Promise<MembersAnswer | undefined> {
@@ -462,12 +488,37 @@
     for (const m of members) if (m.proxy !== false) count++
     return Math.max(1, count)
   }
-  function hints(): Map<string, number>[] {
-    const out: Map<string, number>[] = []
-    for (const h of peers.hints()) out.push(new Map(h.seen))
-    if (proxy?.note) out.push(new Map(proxy.note.seen))
+  function reports(): Report[] {
+    const out: Report[] = []
+    for (const h of peers.hints()) out.push({ good: new Map(h.seen), bad: new Map(h.bad ?? []) })
+    if (!proxy?.note) return out
+    const age = world.now() - proxy.at
+    out.push({ good: aged(proxy.note.seen, age), bad: aged(proxy.note.bad ?? [], age) })
+    return out
+  }
+  function aged(list: [string, number][], by: number): Map<string, number> {
+    const out = new Map<string, number>()
+    for (const [name, ms] of list) out.set(name, ms + by)
     return out
   }
+  // tellNext: another node began to fail against an instance, so what our proxy sees of it now is told at once.
+  let tellNext = false
+  // failing: whom each node told to fail when last heard; a new one is looked at now, not at the next beat.
+  const failing = new Map<string, Set<string>>()
+  function heardPeer(sum: Summary): void {
+    const before = failing.get(sum.node)
+    const now = new Set<string>()
+    for (const [name] of sum.bad ?? []) now.add(name)
+    // Names come from the network: never more than a fleet has.
+    if (failing.size > SIGHTS_KEPT) failing.clear()
+    if (now.size > 0) failing.set(sum.node, now)
+    else failing.delete(sum.node)
+    for (const name of now) {
+      if (before?.has(name)) continue
+      tellNext = true
+      return duty.ring()
+    }
+  }
   function sightList(): Sight[] {
     return ownSights()
   }
@@ -478,11 +529,11 @@
     return platform
   }
   const view = {
-    node: set.node, suspect: set.suspect ?? SUSPECT, instance: edges.instance, promotion: edges.promotion, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, hints, askMembers, body: config, numbers,
+    node: set.node, suspect: set.suspect ?? SUSPECT, instance: edges.instance, promotion: edges.promotion, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, reports, askMembers, body: config, numbers,
   }
   const duty = startDuty(world, view, stop)
   const mover = startMover(world, view, stop)
-  const peers = await startPeers(world, set.peer, stop, peerAddrs, summary, numbers, nothing)
+  const peers = await startPeers(world, set.peer, stop, peerAddrs, summary, numbers, heardPeer)
 
   function readMembers(): unknown {
     const out: unknown[] = []
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -180,8 +180,31 @@
 // --- duty (promotion) ---
 // ms. Beat of the duty's loop for a group.
 export const DUTY_BEAT = 400
-// ms. A leader that the holder could not reach for this long is suspected (see docs/detection.md).
+// ms. A leader that the holder could not reach for this long is suspected, where other nodes' word is weak (see docs/design/detection.md).
 export const SUSPECT = 2500
+// ms. The same where several nodes fail against it and none succeeds: longer than a process takes to start anew or
+// connections to be dialled again after a reset, as a wrong move costs about as much again.
+export const SUSPECT_SURE = 400
+// ms. Calls that wait at an instance this long without one good answer count as failing: many times a statement's work.
+export const STALL = 600
+// ms. A good answer counts against a failure only if it came this much later: a way between nodes and one over loopback lie between.
+export const HINT_SKEW = 30
+// ms. An instance whose announcement is older says nothing of its life: three beats of its own and two of ours.
+export const ANNOUNCE_QUIET = 3000
+// ms. A leader that answered us well while others complain is not asked again sooner; a statement costs it work.
+export const ASK_PAUSE = 1000
+// ms. Beat of looks while a move stops the group, for acknowledgements (the cores are asked) and for the candidate.
+export const MOVE_BEAT = 40
+export const PROMOTE_LOOK = 100
+// ms. Before the promotion call is made again for the same candidate: refused (the pause doubles), unclear, or promised.
+export const CALL_REFUSED = 300
+export const CALL_UNCLEAR = 1000
+export const CALL_DONE = 3000
+// ms. An instance that leads beside the record's leader is told to step down no more often than this.
+export const DEMOTE_PAUSE = 1000
+// ms. Of two candidates that hold the same, one that came this much later is taken: where instances are replaced one
+// after the other, the older is the next to go.
+export const NEWER = 3000
 // ms. A leader outside its group's home areas is brought home once an instance there has been well for this long without
 // a break: longer than an area that comes and goes takes to show it, as each move stalls writes for a moment.
 export const HOME_PAUSE = 20000
--- a/packages/base/src/time.ts
+++ b/packages/base/src/time.ts
@@ -78,14 +78,24 @@
 }
 
 // A bell wakes all who wait for it; unlike a flag it can ring again.
-export type Bell = { ring: () => void; wait: (world: World, ms: number, stop?: Flag) => Promise<void> }
+// watch: runs at each ring until cancelled.
+export type Bell = { ring: () => void; wait: (world: World, ms: number, stop?: Flag) => Promise<void>; watch: (run: () => void) => Cancel }
 
 export function makeBell(): Bell {
   let now = makeFlag()
+  const runs = new Set<() => void>()
   function ring(): void {
     const old = now
     now = makeFlag()
     old.fire()
+    for (const run of runs) run()
+  }
+  function watch(run: () => void): Cancel {
+    runs.add(run)
+    function cancel(): void {
+      runs.delete(run)
+    }
+    return cancel
   }
   async function wait(world: World, ms: number, stop?: Flag): Promise<void> {
     if (stop?.fired()) return
@@ -96,7 +106,7 @@
     a()
     b()
   }
-  return { ring, wait }
+  return { ring, wait, watch }
 }
 
 // A loop in its own task: runs the step, then waits for the beat, until stopped.
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -1,9 +1,16 @@
-import { CANDIDATE_LIFE, CATCH_UP, DRAIN, DUTY_BEAT, HINT_GOOD, HOME_PAUSE, LOSS_WAIT, loop, makeBell, makeFlag, PROBE_LIMIT, SUSPECT_LIMIT, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World } from '@claynotch/base'
+import {
+  ANNOUNCE_QUIET, ASK_PAUSE, CALL_DONE, CALL_REFUSED, CALL_UNCLEAR, CANDIDATE_LIFE, CATCH_UP, DEMOTE_PAUSE, DRAIN, DUTY_BEAT, HINT_GOOD, HINT_SKEW, HOME_PAUSE, LOSS_WAIT, loop, makeBell,
+  makeFlag, MOVE_BEAT, NEWER, PROBE_LIMIT, PROMOTE_LOOK, SUSPECT_LIMIT, SUSPECT_SURE, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World,
+} from '@claynotch/base'
 import type { InstanceEdge, Mark, Status } from '@claynotch/instance'
 import type { Body } from '@claynotch/operator'
 import type { PromotionEdge } from '@claynotch/host'
 import { groupKey, type GroupRecord, type Member, type Proposer, type Sight, type Value } from '@claynotch/register'
 
+// good: ms since each instance last answered this node. bad: ms since the first send that failed there, or still waits,
+// with no sign of life after it.
+export type Report = { good: Map<string, number>; bad: Map<string, number> }
+
 export type DutyView = {
   node: string
   // ms without a good answer after which a leader is suspected.
@@ -19,8 +26,8 @@
   cell: (key: string) => Value | undefined
   learned: (key: string, value: Value, ballot: [number, string]) => void
   sights: () => Sight[]
-  // For each other node: ms since each instance last answered it.
-  hints: () => Map<string, number>[]
+  // What the nodes that have a proxy told last.
+  reports: () => Report[]
   // A majority's word on the members; undefined without a majority.
   askMembers: () => Promise<{ members: Member[]; sure: boolean } | undefined>
   // The configuration as this node knows it.
@@ -50,6 +57,38 @@
   return best
 }
 
+// The number in which an instance says that it leads or follows: its own where it counts leaders, else that of its place.
+export function termOf(status: Status): number {
+  return status.epoch ?? status.mark.epoch
+}
+// Whether it leads as the record says.
+export function leadsAs(rec: GroupRecord, status: Status): boolean {
+  return status.role === 'leader' && termOf(status) === (rec.term ?? rec.epoch)
+}
+
+// What nodes told of one instance. hears: at how many its last word was good, no longer ago than HINT_GOOD and after the
+// trouble of most others began. since: for how long it has failed at two nodes, or at the only one that tells of it.
+export type Evidence = { good: number; hears: number; bad: number; since: number }
+export function weigh(reports: Report[], name: string): Evidence {
+  const bads: number[] = []
+  const goods: number[] = []
+  for (const r of reports) {
+    const bad = r.bad.get(name)
+    const good = r.good.get(name)
+    if (bad !== undefined) bads.push(bad)
+    else if (good !== undefined && good < HINT_GOOD) goods.push(good)
+  }
+  bads.sort(byMost)
+  const since = bads[Math.min(1, bads.length - 1)] ?? 0
+  let hears = 0
+  const middle = bads[Math.floor(bads.length / 2)] ?? 0
+  for (const age of goods) if (age + HINT_SKEW < middle) hears++
+  return { good: goods.length, hears, bad: bads.length, since }
+}
+function byMost(a: number, b: number): number {
+  return b - a
+}
+
 export function compareMarks(a: Mark, b: Mark): number {
   return a.epoch !== b.epoch ? a.epoch - b.epoch : a.position - b.position
 }
@@ -57,9 +96,10 @@
 type Seen = { name: string; addr: string; status: Status }
 
 // What the holder remembers of one group between beats; lost with it, and nothing rests on it.
-// leaderOk, candidateOk: when each last answered as it should. since: when this turn was first seen here.
+// leaderOk, candidateOk: when each was last known to be as it should. since: when this turn was first seen here.
+// asked: when the leader was last asked and whether it answered well. called: the latest promotion call for this record. pace: ms between looks while it waits for instances.
 // homeSince: since when an instance of a home area has been well, while the leader lives elsewhere.
-type Memory = { turn: number; since: number; leader: string | undefined; leaderOk: number; candidateOk: number; suspected: boolean; homeSince?: number }
+type Memory = { turn: number; since: number; leader: string | undefined; leaderOk: number; candidateOk: number; suspected: boolean; homeSince?: number; asked?: { at: number; well: boolean }; called?: { at: number; pause: number }; pace?: number }
 
 export function startDuty(world: World, view: DutyView, stop: Flag): { ring: () => void } {
   const bells = new Map<string, Bell>()
@@ -113,6 +153,10 @@
   const key = groupKey(group)
   let mem: Memory | undefined
   let count = 0
+  // firstSeen: when this node first knew of each instance of the group that is announced now.
+  const firstSeen = new Map<string, number>()
+  // demoted: when each instance that leads beside the record's leader was last told to step down.
+  const demoted = new Map<string, number>()
 
   // Compare and set against the turn that was read. undefined: unclear, look again.
   async function put(turn: number, body: GroupRecord): Promise<boolean | undefined> {
@@ -136,6 +180,36 @@
     for (const s of view.sights()) if (s.group === group) out.push(s)
     return out
   }
+  function sightOf(name: string): Sight | undefined {
+    for (const s of sightsHere()) if (s.name === name) return s
+    return undefined
+  }
+  function remember(): void {
+    const here = new Set<string>()
+    for (const s of sightsHere()) {
+      here.add(s.name)
+      if (!firstSeen.has(s.name)) firstSeen.set(s.name, world.now())
+    }
+    for (const name of firstSeen.keys()) if (!here.has(name)) firstSeen.delete(name)
+    for (const name of demoted.keys()) if (!here.has(name)) demoted.delete(name)
+  }
+  // Commits that were told may be missing at the furthest instance: are they waited for, and how long?
+  function lossWait(): number {
+    for (const g of view.body()?.config?.groups ?? []) {
+      if (g.name !== group || g.sync === undefined) continue
+      // Followers hold each of them before it is told: it turns up. Without that, the loss is accepted where it is asked for.
+      return g.sync > 0 ? Infinity : 0
+    }
+    return LOSS_WAIT
+  }
+  // Tells an instance to follow; nothing rests on it, as no proxy sends it writes any more.
+  async function demote(who: { name: string; addr: string }, epoch: number): Promise<Status | undefined> {
+    if (!view.instance.demote || world.now() - (demoted.get(who.name) ?? -DEMOTE_PAUSE) < DEMOTE_PAUSE) return undefined
+    demoted.set(who.name, world.now())
+    const got = await view.instance.demote(world, { ...who, group }, epoch, PROBE_LIMIT)
+    world.log.info('instance-demoted', { group, instance: who.name, epoch, end: got.ok ? got.val.role : got.val })
+    return got.ok && got.val.name === who.name ? got.val : undefined
+  }
   // brief: one that is suspected, and is not waited for as long as the others.
   // Where an instance says that it is goes before where the record says it was.
   function addrOf(name: string, recorded: string): string {
@@ -174,7 +248,9 @@
   }
   function goesBefore(a: string, b: string, old: string | undefined): boolean {
     if (a === old || b === old) return b === old
-    return isHome(a) !== isHome(b) ? isHome(a) : a < b
+    if (isHome(a) !== isHome(b)) return isHome(a)
+    const by = (firstSeen.get(a) ?? 0) - (firstSeen.get(b) ?? 0)
+    return Math.abs(by) > NEWER ? by > 0 : a < b
   }
   // Whom to bring the leader home to, once someone there has been well for long enough.
   async function homeward(rec: GroupRecord, m: Memory): Promise<string | undefined> {
@@ -182,7 +258,7 @@
     const near: Sight[] = []
     for (const s of sightsHere()) if (!s.leaving && home().includes(s.area)) near.push(s)
     const well: Seen[] = []
-    for (const s of await look(near)) if (s.status.role === 'follower' && s.status.mark.epoch === rec.epoch) well.push(s)
+    for (const s of await look(near)) if (s.status.role === 'follower' && termOf(s.status) === (rec.term ?? rec.epoch)) well.push(s)
     if (well.length === 0) delete m.homeSince
     else m.homeSince ??= world.now()
     return m.homeSince !== undefined && world.now() - m.homeSince > HOME_PAUSE ? furthest(well, undefined)?.name : undefined
@@ -200,71 +276,113 @@
   }
 
   async function begin(): Promise<boolean> {
-    const seen = await look(sightsHere())
+    const said: Sight[] = []
+    for (const s of sightsHere()) if (s.role === 'leader') said.push(s)
+    mem ??= { turn: 0, since: world.now(), leader: undefined, leaderOk: 0, candidateOk: 0, suspected: false }
+    // Those that say they lead are asked; all only when none does, after announcements had time to come in.
+    const waited = world.now() - mem.since >= view.suspect
+    if (said.length === 0 && !waited) return false
+    const seen = await look(waited ? sightsHere() : said)
     const heads: Seen[] = []
     for (const s of seen) if (s.status.role === 'leader') heads.push(s)
-    if (seen.length === 0) return false
-    const first = furthest(heads, undefined)
-    if (!first) {
-      // No one leads: a first leader is made like any other, once the announcements had time to come in.
-      mem ??= { turn: 0, since: world.now(), leader: undefined, leaderOk: 0, candidateOk: 0, suspected: false }
-      if (world.now() - mem.since < view.suspect) return false
-      const best = furthest(seen, undefined) as Seen
-      return (await put(0, { epoch: best.status.mark.epoch + 1, phase: 'stop', holder: view.node, fence: 1, candidate: best.name, candidateAddr: best.addr })) === true
+    let first = furthest(heads, undefined)
+    for (const s of heads) if (first && termOf(s.status) > termOf(first.status)) first = s
+    if (first) {
+      const term = first.status.epoch
+      return (await put(0, { epoch: termOf(first.status), phase: 'steady', holder: view.node, fence: 1, leader: first.name, addr: first.addr, ...(term === undefined ? {} : { term }) })) === true
+    }
+    if (!waited) return false
+    const best = furthest(seen, undefined)
+    if (!best) return false
+    return (await put(0, { epoch: termOf(best.status) + 1, phase: 'stop', holder: view.node, fence: 1, candidate: best.name, candidateAddr: best.addr })) === true
+  }
+
+  // Others that say they lead: told to follow, or, where one leads by a later promotion of ours than was recorded, made
+  // the leader through the record like any other. true: the record moved on.
+  async function rivals(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
+    if (!view.instance.demote) return false
+    for (const s of sightsHere()) {
+      // What it said before this record stood tells nothing.
+      if (s.role !== 'leader' || s.name === rec.leader || s.age > world.now() - m.since) continue
+      const got = await demote(s, rec.term ?? rec.epoch)
+      if (got?.role === 'leader' && termOf(got) > (rec.term ?? rec.epoch)) return await stopFor(turn, rec, false, { name: s.name, addr: s.addr, status: got })
     }
-    return (await put(0, { epoch: first.status.mark.epoch, phase: 'steady', holder: view.node, fence: 1, leader: first.name, addr: first.addr })) === true
+    return false
   }
 
   async function steady(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
     const leader = { name: rec.leader as string, addr: addrOf(rec.leader as string, rec.addr as string) }
-    const [head] = await look([leader])
+    if (await rivals(turn, rec, m)) return true
     const now = world.now()
-    if (head && head.status.role === 'leader' && head.status.mark.epoch === rec.epoch) {
-      m.leaderOk = now
+    const told = weigh(view.reports(), leader.name)
+    const sight = sightOf(leader.name)
+    // An announcement from before this record tells nothing of the role.
+    const follows = sight !== undefined && sight.role !== 'leader' && sight.age < now - m.since
+    const calm = told.bad === 0 && !follows && (told.good > 0 || (sight !== undefined && sight.age < ANNOUNCE_QUIET))
+    let refused = false
+    if (calm) m.leaderOk = now
+    // One that answered well is asked again at once only for trouble that began after it did.
+    else if (m.asked?.well !== true || now - m.asked.at >= ASK_PAUSE || (told.bad > 0 && now - told.since > m.asked.at)) {
+      const [head] = await look([leader], m.suspected ? leader.name : undefined)
+      const well = head !== undefined && leadsAs(rec, head.status)
+      m.asked = { at: world.now(), well }
+      if (well) m.leaderOk = world.now()
+      else if (head && head.status.role === 'leader' && termOf(head.status) > (rec.term ?? rec.epoch)) return await stopFor(turn, rec, false, head)
+      else refused = head !== undefined
+    }
+    if (calm || m.asked?.well === true) {
       if (m.suspected) world.log.info('leader-back', { group, leader: leader.name })
       m.suspected = false
-      const going = view.sights().some(isGoing)
-      if (rec.wish || going) {
-        const next: GroupRecord = { ...rec, phase: 'drain', holder: view.node, planned: true }
-        delete next.note
-        return (await put(turn, next)) === true
-      }
-      const to = await homeward(rec, m)
-      if (to === undefined) return false
-      world.log.info('leader-goes-home', { group, leader: leader.name, to })
-      return (await put(turn, { ...rec, phase: 'drain', holder: view.node, planned: true, wish: { to } })) === true
+      return await moveOn(turn, rec, m)
     }
-    function isGoing(s: Sight): boolean {
-      return s.name === leader.name && s.leaving
+    // Strong: several nodes fail and none has succeeded since, or the leader says itself that it doesn't lead.
+    const strong = refused || (told.bad >= Math.min(2, told.bad + told.good) && told.hears === 0 && told.bad > 0)
+    const quiet = Math.max(world.now() - m.leaderOk, strong ? told.since : 0)
+    const need = strong ? Math.min(SUSPECT_SURE, view.suspect) : view.suspect
+    if (quiet < need) {
+      if (strong) world.later(Math.min(need - quiet, MOVE_BEAT * 2), bell.ring)
+      return false
     }
-    if (now - m.leaderOk < view.suspect) return false
     if (!m.suspected) {
       m.suspected = true
       view.numbers.add('claynotch_duty_suspicions_total', [['group', group]])
-      world.log.warn('leader-suspected', { group, leader: leader.name, quiet: now - m.leaderOk })
-    }
-    // A node of ours that still hears the leader speaks against acting on our own link's trouble.
-    let good = 0
-    let bad = 0
-    for (const hint of view.hints()) {
-      const age = hint.get(leader.name)
-      if (age === undefined) continue
-      if (age < HINT_GOOD) good++
-      else bad++
+      world.log.warn('leader-suspected', { group, leader: leader.name, quiet: Math.round(quiet), bad: told.bad, good: told.good, hears: told.hears, refused })
     }
-    if (good > bad) return false
+    // Nodes of ours that still hear the leader speak against acting on our own link's trouble.
+    if (!refused && told.hears > 0 && told.hears >= told.bad) return false
+    if (!strong && told.good > told.bad) return false
     return await stopFor(turn, rec, false)
   }
+  // With a leader that is well: replacements that were asked for.
+  async function moveOn(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
+    const leader = rec.leader as string
+    let heirs = 0
+    for (const s of sightsHere()) if (s.name !== leader && !s.leaving) heirs++
+    // Writes don't stop for a leader that goes while there is nobody to go to.
+    if (rec.wish || (sightOf(leader)?.leaving === true && heirs > 0)) {
+      const next: GroupRecord = { ...rec, phase: 'drain', holder: view.node, planned: true }
+      delete next.note
+      return (await put(turn, next)) === true
+    }
+    const to = await homeward(rec, m)
+    if (to === undefined) return false
+    world.log.info('leader-goes-home', { group, leader, to })
+    return (await put(turn, { ...rec, phase: 'drain', holder: view.node, planned: true, wish: { to } })) === true
+  }
 
   // Records a new epoch with its candidate; from then on no proxy sends a write under the old one.
   async function stopFor(turn: number, rec: GroupRecord, planned: boolean, to?: Seen): Promise<boolean> {
     const old = rec.old ?? rec.leader
     const here: Sight[] = []
-    for (const s of sightsHere()) if (!s.leaving) here.push(s)
-    const best = to ?? furthest(await look(here, planned ? undefined : old), old)
+    const olds: Sight[] = []
+    for (const s of sightsHere()) if (!s.leaving) (s.name === old && !planned ? olds : here).push(s)
+    // Which one is furthest is looked at once more when all have stopped; the one that doesn't answer isn't waited for now.
+    const best = to ?? furthest(await look(here), old) ?? furthest(await look(olds, old), old)
     if (!best) return false
+    const term = rec.term
     return (await put(turn, {
-      epoch: Math.max(rec.epoch, best.status.mark.epoch) + 1, phase: 'stop', holder: view.node, fence: rec.fence,
+      ...(term === undefined ? {} : { term }),
+      epoch: Math.max(rec.epoch, best.status.mark.epoch, termOf(best.status)) + 1, phase: 'stop', holder: view.node, fence: rec.fence,
       candidate: best.name, candidateAddr: best.addr, planned, ...(old !== undefined ? { old } : {}),
     })) === true
   }
@@ -275,6 +393,7 @@
     if (spent < DRAIN + TERM && !(await stopped(turn, m.since + DRAIN))) return false
     const here: { name: string; addr: string }[] = [{ name: rec.leader as string, addr: addrOf(rec.leader as string, rec.addr as string) }]
     for (const s of sightsHere()) if (!s.leaving && s.name !== rec.leader) here.push(s)
+    m.pace = PROMOTE_LOOK
     const seen = await look(here)
     const head = seen.find(isHead)
     function isHead(s: Seen): boolean {
@@ -306,7 +425,8 @@
     if (!best) return false
     const high = await highest()
     const behind = high !== undefined && compareMarks(best.status.mark, high) < 0
-    if (behind && world.now() - m.since < LOSS_WAIT) return false
+    m.pace = DUTY_BEAT / 2
+    if (behind && world.now() - m.since < lossWait()) return false
     let next: GroupRecord = { ...rec, phase: 'promote' }
     // Nobody writes now, so who is ahead now stays so; a candidate that isn't gives way.
     if (!mine || compareMarks(best.status.mark, mine.status.mark) > 0) next = { ...next, candidate: best.name, candidateAddr: best.addr }
@@ -321,29 +441,38 @@
 
   async function promotePhase(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
     const who = { name: rec.candidate as string, addr: addrOf(rec.candidate as string, rec.candidateAddr as string) }
-    async function confirmed(): Promise<boolean | undefined> {
+    // What it leads in once it does; undefined: no answer.
+    async function confirmed(): Promise<{ leads: boolean; term: number | undefined } | undefined> {
       const [got] = await look([who])
       if (!got) return undefined
       m.candidateOk = world.now()
-      return got.status.role === 'leader' && got.status.mark.epoch === rec.epoch
+      const { status } = got
+      // Where instances count by themselves, the one that leads now does so in a number that we learn only here.
+      const fits = status.epoch === undefined ? status.mark.epoch === rec.epoch : status.epoch >= (rec.term ?? 0)
+      return { leads: status.role === 'leader' && fits, term: status.epoch }
     }
     let is = await confirmed()
-    if (is === false) {
+    if (is?.leads === false && (!m.called || world.now() - m.called.at >= m.called.pause)) {
       // The fence, right before the call: the record is still the one read, and our term still runs.
       const now = await view.proposer.read(key)
       if (!now.done || now.value?.turn !== turn || (now.value.body as GroupRecord).holder !== view.node) return false
       if (world.now() >= view.termUntil()) return false
+      // The old leader, if it lives, is told as well; nobody waits for its answer.
+      if (rec.old !== undefined && rec.old !== who.name && sightOf(rec.old)) void demote({ name: rec.old, addr: sightOf(rec.old)!.addr }, (rec.term ?? rec.epoch - 1) + 1)
       const got = await view.promotion(world, view.platform(), { group, instance: who.name, addr: who.addr, epoch: rec.epoch, holder: view.node, fence: rec.fence })
+      m.called = { at: world.now(), pause: got.end === 'done' ? CALL_DONE : got.end === 'unclear' ? CALL_UNCLEAR : Math.min(CALL_DONE, 2 * Math.max(CALL_REFUSED / 2, m.called?.pause ?? 0)) }
       view.numbers.add('claynotch_duty_promotions_total', [['end', got.end]])
       world.log.info('promotion-called', { group, candidate: who.name, epoch: rec.epoch, end: got.end, why: got.why })
       is = await confirmed()
     }
-    if (is) {
-      const note = rec.note
-      return (await put(turn, { epoch: rec.epoch, phase: 'steady', holder: view.node, fence: rec.fence, leader: who.name, addr: who.addr, ...(note ? { note } : {}) })) === true
+    if (is?.leads) {
+      const { note } = rec
+      const { term } = is
+      const did = await put(turn, { epoch: Math.max(rec.epoch, term ?? 0), phase: 'steady', holder: view.node, fence: rec.fence, leader: who.name, addr: who.addr, ...(term === undefined ? {} : { term }), ...(note ? { note } : {}) })
+      return did === true
     }
     const quiet = world.now() - Math.max(m.candidateOk, m.since)
-    if (quiet > CANDIDATE_LIFE || (is === false && world.now() - m.since > 2 * CANDIDATE_LIFE)) {
+    if (quiet > CANDIDATE_LIFE || (is && world.now() - m.since > 2 * CANDIDATE_LIFE)) {
       world.log.warn('candidate-given-up', { group, candidate: who.name, epoch: rec.epoch })
       return await stopFor(turn, rec, false)
     }
@@ -355,6 +484,7 @@
   // One look at the group: true when it moved on, so that the next look comes at once.
   async function step(): Promise<boolean> {
     const turnNow = view.cell(key)?.turn ?? 0
+    remember()
     if (turnNow !== seen.turn) seen = { turn: turnNow, at: world.now() }
     if (world.now() >= view.termUntil() || holderOf(key, view.live()) !== view.node) {
       mem = undefined
@@ -386,8 +516,29 @@
         return await promotePhase(cell.turn, rec, mem)
     }
   }
+  // rung: a bell that rang while a look was under way; what it told may have come after that look.
+  let rung = false
+  let later = false
+  function ring(): void {
+    rung = true
+  }
   async function steps(): Promise<void> {
-    while (!stop.fired() && (await step()));
+    const forget = bell.watch(ring)
+    do {
+      rung = false
+      while (!stop.fired() && (await step()));
+    } while (rung && !stop.fired())
+    forget()
+    // While writes are stopped, looks come quicker than the beat.
+    const phase = (view.cell(key)?.body as GroupRecord | undefined)?.phase ?? 'steady'
+    if (mem && mem.turn !== 0 && phase !== 'steady' && !later) {
+      later = true
+      world.later(phase === 'promote' ? PROMOTE_LOOK : (mem.pace ?? MOVE_BEAT), again)
+    }
+  }
+  function again(): void {
+    later = false
+    bell.ring()
   }
   void loop(world, `duty ${group}`, DUTY_BEAT, stop, steps, bell)
 }
--- a/packages/duty/src/move.ts
+++ b/packages/duty/src/move.ts
@@ -2,7 +2,7 @@
 import type { Mark, Status } from '@claynotch/instance'
 import { callOff, CONFIG_KEY, stepMove, switchMove, type Body, type Move } from '@claynotch/operator'
 import { groupKey, type GroupRecord, type Value } from '@claynotch/register'
-import { addrIn, compareMarks, haveStopped, holderOf, type DutyView } from './duty.js'
+import { addrIn, compareMarks, haveStopped, holderOf, leadsAs, type DutyView } from './duty.js'
 
 // Moves of lanes from one group to another: docs/design/moves.md. Every step is a change of the configuration's register
 // that names the move and the phase it was in, so whoever holds the duty goes on from what the register says, and one
@@ -57,7 +57,7 @@
     const rec = view.cell(groupKey(group))?.body as GroupRecord | undefined
     if (rec?.phase !== 'steady' || rec.leader === undefined || rec.addr === undefined) return undefined
     const got = await view.instance.status(world, { name: rec.leader, group, addr: addrIn(view, group, rec.leader, rec.addr) }, SAMPLE_LIMIT)
-    return got.ok && got.val.name === rec.leader && got.val.role === 'leader' && got.val.mark.epoch === rec.epoch ? got.val : undefined
+    return got.ok && got.val.name === rec.leader && leadsAs(rec, got.val) ? got.val : undefined
   }
   // Whether the target's leader holds the mark, and one of its followers all that the leader had then, so that the loss
   // of that leader right after the switch loses nothing.
--- a/packages/fleet/src/steps.ts
+++ b/packages/fleet/src/steps.ts
@@ -95,9 +95,10 @@
       all.push(await stepsOf(f, act))
     }
     const cells: number[] = []
-    for (const key of ['stop', 'promote', 'called', 'steady', 'served'] as const) cells.push(median(all.map(valueOf)))
-    function valueOf(s: Steps): number {
-      return s[(['stop', 'promote', 'called', 'steady', 'served'] as const)[cells.length]]
+    for (const key of ['stop', 'promote', 'called', 'steady', 'served'] as const) {
+      const list: number[] = []
+      for (const one of all) list.push(one[key])
+      cells.push(median(list))
     }
     out(`| ${name} | ${cells.join(' | ')} | ${Math.max(...all.map(servedOf))} |`)
   }
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -284,6 +284,7 @@
     const config = state.config()
     const limit = config ? lendable(config, call.lane.group) : 0
     instance.usage++
+    const asked = world.now()
     const got = await pool.borrow(instance, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now()), call.gone)
     instance.usage--
     if (got.ok) {
@@ -292,7 +293,7 @@
     }
     call.last = got.val
     if (got.val.transient) {
-      watch.failed(instance.name)
+      watch.failed(instance.name, asked, got.val.reach === 'answered')
       return await again(call)
     }
     const after = got.val.class === 'RESOURCE_EXHAUSTED' ? AFTER_LOAD : undefined
@@ -368,7 +369,8 @@
     loan.end(trouble.reach === 'answered' && (call.kind === 'read' || call.kind === 'write'))
     delete call.loan
     if (trouble.transient) {
-      watch.failed(instance.name)
+      // One that says it doesn't lead lives, and yet fails as a leader.
+      watch.failed(instance.name, call.asked, trouble.reach === 'answered' && trouble.lead !== true)
       // A known promotion is no reason to open the breaker: it has its own end.
       if (!state.moving(group)) breaker.note(false, call.probe)
       if (trouble.reach === 'maybe' && isWrite(call)) return unknown(trouble.why)
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,5 +1,5 @@
 import {
-  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, SEND_LIMIT, serve, type Addr, type Ask, type Numbers, type Reply, type World,
+  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, SEND_LIMIT, serve, STALL, TERM, type Addr, type Ask, type Numbers, type Reply, type World,
 } from '@claynotch/base'
 import { httpInstance, type InstanceEdge } from '@claynotch/instance'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
@@ -75,6 +75,19 @@
     if (known?.record.phase !== 'drain' || known.turn !== turn) return true
     return runner.writing(group) === 0 && sessions.transactions(group) === 0
   }
+  // waits: since when calls to an instance have waited there without one good answer.
+  const waits = new Map<string, number>()
+  function badNow(now: number): [string, number][] {
+    const out: [string, number][] = []
+    for (const [name, one] of watch.all()) {
+      if (one.usage === 0) waits.delete(name)
+      else waits.set(name, Math.max(waits.get(name) ?? now, one.lastOk))
+      const from = Math.min(one.failing ?? now, now - (waits.get(name) ?? now) > STALL ? (waits.get(name) as number) : now)
+      if (from < now || one.failing !== undefined) out.push([name, now - from])
+    }
+    for (const name of waits.keys()) if (!watch.get(name)) waits.delete(name)
+    return out
+  }
   function note(): void {
     for (const [key, turn] of state.turns()) if ((acked.get(key) ?? 0) < turn && applied(key, turn)) acked.set(key, turn)
     const highs: [string, number, number][] = []
@@ -98,7 +111,7 @@
     }
     numbers.set('claynotch_ready', [], ready() === undefined ? 1 : 0)
     for (const [g] of runner.groups()) numbers.set('claynotch_transactions', [['group', g]], sessions.transactions(g))
-    const word: Note = { t: 'note', life, acks: [...acked], highs, seen, moving, tries, open: sessions.open(), leaving: draining, lags }
+    const word: Note = { t: 'note', life, acks: [...acked], highs, seen, moving, tries, open: sessions.open(), leaving: draining, lags, bad: badNow(now) }
     agent.tell(word)
   }
   function take(msg: unknown): undefined {
@@ -113,6 +126,8 @@
   }
   const agent = holdLink(world, set.agent, hello('proxy', life), take, stop, note)
   void loop(world, 'note', NOTE_BEAT, stop, note, runner.quiet)
+  // The first failure at an instance is told at once.
+  void loop(world, 'trouble', TERM, stop, note, watch.trouble)
   world.log.info('proxy-started', { listen: set.listen, admin: set.admin })
 
   // A planned stop: no new work, open transactions get DRAIN, answers in flight go out, then the end.
--- a/packages/proxy/src/watch.ts
+++ b/packages/proxy/src/watch.ts
@@ -13,6 +13,8 @@
   name: string; group: string; addr: string; area: string
   lastOk: number; status: Status | undefined; mark: Mark | undefined; samples: Sample[]
   doubt: boolean; usage: number
+  // failing: when the first send was made that failed with no sign of life after it.
+  failing: number | undefined
 }
 
 export type Watch = {
@@ -20,7 +22,10 @@
   all: () => Map<string, Instance>
   // A good answer, asked at that time, with the place the instance was at.
   saw: (name: string, asked: number, mark: Mark, lead: boolean) => void
-  failed: (name: string) => void
+  // alive: what failed was answered. asked: when it was sent.
+  failed: (name: string, asked: number, alive: boolean) => void
+  // Rings when an instance begins to fail.
+  trouble: ReturnType<typeof makeBell>
   bell: ReturnType<typeof makeBell>
 }
 
@@ -28,6 +33,7 @@
   const all = new Map<string, Instance>()
   const ends = new Map<string, Flag>()
   const bell = makeBell()
+  const trouble = makeBell()
 
   function wantedNow(): Map<string, { group: string; addr: string; area: string }> {
     const out = new Map<string, { group: string; addr: string; area: string }>()
@@ -52,7 +58,7 @@
         continue
       }
       ends.get(name)?.fire()
-      const one: Instance = { name, ...w, lastOk: 0, status: undefined, mark: undefined, samples: [], doubt: false, usage: 0 }
+      const one: Instance = { name, ...w, lastOk: 0, status: undefined, mark: undefined, samples: [], doubt: false, usage: 0, failing: undefined }
       const end = makeFlag()
       stop.watch(end.fire)
       all.set(name, one)
@@ -86,7 +92,7 @@
         numbers.add('claynotch_samples_failed_total', [['instance', one.name]])
         line?.close()
         line = undefined
-        failed(one.name)
+        failed(one.name, asked, false)
       }
       const spent = world.now() - asked
       await pause(world, Math.max(SAMPLE_BEAT / 3, SAMPLE_BEAT - spent) * (0.9 + 0.2 * world.random()), end)
@@ -98,6 +104,7 @@
     if (!one) return
     const now = world.now()
     one.lastOk = now
+    one.failing = undefined
     if (!one.mark || mark.epoch !== one.mark.epoch || mark.position > one.mark.position || !lead) one.mark = mark
     if (lead) {
       one.samples.push({ asked, mark })
@@ -110,9 +117,15 @@
       bell.ring()
     } else if (!fits) one.doubt = true
   }
-  function failed(name: string): void {
+  function failed(name: string, asked: number, alive: boolean): void {
     const one = all.get(name)
-    if (!one || one.doubt) return
+    if (!one) return
+    if (alive) one.failing = undefined
+    else if (one.failing === undefined) {
+      one.failing = asked
+      trouble.ring()
+    }
+    if (one.doubt) return
     one.doubt = true
     numbers.add('claynotch_doubts_total', [['instance', name]])
   }
@@ -122,5 +135,5 @@
   function allNow(): Map<string, Instance> {
     return all
   }
-  return { get, all: allNow, saw, failed, bell }
+  return { get, all: allNow, saw, failed, trouble, bell }
 }
--- a/packages/register/src/feed.ts
+++ b/packages/register/src/feed.ts
@@ -17,11 +17,14 @@
 export type Feed = t.TypeOf<typeof Feed>
 
 // acks: [key, turn] applied. seen: [instance, ms since its last good answer]. highs: [group, epoch, position].
-export const Note = t.type({
+export const Note = t.intersection([t.type({
   t: t.literal('note'), life: t.string, acks: t.array(t.tuple([t.string, t.number])), highs: t.array(t.tuple([t.string, t.number, t.number])),
   seen: t.array(t.tuple([t.string, t.number])), moving: t.array(t.tuple([t.string, t.number])),
   tries: t.array(t.tuple([t.string, t.number, t.number])), open: t.number, leaving: t.boolean,
   // lags: [follower, ms within which its position is proved].
   lags: t.array(t.tuple([t.string, t.number])),
-})
+}), t.partial({
+  // bad: [instance, ms since the first send that failed there, or still waits, with no sign of life after it].
+  bad: t.array(t.tuple([t.string, t.number])),
+})])
 export type Note = t.TypeOf<typeof Note>
--- a/packages/register/src/record.ts
+++ b/packages/register/src/record.ts
@@ -18,6 +18,9 @@
     candidate: t.string, candidateAddr: t.string, planned: t.boolean, old: t.string,
     // wish: an operator wants another leader. note: how the last move ended.
     wish: t.type({ to: t.string }), note: t.string,
+    // term: where instances number their leaders by themselves, the number in which the leader, or the old one, leads.
+    // Never above epoch, which only we count.
+    term: t.number,
   }),
 ])
 export type GroupRecord = t.TypeOf<typeof GroupRecord>
