--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -185,8 +185,10 @@
 // ms. The same where several nodes fail against it and none succeeds: longer than a process takes to start anew or
 // connections to be dialled again after a reset, as a wrong move costs about as much again.
 export const SUSPECT_SURE = 400
+// ms. Beat on which a proxy looks whether calls wait so.
+export const STALL_BEAT = 100
 // ms. Calls that wait at an instance this long without one good answer count as failing: many times a statement's work.
-export const STALL = 600
+export const STALL = 400
 // ms. A good answer counts against a failure only if it came this much later: a way between nodes and one over loopback lie between.
 export const HINT_SKEW = 30
 // ms. An instance whose announcement is older says nothing of its life: three beats of its own and two of ours.
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -314,7 +314,7 @@
     const leader = { name: rec.leader as string, addr: addrOf(rec.leader as string, rec.addr as string) }
     if (await rivals(turn, rec, m)) return true
     const now = world.now()
-    const told = weigh(view.reports(), leader.name)
+    let told = weigh(view.reports(), leader.name)
     const sight = sightOf(leader.name)
     // An announcement from before this record tells nothing of the role.
     const follows = sight !== undefined && sight.role !== 'leader' && sight.age < now - m.since
@@ -329,6 +329,7 @@
       if (well) m.leaderOk = world.now()
       else if (head && head.status.role === 'leader' && termOf(head.status) > (rec.term ?? rec.epoch)) return await stopFor(turn, rec, false, head)
       else refused = head !== undefined
+      told = weigh(view.reports(), leader.name)
     }
     if (calm || m.asked?.well === true) {
       if (m.suspected) world.log.info('leader-back', { group, leader: leader.name })
@@ -337,7 +338,8 @@
     }
     // Strong: several nodes fail and none has succeeded since, or the leader says itself that it doesn't lead.
     const strong = refused || (told.bad >= Math.min(2, told.bad + told.good) && told.hears === 0 && told.bad > 0)
-    const quiet = Math.max(world.now() - m.leaderOk, strong ? told.since : 0)
+    // leaderOk is as of our own beats; where several nodes fail, they know better since when.
+    const quiet = strong && !refused ? told.since : world.now() - m.leaderOk
     const need = strong ? Math.min(SUSPECT_SURE, view.suspect) : view.suspect
     if (quiet < need) {
       if (strong) world.later(Math.min(need - quiet, MOVE_BEAT * 2), bell.ring)
--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -1,7 +1,7 @@
-import { startAgent, type Agent } from '@claynotch/agent'
+import { startAgent, type Agent, type AgentEdges } from '@claynotch/agent'
 import { callOnce, makeFlag, serve, type Addr, type Ask, type Reply, type World } from '@claynotch/base'
 import type { Config, Credential } from '@claynotch/operator'
-import { startProxy, type Proxy } from '@claynotch/proxy'
+import { startProxy, type Proxy, type ProxyEdges } from '@claynotch/proxy'
 import { startCore, type Core, type CorePlace } from '@claynotch/register'
 import { startInstance, type Instance, type InstanceRecord } from './instance.js'
 import { judge, type Breach, type Judgement, type Law } from './judge.js'
@@ -41,7 +41,7 @@
 }
 export type Decided = { number?: number; decision: string; epoch?: number; why?: string; findings?: { place: string; what: string }[] }
 
-export function makeSimFleet(seed: number, shape: Shape, opt: { keepLines?: boolean } = {}): SimFleet {
+export function makeSimFleet(seed: number, shape: Shape, opt: { keepLines?: boolean; agentEdges?: AgentEdges; proxyEdges?: ProxyEdges } = {}): SimFleet {
   const sim = makeSim(seed, { ...opt, ...(shape.latency !== undefined ? { latency: shape.latency } : {}) })
   const events: Event[] = []
   const fronts: Front[] = []
@@ -77,7 +77,7 @@
   function startAgentAt(k: number): void {
     const f = fronts[k]
     async function start(world: World): Promise<void> {
-      f.agent = await startAgent(world, { node: f.node, area: shape.areas[k % shape.areas.length], link: '127.0.0.1:7100', peer: `${f.machine.ip}:7200`, http: f.http, seeds, platform: `${platform.ip}:80`, ...(shape.operators ? { operators: shape.operators } : {}), ...(shape.suspect !== undefined ? { suspect: shape.suspect } : {}), build: 'sim' })
+      f.agent = await startAgent(world, { node: f.node, area: shape.areas[k % shape.areas.length], link: '127.0.0.1:7100', peer: `${f.machine.ip}:7200`, http: f.http, seeds, platform: `${platform.ip}:80`, ...(shape.operators ? { operators: shape.operators } : {}), ...(shape.suspect !== undefined ? { suspect: shape.suspect } : {}), build: 'sim' }, opt.agentEdges)
     }
     f.agent = undefined
     f.agentProc = sim.spawn(f.machine, `${f.node}-agent`, start)
@@ -85,7 +85,7 @@
   function startProxyAt(k: number): void {
     const f = fronts[k]
     async function start(world: World): Promise<void> {
-      f.proxy = await startProxy(world, { listen: f.listen, admin: `${f.machine.ip}:7301`, agent: '127.0.0.1:7100' })
+      f.proxy = await startProxy(world, { listen: f.listen, admin: `${f.machine.ip}:7301`, agent: '127.0.0.1:7100' }, opt.proxyEdges)
     }
     f.proxy = undefined
     f.proxyProc = sim.spawn(f.machine, `${f.node}-proxy`, start)
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,5 +1,5 @@
 import {
-  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, SEND_LIMIT, serve, STALL, TERM, type Addr, type Ask, type Numbers, type Reply, type World,
+  DRAIN, DRAIN_TAIL, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, SEND_LIMIT, serve, STALL, STALL_BEAT, type Addr, type Ask, type Numbers, type Reply, type World,
 } from '@claynotch/base'
 import { httpInstance, type InstanceEdge } from '@claynotch/instance'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
@@ -126,8 +126,17 @@
   }
   const agent = holdLink(world, set.agent, hello('proxy', life), take, stop, note)
   void loop(world, 'note', NOTE_BEAT, stop, note, runner.quiet)
-  // The first failure at an instance is told at once.
-  void loop(world, 'trouble', TERM, stop, note, watch.trouble)
+  // That an instance begins to fail is told at once.
+  let failing = new Set<string>()
+  function tellTrouble(): void {
+    const now = new Set<string>()
+    for (const [name] of badNow(world.now())) now.add(name)
+    let fresh = false
+    for (const name of now) if (!failing.has(name)) fresh = true
+    failing = now
+    if (fresh) note()
+  }
+  void loop(world, 'trouble', STALL_BEAT, stop, tellTrouble, watch.trouble)
   world.log.info('proxy-started', { listen: set.listen, admin: set.admin })
 
   // A planned stop: no new work, open transactions get DRAIN, answers in flight go out, then the end.
--- a/packages/proxy/src/watch.ts
+++ b/packages/proxy/src/watch.ts
@@ -122,7 +122,8 @@
     if (!one) return
     if (alive) one.failing = undefined
     else if (one.failing === undefined) {
-      one.failing = asked
+      // A good answer since then says that the trouble is younger than the send.
+      one.failing = Math.max(asked, one.lastOk)
       trouble.ring()
     }
     if (one.doubt) return
