--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -195,6 +195,7 @@
   }
   function merge(good: { id: string; got: RenewAnswer }[], from: number): void {
     const now = world.now()
+    let turned = false
     const byNode = new Map<string, Member>()
     // high: for each key, the newest ballot that any of the majority holds, and how many hold just that.
     const high = new Map<string, { ballot: Ballot; count: number; chosenAt: string | undefined }>()
@@ -207,7 +208,9 @@
         const at = now - s.age
         const old = sights.get(s.name)
         // Only what was heard from others is taken over, so that it ages here as it does there.
-        sights.set(s.name, !old || at > old.at + 1 ? laterSight(old, s, at) : laterSight(old, s, Math.min(at, old.at)))
+        const next = !old || at > old.at + 1 ? laterSight(old, s, at) : laterSight(old, s, Math.min(at, old.at))
+        sights.set(s.name, next)
+        if (next.sight.role !== old?.sight.role || next.sight.leaving !== old.sight.leaving) turned = true
       }
       for (const k of got.keys) {
         const old = high.get(k.key)
@@ -221,6 +224,7 @@
       }
     }
     members = [...byNode.values()]
+    if (turned) duty.ring()
     for (const [key, h] of high) {
       const k = known.get(key)
       if (k && compareBallots(h.ballot, k.ballot) <= 0) {
@@ -410,6 +414,7 @@
     // News goes to the proxy and to the cores at once, all else with the next beat.
     if (got.sight.leaving !== old?.sight.leaving || got.sight.role !== old.sight.role || got.sight.addr !== old.sight.addr || got.sight.group !== old.sight.group) {
       linked.ring()
+      duty.ring()
       void feed()
     }
   }
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -2,7 +2,7 @@
   ANNOUNCE_QUIET, ASK_PAUSE, CALL_DONE, CALL_REFUSED, CALL_UNCLEAR, CANDIDATE_LIFE, CATCH_UP, DEMOTE_PAUSE, DRAIN, DUTY_BEAT, HINT_GOOD, HINT_SKEW, HOME_PAUSE, LOSS_WAIT, loop, makeBell,
   makeFlag, MOVE_BEAT, NEWER, PROBE_LIMIT, PROMOTE_LOOK, SUSPECT_LIMIT, SUSPECT_SURE, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World,
 } from '@claynotch/base'
-import type { InstanceEdge, Mark, Status } from '@claynotch/instance'
+import { BUSY, type InstanceEdge, type Mark, type Status } from '@claynotch/instance'
 import type { Body } from '@claynotch/operator'
 import type { PromotionEdge } from '@claynotch/host'
 import { groupKey, type GroupRecord, type Member, type Proposer, type Sight, type Value } from '@claynotch/register'
@@ -215,9 +215,11 @@
   function addrOf(name: string, recorded: string): string {
     return addrIn(view, group, name, recorded)
   }
-  async function look(sights: { name: string; addr: string }[], brief?: string): Promise<Seen[]> {
+  // busy: runs for each that lives and has no time to tell.
+  async function look(sights: { name: string; addr: string }[], brief?: string, busy?: () => void): Promise<Seen[]> {
     async function one(s: { name: string; addr: string }): Promise<Seen | undefined> {
       const got = await view.instance.status(world, { ...s, group }, s.name === brief ? SUSPECT_LIMIT : PROBE_LIMIT)
+      if (got.err && got.val === BUSY) busy?.()
       // Another instance may answer at an address that was used before.
       return got.ok && got.val.name === s.name ? { name: s.name, addr: s.addr, status: got.val } : undefined
     }
@@ -323,8 +325,12 @@
     if (calm) m.leaderOk = now
     // One that answered well is asked again at once only for trouble that began after it did.
     else if (m.asked?.well !== true || now - m.asked.at >= ASK_PAUSE || (told.bad > 0 && now - told.since > m.asked.at)) {
-      const [head] = await look([leader], m.suspected ? leader.name : undefined)
-      const well = head !== undefined && leadsAs(rec, head.status)
+      let lives = false
+      function isBusy(): void {
+        lives = true
+      }
+      const [head] = await look([leader], m.suspected ? leader.name : undefined, isBusy)
+      const well = head !== undefined ? leadsAs(rec, head.status) : lives
       m.asked = { at: world.now(), well }
       if (well) m.leaderOk = world.now()
       else if (head && head.status.role === 'leader' && termOf(head.status) > (rec.term ?? rec.epoch)) return await stopFor(turn, rec, false, head)
@@ -445,7 +451,10 @@
     const who = { name: rec.candidate as string, addr: addrOf(rec.candidate as string, rec.candidateAddr as string) }
     // What it leads in once it does; undefined: no answer.
     async function confirmed(): Promise<{ leads: boolean; term: number | undefined } | undefined> {
-      const [got] = await look([who])
+      function isBusy(): void {
+        m.candidateOk = world.now()
+      }
+      const [got] = await look([who], undefined, isBusy)
       if (!got) return undefined
       m.candidateOk = world.now()
       const { status } = got
@@ -465,7 +474,8 @@
       m.called = { at: world.now(), pause: got.end === 'done' ? CALL_DONE : got.end === 'unclear' ? CALL_UNCLEAR : Math.min(CALL_DONE, 2 * Math.max(CALL_REFUSED / 2, m.called?.pause ?? 0)) }
       view.numbers.add('claynotch_duty_promotions_total', [['end', got.end]])
       world.log.info('promotion-called', { group, candidate: who.name, epoch: rec.epoch, end: got.end, why: got.why })
-      is = await confirmed()
+      // One that counts by itself leads only some time after the call; it is looked at then.
+      if (is.term === undefined) is = await confirmed()
     }
     if (is?.leads) {
       const { note } = rec
