--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -196,7 +196,7 @@
 export const SUSPECT = 2500
 // ms. The same where several nodes fail against it and none succeeds: longer than a process takes to start anew or
 // connections to be dialled again after a reset, as a wrong move costs about as much again.
-export const SUSPECT_SURE = 400
+export const SUSPECT_SURE = 300
 // ms. Beat on which a proxy looks whether calls wait so.
 export const STALL_BEAT = 100
 // ms. Calls that wait at an instance this long without one good answer count as failing: many times a statement's work.
