--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -34,8 +34,9 @@
 // count. Accepted changes that named their epoch, kept so that the same one sent again is told that it was taken: at
 // 47,000 changes a day (one in 1.8 s) these are the last 8 minutes, and about 15 KiB; a caller asks again within seconds.
 export const NAMED_KEPT = 256
-// bytes. Largest value of the configuration's register: half a frame, so that its first and any later word of it fits one.
-export const VALUE_LIMIT = 4 * 1024 * 1024
+// bytes. Largest value of the configuration's register that a change may make; of one that names its epoch, the
+// configuration alone is measured, so that two such parts and the names of the last changes fit a frame.
+export const VALUE_LIMIT = 3.5 * 1024 * 1024
 // bytes. A data file is rewritten when longer than this and than REWRITE_RATIO times what lives in it.
 export const REWRITE_FLOOR = 1024 * 1024
 // ratio. See REWRITE_FLOOR; 4 keeps the mean cost of rewriting under a third of appending.
@@ -158,6 +159,9 @@
 // ms. A node that leaves takes new connections for this long after it first said so: whoever hands them out asks each
 // second, and believes the second miss.
 export const NOTICE = 2500
+// ms. An agent that stops waits this long for its proxy, where that stops too: DRAIN and a send, and less than machines
+// are given to stop.
+export const LEAVE_LIMIT = 5500
 // ms. Answers in flight at an edge get this long at its end; at the requesters' edge, a whole send and this.
 export const DRAIN_TAIL = 1500
 // bytes. Largest HTTP body taken.
@@ -174,6 +178,8 @@
 export const CONTROL_LINES = 1024
 // ms. A connection there that asks nothing for this long is closed; instances speak each second or so.
 export const CONTROL_QUIET = 15000
+// bytes. All bodies there that are read or answered at one time: four of the largest, well within a small machine's memory.
+export const CONTROL_HELD = 16 * 1024 * 1024
 // bytes. Largest announcement.
 export const ANNOUNCE_LIMIT = 4096
 // ms. A reader of the stream of decisions is looked after at least this often, to notice that it went away.
@@ -203,8 +209,6 @@
 export const STALL = 400
 // ms. A good answer counts against a failure only if it came this much later: a way between nodes and one over loopback lie between.
 export const HINT_SKEW = 30
-// ms. An instance whose announcement is older says nothing of its life: three beats of its own and two of ours.
-export const ANNOUNCE_QUIET = 3000
 // ms. A leader that answered us well while others complain is not asked again sooner; a statement costs it work.
 export const ASK_PAUSE = 1000
 // ms. Beat of looks while a move stops the group, for acknowledgements: the cores are asked.
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -1,5 +1,5 @@
 import {
-  ANNOUNCE_QUIET, ASK_PAUSE, CALL_DONE, CALL_REFUSED, CALL_UNCLEAR, CANDIDATE_LIFE, CATCH_UP, DEMOTE_PAUSE, DRAIN, DUTY_BEAT, HINT_GOOD, HINT_SKEW, HOME_PAUSE, LOSS_WAIT, loop, makeBell,
+  ANNOUNCE_LIFE, ASK_PAUSE, CALL_DONE, CALL_REFUSED, CALL_UNCLEAR, CANDIDATE_LIFE, CATCH_UP, DEMOTE_PAUSE, DRAIN, DUTY_BEAT, HINT_GOOD, HINT_SKEW, HOME_PAUSE, LOSS_WAIT, loop, makeBell,
   makeFlag, MOVE_BEAT, NEWER, PROBE_LIMIT, PROMOTE_LOOK, SUSPECT_LIMIT, SUSPECT_SURE, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World,
 } from '@claynotch/base'
 import { BUSY, type InstanceEdge, type Mark, type Status } from '@claynotch/instance'
@@ -299,13 +299,18 @@
     return (await put(0, { epoch: termOf(best.status) + 1, phase: 'stop', holder: view.node, fence: 1, candidate: best.name, candidateAddr: best.addr })) === true
   }
 
+  // Whether the instance has said this since the record stands. A sight's age is that of what it last said anew; one that
+  // stands for longer than a life was said again.
+  function isNews(s: Sight, m: Memory): boolean {
+    const old = world.now() - m.since
+    return s.age < old || old > ANNOUNCE_LIFE + TERM
+  }
   // Others that say they lead: told to follow, or, where one leads by a later promotion of ours than was recorded, made
   // the leader through the record like any other. true: the record moved on.
   async function rivals(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
     if (!view.instance.demote) return false
     for (const s of sightsHere()) {
-      // What it said before this record stood tells nothing.
-      if (s.role !== 'leader' || s.name === rec.leader || s.age > world.now() - m.since) continue
+      if (s.role !== 'leader' || s.name === rec.leader || !isNews(s, m)) continue
       const got = await demote(s, rec.term ?? rec.epoch)
       if (got?.role === 'leader' && termOf(got) > (rec.term ?? rec.epoch)) return await stopFor(turn, rec, false, { name: s.name, addr: s.addr, status: got })
     }
@@ -318,9 +323,8 @@
     const now = world.now()
     let told = weigh(view.reports(), leader.name)
     const sight = sightOf(leader.name)
-    // An announcement from before this record tells nothing of the role.
-    const follows = sight !== undefined && sight.role !== 'leader' && sight.age < now - m.since
-    const calm = told.bad === 0 && !follows && (told.good > 0 || (sight !== undefined && sight.age < ANNOUNCE_QUIET))
+    const follows = sight !== undefined && sight.role !== 'leader' && isNews(sight, m)
+    const calm = told.bad === 0 && !follows && (told.good > 0 || sight !== undefined)
     let refused = false
     if (calm) m.leaderOk = now
     // One that answered well is asked again at once only for trouble that began after it did.
