--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -296,8 +296,8 @@
     const { instance } = call.target!
     const config = state.config()
     const limit = config ? lendable(config, call.lane.group, state.live()) : 0
-    const from = world.now()
     instance.usage++
+    const asked = world.now()
     const got = await pool.borrow(instance, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now(), Math.max(1, call.hold - world.now())), call.gone)
     instance.usage--
     if (got.ok) {
@@ -306,7 +306,7 @@
     }
     call.last = got.val
     if (got.val.transient) {
-      if (got.val.full !== true) watch.failed(instance.name, from)
+      if (got.val.full !== true) watch.failed(instance.name, asked, got.val.reach === 'answered', false)
       return await again(call)
     }
     const after = got.val.class === 'RESOURCE_EXHAUSTED' ? AFTER_LOAD : undefined
@@ -385,8 +385,8 @@
     loan.end(trouble.reach === 'answered' && (call.kind === 'read' || call.kind === 'write'))
     delete call.loan
     if (trouble.transient) {
-      // One that answers is there; that it doesn't lead is another matter.
-      if (trouble.reach !== 'answered' || trouble.lead === false) watch.failed(instance.name, trouble.lead === false ? undefined : call.asked)
+      // One that says it doesn't lead lives, and yet fails as a leader.
+      watch.failed(instance.name, call.asked, trouble.reach === 'answered' && trouble.lead !== false, trouble.lead === false)
       // A known promotion is no reason to open the breaker: it has its own end.
       if (!state.moving(group)) breaker.note(false, call.probe)
       if (trouble.reach === 'maybe' && isWrite(call)) return unknown(trouble.why)
