--- a/packages/fleet/src/capacity.ts
+++ b/packages/fleet/src/capacity.ts
@@ -1,6 +1,6 @@
 import { Matrix } from 'ml-matrix'
 import { fcnnlsVector } from 'ml-fcnnls'
-import { HISTORY_KEPT, DECISIONS_KEPT, SUMMARY_LIMIT } from '@claynotch/base'
+import { DECISIONS_KEPT, FRAME_LIMIT, HISTORY_KEPT, SIGHTS_KEPT, SUMMARY_LIMIT } from '@claynotch/base'
 import { KEPT_BACK } from '@claynotch/operator'
 import type { RoleReading, Window } from './hollow.js'
 import type { Point } from './points.js'
@@ -154,7 +154,7 @@
 
 const shapes = new Map<string, string[]>([
   ['core terms', ['N', 'NN', 'NG', 'NNG']], ['core pushes', ['N·ch', 'N·CV']], ['core acknowledgements', ['N·ch']], ['core registers', ['ch', 'CV']], ['core file', ['ch', 'CV']], ['core file rewritten', ['ch', 'CV']],
-  ['core links', ['1', 'N']], ['core logs', ['1', 'ch']], ['core members', ['1', 'N', 'G', 'NG']], ['core repair', ['1']], ['core shares', ['1', 'N']], ['core runtime', ['1', 'N', 'NN', 'N·ch', 'N·CV']],
+  ['core links', ['1', 'N']], ['core logs', ['1', 'ch']], ['core members', ['1', 'N', 'G', 'NG']], ['core repair', ['1']], ['core shares', ['1']], ['core runtime', ['1', 'N', 'NN', 'N·ch', 'N·CV']],
   ['agent terms', ['1', 'N', 'G', 'NG']], ['agent pushes', ['ch', 'CV']], ['agent acknowledgements', ['ch']], ['agent registers', ['ch/N', 'CV/N']], ['agent members', ['1', 'N', 'G', 'NG']], ['agent shares', ['1']],
   ['agent summaries', ['N', 'N·S']], ['agent announcements', ['I/N']], ['agent probes', ['G/N']], ['agent feeds', ['1', 'G', 'ch', 'CV']], ['agent notes', ['1', 'G', 'ch']], ['agent links', ['1']], ['agent logs', ['1', 'ch']],
   ['agent duty', ['1', 'G', 'NG', 'G/N']], ['agent discovery', ['1']], ['agent runtime', ['P', '1', 'N', 'G', 'ch']],
@@ -166,6 +166,8 @@
 const lengthens = new Set(['G', 'NG', 'NN', 'NNG', 'V', 'CV', 'N·CV', 'CV/N', 'N·S', 'D', 'H'])
 function shapeOf(role: string, mechanism: string, way: Way): string[] {
   const all = shapes.get(`${role} ${mechanism}`) ?? other.get(role) ?? ['1']
+  // Renewals come on a beat, however long they are.
+  if (mechanism === 'terms' && (way === 'inCount' || way === 'outCount')) return role === 'core' ? ['N'] : ['1']
   if (way !== 'inCount' && way !== 'outCount') return all
   const out: string[] = []
   for (const name of all) if (!lengthens.has(name)) out.push(name)
@@ -245,7 +247,18 @@
 
 type Way = keyof Costs
 export type RowFit = { role: string; mechanism: string; fits: Map<Way, Fit> }
-export type Model = { rows: RowFit[]; value: Fit; slots: Fit; record: Fit; heap: Map<string, Fit>; rss: Map<string, Fit>; times: Map<string, Fit> }
+export type Model = { rows: RowFit[]; value: Fit; slots: Fit; record: Fit; heap: Map<string, Fit>; rss: Map<string, Fit>; times: Map<string, Fit>; events: EventFit[] }
+// What one happening costs, in bytes both ways.
+export type EventFit = { what: string; bytes: Fit }
+
+// whole: all members together, each byte said and heard once.
+const EVENTS: { what: string; window: 'returning' | 'repair'; role: string; mechanisms: string[]; names: string[]; whole: boolean }[] = [
+  { what: 'all agents back at once: an agent finds the cores', window: 'returning', role: 'agent', mechanisms: ['discovery', 'links'], names: ['1', 'N'], whole: false },
+  { what: 'all agents back at once: an agent fetches registers', window: 'returning', role: 'agent', mechanisms: ['registers', 'pushes', 'shares'], names: ['1', 'N', 'G', 'V'], whole: false },
+  { what: 'all agents back at once: its renewals until all are back', window: 'returning', role: 'agent', mechanisms: ['terms', 'members'], names: ['1', 'N', 'G', 'NG', 'NN'], whole: false },
+  { what: 'all agents back at once: an agent feeds its proxy anew', window: 'returning', role: 'agent', mechanisms: ['feeds'], names: ['1', 'G', 'V'], whole: false },
+  { what: 'a core returns: registers handed over, by all others together', window: 'repair', role: 'core', mechanisms: ['repair'], names: ['1', 'G', 'V'], whole: true },
+]
 
 const WAYS: Way[] = ['outCount', 'outBytes', 'inCount', 'inBytes', 'cpu']
 
@@ -294,11 +307,26 @@
     for (const p of points) {
       const { shape } = p.report
       const got = p.report[what]
-      if (got !== undefined) list.push({ env: { ...shape, changes: 0, value: new Map(p.report.values).get('configuration') ?? 0, spread: 1 }, y: got })
+      if (got !== undefined && (shape.shares === 'slots') === (what === 'shared')) list.push({ env: { ...shape, changes: 0, value: new Map(p.report.values).get('configuration') ?? 0, spread: 1 }, y: got })
     }
     times.set(what, fit(['1', 'N', 'NN'], list))
   }
-  return { rows, value: sizeFit('configuration', ['1', 'L', 'G', 'D', 'H']), slots: sizeFit('slots', ['1', 'N']), record: sizeFit('group/g1', ['1']), heap, rss, times }
+  const events: EventFit[] = []
+  for (const e of EVENTS) {
+    const list: { env: Env; y: number }[] = []
+    for (const p of points) {
+      const { shape } = p.report
+      const w = e.window === 'returning' ? p.report.returning : p.report.repair
+      const r = readingOf(w, e.role)
+      if (!r) continue
+      let bytes = 0
+      for (const m of r.mechanisms) if (e.mechanisms.includes(m.name)) bytes += (m.outBytes + m.inBytes) * w.seconds
+      const env: Env = { ...shape, changes: 0, history: shape.history, value: new Map(p.report.values).get('configuration') ?? 0, spread: 1 }
+      list.push({ env, y: e.whole ? (bytes * r.members) / 2 : bytes })
+    }
+    events.push({ what: e.what, bytes: fit(e.names, list) })
+  }
+  return { rows, events, value: sizeFit('configuration', ['1', 'L', 'G', 'D', 'H']), slots: sizeFit('slots', ['1', 'N']), record: sizeFit('group/g1', ['1']), heap, rss, times }
 }
 
 // --- at a size ---
@@ -311,6 +339,7 @@
   node: { cpu: number; bytes: number; rss: number; heap: number; proxyRss: number; proxyHeap: number }
   core: { cpu: number; bytes: number; rss: number; heap: number }
   times: Map<string, number>
+  events: { what: string; bytes: number }[]
 }
 
 // Spoken between agent and proxy of one machine, or written to its disk: not on the network.
@@ -355,7 +384,9 @@
   core.heap = valueOf(model.heap.get('core') as Fit, env)
   const times = new Map<string, number>()
   for (const [what, f] of model.times) times.set(what, valueOf(f, env))
-  return { rows, value, slots, records, node, core, times }
+  const events: Sums['events'] = []
+  for (const e of model.events) events.push({ what: e.what, bytes: valueOf(e.bytes, env) })
+  return { rows, value, slots, records, node, core, times, events }
 }
 
 // --- where it breaks ---
@@ -383,9 +414,12 @@
       ['a core: bytes a second on a link of 1 Gbit/s', { bound: LINK_BYTES, at: s.core.bytes, unit: 'bytes/s' }],
       ['a core: memory, of 346 MB', { bound: 346e6, at: s.core.rss, unit: 'bytes' }],
       ['all cores over the machines for control: processor time', { bound: limit.machines, at: s.core.cpu * size.cores, unit: 'cores' }],
-      ['one configuration in a frame of 8 MiB', { bound: 8 * 1024 * 1024, at: s.value, unit: 'bytes' }],
+      ['a frame of a link: the configuration pushed', { bound: FRAME_LIMIT, at: s.value, unit: 'bytes' }],
+      ['a frame of a link: the answer to a renewal', { bound: FRAME_LIMIT, at: stateIn(s, 'agent', 'terms'), unit: 'bytes' }],
+      ['instances that a node keeps in mind', { bound: SIGHTS_KEPT, at: size.groups * share * size.instances, unit: 'instances' }],
       ['one change pushed to all nodes by one core, at 1 Gbit/s', { bound: limit.inForce, at: (s.value * n) / LINK_BYTES, unit: 's' }],
-      [`connections kept back at an instance with ${conns}`, { bound: conns / (KEPT_BACK + 1), at: n, unit: 'nodes' }],
+      [`shares by slots: connections kept back at an instance with ${conns}`, { bound: conns / (KEPT_BACK + 1), at: n, unit: 'nodes' }],
+      [`shares by live members: one connection each at an instance with ${conns}`, { bound: conns, at: n, unit: 'nodes' }],
       ['instances named in a summary', { bound: SUMMARY_HINTS, at: size.groups * share * size.instances, unit: 'instances' }],
       ['summaries held by a node', { bound: 256, at: n, unit: 'nodes' }],
       ['a day of accepted changes kept', { bound: HISTORY_KEPT, at: size.changes * 86400 * share, unit: 'changes' }],
@@ -414,6 +448,10 @@
   }
   return out.sort(byFactor)
 }
+function stateIn(s: Sums, role: string, mechanism: string): number {
+  for (const r of s.rows) if (r.role === role && r.mechanism === mechanism) return r.state
+  return 0
+}
 function byFactor(a: Break, b: Break): number {
   return b.at / b.bound - a.at / a.bound
 }
@@ -433,6 +471,14 @@
   return out.length > 0 ? out.join(', ') : 'none'
 }
 
+// The slopes that the page speaks of.
+const SLOPES: [string, string, Way, string][] = [
+  ['core', 'terms', 'outBytes', 'bytes out'], ['core', 'terms', 'cpu', 'µs'], ['core', 'pushes', 'outBytes', 'bytes out'], ['core', 'pushes', 'cpu', 'µs'], ['core', 'runtime', 'cpu', 'µs'],
+  ['agent', 'terms', 'outBytes', 'bytes out'], ['agent', 'terms', 'inBytes', 'bytes in'], ['agent', 'terms', 'cpu', 'µs'], ['agent', 'pushes', 'inBytes', 'bytes in'], ['agent', 'pushes', 'cpu', 'µs'], ['agent', 'summaries', 'outBytes', 'bytes out'], ['agent', 'summaries', 'cpu', 'µs'],
+  ['agent', 'announcements', 'inBytes', 'bytes in'], ['agent', 'announcements', 'cpu', 'µs'], ['agent', 'probes', 'inBytes', 'bytes in'], ['agent', 'probes', 'cpu', 'µs'], ['agent', 'duty', 'cpu', 'µs'], ['agent', 'feeds', 'cpu', 'µs'], ['agent', 'runtime', 'cpu', 'µs'],
+  ['proxy', 'feeds', 'inBytes', 'bytes in'], ['proxy', 'feeds', 'cpu', 'µs'], ['proxy', 'freshness', 'inBytes', 'bytes in'], ['proxy', 'freshness', 'cpu', 'µs'],
+]
+
 export function tableText(points: Point[], size: Size = target, limit: Bounds = bounds): string {
   const model = modelOf(points)
   const sums = sumsAt(model, size)
@@ -448,11 +494,26 @@
     const way = r.role === 'agent' && r.mechanism === 'terms' ? (f.get('inBytes') as Fit) : r.role === 'core' && r.mechanism === 'terms' ? (f.get('outBytes') as Fit) : main
     lines.push(`| ${r.role} | ${r.mechanism} | ${r.state > 0 ? showNumber(r.state) : ''} | ${showNumber(r.count)} | ${showNumber(r.bytes)} | ${showNumber(r.cpu * 100)} | ${terms(way)} | ${Math.round(way.most * 100)} %, ${way.r2.toFixed(2)} |`)
   }
+  lines.push('', '| slope of | a second, at | is |', '|---|---|---|')
+  for (const [role, mechanism, way, name] of SLOPES) {
+    for (const r of model.rows) {
+      if (r.role !== role || r.mechanism !== mechanism) continue
+      const f = r.fits.get(way) as Fit
+      const parts: string[] = []
+      for (const [k, by] of f.by.entries()) if (by > 0) parts.push(`${showNumber(way === 'cpu' ? by * 1e6 : by)}${f.names[k] === '1' ? '' : ` ${f.names[k]}`}`)
+      lines.push(`| ${mechanism}, ${name} | ${role === 'core' ? 'a core' : `an ${role}`.replace('an proxy', 'a proxy')} | ${parts.length > 0 ? parts.join(' + ') : 'none'} |`)
+    }
+  }
   lines.push('', '| each | processor time, % of a core | bytes/s on the network | resident | heap |', '|---|---|---|---|---|')
   lines.push(`| node (agent, and the proxy's control side) | ${showNumber(sums.node.cpu * 100)} | ${showNumber(sums.node.bytes)} | ${showNumber(sums.node.rss)} + ${showNumber(sums.node.proxyRss)} | ${showNumber(sums.node.heap)} + ${showNumber(sums.node.proxyHeap)} |`)
   lines.push(`| core | ${showNumber(sums.core.cpu * 100)} | ${showNumber(sums.core.bytes)} | ${showNumber(sums.core.rss)} | ${showNumber(sums.core.heap)} |`)
   lines.push('', `The configuration's register goes out as ${showNumber(sums.value)} bytes, the slots' as ${showNumber(sums.slots)}, all groups' records are ${showNumber(sums.records)}.`, '')
-  lines.push('| bound | bound | at the size | factor | a fleet of the same make breaks it at |', '|---|---|---|---|---|')
+  lines.push('| happening | bytes | grow with | worst miss, R² |', '|---|---|---|---|')
+  for (const [k, e] of sums.events.entries()) {
+    const f = model.events[k].bytes
+    lines.push(`| ${e.what} | ${showNumber(e.bytes)} | ${terms(f)} | ${Math.round(f.most * 100)} %, ${f.r2.toFixed(2)} |`)
+  }
+  lines.push('', '| what is bounded | bound | at the size | factor | a fleet of the same make breaks it at |', '|---|---|---|---|---|')
   for (const b of breaksAt(model, size, limit)) lines.push(`| ${b.what} | ${showNumber(b.bound)} ${b.unit} | ${showNumber(b.at)} ${b.unit} | ${showNumber(b.at / b.bound)} | ${b.nodes === undefined ? 'holds' : `${b.nodes} nodes`} |`)
   return lines.join('\n')
 }
--- a/packages/fleet/src/hollow.ts
+++ b/packages/fleet/src/hollow.ts
@@ -12,14 +12,14 @@
 import { makeTally, tapWorld, type Carried, type Line, type Tally } from './tap.js'
 
 // A hollow fleet: many nodes to a process, real protocols, real cores; measured and stopped by itself.
-export type HollowOptions = HollowShape & { seconds: number; changes: number; seed: number; per: number; batch: number; watch: number; mute: boolean; history: number; out: (line: string) => void }
+export type HollowOptions = HollowShape & { seconds: number; changes: number; seed: number; per: number; watch: number; mute: boolean; history: number; out: (line: string) => void }
 
 // Of one role in one window, for each member of the role (a core, a node, an instance). share: of the processor time.
 export type Mechanism = { name: string; outCount: number; outBytes: number; inCount: number; inBytes: number }
 export type RoleReading = { members: number; processes: number; cpu: number; rss: number; heap: number; lag: number; mechanisms: Mechanism[]; spent: [string, number][] }
 export type Window = { seconds: number; roles: { role: string; reading: RoleReading }[] }
 export type HollowReport = {
-  shape: HollowShape & { changes: number; mute: boolean; history: number; seed: number; batch: number }
+  shape: HollowShape & { changes: number; mute: boolean; history: number; seed: number }
   // ms from the start of all agents at once until each has a term; until each proxy works by the first configuration; until each has a share.
   // undefined where it did not come true within the bound.
   termed?: number; applied?: number; shared?: number; led?: number; back?: number
@@ -177,24 +177,14 @@
     if ((await until(serving)) === undefined) throw new Error('the cores were not founded in time')
     await mark()
     const from = world.now()
-    // In batches, each once those before have their shares; or all at once.
-    const agentParts = of('agent')
-    const batches = opt.batch > 0 ? slice(agentParts, Math.max(1, Math.round(opt.batch / opt.per))) : [agentParts]
-    let begun = 0
-    async function beginNext(): Promise<void> {
-      const list = batches.shift() ?? []
-      for (const p of list) begun += p.members
-      await all(list, 'begin')
-    }
-    await all(of('proxy', 'watching proxy', 'instance'), 'begin')
-    await beginNext()
+    await all(of('agent', 'proxy', 'watching proxy', 'instance'), 'begin')
     async function termedNow(): Promise<boolean> {
       let up = 0
       for (const s of await states('agent')) up += s.up
-      return up === begun
+      return up === opt.nodes
     }
     const report: Partial<HollowReport> = {}
-    if ((await until(termedNow)) !== undefined && opt.batch === 0) report.termed = world.now() - from
+    if ((await until(termedNow)) !== undefined) report.termed = world.now() - from
     let number = 0
     let epoch = 0
     const sentAt = new Map<number, number>()
@@ -216,30 +206,24 @@
     async function inForce(): Promise<boolean> {
       let count = 0
       for (const s of await states('proxy', 'watching proxy')) for (const [e, n] of s.epochs) if (e === epoch) count += n
-      return count >= begun
+      return count >= opt.nodes
     }
     const applied = await until(inForce)
-    if (applied !== undefined && opt.batch === 0) report.applied = applied
+    if (applied !== undefined) report.applied = applied
     async function shared(): Promise<boolean> {
       let count = 0
       for (const s of await states('proxy', 'watching proxy')) count += s.shares
-      return count >= begun
+      return count >= opt.nodes
     }
     const sharesFrom = world.now()
-    let whole = await until(shared)
-    while (batches.length > 0 && whole !== undefined) {
-      await beginNext()
-      whole = await until(shared)
-    }
-    if (begun < opt.nodes) throw new Error(`shares of the connections were not taken within ${STAND_LIMIT / 1000} s by ${begun} nodes`)
-    if (whole !== undefined && opt.batch === 0) report.shared = world.now() - sharesFrom
+    if ((await until(shared)) !== undefined) report.shared = world.now() - sharesFrom
     async function led(): Promise<boolean> {
       for (const s of await states('proxy', 'watching proxy')) if (s.steady < opt.groups) return false
       return true
     }
-    if ((await until(led)) !== undefined && opt.batch === 0) report.led = world.now() - from
+    if ((await until(led)) !== undefined) report.led = world.now() - from
     report.starting = await readWindow()
-    opt.out(opt.batch > 0 ? `standing in batches of ${opt.batch} after ${show(world.now() - from)}` : `standing: terms ${show(report.termed)}, configuration ${show(report.applied)}, shares ${show(report.shared)}, leaders ${show(report.led)}`)
+    opt.out(`standing: terms ${show(report.termed)}, configuration ${show(report.applied)}, shares ${show(report.shared)}, leaders ${show(report.led)}`)
 
     // Changes before the measuring, where the size of a grown register is asked for.
     for (let k = 0; k < opt.history; k++) {
@@ -323,8 +307,8 @@
     await pause(world, 2500)
     report.repair = await readWindow()
     await all(parts, 'end').catch(nothing)
-    const { nodes, groups, lanes, cores, instances, areas, changes, mute, history, seed, batch } = opt
-    return { ...report, shape: { nodes, groups, lanes, cores, instances, areas, changes, mute, history, seed, batch } } as HollowReport
+    const { nodes, groups, lanes, cores, instances, areas, changes, mute, history, seed, shares } = opt
+    return { ...report, shape: { nodes, groups, lanes, cores, instances, areas, changes, mute, history, seed, shares } } as HollowReport
   } finally {
     stopAll()
     process.removeListener('exit', stopAll)
@@ -337,7 +321,7 @@
 
 // Counts alone, from a run on virtual time.
 export function showVirtual(got: Awaited<ReturnType<typeof simHollow>>, shape: HollowShape): string {
-  const lines = [`${shape.nodes} nodes, ${shape.groups} groups of ${shape.instances}, ${shape.lanes} lanes, ${shape.cores} cores, virtual time${got.stood ? '' : '; it did not stand within 60 s'}`]
+  const lines = [`${shape.nodes} nodes, ${shape.groups} groups of ${shape.instances}, ${shape.lanes} lanes, ${shape.cores} cores, shares by ${shape.shares}, virtual time${got.stood ? '' : '; it did not stand within 60 s'}`]
   for (const [role, members, list] of [['core', shape.cores, got.core], ['agent', shape.nodes, got.agent], ['proxy', shape.nodes, got.proxy], ['instance', shape.groups * shape.instances, got.instance]] as [string, number, Line[]][]) {
     lines.push(`each ${role} (${members})`)
     for (const l of list) {
@@ -352,11 +336,18 @@
 
 export function showHollow(r: HollowReport): string {
   const s = r.shape
-  const lines = [`${s.nodes} nodes, ${s.groups} groups of ${s.instances}, ${s.lanes} lanes, ${s.cores} cores, ${s.changes} changes a second${s.mute ? ', summaries muted' : ''}`]
-  lines.push(`${s.batch > 0 ? `in batches of ${s.batch}` : 'all agents at once'}: terms ${show(r.termed)}, first configuration ${show(r.applied)}, shares ${show(r.shared)}, leaders ${show(r.led)}; back after a restart of all ${show(r.back)}`)
+  const lines = [`${s.nodes} nodes, ${s.groups} groups of ${s.instances}, ${s.lanes} lanes, ${s.cores} cores, shares by ${s.shares}, ${s.changes} changes a second${s.mute ? ', summaries muted' : ''}`]
+  lines.push(`all agents at once: terms ${show(r.termed)}, first configuration ${show(r.applied)}, shares ${show(r.shared)}, leaders ${show(r.led)}; back after a restart of all ${show(r.back)}`)
   const times = [...r.changes.inForce].sort(byNumber)
   lines.push(`changes: ${r.changes.accepted} of ${r.changes.sent} accepted; in force everywhere: median ${times[Math.floor(times.length / 2)] ?? 'none'} ms, most ${times[times.length - 1] ?? 'none'} ms${times.includes(-1) ? ', some not within the window' : ''}`)
   for (const [key, size] of r.values) lines.push(`longest frame with ${key}: ${size} bytes`)
+  for (const [name, w] of [['start of all', r.starting], ['return of all agents', r.returning], ['return of a core', r.repair]] as [string, Window][]) {
+    for (const { role, reading } of w.roles) {
+      const parts: string[] = []
+      for (const m of reading.mechanisms) parts.push(`${m.name} ${Math.round((m.outCount + m.inCount) * w.seconds)} (${Math.round((m.outBytes + m.inBytes) * w.seconds)})`)
+      lines.push(`${name}, ${w.seconds.toFixed(1)} s, each ${role}, messages (bytes): ${parts.join(', ')}`)
+    }
+  }
   for (const [name, w] of [['calm', r.calm], ['changing', r.changing]] as [string, Window][]) {
     for (const { role, reading } of w.roles) {
       lines.push(`${name}, each ${role} (${reading.members} in ${reading.processes} processes): ${(reading.cpu * 100).toFixed(2)} % of a core, ${Math.round(reading.rss / 1024)} KiB resident, ${Math.round(reading.heap / 1024)} KiB of heap, loop at most ${Math.round(reading.lag)} ms late`)
--- a/packages/fleet/src/hollownode.ts
+++ b/packages/fleet/src/hollownode.ts
@@ -106,7 +106,8 @@
 
 // --- what a fleet of such tasks looks like ---
 
-export type HollowShape = { nodes: number; groups: number; lanes: number; cores: number; instances: number; areas: number }
+// shares: by slots in a register, or by the live members.
+export type HollowShape = { nodes: number; groups: number; lanes: number; cores: number; instances: number; areas: number; shares: 'slots' | 'live' }
 // place: an address of its own for each thing, by kind and number.
 export type Where = (kind: 'core' | 'node' | 'instance', k: number, port: number) => Addr
 export type HollowPlan = { cores: { id: string; addr: Addr; http: Addr }[]; set: CorePlace[]; seeds: Addr[]; nodes: NodePlace[]; instances: InstancePlace[]; config: Config }
@@ -136,7 +137,7 @@
   }
   const lanes: Config['lanes'] = []
   for (let l = 0; l < shape.lanes; l++) lanes.push({ name: `lane${l + 1}`, database: `database${l + 1}`, group: `g${(l % shape.groups) + 1}`, reads: l % 3 === 0 ? 'leader' : { within: 2000 + (l % 1000), own: true } })
-  return { cores, set, seeds, nodes, instances, config: { proxies: shape.nodes, groups, lanes } }
+  return { cores, set, seeds, nodes, instances, config: { proxies: shape.shares === 'live' ? 'live' : shape.nodes, groups, lanes } }
 }
 
 // A change as operators make them: one lane's bound.
--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -103,22 +103,23 @@
 }
 
 // Hollow nodes, several to a process, before real cores; bounded in count and time.
-async function hollow({ args }: { args: { nodes: string; groups: string; lanes: string; cores: string; instances: string; seconds: string; changes: string; seed: string; per: string; batch: string; watch: string; history: string; mute: boolean; virtual: boolean; json?: string; points?: string } }): Promise<void> {
-  const [nodes, groups, lanes, cores, instances, seconds, changes, seed, per, batch, watch, history] = [args.nodes, args.groups, args.lanes, args.cores, args.instances, args.seconds, args.changes, args.seed, args.per, args.batch, args.watch, args.history].map(Number)
-  const whole = [nodes, groups, lanes, cores, instances, seed, per, batch, watch, history].every(Number.isInteger)
-  const bad = !whole || nodes < 1 || nodes > 2300 || groups < 1 || groups * instances > 6000 || lanes < 1 || lanes > 20000 || ![1, 3, 5, 7, 9].includes(cores) || instances < 1 || !(seconds > 0 && seconds <= 300) || !(changes >= 0 && changes <= 50) || per < 1 || nodes / per > 150 || batch < 0 || watch < 0 || history < 0 || history > 5000
+async function hollow({ args }: { args: { nodes: string; groups: string; lanes: string; cores: string; instances: string; seconds: string; changes: string; seed: string; per: string; shares: string; watch: string; history: string; mute: boolean; virtual: boolean; json?: string; points?: string } }): Promise<void> {
+  const [nodes, groups, lanes, cores, instances, seconds, changes, seed, per, watch, history] = [args.nodes, args.groups, args.lanes, args.cores, args.instances, args.seconds, args.changes, args.seed, args.per, args.watch, args.history].map(Number)
+  const whole = [nodes, groups, lanes, cores, instances, seed, per, watch, history].every(Number.isInteger)
+  const shares: 'slots' | 'live' = args.shares === 'slots' ? 'slots' : 'live'
+  const bad = !whole || args.shares !== shares || nodes < 1 || nodes > 2300 || groups < 1 || groups * instances > 6000 || lanes < 1 || lanes > 20000 || ![1, 3, 5, 7, 9].includes(cores) || instances < 1 || !(seconds > 0 && seconds <= 300) || !(changes >= 0 && changes <= 50) || per < 1 || nodes / per > 150 || watch < 0 || history < 0 || history > 5000
   if (bad) {
-    process.stderr.write('expected: 1 to 2300 nodes in at most 150 processes (--per), at most 6000 instances, 1 to 20000 lanes, an odd count of cores up to 9, up to 300 seconds, up to 50 changes a second, up to 5000 changes before\n')
+    process.stderr.write('expected: 1 to 2300 nodes in at most 150 processes (--per), at most 6000 instances, 1 to 20000 lanes, an odd count of cores up to 9, up to 300 seconds, up to 50 changes a second, up to 5000 changes before, --shares live or slots\n')
     process.exit(2)
   }
   if (args.virtual) {
-    const shape = { nodes, groups, lanes, cores, instances, areas: 3 }
+    const shape = { nodes, groups, lanes, cores, instances, areas: 3, shares } as const
     const got = await simHollow(seed, shape, seconds * 1000)
     out(showVirtual(got, shape))
     if (args.json !== undefined) writeFileSync(args.json, JSON.stringify({ shape, seed, ...got }, null, 1))
     process.exit(got.stood ? 0 : 1)
   }
-  const opt = { nodes, groups, lanes, cores, instances, areas: 3, seconds, changes, seed, per, batch, watch, history, mute: args.mute, out }
+  const opt = { nodes, groups, lanes, cores, instances, areas: 3, seconds, changes, seed, per, shares, watch, history, mute: args.mute, out }
   const report = args.points !== undefined ? await runPoint(opt, args.points) : await runHollow(opt)
   out(showHollow(report))
   if (args.json !== undefined) writeFileSync(args.json, JSON.stringify(report, null, 1))
@@ -172,7 +173,7 @@
       args: {
         nodes: { type: 'string', default: '25', description: 'nodes' }, groups: { type: 'string', default: '10', description: 'groups' }, lanes: { type: 'string', default: '30', description: 'lanes' },
         cores: { type: 'string', default: '5', description: 'cores' }, instances: { type: 'string', default: '3', description: 'instances of each group' }, seconds: { type: 'string', default: '20', description: 'seconds of measuring, half of them calm' },
-        changes: { type: 'string', default: '1', description: 'configuration changes a second in the other half' }, seed: { type: 'string', default: '1', description: 'seed' }, per: { type: 'string', default: '25', description: 'nodes to a process' }, batch: { type: 'string', default: '0', description: 'nodes that start at once; 0: all of them' },
+        changes: { type: 'string', default: '1', description: 'configuration changes a second in the other half' }, seed: { type: 'string', default: '1', description: 'seed' }, per: { type: 'string', default: '25', description: 'nodes to a process' }, shares: { type: 'string', default: 'live', description: 'shares of connections: live or slots' },
         watch: { type: 'string', default: '2', description: 'proxies that sample the instances as the product does' }, history: { type: 'string', default: '0', description: 'changes made before the measuring' },
         mute: { type: 'boolean', default: false, description: 'send no summaries' }, virtual: { type: 'boolean', default: false, description: 'in the simulator: counts alone, the same for a seed' }, json: { type: 'string', description: 'file for the report as JSON' }, points: { type: 'string', description: 'file of measured points that the run is kept in' },
       },
--- a/packages/fleet/src/plots.ts
+++ b/packages/fleet/src/plots.ts
@@ -13,7 +13,7 @@
   const out: Point[] = []
   for (const p of points) {
     const s = p.report.shape
-    if (s.groups === 10 && s.lanes === 30 && s.history === 10 && p.command.includes('--per 25 ')) out.push(p)
+    if (s.shares === 'live' && s.groups === 10 && s.lanes === 30 && s.history === 10 && p.command.includes('--per 25 ')) out.push(p)
   }
   return out
 }
--- a/packages/fleet/src/points.ts
+++ b/packages/fleet/src/points.ts
@@ -11,17 +11,17 @@
   { nodes: 25, groups: 10, lanes: 30 }, { nodes: 50, groups: 10, lanes: 30 }, { nodes: 75, groups: 10, lanes: 30 }, { nodes: 100, groups: 10, lanes: 30 },
   { nodes: 25, groups: 30, lanes: 30 }, { nodes: 25, groups: 80, lanes: 80 }, { nodes: 25, groups: 160, lanes: 160 },
   { nodes: 25, groups: 10, lanes: 300 }, { nodes: 25, groups: 10, lanes: 1000 }, { nodes: 25, groups: 10, lanes: 2000 },
-  { nodes: 25, groups: 10, lanes: 30, per: 1 }, { nodes: 25, groups: 10, lanes: 30, per: 5 }, { nodes: 50, groups: 40, lanes: 40 },
+  { nodes: 25, groups: 10, lanes: 30, per: 1 }, { nodes: 25, groups: 10, lanes: 30, per: 5 }, { nodes: 50, groups: 40, lanes: 40 }, { nodes: 100, groups: 30, lanes: 60 },
   { nodes: 25, groups: 10, lanes: 30, history: 100 }, { nodes: 25, groups: 10, lanes: 30, history: 300 }, { nodes: 25, groups: 10, lanes: 30, history: 600 },
-  { nodes: 100, groups: 40, lanes: 40, batch: 25 }, { nodes: 150, groups: 10, lanes: 30, batch: 25 }, { nodes: 150, groups: 30, lanes: 60, batch: 25, mute: true },
-  { nodes: 200, groups: 10, lanes: 30, batch: 25, mute: true }, { nodes: 300, groups: 10, lanes: 30, batch: 25, mute: true },
+  { nodes: 150, groups: 10, lanes: 30, mute: true }, { nodes: 200, groups: 10, lanes: 30, mute: true }, { nodes: 150, groups: 30, lanes: 30, mute: true },
+  { nodes: 10, groups: 10, lanes: 30, shares: 'slots' }, { nodes: 25, groups: 10, lanes: 30, shares: 'slots' }, { nodes: 40, groups: 10, lanes: 30, shares: 'slots' }, { nodes: 60, groups: 10, lanes: 30, shares: 'slots' },
 ]
 
 export function optionsOf(plan: Plan, seconds: number, out: (line: string) => void): HollowOptions {
-  return { cores: 5, instances: 3, areas: 3, changes: 1, seed: 1, per: 25, batch: 0, watch: 2, mute: false, history: 10, ...plan, seconds, out }
+  return { cores: 5, instances: 3, areas: 3, changes: 1, seed: 1, per: 25, shares: 'live', watch: 2, mute: false, history: 10, ...plan, seconds, out }
 }
 export function commandOf(o: HollowOptions): string {
-  return `fleet hollow --nodes ${o.nodes} --groups ${o.groups} --lanes ${o.lanes} --cores ${o.cores} --instances ${o.instances} --seconds ${o.seconds} --changes ${o.changes} --seed ${o.seed} --per ${o.per} --batch ${o.batch} --watch ${o.watch} --history ${o.history}${o.mute ? ' --mute' : ''}`
+  return `fleet hollow --nodes ${o.nodes} --groups ${o.groups} --lanes ${o.lanes} --cores ${o.cores} --instances ${o.instances} --seconds ${o.seconds} --changes ${o.changes} --seed ${o.seed} --per ${o.per} --shares ${o.shares} --watch ${o.watch} --history ${o.history}${o.mute ? ' --mute' : ''}`
 }
 function commitNow(): string {
   try {
