--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -34,8 +34,9 @@
 // count. Accepted changes that named their epoch, kept so that the same one sent again is told that it was taken: at
 // 47,000 changes a day (one in 1.8 s) these are the last 8 minutes, and about 15 KiB; a caller asks again within seconds.
 export const NAMED_KEPT = 256
-// bytes. Largest value of the configuration's register: half a frame, so that its first and any later word of it fits one.
-export const VALUE_LIMIT = 4 * 1024 * 1024
+// bytes. Largest value of the configuration's register that a change may make; of one that names its epoch, the
+// configuration alone is measured, so that two such parts and the names of the last changes fit a frame.
+export const VALUE_LIMIT = 3.5 * 1024 * 1024
 // bytes. A data file is rewritten when longer than this and than REWRITE_RATIO times what lives in it.
 export const REWRITE_FLOOR = 1024 * 1024
 // ratio. See REWRITE_FLOOR; 4 keeps the mean cost of rewriting under a third of appending.
@@ -96,6 +97,12 @@
 // calls. A follower in another area is chosen only where the own one has this many more calls in flight: high
 // enough to keep reads near, low enough that a slow one near isn't flooded.
 export const AREA_COST = 4
+// count. Failed sends in a row, with no answer between, that put an instance in doubt where nothing samples it.
+export const FAILED_ROW = 2
+// ms. First and longest pause before one call tries an instance in doubt, where nothing samples it: short beside a
+// promotion, long beside a call's way there.
+export const TRY_PAUSE = 100
+export const TRY_PAUSE_MOST = 1000
 // ms. An idle instance connection is closed after this, before an instance's own keep-alive (5 s or more).
 export const POOL_IDLE = 3000
 // ms. Most time that a pool spends in waiting for a connection in one send.
@@ -112,6 +119,15 @@
 export const SENDS = 3
 // ms. Base of the exponential pause: 2^attempt times this.
 export const BACKOFF = 500
+// ratio. A lane that names the latency it aims at has its calls wait this much of it for a leader or a connection; past
+// it they are refused at once, with nothing run, and told when to come back.
+export const HOLD_SHARE = 0.2
+// ratio. Of the lane's aim: how long a read's send waits for its answer while another send may follow, and how long a
+// statement in a transaction waits, which ends the transaction. Both well above the work of one statement.
+export const SEND_SHARE = 0.5
+export const STATEMENT_SHARE = 1.5
+// ratio. Base of the pause between sends, of the lane's aim, where that is under BACKOFF.
+export const BACKOFF_SHARE = 0.1
 // ms. Spread over which calls that waited for a promotion wake, so that the new leader isn't hit at once.
 export const WAKE_SPREAD = 250
 // tokens. Retry tokens per group and proxy: what it starts with and can hold at most.
@@ -146,6 +162,12 @@
 export const PENDING = 256
 // ms. Open transactions get this long when their leader, lane or node is stopped on purpose.
 export const DRAIN = 3000
+// ms. A node that leaves takes new connections for this long after it first said so: whoever hands them out asks each
+// second, and believes the second miss.
+export const NOTICE = 2500
+// ms. An agent that stops waits this long for its proxy, where that stops too: DRAIN and a send, and less than machines
+// are given to stop.
+export const LEAVE_LIMIT = 5500
 // ms. Answers in flight at an edge get this long at its end; at the requesters' edge, a whole send and this.
 export const DRAIN_TAIL = 1500
 // bytes. Largest HTTP body taken.
@@ -162,6 +184,8 @@
 export const CONTROL_LINES = 1024
 // ms. A connection there that asks nothing for this long is closed; instances speak each second or so.
 export const CONTROL_QUIET = 15000
+// bytes. All bodies there that are read or answered at one time: four of the largest, well within a small machine's memory.
+export const CONTROL_HELD = 16 * 1024 * 1024
 // bytes. Largest announcement.
 export const ANNOUNCE_LIMIT = 4096
 // ms. A reader of the stream of decisions is looked after at least this often, to notice that it went away.
--- a/packages/instance/src/edge.ts
+++ b/packages/instance/src/edge.ts
@@ -4,10 +4,10 @@
 
 // The instance's wire (docs/wire.md) and how its words are classified. Wire names stay in this file.
 
-type Judged = { class: Class; transient: boolean }
+type Judged = { class: Class; transient: boolean; lead?: boolean }
 const codes = new Map<string, Judged>([
-  ['READONLY', { class: 'UNAVAILABLE', transient: true }],
-  ['ELECTION', { class: 'UNAVAILABLE', transient: true }],
+  ['READONLY', { class: 'UNAVAILABLE', transient: true, lead: false }],
+  ['ELECTION', { class: 'UNAVAILABLE', transient: true, lead: false }],
   ['BUSY', { class: 'UNAVAILABLE', transient: true }],
   ['OOM', { class: 'RESOURCE_EXHAUSTED', transient: false }],
   ['WRONGTYPE', { class: 'INVALID_ARGUMENT', transient: false }],
@@ -107,4 +107,4 @@
 }
 
 // Our own wire. A follower's place is known by samples only; a promotion is refused for an epoch that was passed.
-export const httpInstance: InstanceEdge = { sampler: openSampler, idle: POOL_IDLE, open: openPort, status: statusOf }
+export const httpInstance: InstanceEdge = { sampler: openSampler, exact: true, named: true, idle: POOL_IDLE, open: openPort, status: statusOf }
--- a/packages/instance/src/seam.ts
+++ b/packages/instance/src/seam.ts
@@ -8,7 +8,8 @@
 // reach: none, nothing was handed over; maybe, it may have reached and run; answered, the instance says that it did not run.
 // lags: the instance says that its history lacks the place asked for.
 // lead: the instance says that it does not lead.
-export type Trouble = { reach: 'none' | 'maybe' | 'answered'; class: Class; transient: boolean; why: string; code?: string; lags?: boolean; lead?: boolean }
+// full: it takes no more connections now.
+export type Trouble = { reach: 'none' | 'maybe' | 'answered'; class: Class; transient: boolean; why: string; code?: string; lags?: boolean; lead?: boolean; full?: boolean }
 
 // A place in a group's history. Positions of different epochs are never compared as of one line.
 export type Mark = { epoch: number; position: number }
@@ -45,6 +46,10 @@
   // Set where a follower's place is known by samples only. Without it a follower itself refuses (lags) a read whose
   // place (after) it lacks, and nobody asks instances anything while all is well.
   sampler?: (world: World, who: Who, ms: number) => Promise<Result<Sampler, string>>
+  // Whether each answer of a leader carries the epoch that it leads in; else a place may be that of an earlier entry.
+  exact: boolean
+  // Whether a connection must be told its database; else an instance's databases are told apart by its name alone.
+  named: boolean
   // ms for which an idle connection may be kept: less than the instance itself keeps it.
   idle: number
   open: (world: World, who: Who, ms: number) => Promise<Result<Port, Trouble>>
