Send summaries only where something changed or someone needs them; ping only quiet links

Cause: each agent sent each other a whole summary every 500 ms. What matters to proxies goes out when it changes (three beats, as datagrams are lost), on each beat while a promotion or retries are under way, else every 2 s; what a proxy saw of instances goes to the holder of their group's duty alone, and its age counts the time since it came. A held link is pinged only if one side would hear nothing.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,10 +2,10 @@
   LEAVE_LIMIT, NOTE_BEAT, answerLinks, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
   CHANGE_ANSWER, LATE, SAMPLE_LIMIT, SIGHTS_KEPT, SUMMARY_EPOCH, within, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
 } from '@claynotch/base'
-import { startDuty, startMover } from '@claynotch/duty'
+import { holderOf, startDuty, startMover } from '@claynotch/duty'
 import type { Announcement } from '@claynotch/instance'
 import { CONFIG_KEY, emptyBody, makeDecision, makeOperatorEdge, meantBy, type Body, type Change, type Credential, type Decision, type Edit } from '@claynotch/operator'
-import { startPeers, type Summary } from '@claynotch/peer'
+import { startPeers, type Peer, type Summary } from '@claynotch/peer'
 import {
   askSeeds, compareBallots, gather, groupKey, laterSight, makePicture, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
   type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type MemberLine, type Picture, type Sight, type Slots, type Value, type Voter,
@@ -464,12 +464,20 @@
     if (one) heard({ name, group: one.group, addr: one.addr, area: one.area, role: one.role === 'leader' ? 'leader' : 'follower', gone: true })
     return one !== undefined
   }
-  function peerAddrs(): Addr[] {
-    const out: Addr[] = []
-    for (const m of members) out.push(m.addr)
+  function peerList(): Peer[] {
+    const out: Peer[] = []
+    for (const m of members) out.push({ node: m.node, addr: m.addr, proxy: m.proxy })
     return out
   }
-  function summary(): Summary {
+  // duties: the groups whose duty falls to each node, as of the last summary.
+  const duties = new Map<string, Set<string>>()
+  function sayAll(): Omit<Summary, 'seen'> {
+    duties.clear()
+    const nodes = live()
+    for (const g of groups()) {
+      const holder = holderOf(groupKey(g), nodes)
+      if (holder !== undefined) duties.set(holder, (duties.get(holder) ?? new Set<string>()).add(g))
+    }
     const leaving: string[] = []
     for (const one of sights.values()) if (one.sight.leaving) leaving.push(one.sight.name)
     const note = proxy?.note
@@ -478,7 +486,18 @@
       const rec = cell(groupKey(g))?.body as GroupRecord | undefined
       if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
     }
-    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, seen: note?.seen ?? [], moving, leaving, tries: note?.tries ?? [] }
+    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, moving, leaving, tries: note?.tries ?? [] }
+  }
+  // Who holds a group's duty is told what this node's proxy saw of its instances.
+  function seenFor(node: string): Summary['seen'] {
+    const held = duties.get(node)
+    const out: Summary['seen'] = []
+    if (!held) return out
+    for (const [name, ms] of proxy?.note?.seen ?? []) {
+      const group = sights.get(name)?.sight.group
+      if (group === undefined || held.has(group)) out.push([name, Math.round(ms)])
+    }
+    return out
   }
   async function askMembers(): Promise<{ members: Member[]; sure: boolean } | undefined> {
     async function ask(held: Held): Promise<MembersAnswer | undefined> {
@@ -541,7 +560,7 @@
   }
   const duty = startDuty(world, view, stop)
   const mover = startMover(world, view, stop)
-  const peers = await startPeers(world, set.peer, stop, peerAddrs, summary, numbers, nothing)
+  const peers = await startPeers(world, set.peer, stop, peerList, { all: sayAll, seenFor }, numbers, nothing)
 
   // Undefined: no majority of cores answered.
   async function readMembers(): Promise<unknown> {
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -80,10 +80,16 @@
 // ms. A leaving leader whose successor isn't there yet gets new work for this long; the users' bound is 7 s,
 // of which up to 1.2 s may pass until each node has learned of it.
 export const LEAVING_WORK = 5000
-// ms. Beat on which agents send summaries to each other.
+// ms. Beat on which agents look whether another needs a summary.
 export const SUMMARY_BEAT = 500
-// ms. A summary older than this is no longer a hint.
-export const SUMMARY_LIFE = 2000
+// ms. Longest pause between two summaries of a node that has something to say, though nothing of it changed.
+export const SUMMARY_SLOW = 2000
+// count. Beats on which a change is told, as datagrams are lost now and then.
+export const SUMMARY_AGAIN = 3
+// ms. A summary older than this is no longer a hint: two slow ones may be lost.
+export const SUMMARY_LIFE = 5000
+// ms. What a node saw of instances is told on each beat, and past this it says nothing of them any more.
+export const SEEN_LIFE = 2000
 // number. Version of summaries; others are ignored.
 export const SUMMARY_EPOCH = 1
 // bytes. Largest summary sent: one datagram without fragments on common links.
--- a/packages/base/src/hold.ts
+++ b/packages/base/src/hold.ts
@@ -63,7 +63,8 @@
       await pause(world, LINK_QUIET / 3, mineNow.closed)
       if (mineNow.closed.fired()) break
       if (world.now() - mineNow.heard() > LINK_QUIET) mineNow.close('link quiet')
-      else void mineNow.ask({ t: 'ping' }, LINK_QUIET)
+      // Both sides must hear something; where they do anyway, no ping is needed.
+      else if (world.now() - Math.min(mineNow.heard(), mineNow.said()) > LINK_QUIET / 3) void mineNow.ask({ t: 'ping' }, LINK_QUIET)
     }
     link = undefined
     unwatch()
--- a/packages/base/src/link.ts
+++ b/packages/base/src/link.ts
@@ -14,6 +14,8 @@
   closed: Flag
   // Local time at which the last frame came in.
   heard: () => number
+  // and went out.
+  said: () => number
 }
 
 export type Take = (msg: unknown, link: Link) => Promise<unknown> | unknown
@@ -23,6 +25,7 @@
   const pending = new Map<number, (answer: unknown) => void>()
   let next = 1
   let last = world.now()
+  let wrote = last
   let rest: Buffer = Buffer.alloc(0)
 
   function close(why?: string): void {
@@ -35,6 +38,7 @@
   }
   function write(kind: number, id: number, msg: unknown): void {
     if (closed.fired()) return
+    wrote = world.now()
     const body = encode([kind, id, msg])
     const out = Buffer.allocUnsafe(4 + body.length)
     out.writeUInt32BE(body.length, 0)
@@ -115,7 +119,10 @@
   function heard(): number {
     return last
   }
-  const link: Link = { ask, tell, close, closed, heard }
+  function said(): number {
+    return wrote
+  }
+  const link: Link = { ask, tell, close, closed, heard, said }
   stream.on('data', data)
   stream.on('error', gone)
   stream.on('close', gone)
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,9 +1,10 @@
 import * as t from 'io-ts'
 import { LRUCache } from 'lru-cache'
-import { decode, encode, loop, readAs, SUMMARY_BEAT, SUMMARY_EPOCH, SUMMARY_LIFE, SUMMARY_LIMIT, type Addr, type Flag, type Numbers, type World } from '@claynotch/base'
+import { decode, encode, loop, readAs, SEEN_LIFE, SUMMARY_AGAIN, SUMMARY_BEAT, SUMMARY_EPOCH, SUMMARY_LIFE, SUMMARY_LIMIT, SUMMARY_SLOW, type Addr, type Flag, type Numbers, type World } from '@claynotch/base'
 
-// Summaries between nodes: one datagram each beat to every other member. Hints only: nothing that must
-// hold rests on them, so a lost, late, doubled or foreign one does no harm.
+// Summaries between nodes, by datagrams. Hints only: nothing that must hold rests on them, so a lost, late, doubled or
+// foreign one does no harm. What matters to whoever has a proxy (moving, leaving, tries) goes to them when it changes, on
+// each beat while a promotion or retries are under way, else slowly; seen goes on each beat, to those who need it.
 // seen: [instance, ms since its last good reply to this node]. moving: [group, epoch] this node knows to be
 // under promotion. firsts and retries: sends by group over the last beat's window.
 export const Summary = t.type({
@@ -15,7 +16,12 @@
 
 export type Peers = { hints: () => Summary[]; close: () => Promise<void> }
 
-export async function startPeers(world: World, addr: Addr, stop: Flag, members: () => Addr[], mine: () => Summary, numbers: Numbers, heard: () => void): Promise<Peers> {
+// proxy: it feeds a proxy.
+export type Peer = { node: string; addr: Addr; proxy: boolean }
+// What a node says to all; and what of its seen it says to one node.
+export type Saying = { all: () => Omit<Summary, 'seen'>; seenFor: (node: string) => Summary['seen'] }
+
+export async function startPeers(world: World, addr: Addr, stop: Flag, members: () => Peer[], mine: Saying, numbers: Numbers, heard: () => void): Promise<Peers> {
   // last: the newest summary of each node and when it came; bounded, as names come from the network.
   const last = new LRUCache<string, { at: number; sum: Summary }>({ max: 256 })
 
@@ -46,20 +52,48 @@
   }
   const wire = await world.wire(addr, take)
 
+  // said: what all were told last. again: beats for which it is told still. slow: when it was told last, changed or not.
+  let said = ''
+  let again = 0
+  let slow = -Infinity
+  function hasRetries(tries: Summary['tries']): boolean {
+    for (const [, , retries] of tries) if (retries > 0) return true
+    return false
+  }
   function send(): void {
-    const sum = mine()
-    let bytes = encode(sum)
-    // Too long for a datagram: what can be spared goes first.
-    if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, tries: [] })
-    if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, tries: [], seen: [] })
-    for (const to of members()) if (to !== addr) wire.cast(to, bytes)
+    const sum = mine.all()
+    const now = world.now()
+    const text = JSON.stringify([sum.moving, sum.leaving])
+    if (text !== said) again = SUMMARY_AGAIN
+    said = text
+    const holds = sum.moving.length > 0 || sum.leaving.length > 0 || sum.tries.length > 0
+    const due = again > 0 || sum.moving.length > 0 || hasRetries(sum.tries) || (holds && now - slow >= SUMMARY_SLOW)
+    if (again > 0) again--
+    if (due) slow = now
+    for (const to of members()) {
+      if (to.addr === addr) continue
+      const seen = mine.seenFor(to.node)
+      if (seen.length === 0 && !(due && to.proxy)) continue
+      let bytes = encode({ ...sum, seen })
+      // Too long for a datagram: what can be spared goes first.
+      if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, seen, tries: [] })
+      if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, tries: [], seen: [] })
+      wire.cast(to.addr, bytes)
+    }
   }
   void loop(world, 'summaries', SUMMARY_BEAT, stop, send)
 
+  // With the time since they came counted in.
   function hints(): Summary[] {
     const out: Summary[] = []
     const now = world.now()
-    for (const [, one] of last.entries()) if (now - one.at < SUMMARY_LIFE) out.push(one.sum)
+    for (const [, one] of last.entries()) {
+      const age = now - one.at
+      if (age >= SUMMARY_LIFE) continue
+      const seen: Summary['seen'] = []
+      if (age < SEEN_LIFE) for (const [name, ms] of one.sum.seen) seen.push([name, ms + age])
+      out.push({ ...one.sum, seen })
+    }
     return out
   }
   async function close(): Promise<void> {
