Size of whole renewals in the hollow fleet; a core returns to a change made meanwhile

Answers to renewals tell only changes now, so what a core and an agent keep of each other is read from the longest frames, and the cost of repair from a core to which something was settled while it was away.

--- a/packages/fleet/src/capacity.ts
+++ b/packages/fleet/src/capacity.ts
@@ -153,9 +153,9 @@
 // --- what each mechanism's cost may depend on ---
 
 const shapes = new Map<string, string[]>([
-  ['core terms', ['N', 'NN', 'NG', 'NNG']], ['core pushes', ['N·ch', 'N·CV']], ['core acknowledgements', ['N·ch']], ['core registers', ['ch', 'CV']], ['core file', ['ch', 'CV']], ['core file rewritten', ['ch', 'CV']],
+  ['core terms', ['N', 'NN', 'NG', 'NNG', 'N·ch']], ['core pushes', ['N·ch', 'N·CV']], ['core acknowledgements', ['N·ch']], ['core registers', ['ch', 'CV']], ['core file', ['ch', 'CV']], ['core file rewritten', ['ch', 'CV']],
   ['core links', ['1', 'N']], ['core logs', ['1', 'ch']], ['core members', ['1', 'N', 'G', 'NG']], ['core repair', ['1']], ['core shares', ['1']], ['core runtime', ['1', 'N', 'NN', 'N·ch', 'N·CV']],
-  ['agent terms', ['1', 'N', 'G', 'NG']], ['agent pushes', ['ch', 'CV']], ['agent acknowledgements', ['ch']], ['agent registers', ['ch/N', 'CV/N']], ['agent members', ['1', 'N', 'G', 'NG']], ['agent shares', ['1']],
+  ['agent terms', ['1', 'N', 'G', 'NG', 'ch']], ['agent pushes', ['ch', 'CV']], ['agent acknowledgements', ['ch']], ['agent registers', ['ch/N', 'CV/N']], ['agent members', ['1', 'N', 'G', 'NG']], ['agent shares', ['1']],
   ['agent summaries', ['N', 'N·S']], ['agent announcements', ['I/N']], ['agent probes', ['G/N']], ['agent feeds', ['1', 'G', 'ch', 'CV']], ['agent notes', ['1', 'G', 'ch']], ['agent links', ['1']], ['agent logs', ['1', 'ch']],
   ['agent duty', ['1', 'G', 'NG', 'G/N']], ['agent discovery', ['1']], ['agent runtime', ['P', '1', 'N', 'G', 'ch']],
   ['proxy feeds', ['1', 'G', 'ch', 'CV']], ['proxy notes', ['1', 'G', 'ch']], ['proxy links', ['1']], ['proxy logs', ['1', 'ch']], ['proxy runtime', ['P', '1', 'G', 'ch']], ['proxy freshness', ['1', 'I']],
@@ -247,7 +247,7 @@
 
 type Way = keyof Costs
 export type RowFit = { role: string; mechanism: string; fits: Map<Way, Fit> }
-export type Model = { rows: RowFit[]; value: Fit; slots: Fit; record: Fit; heap: Map<string, Fit>; rss: Map<string, Fit>; times: Map<string, Fit>; events: EventFit[] }
+export type Model = { rows: RowFit[]; value: Fit; slots: Fit; record: Fit; renewal: Fit; answer: Fit; heap: Map<string, Fit>; rss: Map<string, Fit>; times: Map<string, Fit>; events: EventFit[] }
 // What one happening costs, in bytes both ways.
 export type EventFit = { what: string; bytes: Fit }
 
@@ -326,7 +326,7 @@
     }
     events.push({ what: e.what, bytes: fit(e.names, list) })
   }
-  return { rows, events, value: sizeFit('configuration', ['1', 'L', 'G', 'D', 'H']), slots: sizeFit('slots', ['1', 'N']), record: sizeFit('group/g1', ['1']), heap, rss, times }
+  return { rows, events, value: sizeFit('configuration', ['1', 'L', 'G', 'D', 'H']), slots: sizeFit('slots', ['1', 'N']), record: sizeFit('group/g1', ['1']), renewal: sizeFit('renewal', ['1', 'G', 'I/N']), answer: sizeFit('answer to a renewal', ['1', 'N', 'G', 'NG']), heap, rss, times }
 }
 
 // --- at a size ---
@@ -336,6 +336,8 @@
   rows: Row[]
   // Bytes of the configuration's register, of the slots' and of all groups' records.
   value: number; slots: number; records: number
+  // Bytes of an answer that tells everything.
+  answer: number
   node: { cpu: number; bytes: number; rss: number; heap: number; proxyRss: number; proxyHeap: number }
   core: { cpu: number; bytes: number; rss: number; heap: number }
   times: Map<string, number>
@@ -351,6 +353,7 @@
   const env: Env = { ...bare, value }
   const slots = valueOf(model.slots, env)
   const records = valueOf(model.record, env) * size.groups
+  const answer = valueOf(model.answer, env)
   const rows: Row[] = []
   const node = { cpu: 0, bytes: 0, rss: 0, heap: 0, proxyRss: 0, proxyHeap: 0 }
   const core = { cpu: 0, bytes: 0, rss: 0, heap: 0 }
@@ -362,7 +365,9 @@
     const cpu = at('cpu')
     const each = (at('outBytes') + at('inBytes')) / Math.max(1e-9, at('outCount') + at('inCount'))
     let state = 0
-    if (r.mechanism === 'terms') state = r.role === 'core' ? size.nodes * (at('inBytes') / Math.max(1e-9, at('inCount'))) : at('inBytes') / Math.max(1e-9, at('inCount'))
+    // A core keeps of each member what its first renewal tells; an agent keeps each core's whole answer.
+    if (r.mechanism === 'terms' && r.role === 'core') state = size.nodes * valueOf(model.renewal, env) + answer
+    else if (r.mechanism === 'terms' && r.role === 'agent') state = size.cores * answer
     else if ((r.role === 'core' && r.mechanism === 'registers') || (r.role === 'agent' && r.mechanism === 'pushes') || (r.role === 'proxy' && r.mechanism === 'feeds')) state = value + slots + records
     else if (r.role === 'agent' && r.mechanism === 'summaries') state = Math.min(256, size.nodes) * each
     else if (r.mechanism === 'file') state = 4 * (value + slots + records)
@@ -386,7 +391,7 @@
   for (const [what, f] of model.times) times.set(what, valueOf(f, env))
   const events: Sums['events'] = []
   for (const e of model.events) events.push({ what: e.what, bytes: valueOf(e.bytes, env) })
-  return { rows, value, slots, records, node, core, times, events }
+  return { rows, value, slots, records, answer, node, core, times, events }
 }
 
 // --- where it breaks ---
@@ -415,7 +420,7 @@
       ['a core: memory, of 346 MB', { bound: 346e6, at: s.core.rss, unit: 'bytes' }],
       ['all cores over the machines for control: processor time', { bound: limit.machines, at: s.core.cpu * size.cores, unit: 'cores' }],
       ['a frame of a link: the configuration pushed', { bound: FRAME_LIMIT, at: s.value, unit: 'bytes' }],
-      ['a frame of a link: the answer to a renewal', { bound: FRAME_LIMIT, at: stateIn(s, 'agent', 'terms'), unit: 'bytes' }],
+      ['a frame of a link: the first answer to a renewal', { bound: FRAME_LIMIT, at: s.answer, unit: 'bytes' }],
       ['instances that a node keeps in mind', { bound: SIGHTS_KEPT, at: size.groups * share * size.instances, unit: 'instances' }],
       ['one change pushed to all nodes by one core, at 1 Gbit/s', { bound: limit.inForce, at: (s.value * n) / LINK_BYTES, unit: 's' }],
       [`shares by slots: connections kept back at an instance with ${conns}`, { bound: conns / (KEPT_BACK + 1), at: n, unit: 'nodes' }],
@@ -448,10 +453,6 @@
   }
   return out.sort(byFactor)
 }
-function stateIn(s: Sums, role: string, mechanism: string): number {
-  for (const r of s.rows) if (r.role === role && r.mechanism === mechanism) return r.state
-  return 0
-}
 function byFactor(a: Break, b: Break): number {
   return b.at / b.bound - a.at / a.bound
 }
@@ -507,7 +508,7 @@
   lines.push('', '| each | processor time, % of a core | bytes/s on the network | resident | heap |', '|---|---|---|---|---|')
   lines.push(`| node (agent, and the proxy's control side) | ${showNumber(sums.node.cpu * 100)} | ${showNumber(sums.node.bytes)} | ${showNumber(sums.node.rss)} + ${showNumber(sums.node.proxyRss)} | ${showNumber(sums.node.heap)} + ${showNumber(sums.node.proxyHeap)} |`)
   lines.push(`| core | ${showNumber(sums.core.cpu * 100)} | ${showNumber(sums.core.bytes)} | ${showNumber(sums.core.rss)} | ${showNumber(sums.core.heap)} |`)
-  lines.push('', `The configuration's register goes out as ${showNumber(sums.value)} bytes, the slots' as ${showNumber(sums.slots)}, all groups' records are ${showNumber(sums.records)}.`, '')
+  lines.push('', `The configuration's register goes out as ${showNumber(sums.value)} bytes, the slots' as ${showNumber(sums.slots)}, all groups' records are ${showNumber(sums.records)}, an answer to a renewal that tells everything ${showNumber(sums.answer)}.`, '')
   lines.push('| happening | bytes | grow with | worst miss, R² |', '|---|---|---|---|')
   for (const [k, e] of sums.events.entries()) {
     const f = model.events[k].bytes
--- a/packages/fleet/src/hollow.ts
+++ b/packages/fleet/src/hollow.ts
@@ -28,6 +28,9 @@
   calm: Window; changing: Window; starting: Window; returning: Window; repair: Window
 }
 
+// Whose longest frame is told: registers, renewals and their answers.
+const SIZES = ['configuration', 'slots', 'group/g1', 'renewal', 'answer to a renewal']
+
 type Part = { role: string; spec: PartSpec; proc: ChildProcess; members: number; order: (what: string) => Promise<unknown> }
 const partPath = fileURLToPath(new URL('./hollowpart.js', import.meta.url))
 // ms. Longest wait for the fleet to stand, for its shares and its return; a run ends in any case.
@@ -278,7 +281,7 @@
     }
     report.changes = { sent, accepted, inForce: times }
     const values: [string, number][] = []
-    for (const [key, size] of longest) if (key === 'configuration' || key === 'slots' || key === 'group/g1') values.push([key, size])
+    for (const [key, size] of longest) if (SIZES.includes(key)) values.push([key, size])
     report.values = values
 
     // --- all agents restart at once ---
@@ -295,11 +298,13 @@
     if ((await until(back)) !== undefined) report.back = world.now() - returned
     report.returning = await readWindow()
 
-    // --- a core's machine returns ---
+    // --- a core's machine returns, to which a change was made meanwhile ---
     const last = of('core')[opt.cores - 1]
     last.proc.kill('SIGKILL')
     parts.splice(parts.indexOf(last), 1)
     await pause(world, 300)
+    number++
+    await post(changeOf(plan, number, epoch))
     const again = startPart(data, 'core', last.spec, 1, nextSeed())
     parts.push(again)
     await mark()
--- a/packages/fleet/src/tap.ts
+++ b/packages/fleet/src/tap.ts
@@ -8,7 +8,7 @@
   add: (name: string, way: 'in' | 'out', bytes: number, count?: number) => void
   read: () => Line[]
   clear: () => void
-  // Bytes of the longest frame of each register pushed or accepted, by key.
+  // Bytes of the longest frame of each register pushed or accepted, by key, and of renewals and their answers.
   longest: Map<string, number>
 }
 
@@ -122,18 +122,23 @@
     const name = mechanisms.get(head.word ?? '') ?? `other ${head.word ?? 'frame'}`
     return head.key === 'slots' && KEYED.has(head.word ?? '') ? 'shares' : name
   }
+  function keepLongest(what: string, size: number): void {
+    tally.longest.set(what, Math.max(size, tally.longest.get(what) ?? 0))
+  }
   function makeTake(way: 'in' | 'out'): (head: Head, size: number) => void {
     const back = way === 'in' ? 'out' : 'in'
     function take(head: Head, size: number): void {
       if (head.kind === 1) {
         const name = asked[back].get(head.id) ?? 'other answer'
         asked[back].delete(head.id)
+        if (name === 'terms') keepLongest('answer to a renewal', size)
         tally.add(name, way, size)
         return
       }
       const name = nameOf(head)
       if (head.kind === 0) asked[way].set(head.id, name)
-      if (head.key !== undefined && (head.word === 'push' || head.word === 'accept')) tally.longest.set(head.key, Math.max(size, tally.longest.get(head.key) ?? 0))
+      if (head.key !== undefined && (head.word === 'push' || head.word === 'accept')) keepLongest(head.key, size)
+      if (head.word === 'renew') keepLongest('renewal', size)
       tally.add(name, way, size)
     }
     return take
