Load Lua with the first policy and consola's core alone; bundle without blanks

Cause: a start compiled half a megabyte of Lua that no process on the platform runs, and consola's reporters that we don't use. Ruled out: switching off cbor-x's native part (no difference measured).

--- a/packages/base/src/log.ts
+++ b/packages/base/src/log.ts
@@ -1,4 +1,4 @@
-import { createConsola } from 'consola'
+import { createConsola } from 'consola/core'
 
 export type Fields = { readonly [name: string]: unknown } // eslint-disable-line no-restricted-syntax -- the fields of one log line, never looked up
 export type Log = {
--- a/packages/operator/src/policy.ts
+++ b/packages/operator/src/policy.ts
@@ -1,11 +1,16 @@
-import fengari from 'fengari'
+import { createRequire } from 'node:module'
+import type fengari from 'fengari'
 import { Err, Ok, POLICY_STEPS, type Result } from '@claynotch/base'
 
 // Operators' policies: a Lua function match(call) that names the lane of a call which came for no lane of
 // its own. It runs in a state without files, processes, loading of code or other ways out, for a bounded
 // number of steps; whatever goes wrong, the call goes to the policy's fallback lane.
 // call: kind, database (as asked), area, and settings.
-const { lua, lauxlib, lualib, to_luastring } = fengari
+// Loaded with the first policy: most processes never meet one, and its half megabyte is half of a start.
+let loaded: typeof fengari | undefined
+function lib(): typeof fengari {
+  return (loaded ??= createRequire(import.meta.url)('fengari') as typeof fengari)
+}
 
 export type PolicyCall = { kind: string; database: string; area: string; settings: [string, string][] }
 export type Policy = { match: (call: PolicyCall) => Result<string, string> }
@@ -16,47 +21,47 @@
 // These make large strings or run for long inside one step.
 const BANNED_STRING = ['rep', 'gsub', 'gmatch', 'match', 'find', 'dump', 'format', 'pack', 'unpack']
 
-type State = ReturnType<typeof lauxlib.luaL_newstate>
+type State = ReturnType<(typeof fengari)['lauxlib']['luaL_newstate']>
 
 function text(s: string): Uint8Array {
-  return to_luastring(s)
+  return lib().to_luastring(s)
 }
 
 function overrun(state: State): void {
-  lauxlib.luaL_error(state, text(`policy ran for over ${POLICY_STEPS} steps`))
+  lib().lauxlib.luaL_error(state, text(`policy ran for over ${POLICY_STEPS} steps`))
 }
 function limit(state: State): void {
-  lua.lua_sethook(state, overrun, lua.LUA_MASKCOUNT, POLICY_STEPS)
+  lib().lua.lua_sethook(state, overrun, lib().lua.LUA_MASKCOUNT, POLICY_STEPS)
 }
 function takeError(state: State): string {
-  const why = lua.lua_tojsstring(state, -1) ?? 'no reason given'
-  lua.lua_settop(state, 0)
+  const why = lib().lua.lua_tojsstring(state, -1) ?? 'no reason given'
+  lib().lua.lua_settop(state, 0)
   return String(why)
 }
 
 function open(source: string): Result<State, string> {
-  const state = lauxlib.luaL_newstate()
-  lauxlib.luaL_requiref(state, text('_G'), lualib.luaopen_base, 1)
-  lauxlib.luaL_requiref(state, text('string'), lualib.luaopen_string, 1)
-  lauxlib.luaL_requiref(state, text('math'), lualib.luaopen_math, 1)
-  lua.lua_settop(state, 0)
+  const state = lib().lauxlib.luaL_newstate()
+  lib().lauxlib.luaL_requiref(state, text('_G'), lib().lualib.luaopen_base, 1)
+  lib().lauxlib.luaL_requiref(state, text('string'), lib().lualib.luaopen_string, 1)
+  lib().lauxlib.luaL_requiref(state, text('math'), lib().lualib.luaopen_math, 1)
+  lib().lua.lua_settop(state, 0)
   for (const name of BANNED) {
-    lua.lua_pushnil(state)
-    lua.lua_setglobal(state, text(name))
+    lib().lua.lua_pushnil(state)
+    lib().lua.lua_setglobal(state, text(name))
   }
-  lua.lua_getglobal(state, text('string'))
+  lib().lua.lua_getglobal(state, text('string'))
   for (const name of BANNED_STRING) {
-    lua.lua_pushnil(state)
-    lua.lua_setfield(state, -2, text(name))
+    lib().lua.lua_pushnil(state)
+    lib().lua.lua_setfield(state, -2, text(name))
   }
-  lua.lua_settop(state, 0)
+  lib().lua.lua_settop(state, 0)
   const bytes = text(source)
-  if (lauxlib.luaL_loadbuffer(state, bytes, bytes.length, text('=policy')) !== lua.LUA_OK) return Err(takeError(state))
+  if (lib().lauxlib.luaL_loadbuffer(state, bytes, bytes.length, text('=policy')) !== lib().lua.LUA_OK) return Err(takeError(state))
   limit(state)
-  if (lua.lua_pcall(state, 0, 0, 0) !== lua.LUA_OK) return Err(takeError(state))
-  lua.lua_getglobal(state, text('match'))
-  const is = lua.lua_isfunction(state, -1)
-  lua.lua_settop(state, 0)
+  if (lib().lua.lua_pcall(state, 0, 0, 0) !== lib().lua.LUA_OK) return Err(takeError(state))
+  lib().lua.lua_getglobal(state, text('match'))
+  const is = lib().lua.lua_isfunction(state, -1)
+  lib().lua.lua_settop(state, 0)
   return is ? Ok(state) : Err('it defines no function match(call)')
 }
 
@@ -73,27 +78,27 @@
       state = again.val
     }
     const s = state
-    lua.lua_getglobal(s, text('match'))
-    lua.lua_createtable(s, 0, 4)
+    lib().lua.lua_getglobal(s, text('match'))
+    lib().lua.lua_createtable(s, 0, 4)
     for (const [name, value] of [['kind', call.kind], ['database', call.database], ['area', call.area]]) {
-      lua.lua_pushstring(s, text(value))
-      lua.lua_setfield(s, -2, text(name))
+      lib().lua.lua_pushstring(s, text(value))
+      lib().lua.lua_setfield(s, -2, text(name))
     }
-    lua.lua_createtable(s, 0, call.settings.length)
+    lib().lua.lua_createtable(s, 0, call.settings.length)
     for (const [name, value] of call.settings) {
-      lua.lua_pushstring(s, text(value))
-      lua.lua_setfield(s, -2, text(name))
+      lib().lua.lua_pushstring(s, text(value))
+      lib().lua.lua_setfield(s, -2, text(name))
     }
-    lua.lua_setfield(s, -2, text('settings'))
+    lib().lua.lua_setfield(s, -2, text('settings'))
     limit(s)
-    if (lua.lua_pcall(s, 1, 1, 0) !== lua.LUA_OK) {
+    if (lib().lua.lua_pcall(s, 1, 1, 0) !== lib().lua.LUA_OK) {
       const why = takeError(s)
       state = undefined
       return Err(why)
     }
-    const is = lua.lua_isstring(s, -1)
-    const name = is ? lua.lua_tojsstring(s, -1) : ''
-    lua.lua_settop(s, 0)
+    const is = lib().lua.lua_isstring(s, -1)
+    const name = is ? lib().lua.lua_tojsstring(s, -1) : ''
+    lib().lua.lua_settop(s, 0)
     return is ? Ok(name) : Err('match(call) did not return a name')
   }
   return Ok({ match })
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -18,6 +18,6 @@
 }
 await build({
   entryPoints: ['platform/src/main.ts'], outfile: 'target/claynotch.mjs', bundle: true, platform: 'node', target: 'node20', format: 'esm',
-  alias: Object.fromEntries(alias), minify: false, sourcemap: false, legalComments: 'none', mainFields: ['module', 'main'], plugins: [results],
+  alias: Object.fromEntries(alias), minifyWhitespace: true, minifySyntax: true, sourcemap: false, legalComments: 'none', mainFields: ['module', 'main'], plugins: [results],
   banner: { js: "import { createRequire as makeRequire } from 'node:module'; const require = makeRequire(import.meta.url);" },
 })
