--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -4,6 +4,7 @@
 import { callOnce, makeLog, realWorld, serve, type Addr, type Ask, type Reply } from '@claynotch/base'
 import { pageWith, tableText } from './capacity.js'
 import { measureDetection } from './detection.js'
+import { measureSteps } from './steps.js'
 import { runHollow, showHollow, showVirtual, simHollow } from './hollow.js'
 import { startInstance, type InstanceSettings } from './instance.js'
 import { runLocal } from './local.js'
@@ -102,6 +103,10 @@
   await measureDetection(Number(args.seeds), out)
 }
 
+// The steps of a replacement, one by one.
+async function steps({ args }: { args: { seeds: string } }): Promise<void> {
+  await measureSteps(Number(args.seeds), out)
+}
 // Hollow nodes, several to a process, before real cores; bounded in count and time.
 async function hollow({ args }: { args: { nodes: string; groups: string; lanes: string; cores: string; instances: string; seconds: string; changes: string; seed: string; per: string; shares: string; watch: string; history: string; mute: boolean; virtual: boolean; json?: string; points?: string } }): Promise<void> {
   const [nodes, groups, lanes, cores, instances, seconds, changes, seed, per, watch, history] = [args.nodes, args.groups, args.lanes, args.cores, args.instances, args.seconds, args.changes, args.seed, args.per, args.watch, args.history].map(Number)
@@ -168,6 +173,7 @@
       run: whole,
     }),
     detection: defineCommand({ meta: { name: 'detection', description: 'Measure failure detection' }, args: { seeds: { type: 'string', default: '4', description: 'seeds for each cell' } }, run: detection }),
+    steps: defineCommand({ meta: { name: 'steps', description: 'Measure the steps of a replacement' }, args: { seeds: { type: 'string', default: '8', description: 'seeds for each kind' } }, run: steps }),
     hollow: defineCommand({
       meta: { name: 'hollow', description: 'Measure a hollow fleet: many nodes to a process, real protocols, real cores' },
       args: {
--- a/packages/instance/src/seam.ts
+++ b/packages/instance/src/seam.ts
@@ -42,6 +42,9 @@
 // A held line on which an instance is asked for its status again and again.
 export type Sampler = { status: () => Promise<Result<Status, string>>; alive: () => boolean; close: () => void }
 
+// Why a status isn't told, where the instance answers that it has no time to: it lives.
+export const BUSY = 'busy'
+
 export type InstanceEdge = {
   // Set where a follower's place is known by samples only. Without it a follower itself refuses (lags) a read whose
   // place (after) it lacks, and nobody asks instances anything while all is well.
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,27 +1,28 @@
 import * as t from 'io-ts'
 import { LRUCache } from 'lru-cache'
-import { decode, encode, loop, readAs, SEEN_LIFE, SUMMARY_AGAIN, SUMMARY_BEAT, SUMMARY_EPOCH, SUMMARY_LIFE, SUMMARY_LIMIT, SUMMARY_SLOW, type Addr, type Flag, type Numbers, type World } from '@claynotch/base'
+import { decode, encode, loop, makeBell, readAs, SEEN_LIFE, SUMMARY_AGAIN, SUMMARY_BEAT, SUMMARY_EPOCH, SUMMARY_LIFE, SUMMARY_LIMIT, SUMMARY_SLOW, type Addr, type Flag, type Numbers, type World } from '@claynotch/base'
 
 // Summaries between nodes, by datagrams. Hints only: nothing that must hold rests on them, so a lost, late, doubled or
 // foreign one does no harm. What matters to whoever has a proxy (moving, leaving, tries) goes to them when it changes, on
 // each beat while a promotion or retries are under way, else slowly; seen goes on each beat, to those who need it.
 // seen: [instance, ms since its last good reply to this node]. moving: [group, epoch] this node knows to be
-// under promotion. firsts and retries: sends by group over the last beat's window.
-export const Summary = t.type({
+// under promotion. bad: [instance, ms since the first send that failed there or waits, with no sign of life after it]. firsts and retries: sends by group over the last beat's window.
+export const Summary = t.intersection([t.type({
   v: t.number, node: t.string, area: t.string, num: t.number,
   seen: t.array(t.tuple([t.string, t.number])), moving: t.array(t.tuple([t.string, t.number])),
   leaving: t.array(t.string), tries: t.array(t.tuple([t.string, t.number, t.number])),
-})
+}), t.partial({ bad: t.array(t.tuple([t.string, t.number])) })])
 export type Summary = t.TypeOf<typeof Summary>
 
-export type Peers = { hints: () => Summary[]; close: () => Promise<void> }
+// hints: the newest of each node, its times as of now. ring: a summary goes out at once.
+export type Peers = { hints: () => Summary[]; ring: () => void; close: () => Promise<void> }
 
 // proxy: it feeds a proxy.
 export type Peer = { node: string; addr: Addr; proxy: boolean }
 // What a node says to all; and what of its seen it says to one node.
-export type Saying = { all: () => Omit<Summary, 'seen'>; seenFor: (node: string) => Summary['seen'] }
+export type Saying = { all: () => Omit<Summary, 'seen' | 'bad'>; seenFor: (node: string) => { seen: [string, number][]; bad: [string, number][] } }
 
-export async function startPeers(world: World, addr: Addr, stop: Flag, members: () => Peer[], mine: Saying, numbers: Numbers, heard: () => void): Promise<Peers> {
+export async function startPeers(world: World, addr: Addr, stop: Flag, members: () => Peer[], mine: Saying, numbers: Numbers, heard: (sum: Summary) => void): Promise<Peers> {
   // last: the newest summary of each node and when it came; bounded, as names come from the network.
   const last = new LRUCache<string, { at: number; sum: Summary }>({ max: 256 })
 
@@ -48,7 +49,7 @@
     if (old && old.sum.num >= got.val.num && world.now() - old.at < SUMMARY_LIFE) return
     last.set(got.val.node, { at: world.now(), sum: got.val })
     numbers.add('claynotch_summaries_total')
-    heard()
+    heard(got.val)
   }
   const wire = await world.wire(addr, take)
 
@@ -72,16 +73,17 @@
     if (due) slow = now
     for (const to of members()) {
       if (to.addr === addr) continue
-      const seen = mine.seenFor(to.node)
-      if (seen.length === 0 && !(due && to.proxy)) continue
-      let bytes = encode({ ...sum, seen })
+      const { seen, bad } = mine.seenFor(to.node)
+      if (seen.length === 0 && bad.length === 0 && !(due && to.proxy)) continue
+      let bytes = encode({ ...sum, seen, bad })
       // Too long for a datagram: what can be spared goes first.
-      if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, seen, tries: [] })
-      if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, tries: [], seen: [] })
+      if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, seen, bad, tries: [] })
+      if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, tries: [], seen: [], bad })
       wire.cast(to.addr, bytes)
     }
   }
-  void loop(world, 'summaries', SUMMARY_BEAT, stop, send)
+  const bell = makeBell()
+  void loop(world, 'summaries', SUMMARY_BEAT, stop, send, bell)
 
   // With the time since they came counted in.
   function hints(): Summary[] {
@@ -90,14 +92,17 @@
     for (const [, one] of last.entries()) {
       const age = now - one.at
       if (age >= SUMMARY_LIFE) continue
-      const seen: Summary['seen'] = []
-      if (age < SEEN_LIFE) for (const [name, ms] of one.sum.seen) seen.push([name, ms + age])
-      out.push({ ...one.sum, seen })
+      out.push({ ...one.sum, seen: age < SEEN_LIFE ? older(one.sum.seen, age) : [], bad: older(one.sum.bad ?? [], age) })
     }
     return out
   }
+  function older(list: [string, number][], by: number): [string, number][] {
+    const out: [string, number][] = []
+    for (const [name, ms] of list) out.push([name, ms + by])
+    return out
+  }
   async function close(): Promise<void> {
     wire.close()
   }
-  return { hints, close }
+  return { hints, ring: bell.ring, close }
 }
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -1,5 +1,5 @@
 import {
-  BACKOFF, BACKOFF_SHARE, HOLD_SHARE, SEND_SHARE, AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
+  BACKOFF, BACKOFF_SHARE, HOLD_SHARE, MOVE_HOLD_SHARE, SEND_SHARE, AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
 } from '@claynotch/base'
 import type { Done, InstanceEdge, Mark, Trouble } from '@claynotch/instance'
 import { guardOf, lendable } from '@claynotch/operator'
@@ -23,10 +23,12 @@
   token: Token | undefined
   mustLead: boolean
   body: { text?: string; shape?: string; args: unknown[]; id?: string }
-  // find: the call's lane in other rules. hold: until when it waits for a leader or a connection. behind: followers that
+  // find: the call's lane in other rules. hold: until when it waits for a leader or a connection;
+  // moveHold: for a leader, while one is known to be on its way. behind: followers that
   // said in this call that they lack the place.
   find: (rules: Rules) => LaneRules | undefined
   hold: number
+  moveHold: number
   behind: Set<string>
   deadline: number
   byCaller: boolean
@@ -189,12 +191,17 @@
     call.probe = breaker.probing()
     return undefined
   }
+  // A promotion under way has an end: those who come near it are served late rather than not at all.
+  function holdOf(call: Call): number {
+    const phase = state.group(call.lane.group)?.record.phase
+    return phase !== undefined && phase !== 'steady' ? Math.max(call.hold, call.moveHold) : call.hold
+  }
   // Waits for news of the group, in slices, as news may come from three sides.
   async function waitNews(call: Call): Promise<void> {
     call.waited = true
     const wake = makeFlag()
     const unwatch = call.gone.watch(wake.fire)
-    const left = Math.max(1, Math.min(call.deadline - world.now(), call.hold - world.now(), 250))
+    const left = Math.max(1, Math.min(call.deadline - world.now(), holdOf(call) - world.now(), 250))
     void state.bell.wait(world, left, wake).then(wake.fire)
     void watch.bell.wait(world, left, wake).then(wake.fire)
     await wake.wait()
@@ -280,7 +287,7 @@
       if (!state.valid() || !state.share()) return unavailable(call, 'this node lost its term', AFTER_MOVE)
       // A call that only waits is told now, so that its requester can go elsewhere.
       if (stopping()) return unavailable(call, 'this node is stopping', AFTER_LOAD)
-      if (world.now() >= call.hold) return unavailable(call, call.last?.why ?? `the group ${call.lane.group} has no leader to send to`, AFTER_MOVE)
+      if (world.now() >= holdOf(call)) return unavailable(call, call.last?.why ?? `the group ${call.lane.group} has no leader to send to`, AFTER_MOVE)
       // No leader to send to: a promotion is under way, or the leader is in doubt. Waiting is no send.
       waited = true
       await waitNews(call)
@@ -296,8 +303,8 @@
     const { instance } = call.target!
     const config = state.config()
     const limit = config ? lendable(config, call.lane.group, state.live()) : 0
-    const from = world.now()
     instance.usage++
+    const asked = world.now()
     const got = await pool.borrow(instance, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now(), Math.max(1, call.hold - world.now())), call.gone)
     instance.usage--
     if (got.ok) {
@@ -306,7 +313,7 @@
     }
     call.last = got.val
     if (got.val.transient) {
-      if (got.val.full !== true) watch.failed(instance.name, from)
+      if (got.val.full !== true) watch.failed(instance.name, asked, got.val.reach === 'answered', false)
       return await again(call)
     }
     const after = got.val.class === 'RESOURCE_EXHAUSTED' ? AFTER_LOAD : undefined
@@ -385,8 +392,8 @@
     loan.end(trouble.reach === 'answered' && (call.kind === 'read' || call.kind === 'write'))
     delete call.loan
     if (trouble.transient) {
-      // One that answers is there; that it doesn't lead is another matter.
-      if (trouble.reach !== 'answered' || trouble.lead === false) watch.failed(instance.name, trouble.lead === false ? undefined : call.asked)
+      // One that says it doesn't lead lives, and yet fails as a leader.
+      watch.failed(instance.name, call.asked, trouble.reach === 'answered' && trouble.lead !== false, trouble.lead === false)
       // A known promotion is no reason to open the breaker: it has its own end.
       if (!state.moving(group)) breaker.note(false, call.probe)
       if (trouble.reach === 'maybe' && isWrite(call)) return unknown(trouble.why)
@@ -507,7 +514,7 @@
   return {
     kind, rules, lane, token: parts.token, mustLead: parts.mustLead, body: parts.body, gone: parts.gone, byCaller,
     need: needFor(lane, rules, parts),
-    find: parts.find, hold: now + (lane.aim === undefined ? budget : lane.aim * HOLD_SHARE), behind: new Set(),
+    find: parts.find, hold: now + (lane.aim === undefined ? budget : lane.aim * HOLD_SHARE), moveHold: now + (lane.aim === undefined ? budget : budget * MOVE_HOLD_SHARE), behind: new Set(),
     deadline: now + budget, sends: 0, waited: false, ran: 'no', last: undefined, probe: false, asked: now,
   }
 }
