--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,10 +2,10 @@
   LEAVE_LIMIT, NOTE_BEAT, answerLinks, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
   CHANGE_ANSWER, LATE, SAMPLE_LIMIT, SIGHTS_KEPT, SUMMARY_EPOCH, within, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
 } from '@claynotch/base'
-import { startDuty, startMover } from '@claynotch/duty'
+import { holderOf, startDuty, startMover, type Report } from '@claynotch/duty'
 import type { Announcement } from '@claynotch/instance'
 import { CONFIG_KEY, emptyBody, makeDecision, makeOperatorEdge, meantBy, type Body, type Change, type Credential, type Decision, type Edit } from '@claynotch/operator'
-import { startPeers, type Summary } from '@claynotch/peer'
+import { startPeers, type Peer, type Summary } from '@claynotch/peer'
 import {
   askSeeds, compareBallots, gather, groupKey, laterSight, makePicture, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
   type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type MemberLine, type Picture, type Sight, type Slots, type Value, type Voter,
@@ -56,7 +56,8 @@
   let termUntil = 0
   // proxy: the one linked now. given: the latest time up to which any proxy of this machine may hold a term;
   // an agent that has just started may have a predecessor's word out for one whole term.
-  let proxy: { link: Link; sent: Map<string, number>; note: Note | undefined } | undefined
+  // at: when the note came.
+  let proxy: { link: Link; sent: Map<string, number>; note: Note | undefined; at: number } | undefined
   let given = set.link === undefined ? 0 : born + TERM
   const acked = new Map<string, number>()
   const pushNums = new Map<string, number>()
@@ -166,6 +167,7 @@
   }
   function mergeSights(): void {
     const now = world.now()
+    const before = new Map(sights)
     sights.clear()
     for (const [name, one] of own) sights.set(name, { ...one, alive: one.at })
     for (const picture of pictures.values()) {
@@ -175,6 +177,11 @@
         sights.set(name, { ...laterSight(old, one.sight, one.at), alive: Math.max(old?.alive ?? 0, picture.heard()) })
       }
     }
+    // Who leads, and who goes, is looked at at once.
+    for (const [name, one] of sights) {
+      const old = before.get(name)?.sight
+      if (one.sight.role !== old?.role || one.sight.leaving !== old.leaving) return duty.ring()
+    }
   }
   // What this life of the core doesn't have of us yet.
   function renewalFor(id: string): { msg: unknown; keep: () => void } {
@@ -410,7 +417,7 @@
   function serveProxy(peer: Hello, link: Link) {
     if (peer.kind !== 'proxy') throw new Error(`a ${peer.kind} dialled the proxy's link`)
     proxy?.link.close('another proxy came')
-    proxy = { link, sent: new Map(), note: undefined }
+    proxy = { link, sent: new Map(), note: undefined, at: 0 }
     world.log.info('proxy-linked', { node: set.node })
     function take(msg: unknown): undefined {
       const got = readAs(Note, msg)
@@ -420,7 +427,20 @@
       }
       if (proxy?.link !== link) return undefined
       const first = proxy.note === undefined
+      const before = proxy.note?.bad ?? []
       proxy.note = got.val
+      proxy.at = world.now()
+      // That an instance began to fail is told at once; how long it has been, with the beats.
+      if (tellNext) peers.ring()
+      tellNext = false
+      if ((got.val.bad ?? []).some(isNew)) {
+        peers.ring()
+        duty.ring()
+      }
+      function isNew([name]: [string, number]): boolean {
+        for (const [old] of before) if (old === name) return false
+        return true
+      }
       for (const [key, turn] of got.val.acks) ackAll(key, turn)
       if (first) void feed()
       return undefined
@@ -455,6 +475,7 @@
     // News goes to the proxy and to the cores at once, all else with the next beat.
     if (got.sight.leaving !== old?.sight.leaving || got.sight.role !== old.sight.role || got.sight.addr !== old.sight.addr || got.sight.group !== old.sight.group) {
       linked.ring()
+      duty.ring()
       void feed()
     }
   }
@@ -464,12 +485,32 @@
     if (one) heard({ name, group: one.group, addr: one.addr, area: one.area, role: one.role === 'leader' ? 'leader' : 'follower', gone: true })
     return one !== undefined
   }
-  function peerAddrs(): Addr[] {
-    const out: Addr[] = []
-    for (const m of members) out.push(m.addr)
+  function peerList(): Peer[] {
+    const out: Peer[] = []
+    for (const m of members) out.push({ node: m.node, addr: m.addr, proxy: m.proxy })
+    return out
+  }
+  // What others need to know: those that the records name.
+  function ofLeaders(list: [string, number][]): [string, number][] {
+    const names = new Set<string>()
+    for (const g of groups()) {
+      const rec = cell(groupKey(g))?.body as GroupRecord | undefined
+      for (const name of [rec?.leader, rec?.old, rec?.candidate]) if (name !== undefined) names.add(name)
+    }
+    const age = world.now() - (proxy?.at ?? 0)
+    const out: [string, number][] = []
+    for (const [name, ms] of list) if (names.has(name)) out.push([name, ms + age])
     return out
   }
-  function summary(): Summary {
+  // duties: the groups whose duty falls to each node, as of the last summary.
+  const duties = new Map<string, Set<string>>()
+  function sayAll(): Omit<Summary, 'seen' | 'bad'> {
+    duties.clear()
+    const nodes = live()
+    for (const g of groups()) {
+      const holder = holderOf(groupKey(g), nodes)
+      if (holder !== undefined) duties.set(holder, (duties.get(holder) ?? new Set<string>()).add(g))
+    }
     const leaving: string[] = []
     for (const one of sights.values()) if (one.sight.leaving) leaving.push(one.sight.name)
     const note = proxy?.note
@@ -478,7 +519,22 @@
       const rec = cell(groupKey(g))?.body as GroupRecord | undefined
       if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
     }
-    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, seen: note?.seen ?? [], moving, leaving, tries: note?.tries ?? [] }
+    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, moving, leaving, tries: note?.tries ?? [] }
+  }
+  // Who holds a group's duty is told what this node's proxy saw of its leaders.
+  function seenFor(node: string): { seen: [string, number][]; bad: [string, number][] } {
+    const held = duties.get(node)
+    if (!held) return { seen: [], bad: [] }
+    function ofHeld(list: [string, number][]): [string, number][] {
+      const out: [string, number][] = []
+      for (const [name, ms] of list) {
+        const group = sights.get(name)?.sight.group
+        if (group === undefined || held!.has(group)) out.push([name, Math.round(ms)])
+      }
+      return out
+    }
+    const note = proxy?.note
+    return { seen: ofHeld(ofLeaders(note?.seen ?? [])), bad: proxy && note?.bad ? ofHeld([...aged(note.bad, world.now() - proxy.at)]) : [] }
   }
   async function askMembers(): Promise<{ members: Member[]; sure: boolean } | undefined> {
     async function ask(held: Held): Promise<MembersAnswer | undefined> {
@@ -521,12 +577,37 @@
     for (const m of members) if (m.proxy) count++
     return Math.max(1, count)
   }
-  function hints(): Map<string, number>[] {
-    const out: Map<string, number>[] = []
-    for (const h of peers.hints()) out.push(new Map(h.seen))
-    if (proxy?.note) out.push(new Map(proxy.note.seen))
+  function reports(): Report[] {
+    const out: Report[] = []
+    for (const h of peers.hints()) out.push({ good: new Map(h.seen), bad: new Map(h.bad ?? []) })
+    if (!proxy?.note) return out
+    const age = world.now() - proxy.at
+    out.push({ good: aged(proxy.note.seen, age), bad: aged(proxy.note.bad ?? [], age) })
     return out
   }
+  function aged(list: [string, number][], by: number): Map<string, number> {
+    const out = new Map<string, number>()
+    for (const [name, ms] of list) out.set(name, ms + by)
+    return out
+  }
+  // tellNext: another node began to fail against an instance, so what our proxy sees of it now is told at once.
+  let tellNext = false
+  // failing: whom each node told to fail when last heard; a new one is looked at now, not at the next beat.
+  const failing = new Map<string, Set<string>>()
+  function heardPeer(sum: Summary): void {
+    const before = failing.get(sum.node)
+    const now = new Set<string>()
+    for (const [name] of sum.bad ?? []) now.add(name)
+    // Names come from the network: never more than a fleet has.
+    if (failing.size > SIGHTS_KEPT) failing.clear()
+    if (now.size > 0) failing.set(sum.node, now)
+    else failing.delete(sum.node)
+    for (const name of now) {
+      if (before?.has(name)) continue
+      tellNext = true
+      return duty.ring()
+    }
+  }
   function sightList(): Sight[] {
     return allSights()
   }
@@ -537,11 +618,11 @@
     return platform
   }
   const view = {
-    node: set.node, suspect: set.suspect ?? SUSPECT, instance: edges.instance, promotion: edges.promotion, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, hints, askMembers, body: config, numbers,
+    node: set.node, suspect: set.suspect ?? SUSPECT, instance: edges.instance, promotion: edges.promotion, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, reports, askMembers, body: config, numbers,
   }
   const duty = startDuty(world, view, stop)
   const mover = startMover(world, view, stop)
-  const peers = await startPeers(world, set.peer, stop, peerAddrs, summary, numbers, nothing)
+  const peers = await startPeers(world, set.peer, stop, peerList, { all: sayAll, seenFor }, numbers, heardPeer)
 
   // Undefined: no majority of cores answered.
   async function readMembers(): Promise<unknown> {
