--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,13 +2,13 @@
   LEAVE_LIMIT, NOTE_BEAT, answerLinks, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
   CHANGE_ANSWER, LATE, SAMPLE_LIMIT, SIGHTS_KEPT, SUMMARY_EPOCH, within, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
 } from '@claynotch/base'
-import { startDuty, startMover } from '@claynotch/duty'
+import { startDuty, startMover, type Report } from '@claynotch/duty'
 import type { Announcement } from '@claynotch/instance'
 import { CONFIG_KEY, emptyBody, makeDecision, makeOperatorEdge, meantBy, type Body, type Change, type Credential, type Decision, type Edit } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
 import {
-  askSeeds, compareBallots, gather, groupKey, laterSight, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
-  type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type Sight, type Slots, type Value, type Voter,
+  askSeeds, compareBallots, gather, groupKey, laterSight, makePicture, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
+  type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type MemberLine, type Picture, type Sight, type Slots, type Value, type Voter,
 } from '@claynotch/register'
 import { ownEdges, type AgentEdges, type Desk } from './seam.js'
 
@@ -28,6 +28,9 @@
 // while a majority knows of something newer than value.
 type Known = { value: Value; ballot: Ballot; until: number }
 
+// What a life of a core has of this agent. sights: all own sights heard before this time.
+type Told = { core: string; self: boolean; acks: Map<string, number>; highs: Map<string, string>; sights: number }
+
 export async function startAgent(world: World, set: AgentSettings, edges: AgentEdges = ownEdges): Promise<Agent> {
   const stop = makeFlag()
   const numbers = makeNumbers()
@@ -42,12 +45,19 @@
   const news = makeBell()
   const lag = makeBell()
   const linked = makeBell()
-  const sights = new Map<string, { sight: Sight; at: number }>()
-  let members: Member[] = []
+  // own: what instances told this node itself. sights: that and what the cores tell, with the last time at which
+  // someone knew it to be alive.
+  const own = new Map<string, { sight: Sight; at: number }>()
+  const sights = new Map<string, { sight: Sight; at: number; alive: number }>()
+  // pictures: what each core told of itself so far. told: what each core has of us, by the core's life.
+  const pictures = new Map<string, Picture>()
+  const told = new Map<string, Told>()
+  let members: MemberLine[] = []
   let termUntil = 0
   // proxy: the one linked now. given: the latest time up to which any proxy of this machine may hold a term;
   // an agent that has just started may have a predecessor's word out for one whole term.
-  let proxy: { link: Link; sent: Map<string, number>; note: Note | undefined } | undefined
+  // at: when the note came.
+  let proxy: { link: Link; sent: Map<string, number>; note: Note | undefined; at: number } | undefined
   let given = set.link === undefined ? 0 : born + TERM
   const acked = new Map<string, number>()
   const pushNums = new Map<string, number>()
@@ -105,7 +115,10 @@
     const got = own.length > 0 ? { seed: undefined, cores: own } : await askSeeds(world, seeds)
     if (!got || stop.fired()) return
     places = got.cores
-    for (const c of places) cores.set(c.id, holdLink(world, c.addr, mine, makeTake(c.id), stop, onCore))
+    for (const c of places) {
+      pictures.set(c.id, makePicture(world))
+      cores.set(c.id, holdLink(world, c.addr, mine, makeTake(c.id), stop, onCore))
+    }
     world.log.info('cores-found', { seed: got.seed ?? 'itself', cores: places.length })
   }
   // The first term isn't waited for longer than it takes to reach the cores.
@@ -141,29 +154,86 @@
 
   // --- the term ---
 
-  function ownSights(): Sight[] {
+  // All sights that stand, with their age. One is alive while this node hears it, or while a core that answers tells it.
+  function allSights(): Sight[] {
     const out: Sight[] = []
     const now = world.now()
+    for (const [name, one] of own) if (now - one.at > (one.sight.leaving ? LEAVING_LIFE : ANNOUNCE_LIFE)) own.delete(name)
     for (const [name, one] of sights) {
-      const age = now - one.at
-      if (age > (one.sight.leaving ? LEAVING_LIFE : ANNOUNCE_LIFE)) sights.delete(name)
-      else out.push({ ...one.sight, age })
+      if (now - one.alive > ANNOUNCE_LIFE && !own.has(name)) sights.delete(name)
+      else out.push({ ...one.sight, age: now - one.at })
     }
     return out
   }
+  function mergeSights(): void {
+    const now = world.now()
+    const before = new Map(sights)
+    sights.clear()
+    for (const [name, one] of own) sights.set(name, { ...one, alive: one.at })
+    for (const picture of pictures.values()) {
+      if (now - picture.heard() > ANNOUNCE_LIFE) continue
+      for (const [name, one] of picture.sights()) {
+        const old = sights.get(name)
+        sights.set(name, { ...laterSight(old, one.sight, one.at), alive: Math.max(old?.alive ?? 0, picture.heard()) })
+      }
+    }
+    // Who leads, and who goes, is looked at at once.
+    for (const [name, one] of sights) {
+      const old = before.get(name)?.sight
+      if (one.sight.role !== old?.role || one.sight.leaving !== old.leaving) return duty.ring()
+    }
+  }
+  // What this life of the core doesn't have of us yet.
+  function renewalFor(id: string): { msg: unknown; keep: () => void } {
+    const now = world.now()
+    const picture = pictures.get(id)!
+    const old = told.get(id)
+    const has = old && old.core === picture.core() ? old : undefined
+    const acks: [string, number][] = []
+    for (const [key, turn] of acked) if ((has?.acks.get(key) ?? 0) < turn) acks.push([key, turn])
+    const highs: [string, number, number][] = []
+    for (const [g, epoch, position] of proxy?.note?.highs ?? []) if (has?.highs.get(g) !== `${epoch}/${position}`) highs.push([g, epoch, position])
+    const heardHere: Sight[] = []
+    for (const one of own.values()) if (!has || one.at >= has.sights) heardHere.push({ ...one.sight, age: now - one.at })
+    const self = { area: set.area, addr: set.peer, operator: set.http ?? '', build: set.build, proxy: set.link !== undefined }
+    const msg = {
+      t: 'renew', node: set.node, life, core: picture.core(), count: picture.count(), acks, sights: heardHere, open: proxy?.note?.open ?? 0, highs, remembers: known.size > 0,
+      ...(has?.self === true ? {} : { self }),
+    }
+    function keep(): void {
+      const next = has && has.core === picture.core() ? has : { core: picture.core(), self: true, acks: new Map<string, number>(), highs: new Map<string, string>(), sights: 0 }
+      for (const [key, turn] of acks) next.acks.set(key, turn)
+      for (const [g, epoch, position] of highs) next.highs.set(g, `${epoch}/${position}`)
+      next.sights = Math.max(next.sights, now)
+      told.set(id, next)
+    }
+    return { msg, keep }
+  }
   async function renew(): Promise<void> {
     if (places.length === 0) {
       await discover()
       if (places.length === 0) return
     }
     const from = world.now()
-    const highs = proxy?.note?.highs ?? []
-    const msg = { t: 'renew', node: set.node, life, area: set.area, addr: set.peer, operator: set.http ?? '', build: set.build, acks: [...acked], sights: ownSights(), open: proxy?.note?.open ?? 0, highs, remembers: known.size > 0, proxy: set.link !== undefined }
     type Got = { id: string; got: RenewAnswer | undefined }
     async function ask(id: string, held: Held): Promise<Got> {
-      const raw = await held.ask(msg, RENEW_WAIT)
-      const got = readAs(RenewAnswer, raw)
-      return { id, got: got.ok ? got.val : undefined }
+      const { msg, keep } = renewalFor(id)
+      const got = readAs(RenewAnswer, await held.ask(msg, RENEW_WAIT))
+      if (got.err) return { id, got: undefined }
+      const picture = pictures.get(id)!
+      if (got.val.ok && picture.take(got.val)) {
+        keep()
+        return { id, got: got.val }
+      }
+      if (!got.val.ok && got.val.unknown !== true) return { id, got: got.val }
+      // The core was restarted, or has forgotten us: it is told everything and asked for everything.
+      picture.reset()
+      told.delete(id)
+      const whole = renewalFor(id)
+      const again = readAs(RenewAnswer, await held.ask(whole.msg, RENEW_WAIT))
+      if (again.err || !again.val.ok || !picture.take(again.val)) return { id, got: undefined }
+      whole.keep()
+      return { id, got: again.val }
     }
     const asks: Promise<Got>[] = []
     for (const [id, held] of cores) asks.push(ask(id, held))
@@ -171,12 +241,12 @@
       return g.got?.ok === true
     }
     const all = await gather(world, asks, majority(), isOk, RENEW_WAIT)
-    const good: { id: string; got: RenewAnswer }[] = []
-    for (const g of all) if (g.got?.ok) good.push({ id: g.id, got: g.got })
+    const good: string[] = []
+    for (const g of all) if (g.got?.ok) good.push(g.id)
     // A core that knows our node under another life refuses: two agents run under one name.
     const replaced = all.some(isRefused)
     function isRefused(g: Got): boolean {
-      return g.got?.ok === false
+      return g.got?.replaced === true
     }
     if (replaced) world.log.error('node-replaced', { node: set.node, life, why: 'another agent runs under this name' })
     if (good.length < majority()) {
@@ -192,23 +262,15 @@
     merge(good, from)
     await feed()
   }
-  function merge(good: { id: string; got: RenewAnswer }[], from: number): void {
-    const now = world.now()
-    const byNode = new Map<string, Member>()
+  // good: a majority that answered since from; their pictures are as new as those answers.
+  function merge(good: string[], from: number): void {
+    const byNode = new Map<string, { line: MemberLine; at: number }>()
     // high: for each key, the newest ballot that any of the majority holds, and how many hold just that.
     const high = new Map<string, { ballot: Ballot; count: number; chosenAt: string | undefined }>()
-    for (const { id, got } of good) {
-      for (const m of got.members) {
-        const old = byNode.get(m.node)
-        if (!old || m.left > old.left) byNode.set(m.node, m)
-      }
-      for (const s of got.sights) {
-        const at = now - s.age
-        const old = sights.get(s.name)
-        // Only what was heard from others is taken over, so that it ages here as it does there.
-        sights.set(s.name, !old || at > old.at + 1 ? laterSight(old, s, at) : laterSight(old, s, Math.min(at, old.at)))
-      }
-      for (const k of got.keys) {
+    for (const id of good) {
+      const picture = pictures.get(id)!
+      for (const [node, one] of picture.members()) if (one.at > (byNode.get(node)?.at ?? -Infinity)) byNode.set(node, one)
+      for (const k of picture.keys().values()) {
         const old = high.get(k.key)
         const by = old ? compareBallots(k.ballot, old.ballot) : 1
         if (by > 0) high.set(k.key, { ballot: k.ballot, count: 1, chosenAt: k.chosen ? id : undefined })
@@ -219,7 +281,9 @@
         }
       }
     }
-    members = [...byNode.values()]
+    members = []
+    for (const one of byNode.values()) members.push(one.line)
+    mergeSights()
     for (const [key, h] of high) {
       const k = known.get(key)
       if (k && compareBallots(h.ballot, k.ballot) <= 0) {
@@ -347,13 +411,13 @@
     }
     const triesList: [string, number, number][] = []
     for (const [g, [a, b]] of tries) triesList.push([g, a, b])
-    const word: Feed = { t: 'feed', node: set.node, area: set.area, cells: list, sights: ownSights(), moving: [...moving], leaving: [...leaving], tries: triesList, live: proxies() }
+    const word: Feed = { t: 'feed', node: set.node, area: set.area, cells: list, sights: allSights(), moving: [...moving], leaving: [...leaving], tries: triesList, live: proxies() }
     proxy.link.tell(word)
   }
   function serveProxy(peer: Hello, link: Link) {
     if (peer.kind !== 'proxy') throw new Error(`a ${peer.kind} dialled the proxy's link`)
     proxy?.link.close('another proxy came')
-    proxy = { link, sent: new Map(), note: undefined }
+    proxy = { link, sent: new Map(), note: undefined, at: 0 }
     world.log.info('proxy-linked', { node: set.node })
     function take(msg: unknown): undefined {
       const got = readAs(Note, msg)
@@ -363,7 +427,20 @@
       }
       if (proxy?.link !== link) return undefined
       const first = proxy.note === undefined
+      const before = proxy.note?.bad ?? []
       proxy.note = got.val
+      proxy.at = world.now()
+      // That an instance began to fail is told at once; how long it has been, with the beats.
+      if (tellNext) peers.ring()
+      tellNext = false
+      if ((got.val.bad ?? []).some(isNew)) {
+        peers.ring()
+        duty.ring()
+      }
+      function isNew([name]: [string, number]): boolean {
+        for (const [old] of before) if (old === name) return false
+        return true
+      }
       for (const [key, turn] of got.val.acks) ackAll(key, turn)
       if (first) void feed()
       return undefined
@@ -390,12 +467,15 @@
     // Whatever it said before it went comes before that.
     const sequence = a.gone === true ? LAST_SEQUENCE : a.sequence
     const next: Sight = { name: a.name, group: a.group, addr: a.addr, area: a.area, role: a.role, leaving, gone: 0, age: 0, ...(sequence === undefined ? {} : { sequence }) }
-    const got = laterSight(old, next, world.now())
-    sights.set(a.name, got)
+    const now = world.now()
+    own.set(a.name, laterSight(own.get(a.name), next, now))
+    const got = laterSight(old, next, now)
+    sights.set(a.name, { ...got, alive: now })
     if (got.sight.leaving && !old?.sight.leaving) world.log.info('instance-leaving', { instance: a.name, group: a.group })
     // News goes to the proxy and to the cores at once, all else with the next beat.
     if (got.sight.leaving !== old?.sight.leaving || got.sight.role !== old.sight.role || got.sight.addr !== old.sight.addr || got.sight.group !== old.sight.group) {
       linked.ring()
+      duty.ring()
       void feed()
     }
   }
@@ -410,6 +490,18 @@
     for (const m of members) out.push(m.addr)
     return out
   }
+  // What others need to know: those that the records name.
+  function ofLeaders(list: [string, number][]): [string, number][] {
+    const names = new Set<string>()
+    for (const g of groups()) {
+      const rec = cell(groupKey(g))?.body as GroupRecord | undefined
+      for (const name of [rec?.leader, rec?.old, rec?.candidate]) if (name !== undefined) names.add(name)
+    }
+    const age = world.now() - (proxy?.at ?? 0)
+    const out: [string, number][] = []
+    for (const [name, ms] of list) if (names.has(name)) out.push([name, ms + age])
+    return out
+  }
   function summary(): Summary {
     const leaving: string[] = []
     for (const one of sights.values()) if (one.sight.leaving) leaving.push(one.sight.name)
@@ -419,7 +511,7 @@
       const rec = cell(groupKey(g))?.body as GroupRecord | undefined
       if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
     }
-    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, seen: note?.seen ?? [], moving, leaving, tries: note?.tries ?? [] }
+    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, seen: ofLeaders(note?.seen ?? []), bad: proxy?.note?.bad ? [...aged(proxy.note.bad, world.now() - proxy.at)] : [], moving, leaving, tries: note?.tries ?? [] }
   }
   async function askMembers(): Promise<{ members: Member[]; sure: boolean } | undefined> {
     async function ask(held: Held): Promise<MembersAnswer | undefined> {
@@ -459,17 +551,42 @@
   }
   function proxies(): number {
     let count = 0
-    for (const m of members) if (m.proxy !== false) count++
+    for (const m of members) if (m.proxy) count++
     return Math.max(1, count)
   }
-  function hints(): Map<string, number>[] {
-    const out: Map<string, number>[] = []
-    for (const h of peers.hints()) out.push(new Map(h.seen))
-    if (proxy?.note) out.push(new Map(proxy.note.seen))
+  function reports(): Report[] {
+    const out: Report[] = []
+    for (const h of peers.hints()) out.push({ good: new Map(h.seen), bad: new Map(h.bad ?? []) })
+    if (!proxy?.note) return out
+    const age = world.now() - proxy.at
+    out.push({ good: aged(proxy.note.seen, age), bad: aged(proxy.note.bad ?? [], age) })
+    return out
+  }
+  function aged(list: [string, number][], by: number): Map<string, number> {
+    const out = new Map<string, number>()
+    for (const [name, ms] of list) out.set(name, ms + by)
     return out
   }
+  // tellNext: another node began to fail against an instance, so what our proxy sees of it now is told at once.
+  let tellNext = false
+  // failing: whom each node told to fail when last heard; a new one is looked at now, not at the next beat.
+  const failing = new Map<string, Set<string>>()
+  function heardPeer(sum: Summary): void {
+    const before = failing.get(sum.node)
+    const now = new Set<string>()
+    for (const [name] of sum.bad ?? []) now.add(name)
+    // Names come from the network: never more than a fleet has.
+    if (failing.size > SIGHTS_KEPT) failing.clear()
+    if (now.size > 0) failing.set(sum.node, now)
+    else failing.delete(sum.node)
+    for (const name of now) {
+      if (before?.has(name)) continue
+      tellNext = true
+      return duty.ring()
+    }
+  }
   function sightList(): Sight[] {
-    return ownSights()
+    return allSights()
   }
   function termNow(): number {
     return termUntil
@@ -478,15 +595,18 @@
     return platform
   }
   const view = {
-    node: set.node, suspect: set.suspect ?? SUSPECT, instance: edges.instance, promotion: edges.promotion, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, hints, askMembers, body: config, numbers,
+    node: set.node, suspect: set.suspect ?? SUSPECT, instance: edges.instance, promotion: edges.promotion, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, reports, askMembers, body: config, numbers,
   }
   const duty = startDuty(world, view, stop)
   const mover = startMover(world, view, stop)
-  const peers = await startPeers(world, set.peer, stop, peerAddrs, summary, numbers, nothing)
+  const peers = await startPeers(world, set.peer, stop, peerAddrs, summary, numbers, heardPeer)
 
-  function readMembers(): unknown {
+  // Undefined: no majority of cores answered.
+  async function readMembers(): Promise<unknown> {
+    const got = await askMembers()
+    if (!got) return undefined
     const out: unknown[] = []
-    for (const m of members) {
+    for (const m of got.members) {
       const behind: { key: string; has: number; present: number }[] = []
       const acks = new Map(m.acks)
       for (const [key, k] of known) if ((acks.get(key) ?? 0) < k.value.turn) behind.push({ key, has: acks.get(key) ?? 0, present: k.value.turn })
@@ -499,7 +619,7 @@
     const lags = new Map(proxy?.note?.lags ?? [])
     for (const g of groups()) {
       const instances: unknown[] = []
-      for (const s of ownSights()) if (s.group === g) instances.push({ name: s.name, addr: s.addr, area: s.area, role: s.role, leaving: s.leaving, age: Math.round(s.age), lag: lags.get(s.name) })
+      for (const s of allSights()) if (s.group === g) instances.push({ name: s.name, addr: s.addr, area: s.area, role: s.role, leaving: s.leaving, age: Math.round(s.age), lag: lags.get(s.name) })
       out.push({ name: g, record: cell(groupKey(g))?.body ?? null, instances })
     }
     return out
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -34,8 +34,9 @@
 // count. Accepted changes that named their epoch, kept so that the same one sent again is told that it was taken: at
 // 47,000 changes a day (one in 1.8 s) these are the last 8 minutes, and about 15 KiB; a caller asks again within seconds.
 export const NAMED_KEPT = 256
-// bytes. Largest value of the configuration's register: half a frame, so that its first and any later word of it fits one.
-export const VALUE_LIMIT = 4 * 1024 * 1024
+// bytes. Largest value of the configuration's register that a change may make; of one that names its epoch, the
+// configuration alone is measured, so that two such parts and the names of the last changes fit a frame.
+export const VALUE_LIMIT = 3.5 * 1024 * 1024
 // bytes. A data file is rewritten when longer than this and than REWRITE_RATIO times what lives in it.
 export const REWRITE_FLOOR = 1024 * 1024
 // ratio. See REWRITE_FLOOR; 4 keeps the mean cost of rewriting under a third of appending.
@@ -96,6 +97,8 @@
 // calls. A follower in another area is chosen only where the own one has this many more calls in flight: high
 // enough to keep reads near, low enough that a slow one near isn't flooded.
 export const AREA_COST = 4
+// count. Failed sends in a row, with no answer between, that put an instance in doubt where nothing samples it.
+export const FAILED_ROW = 2
 // ms. First and longest pause before one call tries an instance in doubt, where nothing samples it: short beside a
 // promotion, long beside a call's way there.
 export const TRY_PAUSE = 100
@@ -119,6 +122,13 @@
 // ratio. A lane that names the latency it aims at has its calls wait this much of it for a leader or a connection; past
 // it they are refused at once, with nothing run, and told when to come back.
 export const HOLD_SHARE = 0.2
+// ratio. Of the time that a statement has: how long it waits for a leader that is being promoted. Under half, so that one
+// that is refused after all can still be asked again.
+export const MOVE_HOLD_SHARE = 0.45
+// ratio. Of the lane's aim: how long a read's send waits for its answer while another send may follow, and how long a
+// statement in a transaction waits, which ends the transaction. Both well above the work of one statement.
+export const SEND_SHARE = 0.5
+export const STATEMENT_SHARE = 1.5
 // ratio. Base of the pause between sends, of the lane's aim, where that is under BACKOFF.
 export const BACKOFF_SHARE = 0.1
 // ms. Spread over which calls that waited for a promotion wake, so that the new leader isn't hit at once.
@@ -177,6 +187,8 @@
 export const CONTROL_LINES = 1024
 // ms. A connection there that asks nothing for this long is closed; instances speak each second or so.
 export const CONTROL_QUIET = 15000
+// bytes. All bodies there that are read or answered at one time: four of the largest, well within a small machine's memory.
+export const CONTROL_HELD = 16 * 1024 * 1024
 // bytes. Largest announcement.
 export const ANNOUNCE_LIMIT = 4096
 // ms. A reader of the stream of decisions is looked after at least this often, to notice that it went away.
@@ -195,8 +207,32 @@
 // --- duty (promotion) ---
 // ms. Beat of the duty's loop for a group.
 export const DUTY_BEAT = 400
-// ms. A leader that the holder could not reach for this long is suspected (see docs/detection.md).
+// ms. A leader that the holder could not reach for this long is suspected, where other nodes' word is weak (see docs/design/detection.md).
 export const SUSPECT = 2500
+// ms. The same where several nodes fail against it and none succeeds: longer than a process takes to start anew or
+// connections to be dialled again after a reset, as a wrong move costs about as much again.
+export const SUSPECT_SURE = 300
+// ms. Beat on which a proxy looks whether calls wait so.
+export const STALL_BEAT = 100
+// ms. Calls that wait at an instance this long without one good answer count as failing: many times a statement's work.
+export const STALL = 400
+// ms. A good answer counts against a failure only if it came this much later: a way between nodes and one over loopback lie between.
+export const HINT_SKEW = 30
+// ms. A leader that answered us well while others complain is not asked again sooner; a statement costs it work.
+export const ASK_PAUSE = 1000
+// ms. Beat of looks while a move stops the group, for acknowledgements: the cores are asked.
+export const MOVE_BEAT = 40
+// ms. Beat of looks at instances then: each costs a connection; a change of role is announced at once besides.
+export const PROMOTE_LOOK = 200
+// ms. Before the promotion call is made again for the same candidate: refused (the pause doubles), unclear, or promised.
+export const CALL_REFUSED = 300
+export const CALL_UNCLEAR = 1000
+export const CALL_DONE = 3000
+// ms. An instance that leads beside the record's leader is told to step down no more often than this.
+export const DEMOTE_PAUSE = 1000
+// ms. Of two candidates that hold the same, one that came this much later is taken: where instances are replaced one
+// after the other, the older is the next to go.
+export const NEWER = 3000
 // ms. A leader outside its group's home areas is brought home once an instance there has been well for this long without
 // a break: longer than an area that comes and goes takes to show it, as each move stalls writes for a moment.
 export const HOME_PAUSE = 20000
--- a/packages/instance/src/seam.ts
+++ b/packages/instance/src/seam.ts
@@ -8,7 +8,8 @@
 // reach: none, nothing was handed over; maybe, it may have reached and run; answered, the instance says that it did not run.
 // lags: the instance says that its history lacks the place asked for.
 // lead: the instance says that it does not lead.
-export type Trouble = { reach: 'none' | 'maybe' | 'answered'; class: Class; transient: boolean; why: string; code?: string; lags?: boolean; lead?: boolean }
+// full: it takes no more connections now.
+export type Trouble = { reach: 'none' | 'maybe' | 'answered'; class: Class; transient: boolean; why: string; code?: string; lags?: boolean; lead?: boolean; full?: boolean }
 
 // A place in a group's history. Positions of different epochs are never compared as of one line.
 export type Mark = { epoch: number; position: number }
@@ -41,6 +42,9 @@
 // A held line on which an instance is asked for its status again and again.
 export type Sampler = { status: () => Promise<Result<Status, string>>; alive: () => boolean; close: () => void }
 
+// Why a status isn't told, where the instance answers that it has no time to: it lives.
+export const BUSY = 'busy'
+
 export type InstanceEdge = {
   // Set where a follower's place is known by samples only. Without it a follower itself refuses (lags) a read whose
   // place (after) it lacks, and nobody asks instances anything while all is well.
--- a/packages/proxy/src/watch.ts
+++ b/packages/proxy/src/watch.ts
@@ -1,4 +1,4 @@
-import { loop, makeBell, makeFlag, pause, SAMPLE_BEAT, SAMPLE_LIMIT, TRY_PAUSE, TRY_PAUSE_MOST, type Flag, type Numbers, type World } from '@claynotch/base'
+import { loop, makeBell, makeFlag, pause, SAMPLE_BEAT, FAILED_ROW, SAMPLE_LIMIT, TRY_PAUSE, TRY_PAUSE_MOST, type Flag, type Numbers, type World } from '@claynotch/base'
 import type { InstanceEdge, Mark, Sampler, Status } from '@claynotch/instance'
 import type { Sample } from './freshness.js'
 import type { State } from './state.js'
@@ -13,7 +13,9 @@
 export type Instance = {
   name: string; group: string; addr: string; area: string
   lastOk: number; status: Status | undefined; mark: Mark | undefined; samples: Sample[]
-  doubt: boolean; again: number; pause: number; usage: number
+  doubt: boolean; row: number; again: number; pause: number; usage: number
+  // failing: when the first send was made that failed with no sign of life after it.
+  failing: number | undefined
 }
 
 export type Watch = {
@@ -22,9 +24,13 @@
   // A good answer, asked at that time, with the place the instance was at.
   // reign: the record's epoch that it was asked under as leader; undefined: it was asked as a follower.
   saw: (name: string, asked: number, mark: Mark, reign: number | undefined) => void
-  failed: (name: string) => void
+  // asked: when what failed was sent; an answer that came after it speaks for the instance. alive: it was answered, by one
+  // that serves. sure: it says itself that it doesn't lead, so nobody need try again to know.
+  failed: (name: string, asked: number, alive: boolean, sure: boolean) => void
   // Whether a call may go there; claim: it does, and while there is doubt no other may for a while.
   usable: (one: Instance, claim: boolean) => boolean
+  // Rings when an instance begins to fail.
+  trouble: ReturnType<typeof makeBell>
   bell: ReturnType<typeof makeBell>
 }
 
@@ -32,6 +38,7 @@
   const all = new Map<string, Instance>()
   const ends = new Map<string, Flag>()
   const bell = makeBell()
+  const trouble = makeBell()
 
   function wantedNow(): Map<string, { group: string; addr: string; area: string }> {
     const out = new Map<string, { group: string; addr: string; area: string }>()
@@ -56,7 +63,7 @@
         continue
       }
       ends.get(name)?.fire()
-      const one: Instance = { name, ...w, lastOk: 0, status: undefined, mark: undefined, samples: [], doubt: false, again: 0, pause: 0, usage: 0 }
+      const one: Instance = { name, ...w, lastOk: 0, status: undefined, mark: undefined, samples: [], doubt: false, row: 0, again: 0, pause: 0, usage: 0, failing: undefined }
       const end = makeFlag()
       stop.watch(end.fire)
       all.set(name, one)
@@ -90,7 +97,7 @@
         numbers.add('claynotch_samples_failed_total', [['instance', one.name]])
         line?.close()
         line = undefined
-        failed(one.name)
+        failed(one.name, asked, false, true)
       }
       const spent = world.now() - asked
       await pause(world, Math.max(SAMPLE_BEAT / 3, SAMPLE_BEAT - spent) * (0.9 + 0.2 * world.random()), end)
@@ -102,6 +109,8 @@
     if (!one) return
     const now = world.now()
     one.lastOk = now
+    one.row = 0
+    one.failing = undefined
     const lead = reign !== undefined
     if (!one.mark || mark.epoch !== one.mark.epoch || mark.position > one.mark.position || !lead) one.mark = mark
     if (lead) {
@@ -116,9 +125,21 @@
       bell.ring()
     } else if (!fits) one.doubt = true
   }
-  function failed(name: string): void {
+  // One lost answer among many is no reason to keep everyone away: where nothing samples the instance, the second in a row is.
+  function failed(name: string, asked: number, alive: boolean, sure: boolean): void {
     const one = all.get(name)
     if (!one) return
+    if (alive) {
+      one.failing = undefined
+      return
+    }
+    if (!edge.sampler && !sure && one.lastOk >= asked) return
+    if (one.failing === undefined) {
+      // A good answer since then says that the trouble is younger than the send.
+      one.failing = Math.max(asked, one.lastOk)
+      trouble.ring()
+    }
+    if (!edge.sampler && !sure && ++one.row < FAILED_ROW) return
     one.pause = Math.min(TRY_PAUSE_MOST, one.pause === 0 ? TRY_PAUSE : one.pause * 2)
     one.again = world.now() + one.pause
     if (one.doubt) return
@@ -137,5 +158,5 @@
   function allNow(): Map<string, Instance> {
     return all
   }
-  return { get, all: allNow, saw, failed, usable, bell }
+  return { get, all: allNow, saw, failed, usable, trouble, bell }
 }
