--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -324,11 +324,12 @@
     let told = weigh(view.reports(), leader.name)
     const sight = sightOf(leader.name)
     const follows = sight !== undefined && sight.role !== 'leader' && isNews(sight, m)
-    const calm = told.bad === 0 && !follows && (told.good > 0 || sight !== undefined)
+    // Single failures among good answers are no trouble of the leader's.
+    const calm = !follows && (told.bad === 0 ? told.good > 0 || sight !== undefined : told.hears >= told.bad)
     let refused = false
     if (calm) m.leaderOk = now
     // One that answered well is asked again at once only for trouble that began after it did.
-    else if (m.asked?.well !== true || now - m.asked.at >= ASK_PAUSE || (told.bad > 0 && now - told.since > m.asked.at)) {
+    else if (m.asked?.well !== true || now - m.asked.at >= ASK_PAUSE || (told.bad > 1 && told.hears === 0 && now - told.since > m.asked.at)) {
       let lives = false
       function isBusy(): void {
         lives = true
