--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -490,9 +490,21 @@
     for (const m of members) out.push({ node: m.node, addr: m.addr, proxy: m.proxy })
     return out
   }
+  // What others need to know: those that the records name.
+  function ofLeaders(list: [string, number][]): [string, number][] {
+    const names = new Set<string>()
+    for (const g of groups()) {
+      const rec = cell(groupKey(g))?.body as GroupRecord | undefined
+      for (const name of [rec?.leader, rec?.old, rec?.candidate]) if (name !== undefined) names.add(name)
+    }
+    const age = world.now() - (proxy?.at ?? 0)
+    const out: [string, number][] = []
+    for (const [name, ms] of list) if (names.has(name)) out.push([name, ms + age])
+    return out
+  }
   // duties: the groups whose duty falls to each node, as of the last summary.
   const duties = new Map<string, Set<string>>()
-  function sayAll(): Omit<Summary, 'seen'> {
+  function sayAll(): Omit<Summary, 'seen' | 'bad'> {
     duties.clear()
     const nodes = live()
     for (const g of groups()) {
@@ -507,18 +519,22 @@
       const rec = cell(groupKey(g))?.body as GroupRecord | undefined
       if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
     }
-    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, bad: proxy?.note?.bad ? [...aged(proxy.note.bad, world.now() - proxy.at)] : [], moving, leaving, tries: note?.tries ?? [] }
+    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, moving, leaving, tries: note?.tries ?? [] }
   }
-  // Who holds a group's duty is told what this node's proxy saw of its instances.
-  function seenFor(node: string): Summary['seen'] {
+  // Who holds a group's duty is told what this node's proxy saw of its leaders.
+  function seenFor(node: string): { seen: [string, number][]; bad: [string, number][] } {
     const held = duties.get(node)
-    const out: Summary['seen'] = []
-    if (!held) return out
-    for (const [name, ms] of aged(proxy?.note?.seen ?? [], world.now() - (proxy?.at ?? 0))) {
-      const group = sights.get(name)?.sight.group
-      if (group === undefined || held.has(group)) out.push([name, Math.round(ms)])
+    if (!held) return { seen: [], bad: [] }
+    function ofHeld(list: [string, number][]): [string, number][] {
+      const out: [string, number][] = []
+      for (const [name, ms] of list) {
+        const group = sights.get(name)?.sight.group
+        if (group === undefined || held!.has(group)) out.push([name, Math.round(ms)])
+      }
+      return out
     }
-    return out
+    const note = proxy?.note
+    return { seen: ofHeld(ofLeaders(note?.seen ?? [])), bad: proxy && note?.bad ? ofHeld([...aged(note.bad, world.now() - proxy.at)]) : [] }
   }
   async function askMembers(): Promise<{ members: Member[]; sure: boolean } | undefined> {
     async function ask(held: Held): Promise<MembersAnswer | undefined> {
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -128,6 +128,9 @@
 // ratio. A lane that names the latency it aims at has its calls wait this much of it for a leader or a connection; past
 // it they are refused at once, with nothing run, and told when to come back.
 export const HOLD_SHARE = 0.2
+// ratio. Of the time that a statement has: how long it waits for a leader that is being promoted. Under half, so that one
+// that is refused after all can still be asked again.
+export const MOVE_HOLD_SHARE = 0.45
 // ratio. Of the lane's aim: how long a read's send waits for its answer while another send may follow, and how long a
 // statement in a transaction waits, which ends the transaction. Both well above the work of one statement.
 export const SEND_SHARE = 0.5
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -347,8 +347,9 @@
       m.suspected = false
       return await moveOn(turn, rec, m)
     }
-    // Strong: several nodes fail and none has succeeded since, or the leader says itself that it doesn't lead.
-    const strong = refused || (told.bad >= Math.min(2, told.bad + told.good) && told.hears === 0 && told.bad > 0)
+    // Strong: several nodes fail, more than may only not have told yet that they still hear it, and none has heard it since;
+    // or the leader says itself that it doesn't lead.
+    const strong = refused || (told.bad >= Math.min(2, told.bad + told.good) && told.hears === 0 && told.bad > told.good)
     // leaderOk is as of our own beats; where several nodes fail, they know better since when.
     const quiet = strong && !refused ? told.since : world.now() - m.leaderOk
     const need = strong ? Math.min(SUSPECT_SURE, view.suspect) : view.suspect
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -20,7 +20,7 @@
 // proxy: it feeds a proxy.
 export type Peer = { node: string; addr: Addr; proxy: boolean }
 // What a node says to all; and what of its seen it says to one node.
-export type Saying = { all: () => Omit<Summary, 'seen'>; seenFor: (node: string) => Summary['seen'] }
+export type Saying = { all: () => Omit<Summary, 'seen' | 'bad'>; seenFor: (node: string) => { seen: [string, number][]; bad: [string, number][] } }
 
 export async function startPeers(world: World, addr: Addr, stop: Flag, members: () => Peer[], mine: Saying, numbers: Numbers, heard: (sum: Summary) => void): Promise<Peers> {
   // last: the newest summary of each node and when it came; bounded, as names come from the network.
@@ -64,10 +64,7 @@
   function send(): void {
     const sum = mine.all()
     const now = world.now()
-    const bad = sum.bad ?? []
-    const failing: string[] = []
-    for (const [name] of bad) failing.push(name)
-    const text = JSON.stringify([sum.moving, sum.leaving, failing])
+    const text = JSON.stringify([sum.moving, sum.leaving])
     if (text !== said) again = SUMMARY_AGAIN
     said = text
     const holds = sum.moving.length > 0 || sum.leaving.length > 0 || sum.tries.length > 0
@@ -76,13 +73,12 @@
     if (due) slow = now
     for (const to of members()) {
       if (to.addr === addr) continue
-      const seen = mine.seenFor(to.node)
-      // Trouble is told to all at first: whoever holds the duty must hear of it, and the others what they see themselves.
-      if (seen.length === 0 && !(due && (to.proxy || bad.length > 0))) continue
-      let bytes = encode({ ...sum, seen })
+      const { seen, bad } = mine.seenFor(to.node)
+      if (seen.length === 0 && bad.length === 0 && !(due && to.proxy)) continue
+      let bytes = encode({ ...sum, seen, bad })
       // Too long for a datagram: what can be spared goes first.
-      if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, seen, tries: [] })
-      if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, tries: [], seen: [] })
+      if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, seen, bad, tries: [] })
+      if (bytes.length > SUMMARY_LIMIT) bytes = encode({ ...sum, tries: [], seen: [], bad })
       wire.cast(to.addr, bytes)
     }
   }
@@ -96,16 +92,15 @@
     for (const [, one] of last.entries()) {
       const age = now - one.at
       if (age >= SUMMARY_LIFE) continue
-      const seen: Summary['seen'] = []
-      const bad: Summary['seen'] = []
-      if (age < SEEN_LIFE) {
-        for (const [name, ms] of one.sum.seen) seen.push([name, ms + age])
-        for (const [name, ms] of one.sum.bad ?? []) bad.push([name, ms + age])
-      }
-      out.push({ ...one.sum, seen, bad })
+      out.push({ ...one.sum, seen: age < SEEN_LIFE ? older(one.sum.seen, age) : [], bad: older(one.sum.bad ?? [], age) })
     }
     return out
   }
+  function older(list: [string, number][], by: number): [string, number][] {
+    const out: [string, number][] = []
+    for (const [name, ms] of list) out.push([name, ms + by])
+    return out
+  }
   async function close(): Promise<void> {
     wire.close()
   }
--- a/packages/proxy/src/watch.ts
+++ b/packages/proxy/src/watch.ts
@@ -14,7 +14,7 @@
   name: string; group: string; addr: string; area: string
   lastOk: number; status: Status | undefined; mark: Mark | undefined; samples: Sample[]
   doubt: boolean; row: number; again: number; pause: number; usage: number
-  // failing: when the first send was made that failed with no good answer after it.
+  // failing: when the first send was made that failed with no sign of life after it.
   failing: number | undefined
 }
 
@@ -24,8 +24,9 @@
   // A good answer, asked at that time, with the place the instance was at.
   // reign: the record's epoch that it was asked under as leader; undefined: it was asked as a follower.
   saw: (name: string, asked: number, mark: Mark, reign: number | undefined) => void
-  // asked: when what failed was sent; undefined: no connection could be had. An answer that came after it speaks for the instance.
-  failed: (name: string, asked?: number) => void
+  // asked: when what failed was sent; an answer that came after it speaks for the instance. alive: it was answered, by one
+  // that serves. sure: it says itself that it doesn't lead, so nobody need try again to know.
+  failed: (name: string, asked: number, alive: boolean, sure: boolean) => void
   // Whether a call may go there; claim: it does, and while there is doubt no other may for a while.
   usable: (one: Instance, claim: boolean) => boolean
   // Rings when an instance begins to fail.
@@ -96,7 +97,7 @@
         numbers.add('claynotch_samples_failed_total', [['instance', one.name]])
         line?.close()
         line = undefined
-        failed(one.name, asked)
+        failed(one.name, asked, false, true)
       }
       const spent = world.now() - asked
       await pause(world, Math.max(SAMPLE_BEAT / 3, SAMPLE_BEAT - spent) * (0.9 + 0.2 * world.random()), end)
@@ -108,7 +109,6 @@
     if (!one) return
     const now = world.now()
     one.lastOk = now
-    one.failing = undefined
     one.row = 0
     one.failing = undefined
     const lead = reign !== undefined
@@ -126,18 +126,20 @@
     } else if (!fits) one.doubt = true
   }
   // One lost answer among many is no reason to keep everyone away: where nothing samples the instance, the second in a row is.
-  function failed(name: string, asked?: number): void {
+  function failed(name: string, asked: number, alive: boolean, sure: boolean): void {
     const one = all.get(name)
     if (!one) return
-    const spoken = asked !== undefined && one.lastOk >= asked
-    if (one.failing === undefined && !spoken) {
-      one.failing = asked ?? world.now()
-      trouble.ring()
+    if (alive) {
+      one.failing = undefined
+      return
     }
-    if (!edge.sampler && asked !== undefined) {
-      if (spoken) return
-      if (++one.row < FAILED_ROW) return
+    if (!edge.sampler && !sure && one.lastOk >= asked) return
+    if (one.failing === undefined) {
+      // A good answer since then says that the trouble is younger than the send.
+      one.failing = Math.max(asked, one.lastOk)
+      trouble.ring()
     }
+    if (!edge.sampler && !sure && ++one.row < FAILED_ROW) return
     one.pause = Math.min(TRY_PAUSE_MOST, one.pause === 0 ? TRY_PAUSE : one.pause * 2)
     one.again = world.now() + one.pause
     if (one.doubt) return
