--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -324,11 +324,12 @@
     let told = weigh(view.reports(), leader.name)
     const sight = sightOf(leader.name)
     const follows = sight !== undefined && sight.role !== 'leader' && isNews(sight, m)
-    const calm = told.bad === 0 && !follows && (told.good > 0 || sight !== undefined)
+    // Single failures among good answers are no trouble of the leader's.
+    const calm = !follows && (told.bad === 0 ? told.good > 0 || sight !== undefined : told.hears >= told.bad)
     let refused = false
     if (calm) m.leaderOk = now
     // One that answered well is asked again at once only for trouble that began after it did.
-    else if (m.asked?.well !== true || now - m.asked.at >= ASK_PAUSE || (told.bad > 0 && now - told.since > m.asked.at)) {
+    else if (m.asked?.well !== true || now - m.asked.at >= ASK_PAUSE || (told.bad > 1 && told.hears === 0 && now - told.since > m.asked.at)) {
       let lives = false
       function isBusy(): void {
         lives = true
@@ -346,8 +347,9 @@
       m.suspected = false
       return await moveOn(turn, rec, m)
     }
-    // Strong: several nodes fail and none has succeeded since, or the leader says itself that it doesn't lead.
-    const strong = refused || (told.bad >= Math.min(2, told.bad + told.good) && told.hears === 0 && told.bad > 0)
+    // Strong: several nodes fail, more than may only not have told yet that they still hear it, and none has heard it since;
+    // or the leader says itself that it doesn't lead.
+    const strong = refused || (told.bad >= Math.min(2, told.bad + told.good) && told.hears === 0 && told.bad > told.good)
     // leaderOk is as of our own beats; where several nodes fail, they know better since when.
     const quiet = strong && !refused ? told.since : world.now() - m.leaderOk
     const need = strong ? Math.min(SUSPECT_SURE, view.suspect) : view.suspect
