--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -103,6 +103,8 @@
 // calls. A follower in another area is chosen only where the own one has this many more calls in flight: high
 // enough to keep reads near, low enough that a slow one near isn't flooded.
 export const AREA_COST = 4
+// ms. Opening a connection gets at least this, however short its lane's aim: it takes a turn among the instance's work.
+export const DIAL_LEAST = 100
 // count. Failed sends in a row, with no answer between, that put an instance in doubt where nothing samples it.
 export const FAILED_ROW = 2
 // ms. First and longest pause before one call tries an instance in doubt, where nothing samples it: short beside a
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -1,5 +1,5 @@
 import {
-  BACKOFF, BACKOFF_SHARE, HOLD_SHARE, MOVE_HOLD_SHARE, SEND_SHARE, AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
+  BACKOFF, BACKOFF_SHARE, HOLD_SHARE, MOVE_HOLD_SHARE, SEND_SHARE, AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, DIAL_LEAST, DIAL_LIMIT, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
 } from '@claynotch/base'
 import type { Done, InstanceEdge, Mark, Trouble } from '@claynotch/instance'
 import { guardOf, lendable } from '@claynotch/operator'
@@ -299,13 +299,21 @@
     }
     return undefined
   }
+  // free: ms that the call waits for a connection that others have; dial: ms that opening one may take. Neither counts the
+  // time that it waited for a leader, so that a dial cut short by that is not taken for an instance's silence.
+  function waits(call: Call): { free: number; dial: number } {
+    const left = Math.max(1, call.deadline - world.now())
+    const { aim } = call.lane
+    if (aim === undefined) return { free: Math.min(BORROW_LIMIT, left), dial: Math.min(DIAL_LIMIT, left) }
+    return { free: Math.min(left, aim * HOLD_SHARE), dial: Math.min(DIAL_LIMIT, left, Math.max(DIAL_LEAST, aim * SEND_SHARE)) }
+  }
   async function borrow(call: Call): Promise<Turn> {
     const { instance } = call.target!
     const config = state.config()
     const limit = config ? lendable(config, call.lane.group, state.live()) : 0
     instance.usage++
     const asked = world.now()
-    const got = await pool.borrow(instance, limit, call.need, Math.min(BORROW_LIMIT, call.deadline - world.now(), Math.max(1, call.hold - world.now())), call.gone)
+    const got = await pool.borrow(instance, limit, call.need, waits(call), call.gone)
     instance.usage--
     if (got.ok) {
       call.loan = got.val
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { BORROW_LIMIT, DIAL_LIMIT, loop, makeFlag, RESET_LIMIT, type Flag, type Numbers, type World, Ok, Err, type Result } from '@claynotch/base'
+import { loop, makeFlag, RESET_LIMIT, type Flag, type Numbers, type World, Ok, Err, type Result } from '@claynotch/base'
 import type { InstanceEdge, Port, Trouble, Who } from '@claynotch/instance'
 
 // What a borrower needs in force on its connection.
@@ -27,7 +27,7 @@
 type Place = { addr: string; limit: number; idle: Conn[]; lent: number; opening: number; waiters: Waiter[]; usage: Map<string, number> }
 
 export type Pool = {
-  borrow: (who: Who, limit: number, need: Need, ms: number, gone: Flag) => Promise<Result<Loan, Trouble>>
+  borrow: (who: Who, limit: number, need: Need, waits: { free: number; dial: number }, gone: Flag) => Promise<Result<Loan, Trouble>>
   open: (instance: string) => number
   // Closes what is idle over the limit; true once no more than that are open.
   shrink: (instance: string, limit: number) => boolean
@@ -149,12 +149,12 @@
     p.usage.set(team, (p.usage.get(team) ?? 0) + by)
   }
 
-  async function borrow(who: Who, limit: number, need: Need, ms: number, gone: Flag): Promise<Result<Loan, Trouble>> {
+  async function borrow(who: Who, limit: number, need: Need, waits: { free: number; dial: number }, gone: Flag): Promise<Result<Loan, Trouble>> {
     const { name: instance, addr } = who
     const p = place(instance, addr)
     const want = wantedOf(need, edge.named)
     p.limit = limit
-    const end = world.now() + Math.min(ms, BORROW_LIMIT)
+    const end = world.now() + waits.free
     let c: Conn | undefined
     for (;;) {
       // Those who wait already are not overtaken by one who just came.
@@ -165,7 +165,7 @@
       }
       if (count(p) < limit) {
         p.opening++
-        const got = await edge.open(world, who, Math.min(DIAL_LIMIT, Math.max(1, end - world.now())))
+        const got = await edge.open(world, who, waits.dial)
         p.opening--
         if (got.err) {
           numbers.add('claynotch_pool_dials_failed_total', [['instance', instance]])
