--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -62,8 +62,9 @@
 // ms. A held link that heard nothing for this long is closed and dialled anew.
 export const LINK_QUIET = 3000
 // number. Version of the internal links; see docs/wire.md for the rule on mixed versions.
-export const LINK_EPOCH = 1
-export const LINK_EPOCH_LEAST = 1
+// 2: renewals tell what changed; no program of epoch 1 can read them.
+export const LINK_EPOCH = 2
+export const LINK_EPOCH_LEAST = 2
 
 // --- agent and proxy ---
 // ms. Beat on which a proxy tells its agent what it sees.
