Hold an agent's picture of a core against a plain copy; refuse an answer of another life than was asked

The new model test (lost, late and doubled answers, restarted cores) found that a held-up answer of an older life would have put the picture back to it.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -184,7 +184,7 @@
     }
   }
   // What this life of the core doesn't have of us yet.
-  function renewalFor(id: string): { msg: unknown; keep: () => void } {
+  function renewalFor(id: string): { msg: unknown; asked: string; keep: () => void } {
     const now = world.now()
     const picture = pictures.get(id)!
     const old = told.get(id)
@@ -207,7 +207,7 @@
       next.sights = Math.max(next.sights, now)
       told.set(id, next)
     }
-    return { msg, keep }
+    return { msg, asked: msg.core, keep }
   }
   async function renew(): Promise<void> {
     if (places.length === 0) {
@@ -217,11 +217,11 @@
     const from = world.now()
     type Got = { id: string; got: RenewAnswer | undefined }
     async function ask(id: string, held: Held): Promise<Got> {
-      const { msg, keep } = renewalFor(id)
+      const { msg, asked, keep } = renewalFor(id)
       const got = readAs(RenewAnswer, await held.ask(msg, RENEW_WAIT))
       if (got.err) return { id, got: undefined }
       const picture = pictures.get(id)!
-      if (got.val.ok && picture.take(got.val)) {
+      if (got.val.ok && picture.take(got.val, asked)) {
         keep()
         return { id, got: got.val }
       }
@@ -231,7 +231,7 @@
       told.delete(id)
       const whole = renewalFor(id)
       const again = readAs(RenewAnswer, await held.ask(whole.msg, RENEW_WAIT))
-      if (again.err || !again.val.ok || !picture.take(again.val)) return { id, got: undefined }
+      if (again.err || !again.val.ok || !picture.take(again.val, whole.asked)) return { id, got: undefined }
       whole.keep()
       return { id, got: again.val }
     }
--- a/packages/register/src/changes.ts
+++ b/packages/register/src/changes.ts
@@ -55,8 +55,9 @@
 export type Picture = {
   core: () => string
   count: () => number
-  // false: the answer builds on what isn't here, and everything must be asked for.
-  take: (got: RenewAnswer) => boolean
+  // asked: the life that the renewal echoed. false: the answer builds on what isn't here any more, and everything must be
+  // asked for.
+  take: (got: RenewAnswer, asked: string) => boolean
   reset: () => void
   keys: () => Map<string, KeyLine>
   members: () => Map<string, { line: MemberLine; at: number }>
@@ -81,10 +82,12 @@
     members = new Map()
     sights = new Map()
   }
-  function take(got: RenewAnswer): boolean {
+  function take(got: RenewAnswer, asked: string): boolean {
     const now = world.now()
     const { core: life, since = 0, count: at = 0 } = got
     if (life === undefined || (since > 0 && (life !== core || since > count))) return false
+    // Another life was heard since this was asked: which of them is the later can't be told.
+    if (life !== core && asked !== core) return false
     // An older answer of the same life has nothing that isn't here.
     if (life !== core || at >= count) {
       if (since === 0) reset()
