Let go of a stopping node's sessions only once what they came for was answered

Cause: on SIGTERM a new session was answered READY and closed in the same moment, as it was "at rest", and so was one after its SET or PREPARE; its next statement met the close. Whoever the platform hands over until it has missed two probes was lost that way, single writes for good. Ruled out: the listener (it stays open), the probes (503 at once).

--- a/packages/base/src/streams.ts
+++ b/packages/base/src/streams.ts
@@ -5,8 +5,8 @@
 import type { Addr, World } from './world.js'
 
 // A listener for connections that each are one long talk, with the same planned end as the HTTP edge's.
-// resting: nothing is asked and nothing is open, so that an end harms nobody. end: says its last and closes.
-export type Talk = { resting: () => boolean; end: () => void; gone: () => void }
+// resting: nothing is asked and nothing is open, so that an end harms nobody; late: though it may have come to ask. end: says its last and closes.
+export type Talk = { resting: (late?: boolean) => boolean; end: () => void; gone: () => void }
 // answered: to be called after each answer, so that a planned end can come right then. busy: by how many more questions.
 export type Seat = { busy: (by: number) => void; answered: () => void }
 
@@ -51,6 +51,7 @@
   async function close(ms = DRAIN_TAIL): Promise<void> {
     drain()
     const done = listener.close()
+    for (const talk of [...talks.values()]) if (talk.resting(true)) talk.end()
     const until = world.now() + ms
     while (talks.size > 0 && world.now() < until) await pause(world, LINE_GRACE / 5)
     for (const stream of [...talks.keys()]) stream.destroy()
