--- a/packages/fleet/src/test/coreset.test.ts
+++ b/packages/fleet/src/test/coreset.test.ts
@@ -248,7 +248,8 @@
   c.ok(await s.sim.until(termed, 5000), 'new seeds are asked')
 }
 
-// Power is lost everywhere in the middle of changes; all come back with seeds that don't vote.
+// Power is lost everywhere in the middle of changes, in every other run with one voter's disk; all come back with seeds
+// that don't vote.
 async function powerLoss(c: Test): Promise<void> {
   for (const seed of [11, 12, 13, 14, 15, 16]) {
     const s = makeSet(seed)
@@ -256,7 +257,7 @@
     c.strictSame(await write(s, 'a'), ['a'])
     const under = s.put('b')
     await s.sim.run(s.sim.now() + 480 + seed * 10)
-    for (const k of ALL) s.stop(k)
+    for (const k of ALL) s.stop(k, seed % 2 === 0 && k === (seed / 2) % 3 ? 'lost' : undefined)
     const told = under()
     await s.sim.run(s.sim.now() + 500)
     for (const k of ALL) s.start(k, false, [3, 4])
