--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -248,7 +248,7 @@
 export const PROBE_LIMIT = 500
 // ms. Limit of a STATUS call to a leader already suspected: it is asked in case it came back, and must not
 // hold the move up for as long as one that is well.
-export const SUSPECT_LIMIT = 200
+export const SUSPECT_LIMIT = 100
 // ms. How long a move waits for commits that nodes saw acknowledged to turn up at some instance,
 // before it goes on without them and says so: a crashed leader's restart takes about this long.
 export const LOSS_WAIT = 3000
