--- /dev/null
+++ b/packages/fleet/src/test/lend.test.ts
@@ -0,0 +1,184 @@
+import t, { type Test } from 'tap'
+import { makeBell, makeFlag, makeNumbers, Ok, pause, type Result, type World } from '@claynotch/base'
+import type { Done, InstanceEdge, Port, Trouble, Who } from '@claynotch/instance'
+import { lendable, type Config } from '@claynotch/operator'
+import { makePool, startWatch, type Instance, type Need, type State } from '@claynotch/proxy'
+import { makeRandom, makeSim } from '../sim.js'
+import { task } from './beside.js'
+
+// Lending on an edge that nobody samples: a plain model of an instance's connection beside the real pool and watch.
+
+type Line = { values: Map<string, string>; shapes: Map<string, string>; open: boolean; lent: boolean }
+const none: Result<Done, Trouble> = Ok({ rows: [], mark: { epoch: 0, position: 0 } })
+
+// slow: ms that opening a connection takes; an opening that is given less fails as late.
+function modelEdge(lines: Line[], slow: number): InstanceEdge {
+  async function open(world: World, _who: Who, ms: number): Promise<Result<Port, Trouble>> {
+    await pause(world, Math.min(ms, slow))
+    if (ms < slow) return { ok: false, err: true, val: { reach: 'none', class: 'UNAVAILABLE', transient: true, why: 'dial timeout' } } as never
+    const line: Line = { values: new Map(), shapes: new Map(), open: true, lent: false }
+    lines.push(line)
+    async function done(): Promise<Result<Done, Trouble>> {
+      await pause(world, 1)
+      return none
+    }
+    async function settings(pairs: [string, string][]): Promise<Result<Done, Trouble>> {
+      for (const [name, value] of pairs) line.values.set(name, value)
+      return await done()
+    }
+    async function shape(name: string, text: string): Promise<Result<Done, Trouble>> {
+      line.shapes.set(name, text)
+      return await done()
+    }
+    async function reset(): Promise<Result<Done, Trouble>> {
+      line.values.clear()
+      line.shapes.clear()
+      return await done()
+    }
+    function alive(): boolean {
+      return line.open
+    }
+    function close(): void {
+      line.open = false
+    }
+    const port: Port = { statement: done, begin: done, commit: done, rollback: done, settings, shape, reset, alive, close }
+    ports.set(port, line)
+    return Ok(port)
+  }
+  async function status(): Promise<never> {
+    throw new Error('nobody asks')
+  }
+  return { exact: false, named: false, idle: 45000, open, status }
+}
+const ports = new Map<Port, Line>()
+const who: Who = { name: 'i1', group: 'g', addr: '10.0.0.9:1' }
+
+async function inWorld(run: (world: World) => Promise<void>): Promise<void> {
+  const sim = makeSim(5)
+  await task(sim, sim.machine('m', '10.0.0.1'), run)
+}
+
+async function lends(c: Test): Promise<void> {
+  async function run(world: World): Promise<void> {
+    const rnd = makeRandom(7)
+    const lines: Line[] = []
+    const pool = makePool(world, modelEdge(lines, 3), makeFlag(), makeNumbers())
+    let wrong = 0
+    let most = 0
+    let served = 0
+    async function borrower(): Promise<void> {
+      for (let k = 0; k < 60; k++) {
+        const settings: [string, string][] = []
+        for (const name of ['a', 'b', 'c']) if (rnd() < 0.4) settings.push([name, String(Math.floor(rnd() * 2))])
+        const shapes = new Map<string, string>(rnd() < 0.5 ? [['s', `READ q${Math.floor(rnd() * 4)}`]] : [])
+        const need: Need = { database: `d${Math.floor(rnd() * 3)}`, settings, shapes, team: '', share: 1 }
+        const got = await pool.borrow(who, 4, need, { free: 200, dial: 100 }, makeFlag())
+        if (got.err) continue
+        served++
+        const line = ports.get(got.val.port) as Line
+        if (line.lent || !line.open) wrong++
+        line.lent = true
+        let open = 0
+        for (const one of lines) if (one.open) open++
+        most = Math.max(most, open)
+        if (line.values.size !== settings.length) wrong++
+        for (const [name, value] of settings) if (line.values.get(name) !== value) wrong++
+        for (const text of shapes.values()) if (line.shapes.get(got.val.shapeId(text)) !== text) wrong++
+        if (rnd() < 0.2) {
+          await got.val.setting('d', 'x')
+          if (line.values.get('d') !== 'x') wrong++
+        }
+        await pause(world, rnd() * 10)
+        line.lent = false
+        got.val.end(rnd() < 0.9)
+      }
+    }
+    const all: Promise<void>[] = []
+    for (let k = 0; k < 8; k++) all.push(borrower())
+    await Promise.all(all)
+    c.equal(wrong, 0, 'one borrower each, with just the settings and the shapes that it needs')
+    c.ok(most <= 4, `${most} connections open at most`)
+    c.ok(served > 400, `${served} loans`)
+  }
+  await inWorld(run)
+}
+t.test('the pool against a plain model of connections', lends)
+
+async function dials(c: Test): Promise<void> {
+  async function run(world: World): Promise<void> {
+    const lines: Line[] = []
+    const pool = makePool(world, modelEdge(lines, 20), makeFlag(), makeNumbers())
+    const need: Need = { database: 'd', settings: [], shapes: new Map(), team: '', share: 1 }
+    const got = await pool.borrow(who, 4, need, { free: 1, dial: 100 }, makeFlag())
+    c.ok(got.ok, 'a call that has waited long for its leader still has time to open a connection')
+    if (got.ok) got.val.end(true)
+    const full = await Promise.all([pool.borrow(who, 1, need, { free: 5, dial: 100 }, makeFlag()), pool.borrow(who, 1, need, { free: 5, dial: 100 }, makeFlag())])
+    const refused = full.find(isErr)
+    function isErr(r: { err: boolean }): boolean {
+      return r.err
+    }
+    c.equal(refused?.err === true ? refused.val.class : '', 'RESOURCE_EXHAUSTED', 'where all are lent it is told so after the wait for a free one')
+  }
+  await inWorld(run)
+}
+t.test('the wait for a leader takes nothing from the time that a dial has', dials)
+
+async function doubts(c: Test): Promise<void> {
+  async function run(world: World): Promise<void> {
+    const bell = makeBell()
+    const config: Config = { proxies: 'live', groups: [{ name: 'g', connections: 30 }], lanes: [] }
+    function share(): boolean {
+      return true
+    }
+    function configNow(): Config {
+      return config
+    }
+    function sights(): Map<string, unknown> {
+      return new Map([['i1', { name: 'i1', group: 'g', addr: who.addr, area: 'x', role: 'leader', leaving: false, age: 0 }]])
+    }
+    function group(): undefined {
+      return undefined
+    }
+    const state = { bell, share, config: configNow, sights, group } as unknown as State
+    const stop = makeFlag()
+    const watch = startWatch(world, state, modelEdge([], 1), stop, makeNumbers())
+    await pause(world, 10)
+    const one = watch.get('i1') as Instance
+    watch.saw('i1', world.now(), { epoch: 1, position: 1 }, 1)
+    watch.failed('i1', world.now(), false, false)
+    c.ok(watch.usable(one, false), 'one lost answer keeps nobody away')
+    await pause(world, 5)
+    watch.saw('i1', world.now(), { epoch: 1, position: 2 }, 1)
+    watch.failed('i1', world.now() - 3, false, false)
+    watch.failed('i1', world.now() - 2, false, false)
+    c.ok(watch.usable(one, false), 'answers that came after speak for it')
+    await pause(world, 5)
+    watch.failed('i1', world.now(), true, false)
+    watch.failed('i1', world.now(), true, false)
+    watch.failed('i1', world.now(), true, false)
+    c.ok(watch.usable(one, false), 'one that answers that it is busy is there')
+    watch.failed('i1', world.now(), false, false)
+    watch.failed('i1', world.now(), false, false)
+    c.notOk(watch.usable(one, false), 'two in a row do')
+    await pause(world, 150)
+    c.ok(watch.usable(one, true), 'after a pause one call may try')
+    c.notOk(watch.usable(one, true), 'and only one')
+    watch.saw('i1', world.now(), { epoch: 1, position: 3 }, 1)
+    c.ok(watch.usable(one, false), 'its answer ends the doubt')
+    watch.failed('i1', world.now(), false, true)
+    c.notOk(watch.usable(one, false), 'one that says it does not lead is doubted at once')
+    stop.fire()
+  }
+  await inWorld(run)
+}
+t.test('doubt where nobody samples', doubts)
+
+function shares(c: Test): void {
+  const config: Config = { proxies: 'live', groups: [{ name: 'g', connections: 92 }], lanes: [] }
+  c.equal(lendable(config, 'g', 9), 9, 'a ninth, less the one that is kept back')
+  c.equal(lendable(config, 'g', 1), 91)
+  c.ok(lendable(config, 'g', 200) >= 1, 'never none')
+  for (let live = 1; live <= 40; live++) c.ok(live * lendable(config, 'g', live) <= 92, `${live} live proxies together stay under the limit`)
+  c.end()
+}
+t.test('shares by live proxies', shares)
