--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -104,6 +104,8 @@
 // calls. A follower in another area is chosen only where the own one has this many more calls in flight: high
 // enough to keep reads near, low enough that a slow one near isn't flooded.
 export const AREA_COST = 4
+// ms. Opening a connection gets at least this, however short its lane's aim: it takes a turn among the instance's work.
+export const DIAL_LEAST = 100
 // count. Failed sends in a row, with no answer between, that put an instance in doubt where nothing samples it.
 export const FAILED_ROW = 2
 // ms. First and longest pause before one call tries an instance in doubt, where nothing samples it: short beside a
@@ -249,7 +251,7 @@
 export const PROBE_LIMIT = 500
 // ms. Limit of a STATUS call to a leader already suspected: it is asked in case it came back, and must not
 // hold the move up for as long as one that is well.
-export const SUSPECT_LIMIT = 200
+export const SUSPECT_LIMIT = 100
 // ms. How long a move waits for commits that nodes saw acknowledged to turn up at some instance,
 // before it goes on without them and says so: a crashed leader's restart takes about this long.
 export const LOSS_WAIT = 3000
