--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -62,8 +62,9 @@
 // ms. A held link that heard nothing for this long is closed and dialled anew.
 export const LINK_QUIET = 3000
 // number. Version of the internal links; see docs/wire.md for the rule on mixed versions.
-export const LINK_EPOCH = 1
-export const LINK_EPOCH_LEAST = 1
+// 2: renewals tell what changed; no program of epoch 1 can read them.
+export const LINK_EPOCH = 2
+export const LINK_EPOCH_LEAST = 2
 
 // --- agent and proxy ---
 // ms. Beat on which a proxy tells its agent what it sees.
@@ -103,6 +104,8 @@
 // calls. A follower in another area is chosen only where the own one has this many more calls in flight: high
 // enough to keep reads near, low enough that a slow one near isn't flooded.
 export const AREA_COST = 4
+// ms. Opening a connection gets at least this, however short its lane's aim: it takes a turn among the instance's work.
+export const DIAL_LEAST = 100
 // count. Failed sends in a row, with no answer between, that put an instance in doubt where nothing samples it.
 export const FAILED_ROW = 2
 // ms. First and longest pause before one call tries an instance in doubt, where nothing samples it: short beside a
