--- a/packages/fleet/src/capacity.ts
+++ b/packages/fleet/src/capacity.ts
@@ -1,6 +1,6 @@
 import { Matrix } from 'ml-matrix'
 import { fcnnlsVector } from 'ml-fcnnls'
-import { DECISIONS_KEPT, FRAME_LIMIT, HISTORY_KEPT, SIGHTS_KEPT, SUMMARY_LIMIT } from '@claynotch/base'
+import { DECISIONS_KEPT, FRAME_LIMIT, HISTORY_KEPT, SIGHTS_KEPT, SUMMARY_LIMIT, VALUE_LIMIT } from '@claynotch/base'
 import { KEPT_BACK } from '@claynotch/operator'
 import type { RoleReading, Window } from './hollow.js'
 import type { Point } from './points.js'
@@ -22,7 +22,7 @@
 const features = new Map<string, (e: Env) => number>([
   ['1', one], ['N', nodes], ['G', groups], ['NG', nodesGroups], ['NN', nodesNodes], ['NNG', nodesNodesGroups], ['I', instancesAll], ['L', lanes], ['V', value], ['P', spread], ['NV', nodesValue],
   ['ch', changes], ['CV', changedBytes], ['N·ch', nodesChanges], ['N·CV', nodesChangedBytes], ['ch/N', changesEach], ['CV/N', changedBytesEach], ['I/N', instancesEach], ['G/N', groupsEach],
-  ['N·S', hinted], ['D', decisions], ['H', history],
+  ['HD', holders], ['D', decisions], ['H', history],
 ])
 function one(): number {
   return 1
@@ -81,9 +81,9 @@
 function groupsEach(e: Env): number {
   return e.groups / e.nodes
 }
-// Instances spoken of in summaries; they are left out where the datagram would be too long.
-function hinted(e: Env): number {
-  return SUMMARY_HINTS >= instancesAll(e) ? e.nodes * instancesAll(e) : 0
+// Nodes to which the duty of some group falls, where each group's falls to one by chance.
+function holders(e: Env): number {
+  return e.nodes * (1 - (1 - 1 / e.nodes) ** e.groups)
 }
 function decisions(e: Env): number {
   return Math.min(e.history, DECISIONS_KEPT)
@@ -153,27 +153,27 @@
 // --- what each mechanism's cost may depend on ---
 
 const shapes = new Map<string, string[]>([
-  ['core terms', ['N', 'NN', 'NG', 'NNG', 'N·ch']], ['core pushes', ['N·ch', 'N·CV']], ['core acknowledgements', ['N·ch']], ['core registers', ['ch', 'CV']], ['core file', ['ch', 'CV']], ['core file rewritten', ['ch', 'CV']],
+  ['core terms', ['N', 'I', 'N·ch']], ['core terms cpu', ['N', 'NN', 'NG', 'NNG']], ['core pushes', ['N·ch', 'N·CV']], ['core acknowledgements', ['N·ch']], ['core registers', ['ch', 'CV']], ['core file', ['ch', 'CV']], ['core file rewritten', ['ch', 'CV']],
   ['core links', ['1', 'N']], ['core logs', ['1', 'ch']], ['core members', ['1', 'N', 'G', 'NG']], ['core repair', ['1']], ['core shares', ['1']], ['core runtime', ['1', 'N', 'NN', 'N·ch', 'N·CV']],
-  ['agent terms', ['1', 'N', 'G', 'NG', 'ch']], ['agent pushes', ['ch', 'CV']], ['agent acknowledgements', ['ch']], ['agent registers', ['ch/N', 'CV/N']], ['agent members', ['1', 'N', 'G', 'NG']], ['agent shares', ['1']],
-  ['agent summaries', ['N', 'N·S']], ['agent announcements', ['I/N']], ['agent probes', ['G/N']], ['agent feeds', ['1', 'G', 'ch', 'CV']], ['agent notes', ['1', 'G', 'ch']], ['agent links', ['1']], ['agent logs', ['1', 'ch']],
-  ['agent duty', ['1', 'G', 'NG', 'G/N']], ['agent discovery', ['1']], ['agent runtime', ['P', '1', 'N', 'G', 'ch']],
+  ['agent terms', ['1', 'I/N', 'ch']], ['agent terms cpu', ['1', 'N', 'G', 'ch']], ['agent pushes', ['ch', 'CV']], ['agent acknowledgements', ['ch']], ['agent registers', ['ch/N', 'CV/N']], ['agent members', ['1', 'N', 'G', 'NG']], ['agent shares', ['1']],
+  ['agent summaries', ['HD', 'I']], ['agent announcements', ['I/N']], ['agent probes', ['G/N']], ['agent feeds', ['1', 'G', 'ch', 'CV']], ['agent notes', ['1', 'G', 'ch']], ['agent links', ['1']], ['agent logs', ['1', 'ch']],
+  ['agent duty', ['1', 'G', 'NG']], ['agent discovery', ['1']], ['agent runtime', ['P', '1', 'N', 'G', 'ch']],
   ['proxy feeds', ['1', 'G', 'ch', 'CV']], ['proxy notes', ['1', 'G', 'ch']], ['proxy links', ['1']], ['proxy logs', ['1', 'ch']], ['proxy runtime', ['P', '1', 'G', 'ch']], ['proxy freshness', ['1', 'I']],
   ['instance announcements', ['1']], ['instance probes', ['1']],
 ])
 const other = new Map<string, string[]>([['core', ['N', 'NN', 'NG', 'N·ch']], ['agent', ['1', 'N', 'G', 'ch']], ['proxy', ['1', 'G', 'ch']], ['instance', ['1']]])
 // What makes messages longer and no more of them.
-const lengthens = new Set(['G', 'NG', 'NN', 'NNG', 'V', 'CV', 'N·CV', 'CV/N', 'N·S', 'D', 'H'])
+const lengthens = new Set(['G', 'NG', 'NN', 'NNG', 'V', 'CV', 'N·CV', 'CV/N', 'I', 'D', 'H'])
 function shapeOf(role: string, mechanism: string, way: Way): string[] {
-  const all = shapes.get(`${role} ${mechanism}`) ?? other.get(role) ?? ['1']
+  const all = (way === 'cpu' ? shapes.get(`${role} ${mechanism} cpu`) : undefined) ?? shapes.get(`${role} ${mechanism}`) ?? other.get(role) ?? ['1']
   // Renewals come on a beat, however long they are.
   if (mechanism === 'terms' && (way === 'inCount' || way === 'outCount')) return role === 'core' ? ['N'] : ['1']
   if (way !== 'inCount' && way !== 'outCount') return all
   const out: string[] = []
-  for (const name of all) if (!lengthens.has(name)) out.push(name)
+  for (const name of all) if (!lengthens.has(name) || mechanism === 'freshness') out.push(name)
   return out
 }
-const memory = new Map([['core', ['1', 'N', 'G', 'NG', 'V', 'NV']], ['agent', ['P', '1', 'N', 'G', 'NG', 'V']], ['proxy', ['P', '1', 'G', 'V']]])
+const memory = new Map([['core', ['1', 'N', 'G', 'NG', 'V', 'NV']], ['agent', ['P', '1', 'N', 'G', 'V']], ['proxy', ['P', '1', 'G', 'V']]])
 
 // --- from points to observations ---
 
@@ -254,8 +254,8 @@
 // whole: all members together, each byte said and heard once.
 const EVENTS: { what: string; window: 'returning' | 'repair'; role: string; mechanisms: string[]; names: string[]; whole: boolean }[] = [
   { what: 'all agents back at once: an agent finds the cores', window: 'returning', role: 'agent', mechanisms: ['discovery', 'links'], names: ['1', 'N'], whole: false },
-  { what: 'all agents back at once: an agent fetches registers', window: 'returning', role: 'agent', mechanisms: ['registers', 'pushes', 'shares'], names: ['1', 'N', 'G', 'V'], whole: false },
-  { what: 'all agents back at once: its renewals until all are back', window: 'returning', role: 'agent', mechanisms: ['terms', 'members'], names: ['1', 'N', 'G', 'NG', 'NN'], whole: false },
+  { what: 'all agents back at once: an agent fetches registers', window: 'returning', role: 'agent', mechanisms: ['registers', 'pushes', 'shares'], names: ['1', 'G', 'V'], whole: false },
+  { what: 'all agents back at once: its renewals until all are back', window: 'returning', role: 'agent', mechanisms: ['terms', 'members'], names: ['1', 'N', 'G'], whole: false },
   { what: 'all agents back at once: an agent feeds its proxy anew', window: 'returning', role: 'agent', mechanisms: ['feeds'], names: ['1', 'G', 'V'], whole: false },
   { what: 'a core returns: registers handed over, by all others together', window: 'repair', role: 'core', mechanisms: ['repair'], names: ['1', 'G', 'V'], whole: true },
 ]
@@ -326,7 +326,7 @@
     }
     events.push({ what: e.what, bytes: fit(e.names, list) })
   }
-  return { rows, events, value: sizeFit('configuration', ['1', 'L', 'G', 'D', 'H']), slots: sizeFit('slots', ['1', 'N']), record: sizeFit('group/g1', ['1']), renewal: sizeFit('renewal', ['1', 'G', 'I/N']), answer: sizeFit('answer to a renewal', ['1', 'N', 'G', 'NG']), heap, rss, times }
+  return { rows, events, value: sizeFit('configuration', ['1', 'L', 'G', 'D', 'H']), slots: sizeFit('slots', ['1', 'N']), record: sizeFit('group/g1', ['1']), renewal: sizeFit('renewal', ['1', 'G', 'I/N']), answer: sizeFit('answer to a renewal', ['1', 'N', 'G']), heap, rss, times }
 }
 
 // --- at a size ---
@@ -419,13 +419,13 @@
       ['a core: bytes a second on a link of 1 Gbit/s', { bound: LINK_BYTES, at: s.core.bytes, unit: 'bytes/s' }],
       ['a core: memory, of 346 MB', { bound: 346e6, at: s.core.rss, unit: 'bytes' }],
       ['all cores over the machines for control: processor time', { bound: limit.machines, at: s.core.cpu * size.cores, unit: 'cores' }],
-      ['a frame of a link: the configuration pushed', { bound: FRAME_LIMIT, at: s.value, unit: 'bytes' }],
+      ["the configuration's register, over which changes are refused", { bound: VALUE_LIMIT, at: s.value, unit: 'bytes' }],
       ['a frame of a link: the first answer to a renewal', { bound: FRAME_LIMIT, at: s.answer, unit: 'bytes' }],
       ['instances that a node keeps in mind', { bound: SIGHTS_KEPT, at: size.groups * share * size.instances, unit: 'instances' }],
       ['one change pushed to all nodes by one core, at 1 Gbit/s', { bound: limit.inForce, at: (s.value * n) / LINK_BYTES, unit: 's' }],
       [`shares by slots: connections kept back at an instance with ${conns}`, { bound: conns / (KEPT_BACK + 1), at: n, unit: 'nodes' }],
       [`shares by live members: one connection each at an instance with ${conns}`, { bound: conns, at: n, unit: 'nodes' }],
-      ['instances named in a summary', { bound: SUMMARY_HINTS, at: size.groups * share * size.instances, unit: 'instances' }],
+      ['instances named in a summary to one holder', { bound: SUMMARY_HINTS, at: (size.groups * size.instances) / size.nodes, unit: 'instances' }],
       ['summaries held by a node', { bound: 256, at: n, unit: 'nodes' }],
       ['a day of accepted changes kept', { bound: HISTORY_KEPT, at: size.changes * 86400 * share, unit: 'changes' }],
     ])
--- a/packages/fleet/src/points.ts
+++ b/packages/fleet/src/points.ts
@@ -9,7 +9,7 @@
 type Plan = Partial<HollowOptions> & { nodes: number; groups: number; lanes: number }
 export const matrix: Plan[] = [
   { nodes: 25, groups: 10, lanes: 30 }, { nodes: 50, groups: 10, lanes: 30 }, { nodes: 100, groups: 10, lanes: 30 }, { nodes: 12, groups: 10, lanes: 30 },
-  { nodes: 25, groups: 10, lanes: 30, per: 1 }, { nodes: 25, groups: 30, lanes: 30 }, { nodes: 25, groups: 80, lanes: 80 }, { nodes: 25, groups: 10, lanes: 300 }, { nodes: 25, groups: 10, lanes: 1000 },
+  { nodes: 25, groups: 10, lanes: 30, per: 1 }, { nodes: 25, groups: 30, lanes: 30 }, { nodes: 25, groups: 80, lanes: 80, per: 5 }, { nodes: 25, groups: 10, lanes: 300 }, { nodes: 25, groups: 10, lanes: 1000 },
   { nodes: 25, groups: 10, lanes: 30, history: 100 }, { nodes: 25, groups: 10, lanes: 30, history: 400 }, { nodes: 50, groups: 40, lanes: 40 }, { nodes: 100, groups: 30, lanes: 60 },
   { nodes: 150, groups: 10, lanes: 30, mute: true }, { nodes: 200, groups: 10, lanes: 30, mute: true },
   { nodes: 12, groups: 10, lanes: 30, shares: 'slots' }, { nodes: 25, groups: 10, lanes: 30, shares: 'slots' }, { nodes: 50, groups: 10, lanes: 30, shares: 'slots' }, { nodes: 36, groups: 10, lanes: 30, shares: 'slots' },
