Read from a leader in the own area rather than from a follower in another

Cause: each group has one instance in a zone, so the leader's zone has no follower, and its bounded reads all crossed zones.

--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -262,6 +262,9 @@
       }
     }
     if (!best) return undefined
+    // A leader in the own area is nearer than any follower elsewhere, as long as it has no more to do.
+    const head = watch.get(rec.leader)
+    if (head && rec.phase === 'steady' && head.area === state.area() && head.usage < least && watch.usable(head, false)) return undefined
     watch.usable(best, true)
     return { instance: best, epoch: rec.epoch, floor: need }
   }
