--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -7,16 +7,18 @@
 import { CONFIG_KEY, emptyBody, makeDecision, makeOperatorEdge, meantBy, type Body, type Change, type Credential, type Decision, type Edit } from '@claynotch/operator'
 import { startPeers, type Peer, type Summary } from '@claynotch/peer'
 import {
-  askSeeds, compareBallots, gather, groupKey, laterSight, makePicture, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
-  type Ballot, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type MemberLine, type Picture, type Sight, type Slots, type Value, type Voter,
+  askSeeds, compareBallots, CoreSet, CORESET_KEY, gather, NO_SET, quorumOf, votersOf, groupKey, laterSight, makePicture, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
+  type Ballot, type Answer, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type MemberLine, type Picture, type Quorum, type Sight, type Slots, type Value, type Voter,
 } from '@claynotch/register'
+import { startCoreSetDuty } from './coreset.js'
 import { ownEdges, type AgentEdges, type Desk } from './seam.js'
 
 // link: where the proxy of this machine finds its agent; none: it has no proxy. peer: UDP, for summaries. http: operators,
 // instances, the platform, and nodes that look for the cores; none: it serves none of them and holds no duties. seeds: http
-// addresses of three other processes. cores: the core set where this process knows it by itself, asked before the seeds.
+// addresses of three other processes. coreSet: the core set where this process knows it by itself, asked before the seeds. core: the core
+// machine that runs in this process, which is told each later set.
 // suspect: SUSPECT unless an experiment asks for another.
-export type AgentSettings = { node: string; area: string; link?: Addr; peer: Addr; http?: Addr; seeds: Addr[]; cores?: () => CorePlace[]; platform?: Addr; operators?: Credential[]; build: string; suspect?: number }
+export type AgentSettings = { node: string; area: string; link?: Addr; peer: Addr; http?: Addr; seeds: Addr[]; coreSet?: () => CoreSet; core?: { place: CorePlace; adopt: (next: CoreSet) => Promise<void> }; platform?: Addr; operators?: Credential[]; build: string; suspect?: number }
 
 // Above every count of announcements, and a whole number that links carry.
 const LAST_SEQUENCE = 2 ** 52
@@ -37,8 +39,10 @@
   const life = Math.floor(world.random() * 2 ** 40).toString(36)
   const born = world.now()
   const mine = hello('agent', set.node)
-  const cores = new Map<string, Held>()
-  let places: CorePlace[] = []
+  // cores: whoever votes in coreSet, all of them and nobody else. since: when this node took the set.
+  const cores = new Map<string, { held: Held; addr: Addr; end: () => void }>()
+  let coreSet: CoreSet = NO_SET
+  let coreSetSince = 0
   const known = new Map<string, Known>()
   // wanted: newest ballot that a majority's answers showed, by key, with the time of that round; gone once known has it.
   const wanted = new Map<string, { ballot: Ballot; from: number; chosenAt: string | undefined }>()
@@ -66,13 +70,13 @@
 
   function voters(): Voter[] {
     const out: Voter[] = []
-    for (const [id, held] of cores) out.push({ id, ask: held.ask, tell: held.tell })
+    for (const [id, { held }] of cores) out.push({ id, ask: held.ask, tell: held.tell })
     return out
   }
-  function majority(): number {
-    return Math.floor(places.length / 2) + 1
+  function quorum(): Quorum {
+    return quorumOf(coreSet)
   }
-  const proposer = makeProposer(world, set.node, voters, majority)
+  const proposer = makeProposer(world, set.node, voters, quorum, adopt)
 
   // --- what is known ---
 
@@ -91,6 +95,10 @@
     known.set(key, { value: newer ? value : old.value, ballot: top, until })
     if (newer) {
       world.log.info('epoch-learnt', { key, turn: value.turn })
+      if (key === CORESET_KEY) {
+        const next = readAs(CoreSet, value.body)
+        if (next.ok) adopt(next.val)
+      }
       duty.ring()
       mover.ring()
       news.ring()
@@ -111,15 +119,51 @@
   // --- cores: found through seeds, then held ---
 
   async function discover(): Promise<void> {
-    const own = set.cores?.() ?? []
-    const got = own.length > 0 ? { seed: undefined, cores: own } : await askSeeds(world, seeds)
+    const own = set.coreSet?.() ?? NO_SET
+    const got = own.cores.length > 0 ? { seed: undefined, set: own } : await askSeeds(world, seeds)
     if (!got || stop.fired()) return
-    places = got.cores
-    for (const c of places) {
-      pictures.set(c.id, makePicture(world))
-      cores.set(c.id, holdLink(world, c.addr, mine, makeTake(c.id), stop, onCore))
+    adopt(got.set)
+    world.log.info('cores-found', { seed: got.seed ?? 'itself', cores: coreSet.cores.length })
+  }
+  // Takes a later set, which was chosen: every word from now on is said under it.
+  function adopt(next: CoreSet): void {
+    if (stop.fired() || next.cores.length === 0 || (coreSet.cores.length > 0 && next.epoch <= coreSet.epoch)) return
+    const first = coreSet.cores.length === 0
+    coreSet = next
+    coreSetSince = world.now()
+    const all = new Map<string, Addr>()
+    for (const c of votersOf(next)) all.set(c.id, c.addr)
+    for (const [id, c] of cores) {
+      if (all.get(id) === c.addr) continue
+      c.end()
+      cores.delete(id)
+      pictures.delete(id)
+      told.delete(id)
     }
-    world.log.info('cores-found', { seed: got.seed ?? 'itself', cores: places.length })
+    for (const [id, addr] of all) {
+      if (cores.has(id)) continue
+      const flag = makeFlag()
+      const cancel = stop.watch(flag.fire)
+      function end(): void {
+        cancel()
+        flag.fire()
+      }
+      pictures.set(id, makePicture(world))
+      cores.set(id, { held: holdLink(world, addr, mine, makeTake(id), flag, onCore), addr, end })
+    }
+    void set.core?.adopt(next)
+    if (first) return
+    world.log.info('core-set-followed', { node: set.node, epoch: next.epoch, cores: next.cores.length, joint: next.next !== undefined })
+    linked.ring()
+  }
+  // Nobody of the set that is known here may be there any more: whoever knows a later one tells it.
+  let looking = false
+  async function lookAgain(): Promise<void> {
+    if (looking) return
+    looking = true
+    const got = await askSeeds(world, seeds)
+    looking = false
+    if (got) adopt(got.set)
   }
   // The first term isn't waited for longer than it takes to reach the cores.
   function onCore(): void {
@@ -144,7 +188,7 @@
   // Tells one core that the proxy has applied what it has.
   function tellAck(id: string, key: string): void {
     const turn = acked.get(key)
-    if (turn !== undefined) cores.get(id)?.tell({ t: 'ack', num: pushNums.get(`${id} ${key}`) ?? 0, key, turn })
+    if (turn !== undefined) cores.get(id)?.held.tell({ t: 'ack', num: pushNums.get(`${id} ${key}`) ?? 0, key, turn })
   }
   function ackAll(key: string, turn: number): void {
     if ((acked.get(key) ?? 0) >= turn) return
@@ -184,9 +228,8 @@
     }
   }
   // What this life of the core doesn't have of us yet.
-  function renewalFor(id: string): { msg: unknown; asked: string; keep: () => void } {
+  function renewalFor(id: string, picture: Picture, epoch: number): { msg: unknown; asked: string; keep: () => void } {
     const now = world.now()
-    const picture = pictures.get(id)!
     const old = told.get(id)
     const has = old && old.core === picture.core() ? old : undefined
     const acks: [string, number][] = []
@@ -195,9 +238,9 @@
     for (const [g, epoch, position] of proxy?.note?.highs ?? []) if (has?.highs.get(g) !== `${epoch}/${position}`) highs.push([g, epoch, position])
     const heardHere: Sight[] = []
     for (const one of own.values()) if (!has || one.at >= has.sights) heardHere.push({ ...one.sight, age: now - one.at })
-    const self = { area: set.area, addr: set.peer, operator: set.http ?? '', build: set.build, proxy: set.link !== undefined }
+    const self = { area: set.area, addr: set.peer, operator: set.http ?? '', build: set.build, proxy: set.link !== undefined, ...(set.core ? { core: set.core.place } : {}) }
     const msg = {
-      t: 'renew', node: set.node, life, core: picture.core(), count: picture.count(), acks, sights: heardHere, open: proxy?.note?.open ?? 0, highs, remembers: known.size > 0,
+      t: 'renew', epoch, node: set.node, life, core: picture.core(), count: picture.count(), acks, sights: heardHere, open: proxy?.note?.open ?? 0, highs, remembers: known.size > 0,
       ...(has?.self === true ? {} : { self }),
     }
     function keep(): void {
@@ -210,74 +253,82 @@
     return { msg, asked: msg.core, keep }
   }
   async function renew(): Promise<void> {
-    if (places.length === 0) {
+    if (coreSet.cores.length === 0) {
       await discover()
-      if (places.length === 0) return
+      if (coreSet.cores.length === 0) return
     }
     const from = world.now()
-    type Got = { id: string; got: RenewAnswer | undefined }
-    async function ask(id: string, held: Held): Promise<Got> {
-      const { msg, asked, keep } = renewalFor(id)
+    // All of it is under this set, whichever is known at its end.
+    const under = coreSet
+    const enough = quorumOf(under)
+    async function ask(id: string, held: Held, picture: Picture): Promise<RenewAnswer | undefined> {
+      const { msg, asked, keep } = renewalFor(id, picture, under.epoch)
       const got = readAs(RenewAnswer, await held.ask(msg, RENEW_WAIT))
-      if (got.err) return { id, got: undefined }
-      const picture = pictures.get(id)!
+      if (got.err) return undefined
+      if (got.val.set) adopt(got.val.set)
+      if (got.val.behind) held.tell({ t: 'set', set: under })
+      // The core was removed meanwhile, and what it says is of no use.
+      if (pictures.get(id) !== picture) return got.val.ok ? undefined : got.val
       if (got.val.ok && picture.take(got.val, asked)) {
         keep()
-        return { id, got: got.val }
+        return got.val
       }
-      if (!got.val.ok && got.val.unknown !== true) return { id, got: got.val }
+      if (!got.val.ok && got.val.unknown !== true) return got.val
       // The core was restarted, or has forgotten us: it is told everything and asked for everything.
       picture.reset()
       told.delete(id)
-      const whole = renewalFor(id)
+      const whole = renewalFor(id, picture, under.epoch)
       const again = readAs(RenewAnswer, await held.ask(whole.msg, RENEW_WAIT))
-      if (again.err || !again.val.ok || !picture.take(again.val, whole.asked)) return { id, got: undefined }
+      if (again.err || !again.val.ok || !picture.take(again.val, whole.asked)) return undefined
       whole.keep()
-      return { id, got: again.val }
+      return again.val
     }
-    const asks: Promise<Got>[] = []
-    for (const [id, held] of cores) asks.push(ask(id, held))
-    function isOk(g: Got): boolean {
-      return g.got?.ok === true
+    const asks: { id: string; got: Promise<RenewAnswer | undefined> }[] = []
+    for (const [id, { held }] of cores) asks.push({ id, got: ask(id, held, pictures.get(id)!) })
+    function isOk(a: RenewAnswer | undefined): boolean {
+      return a?.ok === true
     }
-    const all = await gather(world, asks, majority(), isOk, RENEW_WAIT)
-    const good: string[] = []
-    for (const g of all) if (g.got?.ok) good.push(g.id)
+    const all = await gather(world, asks, enough, isOk, RENEW_WAIT)
+    const good = new Set<string>()
+    for (const g of all) if (isOk(g.val)) good.add(g.id)
     // A core that knows our node under another life refuses: two agents run under one name.
     const replaced = all.some(isRefused)
-    function isRefused(g: Got): boolean {
-      return g.got?.replaced === true
+    function isRefused(g: Answer<RenewAnswer | undefined>): boolean {
+      return g.val?.replaced === true
     }
     if (replaced) world.log.error('node-replaced', { node: set.node, life, why: 'another agent runs under this name' })
-    if (good.length < majority()) {
+    if (!enough.met(good)) {
       numbers.add('claynotch_renewals_total', [['end', replaced ? 'replaced' : 'failed']])
       if (termUntil > 0 && world.now() > termUntil) {
-        world.log.warn('term-lost', { node: set.node, answers: good.length, need: majority() })
+        world.log.warn('term-lost', { node: set.node, answers: good.size, of: votersOf(under).length, epoch: under.epoch })
         termUntil = 0
       }
+      if (termUntil === 0) void lookAgain()
       return
     }
     numbers.add('claynotch_renewals_total', [['end', 'good']])
     termUntil = Math.max(termUntil, from + TERM)
-    merge(good, from)
+    // A later set came while these answered: the term stands, what they tell is merged with the next answers.
+    if (coreSet === under) merge(good, from)
     await feed()
   }
   // good: a majority that answered since from; their pictures are as new as those answers.
-  function merge(good: string[], from: number): void {
+  function merge(good: Set<string>, from: number): void {
     const byNode = new Map<string, { line: MemberLine; at: number }>()
-    // high: for each key, the newest ballot that any of the majority holds, and how many hold just that.
-    const high = new Map<string, { ballot: Ballot; count: number; chosenAt: string | undefined }>()
+    // high: for each key, the newest ballot that any of the majority holds, and who holds just that.
+    const enough = quorum()
+    const high = new Map<string, { ballot: Ballot; by: Set<string>; chosenAt: string | undefined }>()
     for (const id of good) {
       const picture = pictures.get(id)!
       for (const [node, one] of picture.members()) if (one.at > (byNode.get(node)?.at ?? -Infinity)) byNode.set(node, one)
       for (const k of picture.keys().values()) {
         const old = high.get(k.key)
         const by = old ? compareBallots(k.ballot, old.ballot) : 1
-        if (by > 0) high.set(k.key, { ballot: k.ballot, count: 1, chosenAt: k.chosen ? id : undefined })
+        if (by > 0) high.set(k.key, { ballot: k.ballot, by: new Set([id]), chosenAt: k.chosen ? id : undefined })
         else if (by === 0 && old) {
-          old.count++
+          old.by.add(id)
           if (k.chosen) old.chosenAt = id
-          else if (old.count >= majority()) old.chosenAt ??= id
+          else if (enough.met(old.by)) old.chosenAt ??= id
         }
       }
     }
@@ -300,7 +351,7 @@
   async function catchUp(): Promise<void> {
     for (const [key, w] of [...wanted]) {
       if (w.chosenAt !== undefined) {
-        const got = (await cores.get(w.chosenAt)?.ask({ t: 'get', key }, ROUND_LIFE)) as { ballot?: Ballot; value?: unknown } | undefined
+        const got = (await cores.get(w.chosenAt)?.held.ask({ t: 'get', epoch: coreSet.epoch, key }, ROUND_LIFE)) as { ballot?: Ballot; value?: unknown } | undefined
         const value = readAs(ValueShape, got?.value)
         if (got?.ballot && value.ok && compareBallots(got.ballot, w.ballot) === 0) {
           learned(key, value.val as Value, got.ballot)
@@ -392,6 +443,8 @@
     }
     const list: FedCell[] = []
     for (const [key, k] of known) {
+      // The voters are the agent's matter alone.
+      if (key === CORESET_KEY) continue
       const until = Math.min(k.until, termUntil)
       const sent = proxy.sent.get(key) ?? 0
       list.push({ key, turn: k.value.turn, until, ...(sent < k.value.turn ? { body: k.value.body } : {}) })
@@ -535,17 +588,24 @@
     return { seen: ofHeld(ofLeaders(note?.seen ?? [])), bad: proxy && note?.bad ? ofHeld([...aged(note.bad, world.now() - proxy.at)]) : [] }
   }
   async function askMembers(): Promise<{ members: Member[]; sure: boolean } | undefined> {
+    const enough = quorum()
     async function ask(held: Held): Promise<MembersAnswer | undefined> {
-      const got = readAs(MembersAnswer, await held.ask({ t: 'members' }, RENEW_WAIT))
+      const got = readAs(MembersAnswer, await held.ask({ t: 'members', epoch: enough.epoch }, RENEW_WAIT))
       return got.ok && got.val.ok ? got.val : undefined
     }
     function isOk(a: MembersAnswer | undefined): boolean {
       return a !== undefined
     }
-    const asks: Promise<MembersAnswer | undefined>[] = []
-    for (const held of cores.values()) asks.push(ask(held))
-    const got = (await gather(world, asks, majority(), isOk, RENEW_WAIT)).filter(isOk) as MembersAnswer[]
-    if (places.length === 0 || got.length < majority()) return undefined
+    const asks: { id: string; got: Promise<MembersAnswer | undefined> }[] = []
+    for (const [id, { held }] of cores) asks.push({ id, got: ask(held) })
+    const good = new Set<string>()
+    const got: MembersAnswer[] = []
+    for (const { id, val } of await gather(world, asks, enough, isOk, RENEW_WAIT)) {
+      if (!val) continue
+      good.add(id)
+      got.push(val)
+    }
+    if (!enough.met(good)) return undefined
     const byNode = new Map<string, Member>()
     let sure = true
     for (const a of got) {
@@ -614,6 +674,19 @@
   }
   const duty = startDuty(world, view, stop)
   const mover = startMover(world, view, stop)
+  function coreNow(id: string): { held: Held; heard: number } | undefined {
+    const c = cores.get(id)
+    return c ? { held: c.held, heard: Math.max(pictures.get(id)?.heard() ?? 0, coreSetSince) } : undefined
+  }
+  function spares(): CorePlace[] {
+    const out: CorePlace[] = []
+    for (const m of members) if (m.core && !cores.has(m.core.id)) out.push(m.core)
+    return out
+  }
+  function coreSetOf(): { set: CoreSet; since: number } {
+    return { set: coreSet, since: coreSetSince }
+  }
+  startCoreSetDuty(world, { node: set.node, proposer, termUntil: termNow, live, learned, coreSet: coreSetOf, core: coreNow, spares }, stop)
   const peers = await startPeers(world, set.peer, stop, peerList, { all: sayAll, seenFor }, numbers, heardPeer)
 
   // Undefined: no majority of cores answered.
@@ -624,7 +697,7 @@
     for (const m of got.members) {
       const behind: { key: string; has: number; present: number }[] = []
       const acks = new Map(m.acks)
-      for (const [key, k] of known) if ((acks.get(key) ?? 0) < k.value.turn) behind.push({ key, has: acks.get(key) ?? 0, present: k.value.turn })
+      for (const [key, k] of known) if (key !== CORESET_KEY && (acks.get(key) ?? 0) < k.value.turn) behind.push({ key, has: acks.get(key) ?? 0, present: k.value.turn })
       out.push({ node: m.node, area: m.area, build: m.build, operator: m.operator, sessions: m.open, behind })
     }
     return out
@@ -692,8 +765,8 @@
     if (stop.fired()) return 'draining'
     return world.now() < termUntil ? undefined : 'no valid term'
   }
-  function placesNow(): CorePlace[] {
-    return places
+  function coreSetNow(): CoreSet {
+    return coreSet
   }
   // Both answer in time for a caller that goes elsewhere after a second; what is under way ends by itself.
   async function change(stream: string, one: Change): Promise<Decision | undefined> {
@@ -720,7 +793,7 @@
     const got = await within(world, CHANGE_ANSWER, shared)
     return got === LATE ? undefined : got
   }
-  const desk: Desk = { numbers, heard, left, change, read: readBody, body: config, places: placesNow, ready, operator }
+  const desk: Desk = { numbers, heard, left, change, read: readBody, body: config, coreSet: coreSetNow, ready, operator }
   const http = set.http !== undefined ? await edges.control(world, set.http, desk) : undefined
   const listener = set.link !== undefined ? await world.listen(set.link, answerLinks(world, mine, serveProxy, lostProxy)) : undefined
 
@@ -740,7 +813,7 @@
     if (proxy) await pause(world, NOTE_BEAT)
     while (proxy?.note?.leaving === true && world.now() < until) await pause(world, NOTE_BEAT / 6)
     // The term is given up only when no proxy can be working under it; else it runs out by itself.
-    if (!proxy && world.now() > given) for (const held of cores.values()) held.tell({ t: 'leave', node: set.node, life })
+    if (!proxy && world.now() > given) for (const { held } of cores.values()) held.tell({ t: 'leave', node: set.node, life })
     await pause(world, 20)
     stop.fire()
     proxy?.link.close()
--- a/packages/agent/src/seam.ts
+++ b/packages/agent/src/seam.ts
@@ -2,7 +2,7 @@
 import { promote, takeProbe, type PromotionEdge } from '@claynotch/host'
 import { httpInstance, takeAnnouncement, type Announcement, type InstanceEdge } from '@claynotch/instance'
 import type { Body, Change, Decision } from '@claynotch/operator'
-import type { CorePlace } from '@claynotch/register'
+import type { CoreSet } from '@claynotch/register'
 
 // What operators, instances and probes may have of an agent, whatever they speak.
 export type Desk = {
@@ -16,7 +16,7 @@
   // The configuration, read at a majority; undefined after CHANGE_ANSWER at most: no majority. body: as known here.
   read: () => Promise<Body | undefined>
   body: () => Body | undefined
-  places: () => CorePlace[]
+  coreSet: () => CoreSet
   // Why this node is not ready, if so.
   ready: () => string | undefined
   // Our own operators' calls.
@@ -28,14 +28,14 @@
 export type AgentEdges = { instance: InstanceEdge; promotion: PromotionEdge; control: ControlEdge }
 
 // Where nodes that look for the cores are answered.
-export function takeSeeds(ask: Ask, places: CorePlace[]): Reply | undefined {
+export function takeSeeds(ask: Ask, { epoch, ...set }: CoreSet): Reply | undefined {
   if (ask.path !== '/seeds') return undefined
-  return places.length > 0 ? { status: 200, body: { cores: places } } : { status: 503, body: { cores: [] }, after: 1 }
+  return set.cores.length > 0 ? { status: 200, body: { ...set, ...(epoch > 0 ? { epoch } : {}) } } : { status: 503, body: { cores: [] }, after: 1 }
 }
 
 function httpControl(world: World, addr: Addr, desk: Desk): Promise<Serving> {
   async function handle(ask: Ask): Promise<Reply | undefined> {
-    const first = takeProbe(ask, desk) ?? takeSeeds(ask, desk.places())
+    const first = takeProbe(ask, desk) ?? takeSeeds(ask, desk.coreSet())
     if (first) return first
     if (ask.path === '/announcement') return takeAnnouncement(ask, desk.heard)
     return await desk.operator.take(ask)
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -53,6 +53,15 @@
 // ms. Pause between two rounds of asking the seeds for the core set: a first set is there within a second or so.
 export const SEEDS_BEAT = 500
 
+// --- the core set (docs/design/coreset.md) ---
+// ms. A voter that nobody heard for this long is replaced where a spare is there: longer than a process takes to start anew
+// (5 s) and than freezes of a few seconds; a wrong replacement costs two small changes and a refill.
+export const CORE_GONE = 8000
+// ms. A spare that has not begun to vote by then is given up: a refill waits 2 s and reads each register once.
+export const CORE_JOIN = 20000
+// ms. Beat on which the holder of the duty looks at the voters.
+export const CORESET_BEAT = 1000
+
 // --- links ---
 // ms. A dial on the local network that takes longer is a failure.
 export const DIAL_LIMIT = 1000
--- a/packages/claynotch/src/machine.ts
+++ b/packages/claynotch/src/machine.ts
@@ -1,6 +1,6 @@
 import { parseAddr, type Addr, type World } from '@claynotch/base'
 import { ownEdges, startAgent, type Agent, type AgentEdges, type AgentSettings } from '@claynotch/agent'
-import { foundersOf, startCore, type Core } from '@claynotch/register'
+import { foundersOf, startCore, type Core, type CoreSet } from '@claynotch/register'
 import { BUILD } from './build.js'
 
 // A core machine whose process is told neither its set nor its name in it. link: where it takes links; every machine of the
@@ -18,7 +18,7 @@
   const { host, port } = parseAddr(set.link)
   const founders = set.first ? foundersOf(seeds, port) : undefined
   const core = await startCore(world, { id: host, addr: set.link, data: set.data, seeds: seedsNow, ...(founders ? { founders } : {}) })
-  const agent = await startAgent(world, { node: set.node, area: set.area, peer: set.peer, http: set.http, seeds, cores: core.places, ...(set.platform !== undefined ? { platform: set.platform } : {}), build: BUILD }, edges)
+  const agent = await startAgent(world, { node: set.node, area: set.area, peer: set.peer, http: set.http, seeds, coreSet: core.coreSet, core: { place: { id: host, addr: set.link }, adopt: core.adopt }, ...(set.platform !== undefined ? { platform: set.platform } : {}), build: BUILD }, edges)
   function apply(next: { seeds: Addr[]; platform: Addr | undefined }): void {
     seeds = next.seeds
     agent.apply({ ...next, operators: undefined })
@@ -31,12 +31,12 @@
 }
 
 // The agent of a front machine that is told seeds alone. At the very first start the set is known by rule.
-export type FrontAgentSettings = Omit<AgentSettings, 'build' | 'cores'> & { corePort: number; first: boolean }
+export type FrontAgentSettings = Omit<AgentSettings, 'build' | 'coreSet' | 'core'> & { corePort: number; first: boolean }
 export async function startFrontAgent(world: World, set: FrontAgentSettings, edges: AgentEdges = ownEdges): Promise<Agent> {
   const { corePort, first, ...rest } = set
   const founders = first ? foundersOf(set.seeds, corePort) : []
-  function cores(): ReturnType<Core['places']> {
-    return founders
+  function coreSet(): CoreSet {
+    return { epoch: 0, cores: founders }
   }
-  return await startAgent(world, { ...rest, cores, build: BUILD }, edges)
+  return await startAgent(world, { ...rest, coreSet, build: BUILD }, edges)
 }
--- a/packages/fleet/src/test/coreset.test.ts
+++ b/packages/fleet/src/test/coreset.test.ts
@@ -2,7 +2,7 @@
 import { startCoreMachine, startFrontAgent, type CoreMachine } from '@claynotch/claynotch'
 import type { Agent } from '@claynotch/agent'
 import { hello, holdLink, makeFlag, pause, type Addr, type World } from '@claynotch/base'
-import { makeProposer, type Value, type Voter } from '@claynotch/register'
+import { makeProposer, quorumOf, type CorePlace, type Quorum, type Value, type Voter } from '@claynotch/register'
 import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
 
 t.setTimeout(600000)
@@ -27,6 +27,9 @@
 function ignore(): undefined {
   return undefined
 }
+function placeOf(k: number): CorePlace {
+  return { id: `10.0.1.${k + 1}`, addr: `10.0.1.${k + 1}:7000` }
+}
 function makeSet(seed: number): Set {
   const sim = makeSim(seed, { keepLines: true })
   const boxes: Box[] = []
@@ -81,19 +84,19 @@
       const list: Voter[] = []
       for (const k of FIRST) {
         const held = holdLink(world, `10.0.1.${k + 1}:7000`, hello('test', ip), ignore, makeFlag())
-        list.push({ id: `${k}`, ask: held.ask, tell: held.tell })
+        list.push({ id: `10.0.1.${k + 1}`, ask: held.ask, tell: held.tell })
       }
       function voters(): Voter[] {
         return list
       }
-      function need(): number {
-        return 2
+      function quorum(): Quorum {
+        return quorumOf({ epoch: 0, cores: FIRST.map(placeOf) })
       }
       function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
         const old = (now?.body ?? []) as string[]
         return old.includes(text) ? undefined : { body: [...old, text], tag: text }
       }
-      const proposer = makeProposer(world, ip, voters, need)
+      const proposer = makeProposer(world, ip, voters, quorum)
       await pause(world, 500)
       const got = await proposer.change('list', edit, 20000)
       if (got.done) out = got.value?.body as string[]
--- a/packages/fleet/src/test/register.test.ts
+++ b/packages/fleet/src/test/register.test.ts
@@ -1,6 +1,6 @@
 import t, { type Test } from 'tap'
 import { hello, holdLink, makeFlag, pause, type Held, type World } from '@claynotch/base'
-import { makeProposer, makeStore, startCore, type Ballot, type Cell, type Core, type CorePlace, type Proposer, type Value, type Voter } from '@claynotch/register'
+import { makeProposer, makeStore, NO_SET, quorumOf, startCore, type Ballot, type Cell, type Core, type CorePlace, type Proposer, type Quorum, type Value, type Voter } from '@claynotch/register'
 import { makeSimFleet, smallShape } from '../simfleet.js'
 import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
 
@@ -38,10 +38,10 @@
   function voters(): Voter[] {
     return all
   }
-  function need(): number {
-    return 3
+  function quorum(): Quorum {
+    return quorumOf({ epoch: 0, cores: places })
   }
-  return makeProposer(world, name, voters, need)
+  return makeProposer(world, name, voters, quorum)
 }
 function votersOf(world: World, places: CorePlace[]): Voter[] {
   const stop = makeFlag()
@@ -212,7 +212,7 @@
     const copy = makeStore(world, '/x2')
     const cells = new Map<string, Cell>()
     for (const s of [b, cc, d]) for (const [key, cell] of s.cells()) if (cell.value) cells.set(key, cell)
-    await copy.refill(cells, 0, [])
+    await copy.refill(cells, 0, NO_SET)
     // Another proposer finds nothing at a majority and has its own value chosen.
     const two: Ballot = [2, 'q']
     let seen: Value | undefined
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -1,7 +1,7 @@
 import { answerLinks, FOUND_WAIT, HANDOVER_BEAT, hello, holdLink, loop, makeFlag, makeNumbers, MISSED_KEPT, pause, readAs, ROUND_LIFE, SEEDS_BEAT, type Addr, type Held, type Hello, type Link, type Listener, type Numbers, type World } from '@claynotch/base'
 import { compareBallots, type Ballot } from './ballot.js'
 import { makeTable } from './changes.js'
-import { askSeeds, type CorePlace } from './coreset.js'
+import { askSeeds, NO_SET, quorumOf, votersOf, type CorePlace, type CoreSet, type Quorum } from './coreset.js'
 import { gather, makeProposer, type Voter } from './proposer.js'
 import { makeStore, type Cell, type Phase, type Store, type Value } from './store.js'
 import { makeTerms } from './terms.js'
@@ -13,10 +13,12 @@
 // foundAnew: an operator's word that all cores lost their disks and everything is to begin again.
 export type CoreSettings = { id: string; data: string; foundAnew?: boolean } & ({ cores: CorePlace[] } | { addr: Addr; seeds: () => Addr[]; founders?: CorePlace[] })
 
-// places: the set, empty until it is known.
-export type Core = { stop: () => Promise<void>; serving: () => boolean; store: Store; numbers: Numbers; state: () => string; agents: () => string[]; places: () => CorePlace[] }
+// coreSet: NO_SET until it is known. adopt: takes a set that was chosen; an older one, or another than an operator gave, changes
+// nothing.
+export type Core = { stop: () => Promise<void>; serving: () => boolean; store: Store; numbers: Numbers; state: () => string; agents: () => string[]; coreSet: () => CoreSet; adopt: (next: CoreSet) => Promise<void> }
 
-type State = { t: 'state'; id: string; phase: Phase; serving: boolean; cores: string[] }
+// hears: the other voters that this core holds a link to.
+export type State = { t: 'state'; id: string; phase: Phase; serving: boolean; cores: string[]; set: CoreSet; hears: string[] }
 
 // One core machine: it votes on registers, holds terms, and pushes settled changes to its agents.
 export async function startCore(world: World, set: CoreSettings): Promise<Core> {
@@ -26,13 +28,16 @@
   const terms = makeTerms(world)
   const born = world.now()
   const given = 'cores' in set ? set.cores : undefined
-  // places, ids, most: the set once it is known, then unchanged in this life. voter: this core is of it.
-  let places: CorePlace[] = []
-  const ids: string[] = []
-  let most = 1
+  // coreSet, ids: the set once it is known; its epoch only grows. voter: this core is of it.
+  let coreSet: CoreSet = NO_SET
+  let ids: string[] = []
   let voter = false
-  // serving: votes are given only while this is true; it never turns false again in a life.
+  // serving: votes are given only while this is true; it turns false only when this core is removed from the set.
   let serving = false
+  // moving: a later set is being written; nothing is answered by either until it is on disk.
+  let moving = false
+  // joined: became a voter in this life, by a change of the set.
+  let joined = false
   // remembered: some agent knows registers of this set, so having nothing on disk means loss, not beginning.
   let remembered = false
   // settled: highest ballot known to be chosen, by key; forgotten at restart and learnt anew.
@@ -53,39 +58,85 @@
   }
 
   const mine = hello('core', set.id)
-  const others: { id: string; held: Held }[] = []
+  let others: { id: string; addr: Addr; held: Held; end: () => void }[] = []
   function ignore(): undefined {
     return undefined
   }
   function isMe(c: CorePlace): boolean {
     return c.id === set.id
   }
-  // Takes the set as known. A machine that isn't of it keeps it on disk only to tell it.
-  async function join(known: CorePlace[]): Promise<void> {
-    const names: string[] = []
-    for (const c of known) names.push(c.id)
-    names.sort()
-    if (store.phase() !== 'none' && store.cores().join() !== names.join()) throw new Error(`the data folder belongs to the core set ${store.cores().join()}, not ${names.join()}`)
-    voter = known.some(isMe)
-    if (!voter && given) throw new Error(`core ${set.id} is not among its own set`)
-    if (!voter && store.places().length === 0) await store.mark('none', known)
-    places = known
-    ids.push(...names)
-    most = Math.floor(ids.length / 2) + 1
-    if (!voter) {
-      world.log.info('core-aside', { core: set.id, set: ids.join() })
-      return
-    }
-    for (const c of known) {
+  function idsOf(list: CorePlace[]): string[] {
+    const out: string[] = []
+    for (const c of list) out.push(c.id)
+    return out.sort()
+  }
+  // Links to the others of the set, kept where they stand already.
+  function hold(): void {
+    const was = others
+    others = []
+    for (const c of voter ? votersOf(coreSet) : []) {
       if (c.id === set.id) continue
-      others.push({ id: c.id, held: holdLink(world, c.addr, mine, ignore, stop) })
+      const old = was.find(isIt)
+      function isIt(o: CorePlace): boolean {
+        return o.id === c.id && o.addr === c.addr
+      }
+      if (old) {
+        others.push(old)
+        continue
+      }
+      const flag = makeFlag()
+      const cancel = stop.watch(flag.fire)
+      function end(): void {
+        cancel()
+        flag.fire()
+      }
+      others.push({ id: c.id, addr: c.addr, held: holdLink(world, c.addr, mine, ignore, flag), end })
       missed.set(c.id, 'all')
     }
-    if (store.phase() === 'founded' && !lost) serving = true
+    for (const o of was) {
+      if (others.includes(o)) continue
+      o.end()
+      missed.delete(o.id)
+    }
+  }
+  // Takes the first set known in this life. A machine that isn't of it keeps it on disk only to tell it.
+  async function join(known: CoreSet): Promise<void> {
+    const names = idsOf(known.cores)
+    if (store.phase() !== 'none' && store.cores().join() !== names.join()) throw new Error(`the data folder belongs to the core set ${store.cores().join()}, not ${names.join()}`)
+    voter = votersOf(known).some(isMe)
+    if (!voter && given) throw new Error(`core ${set.id} is not among its own set`)
+    if (!voter && store.set().cores.length === 0) await store.mark('none', known)
+    // A later set may have been taken while this one was written.
+    if (coreSet.epoch > known.epoch) return
+    coreSet = known
+    ids = names
+    hold()
+    if (!voter) world.log.info('core-aside', { core: set.id, set: ids.join() })
+    else if (store.phase() === 'founded' && !lost) serving = true
+  }
+  // A later set. From the first line on no word of an older epoch is taken; what was taken before it is on disk before it.
+  async function adopt(next: CoreSet): Promise<void> {
+    if (given || next.cores.length === 0 || next.epoch <= coreSet.epoch || store.failed() !== undefined) return
+    coreSet = next
+    ids = idsOf(next.cores)
+    moving = true
+    const was = voter
+    voter = votersOf(next).some(isMe)
+    if (!was && voter) joined = true
+    if (!voter) serving = false
+    hold()
+    try {
+      // Who comes anew, or again, holds nothing that counts until its refill.
+      await store.mark(was && voter && !lost ? store.phase() : 'none', next)
+    } catch {
+      // Said by the store, which answers nothing any more.
+    }
+    if (coreSet === next) moving = false
+    world.log.info('core-set-changed', { core: set.id, epoch: next.epoch, set: ids.join(), next: idsOf(next.next ?? []).join(), voter })
   }
   // begins: whether this core may begin a founding.
   const begins = 'cores' in set || (set.founders?.length ?? 0) > 0
-  const first = given ?? (store.places().length > 0 ? store.places() : 'founders' in set ? set.founders : undefined)
+  const first = given ? { epoch: 0, cores: given } : store.set().cores.length > 0 ? store.set() : 'founders' in set && set.founders ? { epoch: 0, cores: set.founders } : undefined
   if (first) await join(first)
 
   function keyLines(): KeyLine[] {
@@ -153,7 +204,9 @@
     return took
   }
   function state(): State {
-    return { t: 'state', id: set.id, phase: lost ? 'none' : store.phase(), serving, cores: ids }
+    const hears: string[] = []
+    for (const o of others) if (o.held.up()) hears.push(o.id)
+    return { t: 'state', id: set.id, phase: lost ? 'none' : store.phase(), serving: servingNow() && !moving, cores: ids, set: coreSet, hears }
   }
   async function answer(msg: CoreWord, peer: Hello, link: Link): Promise<unknown> {
     numbers.add('claynotch_core_words_total', [['word', msg.t]])
@@ -161,13 +214,22 @@
       case 'state':
         return state()
       case 'seeds':
-        return { cores: places }
+        return coreSet
+      case 'set':
+        await adopt(msg.set)
+        return { ok: true }
     }
     if (msg.t === 'renew' && msg.remembers && !serving && set.foundAnew !== true && store.phase() !== 'founded' && !remembered) {
       remembered = true
       world.log.error('set-was-founded', { core: set.id, node: msg.node, why: 'an agent remembers settled registers: this set is not founded a second time unless foundAnew is set' })
     }
-    if (!serving || store.failed() !== undefined) return { ok: false, absent: true }
+    // A round or a count under one set never ends under another.
+    if (msg.t !== 'learn' && msg.t !== 'handover' && msg.t !== 'leave' && msg.t !== 'ack') {
+      const at = msg.epoch ?? 0
+      if (coreSet.cores.length > 0 && at < coreSet.epoch) return { ok: false, set: coreSet }
+      if (at > coreSet.epoch) return { ok: false, behind: true }
+    }
+    if (!serving || moving || store.failed() !== undefined) return { ok: false, absent: true }
     switch (msg.t) {
       case 'prepare':
         return await store.prepare(msg.key, msg.ballot)
@@ -223,7 +285,7 @@
     const keys = new Map<string, KeyLine>()
     for (const k of keyLines()) keys.set(k.key, k)
     const members = new Map<string, MemberLine>()
-    for (const { node, life: its, area, addr, operator, build, proxy } of terms.members()) members.set(node, { node, life: its, area, addr, operator, build, proxy })
+    for (const { node, life: its, area, addr, operator, build, proxy, core } of terms.members()) members.set(node, { node, life: its, area, addr, operator, build, proxy, ...(core ? { core } : {}) })
     const sights = new Map<string, Sight>()
     for (const s of terms.sights()) sights.set(s.name, s)
     keyTable.update(keys)
@@ -286,6 +348,12 @@
     for (const s of states) {
       // One that doesn't know its set yet can't found.
       if (!s || s.cores.length === 0) continue
+      if (s.set.epoch > coreSet.epoch) {
+        await adopt(s.set)
+        return false
+      }
+      // One that hasn't heard of the set yet counts for nothing.
+      if (s.set.epoch < coreSet.epoch) continue
       if (s.cores.join() !== ids.join()) {
         world.log.error('core-set-differs', { core: s.id, theirs: s.cores.join(), ours: ids.join() })
         return false
@@ -296,22 +364,22 @@
     }
     if (founded > 0) {
       if (store.phase() === 'intent' && !lost) {
-        await store.mark('founded', places)
+        await store.mark('founded', coreSet)
         world.log.info('core-founded', { core: set.id })
         return true
       }
       return await refill()
     }
-    if (lost || remembered || up < others.length) return false
+    if (coreSet.epoch > 0 || lost || remembered || up < others.length) return false
     // Those who were told that this is the very first start know it from the one who started them; with a set given by an
     // operator the agents are heard first.
     if (given && world.now() - born < FOUND_WAIT) return false
     // Without that word a core with nothing on disk never begins. It may only end a founding that all the others hold
     // intent for: none of them has served yet, and what its own lost life promised is void after this wait.
     if (store.phase() === 'none' && !begins && (others.length === 0 || intent < others.length || asked - born < 2 * ROUND_LIFE)) return false
-    if (store.phase() === 'none') await store.mark('intent', places)
+    if (store.phase() === 'none') await store.mark('intent', coreSet)
     if (intent === others.length) {
-      await store.mark('founded', places)
+      await store.mark('founded', coreSet)
       world.log.info('core-founded', { core: set.id })
       return true
     }
@@ -324,13 +392,26 @@
     const wait = born + 2 * ROUND_LIFE - world.now()
     if (wait > 0) await pause(world, wait, stop)
     type Keys = { ok?: boolean; keys: string[]; top: number } | undefined
-    const asks: Promise<Keys>[] = []
-    for (const o of others) asks.push(o.held.ask({ t: 'keys' }, ROUND_LIFE) as Promise<Keys>)
+    // All of it under one set; a change of the set meanwhile makes it void.
+    const under = coreSet
+    const all = quorumOf(under)
     function isOk(k: Keys): boolean {
       return k?.ok === true
     }
-    const got = (await gather(world, asks, most, isOk, ROUND_LIFE)).filter(isOk)
-    if (got.length < most) return false
+    async function askKeys(): Promise<Keys[] | undefined> {
+      const asks: { id: string; got: Promise<Keys> }[] = []
+      for (const o of others) asks.push({ id: o.id, got: o.held.ask({ t: 'keys', epoch: under.epoch }, ROUND_LIFE) as Promise<Keys> })
+      const good = new Set<string>()
+      const out: Keys[] = []
+      for (const { id, val } of await gather(world, asks, all, isOk, ROUND_LIFE)) {
+        if (!isOk(val)) continue
+        good.add(id)
+        out.push(val)
+      }
+      return all.met(good) ? out : undefined
+    }
+    const got = await askKeys()
+    if (!got) return false
     const keys = new Set<string>()
     let floor = 0
     for (const k of got) {
@@ -342,10 +423,10 @@
       for (const o of others) out.push({ id: o.id, ask: o.held.ask, tell: o.held.tell })
       return out
     }
-    function need(): number {
-      return most
+    function quorum(): Quorum {
+      return all
     }
-    const proposer = makeProposer(world, set.id, voters, need)
+    const proposer = makeProposer(world, set.id, voters, quorum)
     const cells = new Map<string, Cell>()
     for (const key of keys) {
       // A read that finds a majority alike writes nothing, yet its prepare has raised that majority's promise.
@@ -354,37 +435,41 @@
       if (one.value) cells.set(key, { promise: one.ballot, ballot: one.ballot, value: one.value })
     }
     // The floor covers the ballots just used and keys that no one has named yet.
-    const again = (await gather(world, voters().map(askKeys), most, isOk, ROUND_LIFE)).filter(isOk)
-    if (again.length < most) return false
+    const again = await askKeys()
+    if (!again || coreSet !== under) return false
     for (const k of again) floor = Math.max(floor, k!.top)
     floor += 1
     for (const [key, c] of cells) cells.set(key, { ...c, promise: [floor, ''] })
-    await store.refill(cells, floor, places)
+    await store.refill(cells, floor, under)
+    if (coreSet !== under) return false
+    if (joined) terms.doubt()
     lost = false
     for (const [key, c] of cells) settled.set(key, c.ballot)
     world.log.info('core-refilled', { core: set.id, keys: keys.size, floor })
     numbers.add('claynotch_core_refills_total')
     return true
   }
-  function askKeys(v: Voter): Promise<{ ok?: boolean; keys: string[]; top: number } | undefined> {
-    return v.ask({ t: 'keys' }, ROUND_LIFE) as never
-  }
   async function settle(): Promise<void> {
-    if (voter && !serving && store.failed() === undefined) serving = await found()
+    if (voter && !serving && !moving && store.failed() === undefined) {
+      const under = coreSet
+      const done = await found()
+      if (done && coreSet === under) serving = true
+    }
     numbers.set('claynotch_core_serving', [], servingNow() ? 1 : 0)
     numbers.set('claynotch_core_members', [], terms.members().length)
   }
   const told = makeFlag()
   stop.watch(told.fire)
   async function seek(): Promise<void> {
-    if (places.length > 0 || !('seeds' in set)) return
+    if (coreSet.cores.length > 0 || !('seeds' in set)) return
     const got = await askSeeds(world, set.seeds())
     if (!got || stop.fired()) return
-    world.log.info('core-set-told', { core: set.id, seed: got.seed, set: got.cores.length })
-    await join(got.cores)
+    world.log.info('core-set-told', { core: set.id, seed: got.seed, set: got.set.cores.length })
+    // It may have been told a set already by a link.
+    if (coreSet.cores.length === 0) await join(got.set)
     told.fire()
   }
-  if (places.length === 0) void loop(world, 'core-set', SEEDS_BEAT, told, seek)
+  if (coreSet.cores.length === 0) void loop(world, 'core-set', SEEDS_BEAT, told, seek)
   void loop(world, 'found', 200, stop, settle)
   void loop(world, 'handover', HANDOVER_BEAT, stop, handOver)
 
@@ -397,7 +482,7 @@
     return serving && store.failed() === undefined
   }
   function stateNow(): string {
-    return store.failed() !== undefined ? 'disk failed' : serving ? 'serving' : places.length === 0 ? 'looking' : !voter ? 'aside' : lost || remembered ? 'lost' : store.phase()
+    return store.failed() !== undefined ? 'disk failed' : serving ? 'serving' : coreSet.cores.length === 0 ? 'looking' : !voter ? 'aside' : lost || remembered ? 'lost' : store.phase()
   }
   function agentsNow(): string[] {
     const out: string[] = []
@@ -405,8 +490,8 @@
     return out
   }
   world.log.info('core-started', { core: set.id, addr: here, state: stateNow() })
-  function placesNow(): CorePlace[] {
-    return places
+  function coreSetNow(): CoreSet {
+    return coreSet
   }
-  return { stop: end, serving: servingNow, store, numbers, state: stateNow, agents: agentsNow, places: placesNow }
+  return { stop: end, serving: servingNow, store, numbers, state: stateNow, agents: agentsNow, coreSet: coreSetNow, adopt }
 }
--- a/packages/register/src/coreset.ts
+++ b/packages/register/src/coreset.ts
@@ -1,12 +1,42 @@
 import * as t from 'io-ts'
 import { callOnce, parseAddr, readAs, ROUND_LIFE, type Addr, type World } from '@claynotch/base'
 
-// The core set: which machines vote, as agreed state that each of them keeps on disk (docs/register.md).
-// addr: where it takes links. Invariant: a set is never empty, and no id stands in it twice.
+// The core set: which machines vote, as agreed state that each of them keeps on disk (docs/design/coreset.md).
+// addr: where it takes links. Invariant: no id stands in a set twice.
 export const CorePlace = t.type({ id: t.string, addr: t.string })
 export type CorePlace = t.TypeOf<typeof CorePlace>
 
-const SeedsAnswer = t.type({ cores: t.array(CorePlace) })
+
+// One configuration of the voters. Invariants: of each epoch there is one set, chosen in the register CORESET_KEY by a round
+// under the epoch before it; whoever says a set has learnt that it was chosen; cores is empty only while no set is known.
+// next: joint configuration; every majority is one of cores and one of next as well.
+export const CoreSet = t.intersection([t.type({ epoch: t.number, cores: t.array(CorePlace) }), t.partial({ next: t.array(CorePlace) })])
+export type CoreSet = t.TypeOf<typeof CoreSet>
+export const CORESET_KEY = 'coreset'
+export const NO_SET: CoreSet = { epoch: 0, cores: [] }
+
+// Which answers together decide. epoch: only cores that stand in it answer.
+export type Quorum = { epoch: number; met: (ids: Set<string>) => boolean }
+
+function hasMost(list: CorePlace[], ids: Set<string>): boolean {
+  let count = 0
+  for (const c of list) if (ids.has(c.id)) count++
+  return count > list.length / 2
+}
+export function quorumOf(set: CoreSet): Quorum {
+  function met(ids: Set<string>): boolean {
+    return hasMost(set.cores, ids) && (set.next === undefined || hasMost(set.next, ids))
+  }
+  return { epoch: set.epoch, met }
+}
+// Everyone who may be asked: each once.
+export function votersOf(set: CoreSet): CorePlace[] {
+  const out = new Map<string, CorePlace>()
+  for (const c of [...set.cores, ...(set.next ?? [])]) out.set(c.id, c)
+  return [...out.values()]
+}
+
+const SeedsAnswer = t.intersection([t.type({ cores: t.array(CorePlace) }), t.partial({ epoch: t.number, next: t.array(CorePlace) })])
 
 function byId(a: CorePlace, b: CorePlace): number {
   return a.id < b.id ? -1 : a.id > b.id ? 1 : 0
@@ -24,14 +54,14 @@
 }
 
 // The set as the first of these tells it that can; undefined: none of them can. All are asked at once, as some may be silent.
-export function askSeeds(world: World, seeds: Addr[]): Promise<{ seed: Addr; cores: CorePlace[] } | undefined> {
-  function start(done: (got: { seed: Addr; cores: CorePlace[] } | undefined) => void): void {
+export function askSeeds(world: World, seeds: Addr[]): Promise<{ seed: Addr; set: CoreSet } | undefined> {
+  function start(done: (got: { seed: Addr; set: CoreSet } | undefined) => void): void {
     let left = seeds.length
     async function ask(seed: Addr): Promise<void> {
       const got = await callOnce(world, seed, 'GET', '/seeds', undefined, ROUND_LIFE)
       const told = got.ok && got.val.status === 200 ? readAs(SeedsAnswer, got.val.body) : undefined
       left--
-      if (told?.ok && told.val.cores.length > 0) done({ seed, cores: told.val.cores })
+      if (told?.ok && told.val.cores.length > 0) done({ seed, set: { epoch: 0, ...told.val } })
       else if (left === 0) done(undefined)
     }
     if (left === 0) done(undefined)
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -1,5 +1,6 @@
-import { CHANGE_LIMIT, ROUND_LIFE, ROUND_PAUSE, pause, type World } from '@claynotch/base'
+import { CHANGE_LIMIT, ROUND_LIFE, ROUND_PAUSE, pause, readAs, type World } from '@claynotch/base'
 import { ZERO, compareBallots, type Ballot } from './ballot.js'
+import { CoreSet, type Quorum } from './coreset.js'
 import type { Value } from './store.js'
 
 export type Voter = { id: string; ask: (msg: unknown, ms: number) => Promise<unknown>; tell: (msg: unknown) => void }
@@ -19,35 +20,42 @@
   look: (key: string, limit?: number) => Promise<Settled>
 }
 
-type Vote = { ok?: boolean; promise?: Ballot; ballot?: Ballot; value?: Value | null } | null | undefined
+type Vote = { ok?: boolean; promise?: Ballot; ballot?: Ballot; value?: Value | null; set?: unknown } | null | undefined
 
-// Asks all; ends once enough said ok, once that has become impossible, or at the limit.
-export function gather<T>(world: World, asks: Promise<T>[], need: number, isOk: (v: T) => boolean, ms: number): Promise<T[]> {
-  function start(done: (got: T[]) => void): void {
-    const got: T[] = []
-    let good = 0
-    let left = asks.length
+export type Answer<T> = { id: string; val: T }
+
+// Asks all; ends once those who said ok are a quorum, once that has become impossible, or at the limit.
+export function gather<T>(world: World, asks: { id: string; got: Promise<T> }[], quorum: Quorum, isOk: (v: T) => boolean, ms: number): Promise<Answer<T>[]> {
+  function start(done: (got: Answer<T>[]) => void): void {
+    const got: Answer<T>[] = []
+    const good = new Set<string>()
+    // may: who has said ok or may yet.
+    const may = new Set<string>()
+    for (const one of asks) may.add(one.id)
     function end(): void {
       cancel()
       done(got.slice())
     }
     const cancel = world.later(ms, end)
-    function take(v: T): void {
-      got.push(v)
-      left--
-      if (isOk(v)) good++
-      if (good >= need || good + left < need) end()
-    }
-    if (asks.length < need) {
+    if (!quorum.met(may)) {
       end()
       return
     }
-    for (const one of asks) void one.then(take)
+    async function take(id: string, from: Promise<T>): Promise<void> {
+      const val = await from
+      got.push({ id, val })
+      if (isOk(val)) good.add(id)
+      else may.delete(id)
+      if (quorum.met(good) || !quorum.met(may)) end()
+    }
+    for (const one of asks) void take(one.id, one.got)
   }
   return new Promise(start)
 }
 
-export function makeProposer(world: World, name: string, voters: () => Voter[], need: () => number): Proposer {
+// voters and quorum are of one set at any time; a round keeps those that it began with. heard: a core refused for the sake of
+// a later set.
+export function makeProposer(world: World, name: string, voters: () => Voter[], quorum: () => Quorum, heard?: (set: CoreSet) => void): Proposer {
   // who is fresh for each life of a process, so that a restarted proposer can't repeat a ballot.
   const who = `${name}~${Math.floor(world.random() * 2 ** 40).toString(36)}`
   let top = 0
@@ -55,22 +63,36 @@
   function saw(v: Vote): void {
     if (v?.promise) top = Math.max(top, v.promise[0])
     if (v?.ballot) top = Math.max(top, v.ballot[0])
+    if (v?.set === undefined || !heard) return
+    const later = readAs(CoreSet, v.set)
+    if (later.ok) heard(later.val)
   }
   function isOk(v: Vote): boolean {
     return v?.ok === true
   }
+  type Yes = { id: string; ballot: Ballot; value?: Value | null }
+  function yesOf(votes: Answer<Vote>[]): Yes[] {
+    const out: Yes[] = []
+    for (const { id, val } of votes) if (val?.ok) out.push({ id, ballot: val.ballot ?? ZERO, value: val.value })
+    return out
+  }
+  function idsOf(yes: Yes[]): Set<string> {
+    const out = new Set<string>()
+    for (const v of yes) out.add(v.id)
+    return out
+  }
   async function round(key: string, edit: Edit): Promise<Settled> {
     const all = voters()
-    const enough = need()
+    const enough = quorum()
+    const { epoch } = enough
     const ballot: Ballot = [++top, who]
     const from = world.now()
-    const asks: Promise<Vote>[] = []
-    for (const v of all) asks.push(v.ask({ t: 'prepare', key, ballot }, ROUND_LIFE) as Promise<Vote>)
+    const asks: { id: string; got: Promise<Vote> }[] = []
+    for (const v of all) asks.push({ id: v.id, got: v.ask({ t: 'prepare', epoch, key, ballot }, ROUND_LIFE) as Promise<Vote> })
     const votes = await gather(world, asks, enough, isOk, ROUND_LIFE)
-    for (const v of votes) saw(v)
-    const yes: { ballot: Ballot; value?: Value | null }[] = []
-    for (const v of votes) if (v?.ok) yes.push({ ballot: v.ballot ?? ZERO, value: v.value })
-    if (yes.length < enough) return { done: false, why: 'no majority promised' }
+    for (const v of votes) saw(v.val)
+    const yes = yesOf(votes)
+    if (!enough.met(idsOf(yes))) return { done: false, why: 'no majority promised' }
     // A prepare that took too long is void: a core emptied meanwhile may have lost its promise.
     if (world.now() - from > ROUND_LIFE) return { done: false, why: 'prepare took too long' }
     let high = yes[0]
@@ -78,24 +100,24 @@
     const now = high.value ?? undefined
     const next = edit(now)
     if (!next) {
-      let same = 0
-      for (const v of yes) if (compareBallots(v.ballot, high.ballot) === 0) same++
+      const same = new Set<string>()
+      for (const v of yes) if (compareBallots(v.ballot, high.ballot) === 0) same.add(v.id)
       // All of a majority hold the same ballot: the value is chosen already (or nothing ever was).
-      if (same >= enough) {
+      if (enough.met(same)) {
         if (now) learn(all, key, high.ballot)
         return { done: true, value: now, ballot: high.ballot }
       }
     }
     const value: Value = next ? { turn: (now?.turn ?? 0) + 1, tag: next.tag, body: next.body } : (now as Value)
-    const puts: Promise<Vote>[] = []
-    for (const v of all) puts.push(v.ask({ t: 'accept', key, ballot, value }, ROUND_LIFE) as Promise<Vote>)
+    const puts: { id: string; got: Promise<Vote> }[] = []
+    for (const v of all) puts.push({ id: v.id, got: v.ask({ t: 'accept', epoch, key, ballot, value }, ROUND_LIFE) as Promise<Vote> })
     const took = await gather(world, puts, enough, isOk, ROUND_LIFE)
-    let count = 0
+    const accepted = new Set<string>()
     for (const v of took) {
-      saw(v)
-      if (v?.ok) count++
+      saw(v.val)
+      if (v.val?.ok) accepted.add(v.id)
     }
-    if (count < enough) return { done: false, why: 'no majority accepted' }
+    if (!enough.met(accepted)) return { done: false, why: 'no majority accepted' }
     learn(all, key, ballot)
     return { done: true, value, ballot }
   }
@@ -121,14 +143,15 @@
   // What a majority accepted at one ballot is chosen; and a later one chosen before we asked would be told by one of them.
   async function look(key: string, limit = CHANGE_LIMIT): Promise<Settled> {
     const all = voters()
-    const enough = need()
+    const enough = quorum()
+    const { epoch } = enough
     const from = world.now()
-    const asks: Promise<Vote>[] = []
-    for (const v of all) asks.push(v.ask({ t: 'get', key }, ROUND_LIFE) as Promise<Vote>)
+    const asks: { id: string; got: Promise<Vote> }[] = []
+    for (const v of all) asks.push({ id: v.id, got: v.ask({ t: 'get', epoch, key }, ROUND_LIFE) as Promise<Vote> })
     const votes = await gather(world, asks, enough, isOk, ROUND_LIFE)
-    const yes: { ballot: Ballot; value?: Value | null }[] = []
-    for (const v of votes) if (v?.ok) yes.push({ ballot: v.ballot ?? ZERO, value: v.value })
-    let alike = yes.length >= enough
+    for (const v of votes) saw(v.val)
+    const yes = yesOf(votes)
+    let alike = enough.met(idsOf(yes))
     for (const v of yes) if (compareBallots(v.ballot, yes[0].ballot) !== 0) alike = false
     if (!alike) return await read(key, Math.max(0, limit - (world.now() - from)))
     const { ballot, value } = yes[0]
--- a/packages/register/src/store.ts
+++ b/packages/register/src/store.ts
@@ -1,6 +1,6 @@
 import { makeFile, makeTurnstile, type World, type Finding } from '@claynotch/base'
 import { ZERO, compareBallots, type Ballot } from './ballot.js'
-import type { CorePlace } from './coreset.js'
+import { NO_SET, type CorePlace, type CoreSet } from './coreset.js'
 
 // What a core knows of one register.
 // Invariants: promise >= ballot; both only grow; value is the one accepted at ballot;
@@ -13,9 +13,10 @@
 
 export type Phase = 'none' | 'intent' | 'founded'
 
-// places: the set with its addresses; files of before this field have the ids alone. A set with phase none is kept by a
+// places: the set with its addresses; files of before this field have the ids alone. epoch, next: see CoreSet; files of
+// before these fields are of epoch 0. A set with phase none is kept by a
 // machine that isn't of it, so that it can tell others.
-type SetRecord = { k: 'set'; phase: Phase; cores: string[]; places?: CorePlace[] }
+type SetRecord = { k: 'set'; phase: Phase; cores: string[]; places?: CorePlace[]; epoch?: number; next?: CorePlace[] }
 type FloorRecord = { k: 'floor'; floor: number }
 type PromiseRecord = { k: 'promise'; key: string; promise: Ballot }
 type CellRecord = { k: 'cell'; key: string; promise: Ballot; ballot: Ballot; value: Value | undefined }
@@ -29,8 +30,8 @@
   phase: () => Phase
   // The ids of the set that this disk knows, and the set whole where the file holds it.
   cores: () => string[]
-  places: () => CorePlace[]
-  mark: (phase: Phase, set: CorePlace[]) => Promise<void>
+  set: () => CoreSet
+  mark: (phase: Phase, set: CoreSet) => Promise<void>
   prepare: (key: string, ballot: Ballot) => Promise<PrepareAnswer>
   accept: (key: string, ballot: Ballot, value: Value) => Promise<AcceptAnswer>
   // What was accepted last and is on disk.
@@ -40,7 +41,7 @@
   // Set once a write failed: what is in memory may not be on disk, so nothing is answered from here any more.
   failed: () => string | undefined
   // The last step of a refill: everything at once, then founded.
-  refill: (cells: Map<string, Cell>, floor: number, set: CorePlace[]) => Promise<void>
+  refill: (cells: Map<string, Cell>, floor: number, set: CoreSet) => Promise<void>
 }
 
 export function makeStore(world: World, path: string): Store {
@@ -49,7 +50,7 @@
   const enter = makeTurnstile()
   let phase: Phase = 'none'
   let cores: string[] = []
-  let places: CorePlace[] = []
+  let set: CoreSet = NO_SET
   // floor: prepares and accepts under this number are refused for every key (set by a refill).
   let floor = 0
 
@@ -60,7 +61,7 @@
     if (rec.k === 'set') {
       phase = rec.phase
       cores = rec.cores
-      places = rec.places ?? []
+      set = { epoch: rec.epoch ?? 0, cores: rec.places ?? [], ...(rec.next ? { next: rec.next } : {}) }
     } else if (rec.k === 'floor') floor = rec.floor
     else if (rec.k === 'promise') cells.set(rec.key, { ...cell(rec.key), promise: rec.promise })
     else cells.set(rec.key, { promise: rec.promise, ballot: rec.ballot, value: rec.value ?? undefined })
@@ -69,7 +70,7 @@
     const out: Rec[] = [{ k: 'floor', floor }]
     for (const [key, c] of cells) out.push({ k: 'cell', key, promise: c.promise, ballot: c.ballot, value: c.value })
     // The phase comes last: a file that lost its tail must not look founded.
-    out.push({ k: 'set', phase, cores, places })
+    out.push({ k: 'set', phase, cores, places: set.cores, epoch: set.epoch, ...(set.next ? { next: set.next } : {}) })
     return out
   }
   async function open(): Promise<Finding[]> {
@@ -111,16 +112,16 @@
   function failed(): string | undefined {
     return failure
   }
-  function keep(to: Phase, set: CorePlace[]): void {
+  function keep(to: Phase, next: CoreSet): void {
     phase = to
-    places = set
+    set = next
     cores = []
-    for (const c of set) cores.push(c.id)
+    for (const c of next.cores) cores.push(c.id)
     cores.sort()
   }
-  function mark(to: Phase, set: CorePlace[]): Promise<void> {
+  function mark(to: Phase, next: CoreSet): Promise<void> {
     async function run(): Promise<void> {
-      keep(to, set)
+      keep(to, next)
       await rewrite()
     }
     return enter(run)
@@ -154,12 +155,12 @@
     }
     return enter(run)
   }
-  function refill(from: Map<string, Cell>, least: number, set: CorePlace[]): Promise<void> {
+  function refill(from: Map<string, Cell>, least: number, now: CoreSet): Promise<void> {
     async function run(): Promise<void> {
       cells.clear()
       for (const [key, c] of from) cells.set(key, c)
       floor = least
-      keep('founded', set)
+      keep('founded', now)
       await rewrite()
     }
     return enter(run)
@@ -175,11 +176,11 @@
   function coresNow(): string[] {
     return cores
   }
-  function placesNow(): CorePlace[] {
-    return places
+  function setNow(): CoreSet {
+    return set
   }
   function cellsNow(): Map<string, Cell> {
     return cells
   }
-  return { open, phase: phaseNow, cores: coresNow, places: placesNow, mark, prepare, accept, accepted, cells: cellsNow, top, failed, refill }
+  return { open, phase: phaseNow, cores: coresNow, set: setNow, mark, prepare, accept, accepted, cells: cellsNow, top, failed, refill }
 }
--- a/packages/register/src/terms.ts
+++ b/packages/register/src/terms.ts
@@ -15,10 +15,12 @@
   members: () => Member[]
   sights: () => Sight[]
   sure: () => boolean
+  // From now on others may have counted terms here that this core does not know: it has just begun to vote.
+  doubt: () => void
 }
 
 export function makeTerms(world: World): Terms {
-  const start = world.now()
+  let start = world.now()
   const terms = new Map<string, Term>()
   const seen = new Map<string, { sight: Sight; at: number }>()
 
@@ -82,5 +84,8 @@
   function sure(): boolean {
     return world.now() - start > TERM + TERM_SLACK
   }
-  return { renew, leave, ack, members, sights, sure }
+  function doubt(): void {
+    start = world.now()
+  }
+  return { renew, leave, ack, members, sights, sure, doubt }
 }
--- a/packages/register/src/words.ts
+++ b/packages/register/src/words.ts
@@ -1,6 +1,7 @@
 import { LATE_CALL } from '@claynotch/base'
 import * as t from 'io-ts'
 import { Ballot } from './ballot.js'
+import { CorePlace, CoreSet } from './coreset.js'
 
 // What is said to a core on a link. Answers are written beside each in docs/wire.md.
 export const Value = t.type({ turn: t.number, tag: t.string, body: t.unknown })
@@ -12,7 +13,8 @@
 
 // What a member is, told to each core once in its life. addr: where it takes summaries; operator: where it serves operators,
 // '' if it doesn't; proxy: whether it feeds a proxy.
-export const Self = t.type({ area: t.string, addr: t.string, operator: t.string, build: t.string, proxy: t.boolean })
+// core: the core machine that it runs on, which votes or could.
+export const Self = t.intersection([t.type({ area: t.string, addr: t.string, operator: t.string, build: t.string, proxy: t.boolean }), t.partial({ core: CorePlace })])
 export type Self = t.TypeOf<typeof Self>
 
 // A renewal: what changed since the last one that this core answered. core, count: which life of the core the agent has
@@ -26,19 +28,23 @@
     // remembers: this node knows settled registers, so the set was founded once.
     remembers: t.boolean,
   }),
-  t.partial({ self: Self }),
+  t.partial({ self: Self, epoch: t.number }),
 ])
 export type Renew = t.TypeOf<typeof Renew>
 
+// epoch: of the set whose quorum the asker counts, 0 where it isn't said. A core of another epoch refuses: with its set where
+// that is later, else with behind, and is then told the set.
+const At = t.partial({ epoch: t.number })
 export const CoreWord = t.union([
-  t.type({ t: t.literal('prepare'), key: t.string, ballot: Ballot }),
-  t.type({ t: t.literal('accept'), key: t.string, ballot: Ballot, value: Value }),
+  t.intersection([t.type({ t: t.literal('prepare'), key: t.string, ballot: Ballot }), At]),
+  t.intersection([t.type({ t: t.literal('accept'), key: t.string, ballot: Ballot, value: Value }), At]),
   t.type({ t: t.literal('learn'), key: t.string, ballot: Ballot }),
-  t.type({ t: t.literal('get'), key: t.string }),
+  t.intersection([t.type({ t: t.literal('get'), key: t.string }), At]),
   t.type({ t: t.literal('handover'), cells: t.array(t.type({ key: t.string, ballot: Ballot, value: Value })) }),
   t.type({ t: t.literal('state') }),
-  t.type({ t: t.literal('keys') }),
-  t.type({ t: t.literal('members') }),
+  t.intersection([t.type({ t: t.literal('keys') }), At]),
+  t.intersection([t.type({ t: t.literal('members') }), At]),
+  t.type({ t: t.literal('set'), set: CoreSet }),
   t.type({ t: t.literal('seeds') }),
   t.type({ t: t.literal('leave'), node: t.string, life: t.string }),
   t.type({ t: t.literal('ack'), num: t.number, key: t.string, turn: t.number }),
@@ -68,6 +74,7 @@
   t.partial({
     unknown: t.boolean, replaced: t.boolean, sure: t.boolean, core: t.string, since: t.number, count: t.number,
     keys: t.array(KeyLine), members: t.array(MemberLine), sights: t.array(Sight), left: t.array(t.string), lost: t.array(t.string),
+    set: CoreSet, behind: t.boolean,
   }),
 ])
 export type RenewAnswer = t.TypeOf<typeof RenewAnswer>
