--- /dev/null
+++ b/packages/fleet/src/test/cores.test.ts
@@ -0,0 +1,520 @@
+import t, { type Test } from 'tap'
+import { startCoreMachine, startFrontAgent, type CoreMachine } from '@claynotch/claynotch'
+import type { Agent } from '@claynotch/agent'
+import { hello, holdLink, makeFlag, pause, readAs, type Addr, type Held, type World } from '@claynotch/base'
+import { askSeeds, MembersAnswer, makeProposer, quorumOf, votersOf, type CoreSet, type Proposer, type Quorum, type Value, type Voter } from '@claynotch/register'
+import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
+
+t.setTimeout(600000)
+
+// The set of voters changes while everything serves: docs/design/coreset.md.
+// A box: a core machine of an address of its own; removed ones come back only where a test says so. ending: it was told to
+// stop, and gives its term up.
+type Box = { machine: Machine; proc: Proc; run: CoreMachine | undefined; up: boolean; ending: boolean; gone: boolean; ip: string }
+type Fleet = {
+  sim: Sim; boxes: Box[]
+  // A further machine, with an empty disk.
+  add: (seeds: number[], first: boolean) => number
+  start: (k: number, seeds: number[]) => void
+  kill: (k: number, disk?: 'lost') => void
+  // SIGTERM, and its end.
+  term: (k: number) => void
+  // The latest set that any machine knows, and the boxes that vote in it.
+  latest: () => CoreSet
+  voters: () => number[]
+  // One set, and all of it votes.
+  settled: () => boolean
+  // Sets that differ though they bear one epoch, and voters that serve without being in their own set.
+  faults: string[]
+}
+
+function nothing(): undefined {
+  return undefined
+}
+function idOf(k: number): string {
+  return `10.0.1.${k + 1}`
+}
+function httpAt(k: number): Addr {
+  return `${idOf(k)}:8000`
+}
+function makeFleet(seed: number): Fleet {
+  const sim = makeSim(seed, { keepLines: true })
+  const boxes: Box[] = []
+  const faults: string[] = []
+  const seen = new Map<number, string>()
+  function begin(k: number, seeds: number[], first: boolean): void {
+    const b = boxes[k]
+    const list: Addr[] = []
+    for (const s of seeds) list.push(`${idOf(s)}:8000`)
+    async function run(world: World): Promise<void> {
+      b.run = await startCoreMachine(world, { node: `core${k}`, area: 'a', link: `${b.ip}:7000`, peer: `${b.ip}:7002`, http: `${b.ip}:8000`, seeds: list, first, data: '/d' })
+    }
+    b.run = undefined
+    b.up = true
+    b.ending = false
+    b.proc = sim.spawn(b.machine, `core${k}`, run)
+  }
+  function add(seeds: number[], first: boolean): number {
+    const k = boxes.length
+    boxes.push({ machine: sim.machine(`core${k}`, idOf(k)), proc: undefined as never, run: undefined, up: false, ending: false, gone: false, ip: idOf(k) })
+    begin(k, seeds, first)
+    return k
+  }
+  function start(k: number, seeds: number[]): void {
+    begin(k, seeds, false)
+  }
+  function kill(k: number, disk?: 'lost'): void {
+    sim.kill(boxes[k].proc)
+    boxes[k].run = undefined
+    boxes[k].up = false
+    if (disk) boxes[k].machine.files.clear()
+  }
+  function term(k: number): void {
+    const b = boxes[k]
+    b.ending = true
+    void b.run?.stop()
+    const was = b.proc
+    function end(): void {
+      if (b.proc === was && b.up) kill(k)
+    }
+    sim.at(sim.now() + 1000, end)
+  }
+  function latest(): CoreSet {
+    let out: CoreSet = { epoch: -1, cores: [] }
+    for (const [k, b] of boxes.entries()) {
+      const set = b.run?.core.coreSet()
+      if (!set || set.cores.length === 0) continue
+      const text = JSON.stringify([set.cores, set.next ?? null])
+      const old = seen.get(set.epoch) ?? text
+      seen.set(set.epoch, old)
+      if (old !== text) faults.push(`epoch ${set.epoch}: ${old} and ${text}`)
+      if (b.run?.core.serving() && !votersOf(set).some(isIt)) faults.push(`core${k} votes outside its set`)
+      function isIt(c: { id: string }): boolean {
+        return c.id === b.ip
+      }
+      if (set.epoch > out.epoch) out = set
+    }
+    return out
+  }
+  function voters(): number[] {
+    const ids = new Set<string>()
+    for (const c of latest().cores) ids.add(c.id)
+    const out: number[] = []
+    for (const [k, b] of boxes.entries()) if (ids.has(b.ip)) out.push(k)
+    return out
+  }
+  function settled(): boolean {
+    const set = latest()
+    if (set.epoch < 0 || set.next !== undefined) return false
+    for (const k of voters()) if (!boxes[k].run?.core.serving() || boxes[k].run?.core.coreSet().epoch !== set.epoch) return false
+    return true
+  }
+  return { sim, boxes, add, start, kill, term, latest, voters, settled, faults }
+}
+
+// Proposes as an agent does. follow: takes later sets as it is told them; else it stays by the first for ever.
+async function makeClient(world: World, name: string, first: CoreSet, seeds: () => Addr[], follow: boolean): Promise<Proposer> {
+  let set = first
+  const links = new Map<string, Held>()
+  function adopt(next: CoreSet): void {
+    if (follow && next.epoch > set.epoch) set = next
+  }
+  function voters(): Voter[] {
+    const out: Voter[] = []
+    for (const c of votersOf(set)) {
+      const held = links.get(c.id) ?? holdLink(world, c.addr, hello('test', name), nothing, makeFlag())
+      links.set(c.id, held)
+      out.push({ id: c.id, ask: held.ask, tell: held.tell })
+    }
+    return out
+  }
+  function quorum(): Quorum {
+    return quorumOf(set)
+  }
+  async function look(): Promise<void> {
+    for (;;) {
+      await pause(world, 2000)
+      const got = await askSeeds(world, seeds())
+      if (got) adopt(got.set)
+    }
+  }
+  if (follow) void look()
+  voters()
+  await pause(world, 500)
+  return makeProposer(world, name, voters, quorum, adopt)
+}
+
+const FIRST = [0, 1, 2]
+async function begin(f: Fleet): Promise<boolean> {
+  for (let k = 0; k < 5; k++) f.add(FIRST, true)
+  return await f.sim.until(f.settled, 10000)
+}
+function httpOf(f: Fleet): Addr[] {
+  const out: Addr[] = []
+  for (const b of f.boxes) if (!b.gone) out.push(`${b.ip}:8000`)
+  return out
+}
+
+// A voter is removed for good and an empty machine comes at another address, with seeds that don't vote; then another voter
+// goes: the set still serves, and a front's term never ends.
+async function replaced(c: Test): Promise<void> {
+  for (const [seed, how] of [[1, 'killed'], [2, 'stopped'], [3, 'killed']] as const) {
+    const f = makeFleet(seed)
+    let front: Agent | undefined
+    async function runFront(world: World): Promise<void> {
+      front = await startFrontAgent(world, { node: 'front', area: 'a', link: '127.0.0.1:7001', peer: '10.0.2.1:7002', corePort: 7000, seeds: FIRST.map(httpAt), first: true })
+    }
+    c.ok(await begin(f), `seed ${seed}: founded`)
+    const founders = f.latest()
+    const desk = f.sim.machine('front', '10.0.2.1')
+    f.sim.spawn(desk, 'front', runFront)
+    const told: string[] = []
+    let list: string[] = []
+    let writing = true
+    async function write(world: World): Promise<void> {
+      function seeds(): Addr[] {
+        return httpOf(f)
+      }
+      const proposer = await makeClient(world, 'writer', founders, seeds, true)
+      for (let k = 0; writing; k++) {
+        const tag = `${k}`
+        function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
+          const old = (now?.body ?? []) as string[]
+          return old.includes(tag) ? undefined : { body: [...old, tag], tag }
+        }
+        const got = await proposer.change('list', edit)
+        if (got.done) {
+          told.push(tag)
+          list = (got.value?.body ?? []) as string[]
+        }
+        await pause(world, 300)
+      }
+    }
+    f.sim.spawn(f.sim.machine('writer', '10.0.3.1'), 'writer', write)
+    function termed(): boolean {
+      return (front?.termUntil() ?? 0) > 0
+    }
+    c.ok(await f.sim.until(termed, 5000), `seed ${seed}: the front has a term`)
+    let lapses = 0
+    function watch(): void {
+      if ((front?.termUntil() ?? 0) - desk.skew <= f.sim.now()) lapses++
+      f.sim.at(f.sim.now() + 100, watch)
+    }
+    watch()
+    // The machine goes with its disk.
+    if (how === 'stopped') f.term(seed - 1)
+    else f.kill(seed - 1)
+    await f.sim.run(f.sim.now() + 1500)
+    f.boxes[seed - 1].gone = true
+    const before = told.length
+    await f.sim.run(f.sim.now() + 2500)
+    const fresh = f.add([4, 3], false)
+    const from = f.sim.now()
+    function whole(): boolean {
+      return f.latest().epoch >= 2 && f.settled()
+    }
+    c.ok(await f.sim.until(whole, 30000), `seed ${seed}: three vote again`)
+    c.ok(f.sim.now() - from < 20000, `seed ${seed}: after ${Math.round(f.sim.now() - from)} ms`)
+    c.notOk(f.voters().includes(seed - 1), `seed ${seed}: the one that went is out of the set`)
+    c.equal(f.voters().length, 3)
+    c.ok(told.length > before + 5, `seed ${seed}: changes went on`)
+    // The first one wakes with its old disk: what it believes for a moment decides nothing, and it learns the set.
+    f.start(seed - 1, [3])
+    await f.sim.run(f.sim.now() + 5000)
+    c.equal(f.boxes[seed - 1].run?.core.state(), 'aside', `seed ${seed}: a removed core is no voter any more`)
+    c.equal(f.latest().epoch, 2)
+    f.kill(seed - 1)
+    // Another voter, of the first three: the newcomer's vote is needed from here on.
+    const next = f.voters().find(isOld)!
+    function isOld(k: number): boolean {
+      return k < 3
+    }
+    f.kill(next)
+    f.boxes[next].gone = true
+    const then = told.length
+    await f.sim.run(f.sim.now() + 5000)
+    c.ok(told.length > then + 5, `seed ${seed}: changes are taken with one voter fewer`)
+    c.equal(lapses, 0, `seed ${seed}: the front's term never ended`)
+    // And a front that is told seeds alone finds the set, as one does that knows the founders alone.
+    let late: Agent | undefined
+    async function runLate(world: World): Promise<void> {
+      late = await startFrontAgent(world, { node: 'late', area: 'a', link: '127.0.0.1:7001', peer: '10.0.2.2:7002', corePort: 7000, seeds: [`${idOf(0)}:8000`, `${idOf(1)}:8000`, `${idOf(2)}:8000`], first: true })
+    }
+    f.sim.spawn(f.sim.machine('late', '10.0.2.2'), 'late', runLate)
+    function lateTermed(): boolean {
+      return (late?.termUntil() ?? 0) > 0
+    }
+    c.ok(await f.sim.until(lateTermed, 5000), `seed ${seed}: whoever knows the founders alone finds the set`)
+    writing = false
+    await f.sim.run(f.sim.now() + 6000)
+    for (const [k, tag] of told.entries()) if (list.indexOf(tag) < 0 || list.lastIndexOf(tag) !== list.indexOf(tag)) c.fail(`seed ${seed}: change ${k} is not there once`)
+    c.ok(fresh > 4)
+    c.strictSame(f.faults, [])
+  }
+}
+
+// Nothing is replaced while the others are no majority, or while no spare is there, or by a voter that is away for a moment.
+async function left(c: Test): Promise<void> {
+  const f = makeFleet(21)
+  c.ok(await begin(f))
+  f.kill(0)
+  await f.sim.run(f.sim.now() + 5000)
+  f.start(0, [3])
+  await f.sim.run(f.sim.now() + 15000)
+  c.equal(f.latest().epoch, 0, 'a restart of five seconds')
+  f.kill(0)
+  f.kill(1)
+  await f.sim.run(f.sim.now() + 40000)
+  c.equal(f.latest().epoch, 0, 'two of three are away')
+  f.start(0, [3])
+  f.start(1, [3])
+  c.ok(await f.sim.until(f.settled, 10000))
+  for (const k of [3, 4]) f.kill(k)
+  await f.sim.run(f.sim.now() + 3000)
+  f.kill(2)
+  await f.sim.run(f.sim.now() + 30000)
+  c.equal(f.latest().epoch, 0, 'no spare')
+  c.strictSame(f.faults, [])
+}
+
+// A spare that goes before it votes: the change is called off, and the next spare is taken.
+async function calledOff(c: Test): Promise<void> {
+  const f = makeFleet(22)
+  c.ok(await begin(f))
+  f.kill(0)
+  function joint(): boolean {
+    return f.latest().next !== undefined
+  }
+  c.ok(await f.sim.until(joint, 30000), 'joint')
+  const spare = f.boxes.findIndex(isSpare)
+  function isSpare(b: Box): boolean {
+    return f.latest().next!.some(isIt) && !f.latest().cores.some(isIt)
+    function isIt(p: { id: string }): boolean {
+      return p.id === b.ip
+    }
+  }
+  f.kill(spare, 'lost')
+  function single(): boolean {
+    return f.latest().epoch === 2
+  }
+  c.ok(await f.sim.until(single, 60000))
+  c.ok(f.voters().includes(0), 'the old set stands again')
+  function whole(): boolean {
+    return f.latest().epoch === 4 && f.settled()
+  }
+  c.ok(await f.sim.until(whole, 60000), 'the other spare votes')
+  c.notOk(f.voters().includes(0) || f.voters().includes(spare))
+  c.strictSame(f.faults, [])
+}
+
+// Random histories: voters die for good, lose their disks, freeze, are cut off, machines die in the middle of a change of
+// the set, others come and go, removed ones wake. Against the plain model of a register (a list that every change told done
+// stands in once, at the place its turn says); and no quorum of cores that are sure misses a node that holds a term.
+async function histories(c: Test): Promise<void> {
+  const COUNT = Number(process.env['HISTORIES'] ?? 6)
+  const BASE = Number(process.env['HISTORIES_FROM'] ?? 100)
+  for (let seed = BASE; seed < BASE + COUNT; seed++) {
+    const f = makeFleet(seed)
+    const { sim } = f
+    c.ok(await begin(f), `seed ${seed}: founded`)
+    const founders = f.latest()
+    const told = new Map<string, number>()
+    let over = false
+    let ended = 0
+    const clients: Proc[] = []
+    function seeds(): Addr[] {
+      return httpOf(f)
+    }
+    for (let w = 0; w < 4; w++) {
+      async function write(world: World): Promise<void> {
+        // The last one knows the founders for ever.
+        const proposer = await makeClient(world, `w${w}`, founders, seeds, w < 3)
+        for (let k = 0; !over; k++) {
+          const tag = `w${w}.${k}`
+          function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
+            const list = (now?.body ?? []) as string[]
+            return list.includes(tag) ? undefined : { body: [...list, tag], tag }
+          }
+          const got = await proposer.change('list', edit, 3000)
+          if (got.done && got.value) told.set(tag, (got.value.body as string[]).indexOf(tag) + 1)
+          await pause(world, 900 * world.random())
+        }
+        ended++
+      }
+      clients.push(sim.spawn(sim.machine(`w${w}`, `10.0.3.${w + 1}`), `w${w}`, write))
+    }
+    // Readers: what was told done before they asked is there.
+    const missed: string[] = []
+    async function read(world: World): Promise<void> {
+      const proposer = await makeClient(world, 'reader', founders, seeds, true)
+      while (!over) {
+        const before = [...told]
+        const got = await proposer.look('list', 2000)
+        const list = (got.done ? got.value?.body : undefined) as string[] | undefined
+        if (got.done) for (const [tag, turn] of before) if (list?.[turn - 1] !== tag) missed.push(`${tag} at ${turn}`)
+        await pause(world, 300 * world.random())
+      }
+    }
+    sim.spawn(sim.machine('reader', '10.0.3.20'), 'reader', read)
+    // The census: under every set that ever was, whoever still answers under it.
+    const sets = new Map<number, CoreSet>()
+    let counted = 0
+    async function census(world: World): Promise<void> {
+      const links = new Map<string, Held>()
+      async function ask(addr: Addr, epoch: number): Promise<MembersAnswer | undefined> {
+        const held = links.get(addr) ?? holdLink(world, addr, hello('test', 'census'), nothing, makeFlag())
+        links.set(addr, held)
+        const got = readAs(MembersAnswer, await held.ask({ t: 'members', epoch }, 200))
+        return got.ok && got.val.ok && got.val.sure ? got.val : undefined
+      }
+      while (!over) {
+        const now = f.latest()
+        if (now.epoch >= 0) sets.set(now.epoch, now)
+        for (const set of sets.values()) {
+          const from = sim.now()
+          const holders: { node: string; until: number; proc: Proc }[] = []
+          for (const [k, b] of f.boxes.entries()) {
+            // By the clock that all share, not the machine's own.
+            const until = (b.run?.agent.termUntil() ?? 0) - b.machine.skew
+            if (b.up && !b.ending && until > from) holders.push({ node: `core${k}`, until, proc: b.proc })
+          }
+          const list = votersOf(set)
+          const asks: Promise<MembersAnswer | undefined>[] = []
+          for (const p of list) asks.push(ask(p.addr, set.epoch))
+          const got = await Promise.all(asks)
+          for (let mask = 1; mask < 1 << list.length; mask++) {
+            const ids = new Set<string>()
+            const nodes = new Set<string>()
+            for (const [k, p] of list.entries()) {
+              if (!(mask & (1 << k)) || !got[k]) continue
+              ids.add(p.id)
+              for (const m of got[k].members) nodes.add(m.node)
+            }
+            if (!quorumOf(set).met(ids)) continue
+            counted++
+            for (const h of holders) if (h.until > sim.now() && h.proc.state !== 'dead' && !nodes.has(h.node)) missed.push(`epoch ${set.epoch}: ${[...ids].join()} are sure, and ${h.node} holds a term`)
+          }
+        }
+        await pause(world, 150)
+      }
+    }
+    sim.spawn(sim.machine('census', '10.0.3.21'), 'census', census)
+
+    function pick(list: number[]): number {
+      return list[Math.floor(sim.random() * list.length)]
+    }
+    function live(): number[] {
+      const out: number[] = []
+      for (const [k, b] of f.boxes.entries()) if (!b.gone && b.up) out.push(k)
+      return out
+    }
+    function some(): number[] {
+      return [pick(live()), pick(live()), pick(live())]
+    }
+    // Short troubles that take no disk with them, one machine at a time, while a change may be under way.
+    async function trouble(limit: number): Promise<void> {
+      const end = sim.now() + limit
+      while (sim.now() < end) {
+        const k = pick(live())
+        const r = sim.random()
+        const b = f.boxes[k]
+        const long = 200 + 2500 * sim.random()
+        sim.loss(sim.random() < 0.3 ? 0.1 : 0)
+        if (r < 0.4) {
+          f.kill(k)
+          await sim.run(sim.now() + long)
+          f.start(k, some().concat(live()))
+        } else if (r < 0.6) {
+          sim.freeze(b.proc)
+          await sim.run(sim.now() + long)
+          sim.thaw(b.proc)
+        } else if (r < 0.8) {
+          const w = clients[Math.floor(sim.random() * clients.length)]
+          sim.freeze(w)
+          await sim.run(sim.now() + long)
+          sim.thaw(w)
+        } else {
+          const o = f.boxes[pick(live())]
+          if (o !== b) sim.cut(b.machine, o.machine, sim.random() < 0.5)
+          await sim.run(sim.now() + long)
+          sim.heal()
+        }
+        await sim.run(sim.now() + 1500 * sim.random())
+      }
+      sim.loss(0)
+    }
+    let quiet = true
+    for (let turn = 0; turn < 5 && quiet; turn++) {
+      const r = sim.random()
+      const k = pick(f.voters())
+      if (r < 0.6) {
+        // For good; an empty one comes at some time.
+        if (sim.random() < 0.5) f.term(k)
+        else f.kill(k)
+        f.boxes[k].gone = true
+        await sim.run(sim.now() + 3000 * sim.random())
+        f.add(some(), false)
+        await trouble(14000 * sim.random())
+      } else if (r < 0.75) {
+        f.kill(k, 'lost')
+        await sim.run(sim.now() + 12000 * sim.random())
+        f.start(k, some().concat(live()))
+      } else if (r < 0.9) {
+        // Long enough to be replaced, in some runs; it wakes in the middle of it.
+        sim.freeze(f.boxes[k].proc)
+        await sim.run(sim.now() + 14000 * sim.random())
+        sim.thaw(f.boxes[k].proc)
+      } else {
+        for (const o of f.boxes) if (o !== f.boxes[k]) sim.cut(f.boxes[k].machine, o.machine, true)
+        await sim.run(sim.now() + 14000 * sim.random())
+        sim.heal()
+      }
+      function whole(): boolean {
+        return f.settled() && !f.voters().some(isGone)
+      }
+      function isGone(o: number): boolean {
+        return f.boxes[o].gone
+      }
+      quiet = await sim.until(whole, 90000)
+      if (!quiet) {
+        const states: string[] = []
+        for (const [o, b] of f.boxes.entries()) states.push(`core${o} ${b.gone ? 'gone' : (b.run?.core.state() ?? 'down')} ${b.run?.core.coreSet().epoch}`)
+        c.fail(`seed ${seed}: not whole again at ${Math.round(sim.now())}: ${JSON.stringify(f.latest())}; ${states.join('; ')}`)
+      }
+      // A removed one wakes with its disk, at times.
+      const woken = f.boxes.findIndex(sleeps)
+      function sleeps(b: Box): boolean {
+        return b.gone && !b.up
+      }
+      if (woken >= 0 && sim.random() < 0.4) {
+        f.start(woken, some())
+        f.boxes[woken].gone = false
+      }
+    }
+    over = true
+    function done(): boolean {
+      return ended === 4
+    }
+    c.ok(await sim.until(done, 20000), `seed ${seed}: the writers end`)
+    let final: string[] | undefined
+    async function last(world: World): Promise<void> {
+      const proposer = await makeClient(world, 'last', f.latest(), seeds, true)
+      const got = await proposer.read('list', 20000)
+      if (got.done) final = (got.value?.body ?? []) as string[]
+    }
+    sim.spawn(sim.machine('last', '10.0.3.22'), 'last', last)
+    function isRead(): boolean {
+      return final !== undefined
+    }
+    c.ok(await sim.until(isRead, 25000), `seed ${seed}: read`)
+    for (const [tag, at] of told) if (final?.[at - 1] !== tag || final.indexOf(tag) !== final.lastIndexOf(tag)) missed.push(`final: ${tag} at ${at} is ${final?.[at - 1]}`)
+    c.strictSame(missed.slice(0, 5), [], `seed ${seed}: nothing lost`)
+    c.strictSame(f.faults.slice(0, 3), [], `seed ${seed}: one set of each epoch`)
+    c.ok(counted > 100, `seed ${seed}: epoch ${f.latest().epoch}, ${told.size} changes, ${counted} counts of members`)
+  }
+}
+
+void t.test('a voter removed for good is replaced by an empty machine', replaced)
+void t.test('what is not replaced', left)
+void t.test('a newcomer that does not come is given up', calledOff)
+void t.test('random histories over changes of the set', histories)
