Begin no transaction in a drain that was aimed before it, and count begins on their way as open

The last look before the send held back only what writes. The stop came at 24.923 and the transaction was ended at 25.000; the requester heard of it at 27.04, with its next statement. The older, slower duty left no second drain within the spread.

Beside it: a begin on its way counted as open only once its session had the answer. A reading one was not counted at all; a writing one was not between its answer and the session's taking it. The drain was acknowledged in both (seen in the test).

Ruled out: the duty. Each proxy had acknowledged the turn of the second drain, and no time of the first was counted.

--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -59,6 +59,10 @@
   // Sends in flight that may write, by group and by lane.
   writing: (group: string, lane?: string) => number
   holdWrite: (group: string, lane: string, by: number) => void
+  // Transactions whose begin went out and that no session has yet. A call counts from the send until it aims anew, ends
+  // without a transaction, or kept() says that its session has it.
+  opening: (group: string, lane: string | undefined, kind: 'begin read' | 'begin write') => number
+  kept: (call: Call) => void
   // The position that a follower must hold for a read that begins now; undefined: it can't be proved.
   needNow: (group: string, fresh: { within: number; own: boolean }, token: Token | undefined) => Mark | undefined
   highs: () => Map<string, Mark>
@@ -71,6 +75,7 @@
   const pending = new Map<string, number>()
   const byTeam = new Map<string, number>()
   const writes = new Map<string, number>()
+  const begun = new Set<Call>()
   const highs = new Map<string, Mark>()
   const quiet = makeBell()
 
@@ -100,6 +105,14 @@
     for (const key of [group, keyOf(group, lane)]) writes.set(key, (writes.get(key) ?? 0) + by)
     if (by < 0) quiet.ring()
   }
+  function opening(group: string, lane: string | undefined, kind: 'begin read' | 'begin write'): number {
+    let out = 0
+    for (const call of begun) if (call.kind === kind && call.lane.group === group && (lane === undefined || call.lane.name === lane)) out++
+    return out
+  }
+  function kept(call: Call): void {
+    if (begun.delete(call)) quiet.ring()
+  }
   function sawWrite(group: string, mark: Mark): void {
     const old = highs.get(group)
     if (!old || mark.epoch > old.epoch || (mark.epoch === old.epoch && mark.position > old.position)) highs.set(group, mark)
@@ -267,6 +280,7 @@
   }
   async function aim(call: Call, step: Extract<Step, { op: 'aim' }>): Promise<Turn> {
     let waited = false
+    kept(call)
     for (;;) {
       if (call.gone.fired()) return refusal('ABORTED', 'the requester went away', false)
       if (isOld(call)) return heed(call)
@@ -332,8 +346,10 @@
     const loan = call.loan!
     // The last look before anything goes out, with no wait between it and the send.
     const writes = call.kind === 'write' || call.kind === 'begin write'
+    const begins = call.kind === 'begin read' || call.kind === 'begin write'
     const old = isOld(call)
-    if (old || (floor === undefined && !stands(call.lane.group, epoch)) || (writes && state.group(call.lane.group)?.record.phase !== 'steady')) {
+    // Aimed before a drain began, and since then waiting: a transaction too would be open after this node told that none is.
+    if (old || (floor === undefined && !stands(call.lane.group, epoch)) || ((writes || begins) && state.group(call.lane.group)?.record.phase !== 'steady')) {
       loan.end(true)
       delete call.loan
       return old ? heed(call) : 'aim'
@@ -348,6 +364,7 @@
     instance.usage++
     const { group, name } = call.lane
     if (writes) holdWrite(group, name, 1)
+    if (begins) begun.add(call)
     const sent = { ...(call.body.id !== undefined ? { id: call.body.id } : {}), ...(floor !== undefined && !edge.sampler ? { after: floor } : {}) }
     if (call.kind === 'begin read' || call.kind === 'begin write') call.got = await loan.port.begin(call.kind === 'begin read' ? 'read' : 'write', limit, sent)
     else {
@@ -489,7 +506,10 @@
       out.epoch = call.target!.epoch
       out.instance = call.target!.instance.name
       if (call.loan) out.loan = call.loan
-    } else if (call.loan) call.loan.end(false)
+    } else {
+      if (call.loan) call.loan.end(false)
+      kept(call)
+    }
     return out
   }
   function isAim(step: Step): boolean {
@@ -507,7 +527,7 @@
   function highsNow(): Map<string, Mark> {
     return highs
   }
-  return { run, tools: toolsOf, groups, stands, writing, holdWrite, needNow, highs: highsNow, sawWrite, quiet }
+  return { run, tools: toolsOf, groups, stands, writing, holdWrite, opening, kept, needNow, highs: highsNow, sawWrite, quiet }
 }
 
 // What a call of the lane needs in force on its connection.
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -49,6 +49,10 @@
   }
   const probes = await serve(world, set.admin, admin)
 
+  // Open transactions, and those whose begin has gone out.
+  function transactions(group: string, lane?: string): number {
+    return runner.opening(group, lane, 'begin read') + runner.opening(group, lane, 'begin write') + sessions.transactions(group, lane)
+  }
   function applied(key: string, turn: number): boolean {
     const group = groupOf(key)
     if (key === CONFIG_KEY) {
@@ -58,15 +62,15 @@
       if (config && config.proxies !== 'live') for (const [name, one] of watch.all()) if (!pool.shrink(name, lendable(config, one.group))) whole = false
       // A lane whose move eases or drains has done so once what was to end has ended.
       for (const lane of state.rules()?.lanes.values() ?? []) {
-        if (lane.move === 'ease' && sessions.transactions(lane.group, lane.name, 'read') > 0) whole = false
-        if (lane.move === 'drain' && (runner.writing(lane.group, lane.name) > 0 || sessions.transactions(lane.group, lane.name) > 0)) whole = false
+        if (lane.move === 'ease' && (runner.opening(lane.group, lane.name, 'begin read') > 0 || sessions.transactions(lane.group, lane.name, 'read') > 0)) whole = false
+        if (lane.move === 'drain' && (runner.writing(lane.group, lane.name) > 0 || transactions(lane.group, lane.name) > 0)) whole = false
       }
       return whole
     }
     if (group === undefined) return true
     const known = state.group(group)
     if (known?.record.phase !== 'drain' || known.turn !== turn) return true
-    return runner.writing(group) === 0 && sessions.transactions(group) === 0
+    return runner.writing(group) === 0 && transactions(group) === 0
   }
   // waits: since when calls to an instance have waited there without one good answer.
   const waits = new Map<string, number>()
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -336,6 +336,7 @@
       if (word.w === 'begin') {
         if (s.dead || gone.fired()) {
           got.loan?.end(false)
+          runner.kept(call)
           return refusal('ABORTED', 'the session was closed', false)
         }
         s.transaction = { loan: got.loan!, kind, lane: call.lane.name, database: call.lane.database, stray: undefined, group: call.lane.group, epoch: got.epoch!, lead, ran: false, begun: call.asked, last: world.now(), fresh: lead || !edge.sampler ? undefined : freshOf(call.lane) }
@@ -346,6 +347,7 @@
         s.token = { group: call.lane.group, mark: got.mark }
       }
     } else if (got.verdict.outcome === 'unknown') s.mustLead = true
+    runner.kept(call)
     return { ...got.verdict, reads: kind === 'read', ...(got.mark ? { mark: got.mark } : {}) }
   }
   async function once(word: Extract<Word, { w: 'call' }>, ms: number | undefined, gone: Flag): Promise<Verdict> {
