--- a/tools/mutants.js
+++ b/tools/mutants.js
@@ -1,6 +1,6 @@
 // Shows that the checks are not empty: takes one guard out of a copy of the build, runs the scenario that
 // is meant to catch it, and expects findings. A mutant that no seed catches is reported as MISSED, exit 1.
-//   node tools/mutants.js [name]
+//   node tools/mutants.js [name, or on:platform]
 import { spawn } from 'node:child_process'
 import { cpSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -22,6 +22,8 @@
     cpSync(join(root, 'packages', name, 'package.json'), join(to, 'package.json'))
     symlinkSync(to, join(dir, 'node_modules', '@claynotch', name))
   }
+  cpSync(join(root, 'platform', 'dist'), join(dir, 'platform', 'dist'), { recursive: true })
+  cpSync(join(root, 'platform', 'package.json'), join(dir, 'platform', 'package.json'))
   return dir
 }
 
@@ -34,9 +36,12 @@
   }
 }
 
-function sweep(dir, scenario, seed) {
+function sweep(dir, m, seed) {
+  const { scenario } = m
+  const own = [join(dir, 'packages/fleet/dist/main.js'), 'sweep', '--only', scenario, '--from', String(seed), '--to', String(seed)]
+  const platform = [join(dir, 'platform/dist/test/sweep.js'), scenario, String(seed), String(seed)]
   function start(done) {
-    const child = spawn(process.execPath, [join(dir, 'packages/fleet/dist/main.js'), 'sweep', '--only', scenario, '--from', String(seed), '--to', String(seed)], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, UV_USE_IO_URING: '0' } })
+    const child = spawn(process.execPath, m.on === 'platform' ? platform : own, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, UV_USE_IO_URING: '0' } })
     let out = ''
     function take(b) {
       out += b
@@ -61,7 +66,7 @@
   try {
     patch(dir, m)
     for (let seed = m.seeds[0]; seed <= m.seeds[1]; seed++) {
-      const got = await sweep(dir, m.scenario, seed)
+      const got = await sweep(dir, m, seed)
       const found = got.out.split('\n').filter(isFinding)
       if (found.length > 0) return { m, seed, found: found[0].trim() }
     }
@@ -76,7 +81,7 @@
 
 const list = mutants.filter(isWanted)
 function isWanted(m) {
-  return only === undefined || m.name === only
+  return only === undefined || m.name === only || (only === 'on:platform' && m.on === 'platform')
 }
 let caught = 0
 let missed = 0
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1,4 +1,5 @@
-// Each mutant takes one guard out of the build. rule: the point of the brief that the guard serves.
+// Each mutant takes one guard out of the build. rule: the point of the brief that the guard serves. on: the fleet that
+// plays it, our own or the platform's.
 export const mutants = [
   { name: 'resend-unclear', rule: 'a write that may have reached is sent again', scenario: 'answers-lost', seeds: [1, 6], edits: [['proxy/dist/interpret.js', "if (trouble.reach === 'maybe' && isWrite(call))", "if (false)"]] },
   { name: 'promise-unclear', rule: '"nothing was kept" told when something was', scenario: 'answers-lost', seeds: [1, 6], edits: [['proxy/dist/interpret.js', "return { outcome: 'unknown', class: 'UNKNOWN', kept: 'unknown', again: false, why };", "return { outcome: 'refused', class: 'UNAVAILABLE', kept: 'nothing', again: true, why };"]] },
@@ -36,4 +37,11 @@
   { name: 'history-short', rule: "an acknowledged change is missing at day's end", scenario: 'day-ends', seeds: [1, 1], edits: [['base/dist/constants.js', 'HISTORY_KEPT = 2048', 'HISTORY_KEPT = 32']] },
   { name: 'leaving-talks', rule: 'an open transaction goes on at a leaving instance', scenario: 'leaving-through', seeds: [1, 12], edits: [['proxy/dist/sessions.js', 'if (state.goneFor(tx.loan.instance) > LEAVING_WORK)', 'if (false)']] },
   { name: 'caps', rule: 'more connections than the instance takes', scenario: 'crowd', seeds: [1, 3], edits: [['proxy/dist/pool.js', 'if (count(p) < limit) {', 'if (count(p) < limit * 3) {']] },
+  { on: 'platform', name: 'platform-after', rule: 'STALE: a replica is asked without the place that it must hold', scenario: 'deaf replica, then primary crash', seeds: [1, 3], edits: [['proxy/dist/interpret.js', '{ after: floor }', '{}']] },
+  { on: 'platform', name: 'platform-within', rule: 'STALE: a floor older than the bound', scenario: 'deaf replica, then primary crash', seeds: [1, 3], edits: [['proxy/dist/freshness.js', 's.asked < now - within', 'false']] },
+  { on: 'platform', name: 'platform-own', rule: "STALE: a session's own write", scenario: 'replicas lag', seeds: [1, 3], edits: [['proxy/dist/freshness.js', 'if (!token)', 'if (true)']] },
+  { on: 'platform', name: 'platform-resend', rule: 'TWICE: a write that may have reached is sent again', scenario: 'answers lost, connections reset', seeds: [1, 3], edits: [['proxy/dist/interpret.js', "if (trouble.reach === 'maybe' && isWrite(call))", 'if (false)']] },
+  { on: 'platform', name: 'platform-values', rule: "PINNED: another session's values", scenario: 'calm', seeds: [1, 3], edits: [['proxy/dist/pool.js', 'stray = true', 'stray = false']] },
+  { on: 'platform', name: 'platform-ended', rule: 'PINNED: what follows a transaction that the node ended', scenario: 'calm', seeds: [1, 3], edits: [['proxy/dist/sessions.js', 'if (ended &&', 'if (false &&']] },
+  { on: 'platform', name: 'platform-leaving', rule: 'DRAIN: new work at an instance that leaves', scenario: 'all copies', seeds: [1, 3], edits: [['proxy/dist/interpret.js', ' || state.gone(one.name)', '']] },
 ]
