--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -44,4 +44,8 @@
   { on: 'platform', name: 'platform-values', rule: "PINNED: another session's values", scenario: 'calm', seeds: [1, 3], edits: [['proxy/dist/pool.js', 'stray = true', 'stray = false']] },
   { on: 'platform', name: 'platform-ended', rule: 'PINNED: what follows a transaction that the node ended', scenario: 'calm', seeds: [1, 3], edits: [['proxy/dist/sessions.js', 'if (ended &&', 'if (false &&']] },
   { on: 'platform', name: 'platform-leaving', rule: 'DRAIN: new work at an instance that leaves', scenario: 'all copies', seeds: [1, 3], edits: [['proxy/dist/interpret.js', ' || state.gone(one.name)', '']] },
+  { on: 'platform', name: 'platform-no-stop-wait', rule: 'STALE: promotion before each proxy stopped or ran out of its term', scenario: 'split', seeds: [1, 6], edits: [['duty/dist/duty.js', 'if (!(await stopped(turn, m.since)))', 'if (false)']] },
+  { on: 'platform', name: 'platform-no-expect', rule: 'CONFIG: two changes on one version', scenario: 'configurations raced', seeds: [1, 2], edits: [['operator/dist/decide.js', 'if (change.expect !== body.epoch)', 'if (false)']] },
+  { on: 'platform', name: 'platform-no-check', rule: 'CONFIG: an invalid one is taken', scenario: 'invalid', seeds: [1, 2], edits: [['operator/dist/config.js', 'return out.length > 0 ? Err(out) : Ok(config);', 'return Ok(config);']] },
+  { on: 'platform', name: 'platform-no-sync', rule: 'LOST: an acknowledged configuration is gone after the closing fault', scenario: 'everything loses power', seeds: [1, 4], edits: [['register/dist/store.js', "await save({ k: 'cell', key, promise: ballot, ballot, value });", "void save({ k: 'cell', key, promise: ballot, ballot, value });"]] },
 ]
