--- a/tools/mutants.js
+++ b/tools/mutants.js
@@ -1,6 +1,6 @@
 // Shows that the checks are not empty: takes one guard out of a copy of the build, runs the scenario that
 // is meant to catch it, or the test named instead (its seeds are those of random histories), and expects findings. A mutant that no seed catches is reported as MISSED, exit 1.
-//   node tools/mutants.js [name]
+//   node tools/mutants.js [name, or on:platform]
 import { spawn } from 'node:child_process'
 import { cpSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -22,6 +22,8 @@
     cpSync(join(root, 'packages', name, 'package.json'), join(to, 'package.json'))
     symlinkSync(to, join(dir, 'node_modules', '@claynotch', name))
   }
+  cpSync(join(root, 'platform', 'dist'), join(dir, 'platform', 'dist'), { recursive: true })
+  cpSync(join(root, 'platform', 'package.json'), join(dir, 'platform', 'package.json'))
   return dir
 }
 
@@ -35,7 +37,9 @@
 }
 
 function sweep(dir, m, seed) {
-  const args = m.test ? [join(dir, 'packages/fleet/dist/test', m.test)] : [join(dir, 'packages/fleet/dist/main.js'), 'sweep', '--only', m.scenario, '--from', String(seed), '--to', String(seed)]
+  const own = [join(dir, 'packages/fleet/dist/main.js'), 'sweep', '--only', m.scenario, '--from', String(seed), '--to', String(seed)]
+  const platform = [join(dir, 'platform/dist/test/sweep.js'), m.scenario, String(seed), String(seed)]
+  const args = m.test ? [join(dir, 'packages/fleet/dist/test', m.test)] : m.on === 'platform' ? platform : own
   function start(done) {
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, UV_USE_IO_URING: '0', HISTORIES: '1', HISTORIES_FROM: String(seed) } })
     let out = ''
@@ -81,7 +85,7 @@
 
 const list = mutants.filter(isWanted)
 function isWanted(m) {
-  return only === undefined || m.name === only
+  return only === undefined || m.name === only || (only === 'on:platform' && m.on === 'platform')
 }
 let caught = 0
 let missed = 0
