--- a/packages/fleet/src/test/cores.test.ts
+++ b/packages/fleet/src/test/cores.test.ts
@@ -1,8 +1,8 @@
 import t, { type Test } from 'tap'
 import { startCoreMachine, startFrontAgent, type CoreMachine } from '@claynotch/claynotch'
-import type { Agent } from '@claynotch/agent'
+import { startCoreSetDuty, type Agent } from '@claynotch/agent'
 import { hello, holdLink, makeFlag, pause, readAs, type Addr, type Held, type World } from '@claynotch/base'
-import { askSeeds, MembersAnswer, makeProposer, quorumOf, votersOf, type CoreSet, type Proposer, type Quorum, type Value, type Voter } from '@claynotch/register'
+import { askSeeds, MembersAnswer, makeProposer, quorumOf, votersOf, type CorePlace, type CoreSet, type Proposer, type Quorum, type Value, type Voter } from '@claynotch/register'
 import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
 
 t.setTimeout(600000)
@@ -176,6 +176,10 @@
         return httpOf(f)
       }
       const proposer = await makeClient(world, 'writer', founders, seeds, true)
+      function once(now: Value | undefined): { body: unknown; tag: string } | undefined {
+        return now ? undefined : { body: 'kept', tag: 'once' }
+      }
+      await proposer.change('quiet', once)
       for (let k = 0; writing; k++) {
         const tag = `${k}`
         function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
@@ -210,6 +214,19 @@
     await f.sim.run(f.sim.now() + 2500)
     const fresh = f.add([4, 3], false)
     const from = f.sim.now()
+    // Whichever of the three that were no voters comes first to vote.
+    function votes(): number {
+      return f.boxes.findIndex(isNew)
+    }
+    function isNew(b: Box, k: number): boolean {
+      return k >= 3 && b.run?.core.serving() === true
+    }
+    function isVoting(): boolean {
+      return votes() >= 0
+    }
+    c.ok(await f.sim.until(isVoting, 30000))
+    const held = f.boxes[votes()].run?.core.store.cells()
+    c.equal(held?.get('quiet')?.value?.body, 'kept', `seed ${seed}: a newcomer holds every register when it begins to vote`)
     function whole(): boolean {
       return f.latest().epoch >= 2 && f.settled()
     }
@@ -224,6 +241,21 @@
     c.equal(f.boxes[seed - 1].run?.core.state(), 'aside', `seed ${seed}: a removed core is no voter any more`)
     c.equal(f.latest().epoch, 2)
     f.kill(seed - 1)
+    // Words of the set before are refused with the present one, words of a later one with behind, whatever they are.
+    const answers: { ok?: boolean; set?: CoreSet; behind?: boolean }[] = []
+    async function askOld(world: World): Promise<void> {
+      const to = f.boxes[f.voters()[0]]
+      const link = holdLink(world, `${to.ip}:7000`, hello('test', 'old'), nothing, makeFlag())
+      await pause(world, 500)
+      const value = { turn: 1, tag: 'x', body: 'x' }
+      for (const epoch of [0, 1, 3]) {
+        for (const msg of [{ t: 'prepare', key: 'k', ballot: [1e6, 'old'] }, { t: 'accept', key: 'k', ballot: [1e6, 'old'], value }, { t: 'get', key: 'k' }, { t: 'keys' }, { t: 'members' }]) answers.push((await link.ask({ ...msg, epoch }, 500)) as never)
+      }
+    }
+    f.sim.spawn(f.sim.machine('old', '10.0.3.9'), 'old', askOld)
+    await f.sim.run(f.sim.now() + 3000)
+    c.equal(answers.length, 15)
+    for (const [k, a] of answers.entries()) c.ok(a.ok === false && (k < 10 ? a.set?.epoch === 2 : a.behind === true), `seed ${seed}: word ${k} of another epoch is refused: ${JSON.stringify(a).slice(0, 60)}`)
     // Another voter, of the first three: the newcomer's vote is needed from here on.
     const next = f.voters().find(isOld)!
     function isOld(k: number): boolean {
@@ -514,6 +546,85 @@
   }
 }
 
+// Every quorum of a set has a core in common with every quorum of the set before it and of the one after it.
+async function overlap(c: Test): Promise<void> {
+  function places(list: string): CorePlace[] {
+    const out: CorePlace[] = []
+    for (const id of list) out.push({ id, addr: `${id}:1` })
+    return out
+  }
+  for (const [old, next] of [['abc', 'abd'], ['abcde', 'abcdf'], ['abc', 'abcd'], ['abcd', 'abc'], ['abc', 'def'], ['a', 'b']]) {
+    const chain: CoreSet[] = [{ epoch: 0, cores: places(old) }, { epoch: 1, cores: places(old), next: places(next) }, { epoch: 2, cores: places(next) }]
+    const ids = [...new Set(old + next)]
+    const quorums: Set<string>[][] = []
+    for (const set of chain) {
+      const list: Set<string>[] = []
+      for (let mask = 0; mask < 1 << ids.length; mask++) {
+        const some = new Set<string>()
+        for (const [k, id] of ids.entries()) if (mask & (1 << k)) some.add(id)
+        if (quorumOf(set).met(some)) list.push(some)
+      }
+      quorums.push(list)
+    }
+    for (const [x, y] of [[0, 0], [0, 1], [1, 1], [1, 2], [2, 2]]) {
+      let apart = 0
+      for (const a of quorums[x]) for (const b of quorums[y]) if (new Set([...a, ...b]).size === a.size + b.size) apart++
+      c.equal(apart, 0, `${old} to ${next}: epochs ${x} and ${y}`)
+    }
+  }
+}
+
+// A holder of the duty that knows an older set changes nothing.
+async function fenced(c: Test): Promise<void> {
+  const sim = makeSim(31)
+  const set: CoreSet = { epoch: 4, cores: [{ id: 'a', addr: 'a:1' }, { id: 'b', addr: 'b:1' }, { id: 'c', addr: 'c:1' }] }
+  const edits: ((now: Value | undefined) => { body: unknown } | undefined)[] = []
+  async function run(world: World): Promise<void> {
+    const from = world.now()
+    async function ask(): Promise<unknown> {
+      return { t: 'state', id: 'x', phase: 'founded', serving: true, cores: [], set, hears: [] }
+    }
+    async function silent(): Promise<unknown> {
+      return undefined
+    }
+    function core(id: string) {
+      return { held: { ask: id === 'c' ? silent : ask, tell: nothing, up: yes } as never, heard: id === 'c' ? from : world.now() }
+    }
+    function yes(): boolean {
+      return true
+    }
+    async function change(_key: string, edit: (now: Value | undefined) => { body: unknown; tag: string } | undefined): Promise<never> {
+      edits.push(edit)
+      return { done: false, why: 'test' } as never
+    }
+    function until(): number {
+      return Infinity
+    }
+    function live(): string[] {
+      return ['n']
+    }
+    function coreSet(): { set: CoreSet; since: number } {
+      return { set, since: from }
+    }
+    function spares(): CorePlace[] {
+      return [{ id: 'd', addr: 'd:1' }]
+    }
+    startCoreSetDuty(world, { node: 'n', proposer: { change } as never, termUntil: until, live, learned: nothing, coreSet, core, spares }, makeFlag())
+  }
+  sim.spawn(sim.machine('n', '10.0.0.1'), 'n', run)
+  await sim.run(sim.now() + 7000)
+  c.equal(edits.length, 0, 'not before eight seconds')
+  await sim.run(sim.now() + 4000)
+  c.ok(edits.length > 0)
+  function at(epoch: number): Value {
+    return { turn: epoch, tag: 't', body: { ...set, epoch } }
+  }
+  c.strictSame(edits[0](at(4))?.body, { epoch: 5, cores: set.cores, next: [set.cores[0], set.cores[1], { id: 'd', addr: 'd:1' }] }, 'one by a joint set')
+  for (const epoch of [3, 5, 6]) c.equal(edits[0](at(epoch)), undefined, `nothing where the last set is of epoch ${epoch}`)
+}
+
+void t.test('quorums of sets that follow each other', overlap)
+void t.test('the duty is fenced by the epoch', fenced)
 void t.test('a voter removed for good is replaced by an empty machine', replaced)
 void t.test('what is not replaced', left)
 void t.test('a newcomer that does not come is given up', calledOff)
