--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,15 +9,29 @@
   ['TSIndexSignature', 'a Map, not a plain object, is a table'],
   ["TSTypeReference[typeName.name='Record']", 'a Map, not a plain object, is a table'],
   ['ForInStatement', 'a Map, not a plain object, is a table'],
-  ["CallExpression[callee.object.name='Object'][callee.property.name=/^(keys|values|entries|fromEntries)$/]", 'a Map, not a plain object, is a table'],
+  [
+    "CallExpression[callee.object.name='Object'][callee.property.name=/^(keys|values|entries|fromEntries)$/]",
+    'a Map, not a plain object, is a table',
+  ],
   ["CallExpression[callee.object.name='Math'][callee.property.name='random']", 'random comes from the world'],
   ["CallExpression[callee.object.name='Date'][callee.property.name='now']", 'time comes from the world'],
 ]
 
-const rules = { 'no-restricted-syntax': ['error'], 'prefer-const': 'error', eqeqeq: 'error', 'no-var': 'error', 'no-debugger': 'error' }
+const rules = {
+  'no-restricted-syntax': ['error'],
+  'prefer-const': 'error',
+  eqeqeq: 'error',
+  'no-var': 'error',
+  'no-debugger': 'error',
+}
 for (const [selector, message] of bans) rules['no-restricted-syntax'].push({ selector, message })
 
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**'] },
-  { files: ['packages/**/*.ts', 'platform/**/*.ts'], languageOptions: { parser, sourceType: 'module' }, linterOptions: { reportUnusedDisableDirectives: 'error' }, rules },
+  {
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
+    languageOptions: { parser, sourceType: 'module' },
+    linterOptions: { reportUnusedDisableDirectives: 'error' },
+    rules,
+  },
 ]
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,14 +1,87 @@
 import {
-  LEAVE_LIMIT, NOTE_BEAT, answerLinks, hello, holdLink, loop, makeBell, makeFlag, makeNumbers, nothing, pause, readAs, RENEW_WAIT, ROUND_LIFE, SUSPECT, TERM, TERM_BEAT, TERM_SLACK,
-  CHANGE_ANSWER, LATE, SAMPLE_LIMIT, SIGHTS_KEPT, SUMMARY_EPOCH, within, ANNOUNCE_LIFE, LEAVING_LIFE, type Addr, type Finding, type Held, type Hello, type Link, type Numbers, type World,
+  LEAVE_LIMIT,
+  NOTE_BEAT,
+  answerLinks,
+  hello,
+  holdLink,
+  loop,
+  makeBell,
+  makeFlag,
+  makeNumbers,
+  nothing,
+  pause,
+  readAs,
+  RENEW_WAIT,
+  ROUND_LIFE,
+  SUSPECT,
+  TERM,
+  TERM_BEAT,
+  TERM_SLACK,
+  CHANGE_ANSWER,
+  LATE,
+  SAMPLE_LIMIT,
+  SIGHTS_KEPT,
+  SUMMARY_EPOCH,
+  within,
+  ANNOUNCE_LIFE,
+  LEAVING_LIFE,
+  type Addr,
+  type Finding,
+  type Held,
+  type Hello,
+  type Link,
+  type Numbers,
+  type World,
 } from '@claynotch/base'
 import { holderOf, startDuty, startMover, type Report } from '@claynotch/duty'
 import type { Announcement } from '@claynotch/instance'
-import { CONFIG_KEY, emptyBody, makeDecision, makeOperatorEdge, meantBy, type Body, type Change, type Credential, type Decision, type Edit } from '@claynotch/operator'
+import {
+  CONFIG_KEY,
+  emptyBody,
+  makeDecision,
+  makeOperatorEdge,
+  meantBy,
+  type Body,
+  type Change,
+  type Credential,
+  type Decision,
+  type Edit,
+} from '@claynotch/operator'
 import { startPeers, type Peer, type Summary } from '@claynotch/peer'
 import {
-  askSeeds, compareBallots, CoreSet, CORESET_KEY, gather, NO_SET, quorumOf, votersOf, groupKey, laterSight, makePicture, makeProposer, MembersAnswer, Note, Push, RenewAnswer, slotOf, SLOTS_KEY, ValueShape,
-  type Ballot, type Answer, type CorePlace, type FedCell, type Feed, type GroupRecord, type Member, type MemberLine, type Picture, type Quorum, type Sight, type Slots, type Value, type Voter,
+  askSeeds,
+  compareBallots,
+  CoreSet,
+  CORESET_KEY,
+  gather,
+  NO_SET,
+  quorumOf,
+  votersOf,
+  groupKey,
+  laterSight,
+  makePicture,
+  makeProposer,
+  MembersAnswer,
+  Note,
+  Push,
+  RenewAnswer,
+  slotOf,
+  SLOTS_KEY,
+  ValueShape,
+  type Ballot,
+  type Answer,
+  type CorePlace,
+  type FedCell,
+  type Feed,
+  type GroupRecord,
+  type Member,
+  type MemberLine,
+  type Picture,
+  type Quorum,
+  type Sight,
+  type Slots,
+  type Value,
+  type Voter,
 } from '@claynotch/register'
 import { startCoreSetDuty } from './coreset.js'
 import { ownEdges, type AgentEdges, type Desk } from './seam.js'
@@ -18,12 +91,31 @@
 // addresses of three other processes. coreSet: the core set where this process knows it by itself, asked before the seeds. core: the core
 // machine that runs in this process, which is told each later set.
 // suspect: SUSPECT unless an experiment asks for another.
-export type AgentSettings = { node: string; area: string; link?: Addr; peer: Addr; http?: Addr; seeds: Addr[]; coreSet?: () => CoreSet; core?: { place: CorePlace; adopt: (next: CoreSet) => Promise<void> }; platform?: Addr; operators?: Credential[]; build: string; suspect?: number }
+export type AgentSettings = {
+  node: string
+  area: string
+  link?: Addr
+  peer: Addr
+  http?: Addr
+  seeds: Addr[]
+  coreSet?: () => CoreSet
+  core?: { place: CorePlace; adopt: (next: CoreSet) => Promise<void> }
+  platform?: Addr
+  operators?: Credential[]
+  build: string
+  suspect?: number
+}
 
 // Above every count of announcements, and a whole number that links carry.
 const LAST_SEQUENCE = 2 ** 52
 
-export type Agent = { stop: () => Promise<void>; numbers: Numbers; termUntil: () => number; cell: (key: string) => Value | undefined; apply: (next: { seeds: Addr[]; platform: Addr | undefined; operators: Credential[] | undefined }) => void }
+export type Agent = {
+  stop: () => Promise<void>
+  numbers: Numbers
+  termUntil: () => number
+  cell: (key: string) => Value | undefined
+  apply: (next: { seeds: Addr[]; platform: Addr | undefined; operators: Credential[] | undefined }) => void
+}
 
 // What is known of one register.
 // Invariants: value was chosen at ballot; turn never goes back; until only grows, and stays where it is
@@ -153,7 +245,12 @@
     }
     void set.core?.adopt(next)
     if (first) return
-    world.log.info('core-set-followed', { node: set.node, epoch: next.epoch, cores: next.cores.length, joint: next.next !== undefined })
+    world.log.info('core-set-followed', {
+      node: set.node,
+      epoch: next.epoch,
+      cores: next.cores.length,
+      joint: next.next !== undefined,
+    })
     linked.ring()
   }
   // Nobody of the set that is known here may be there any more: whoever knows a later one tells it.
@@ -202,7 +299,8 @@
   function allSights(): Sight[] {
     const out: Sight[] = []
     const now = world.now()
-    for (const [name, one] of own) if (now - one.at > (one.sight.leaving ? LEAVING_LIFE : ANNOUNCE_LIFE)) own.delete(name)
+    for (const [name, one] of own)
+      if (now - one.at > (one.sight.leaving ? LEAVING_LIFE : ANNOUNCE_LIFE)) own.delete(name)
     for (const [name, one] of sights) {
       if (now - one.alive > ANNOUNCE_LIFE && !own.has(name)) sights.delete(name)
       else out.push({ ...one.sight, age: now - one.at })
@@ -235,16 +333,44 @@
     const acks: [string, number][] = []
     for (const [key, turn] of acked) if ((has?.acks.get(key) ?? 0) < turn) acks.push([key, turn])
     const highs: [string, number, number][] = []
-    for (const [g, epoch, position] of proxy?.note?.highs ?? []) if (has?.highs.get(g) !== `${epoch}/${position}`) highs.push([g, epoch, position])
+    for (const [g, epoch, position] of proxy?.note?.highs ?? [])
+      if (has?.highs.get(g) !== `${epoch}/${position}`) highs.push([g, epoch, position])
     const heardHere: Sight[] = []
-    for (const one of own.values()) if (!has || one.at >= has.sights) heardHere.push({ ...one.sight, age: now - one.at })
-    const self = { area: set.area, addr: set.peer, operator: set.http ?? '', build: set.build, proxy: set.link !== undefined, ...(set.core ? { core: set.core.place } : {}) }
+    for (const one of own.values())
+      if (!has || one.at >= has.sights) heardHere.push({ ...one.sight, age: now - one.at })
+    const self = {
+      area: set.area,
+      addr: set.peer,
+      operator: set.http ?? '',
+      build: set.build,
+      proxy: set.link !== undefined,
+      ...(set.core ? { core: set.core.place } : {}),
+    }
     const msg = {
-      t: 'renew', epoch, node: set.node, life, core: picture.core(), count: picture.count(), acks, sights: heardHere, open: proxy?.note?.open ?? 0, highs, remembers: known.size > 0,
+      t: 'renew',
+      epoch,
+      node: set.node,
+      life,
+      core: picture.core(),
+      count: picture.count(),
+      acks,
+      sights: heardHere,
+      open: proxy?.note?.open ?? 0,
+      highs,
+      remembers: known.size > 0,
       ...(has?.self === true ? {} : { self }),
     }
     function keep(): void {
-      const next = has && has.core === picture.core() ? has : { core: picture.core(), self: true, acks: new Map<string, number>(), highs: new Map<string, string>(), sights: 0 }
+      const next =
+        has && has.core === picture.core()
+          ? has
+          : {
+              core: picture.core(),
+              self: true,
+              acks: new Map<string, number>(),
+              highs: new Map<string, string>(),
+              sights: 0,
+            }
       for (const [key, turn] of acks) next.acks.set(key, turn)
       for (const [g, epoch, position] of highs) next.highs.set(g, `${epoch}/${position}`)
       next.sights = Math.max(next.sights, now)
@@ -300,7 +426,12 @@
     if (!enough.met(good)) {
       numbers.add('claynotch_renewals_total', [['end', replaced ? 'replaced' : 'failed']])
       if (termUntil > 0 && world.now() > termUntil) {
-        world.log.warn('term-lost', { node: set.node, answers: good.size, of: votersOf(under).length, epoch: under.epoch })
+        world.log.warn('term-lost', {
+          node: set.node,
+          answers: good.size,
+          of: votersOf(under).length,
+          epoch: under.epoch,
+        })
         termUntil = 0
       }
       if (termUntil === 0) void lookAgain()
@@ -320,7 +451,8 @@
     const high = new Map<string, { ballot: Ballot; by: Set<string>; chosenAt: string | undefined }>()
     for (const id of good) {
       const picture = pictures.get(id)!
-      for (const [node, one] of picture.members()) if (one.at > (byNode.get(node)?.at ?? -Infinity)) byNode.set(node, one)
+      for (const [node, one] of picture.members())
+        if (one.at > (byNode.get(node)?.at ?? -Infinity)) byNode.set(node, one)
       for (const k of picture.keys().values()) {
         const old = high.get(k.key)
         const by = old ? compareBallots(k.ballot, old.ballot) : 1
@@ -351,7 +483,8 @@
   async function catchUp(): Promise<void> {
     for (const [key, w] of [...wanted]) {
       if (w.chosenAt !== undefined) {
-        const got = (await cores.get(w.chosenAt)?.held.ask({ t: 'get', epoch: coreSet.epoch, key }, ROUND_LIFE)) as { ballot?: Ballot; value?: unknown } | undefined
+        const got = (await cores.get(w.chosenAt)?.held.ask({ t: 'get', epoch: coreSet.epoch, key }, ROUND_LIFE)) as
+          { ballot?: Ballot; value?: unknown } | undefined
         const value = readAs(ValueShape, got?.value)
         if (got?.ballot && value.ok && compareBallots(got.ballot, w.ballot) === 0) {
           learned(key, value.val as Value, got.ballot)
@@ -402,7 +535,12 @@
       await putSlot(k, !s, size, live)
       return
     }
-    if (!slotless) world.log.warn('no-slot', { node: set.node, proxies: size, why: 'every share of connections is held by a live node' })
+    if (!slotless)
+      world.log.warn('no-slot', {
+        node: set.node,
+        proxies: size,
+        why: 'every share of connections is held by a live node',
+      })
     slotless = true
   }
   async function putSlot(wish: number, ready: boolean, size: number, live: Set<string>): Promise<void> {
@@ -464,7 +602,17 @@
     }
     const triesList: [string, number, number][] = []
     for (const [g, [a, b]] of tries) triesList.push([g, a, b])
-    const word: Feed = { t: 'feed', node: set.node, area: set.area, cells: list, sights: allSights(), moving: [...moving], leaving: [...leaving], tries: triesList, live: proxies() }
+    const word: Feed = {
+      t: 'feed',
+      node: set.node,
+      area: set.area,
+      cells: list,
+      sights: allSights(),
+      moving: [...moving],
+      leaving: [...leaving],
+      tries: triesList,
+      live: proxies(),
+    }
     proxy.link.tell(word)
   }
   function serveProxy(peer: Hello, link: Link) {
@@ -517,14 +665,30 @@
     const leaving = a.leaving === true || a.gone === true
     // Whatever it said before it went comes before that.
     const sequence = a.gone === true ? LAST_SEQUENCE : a.sequence
-    const next: Sight = { name: a.name, group: a.group, addr: a.addr, area: a.area, role: a.role, leaving, gone: 0, age: 0, ...(sequence === undefined ? {} : { sequence }) }
+    const next: Sight = {
+      name: a.name,
+      group: a.group,
+      addr: a.addr,
+      area: a.area,
+      role: a.role,
+      leaving,
+      gone: 0,
+      age: 0,
+      ...(sequence === undefined ? {} : { sequence }),
+    }
     const now = world.now()
     own.set(a.name, laterSight(own.get(a.name), next, now))
     const got = laterSight(old, next, now)
     sights.set(a.name, { ...got, alive: now })
-    if (got.sight.leaving && !old?.sight.leaving) world.log.info('instance-leaving', { instance: a.name, group: a.group })
+    if (got.sight.leaving && !old?.sight.leaving)
+      world.log.info('instance-leaving', { instance: a.name, group: a.group })
     // News goes to the proxy and to the cores at once, all else with the next beat.
-    if (got.sight.leaving !== old?.sight.leaving || got.sight.role !== old.sight.role || got.sight.addr !== old.sight.addr || got.sight.group !== old.sight.group) {
+    if (
+      got.sight.leaving !== old?.sight.leaving ||
+      got.sight.role !== old.sight.role ||
+      got.sight.addr !== old.sight.addr ||
+      got.sight.group !== old.sight.group
+    ) {
       linked.ring()
       duty.ring()
       void feed()
@@ -533,7 +697,15 @@
   // An instance's last word, of which it tells nothing but its name. false: nobody here knows it.
   function left(name: string): boolean {
     const one = sights.get(name)?.sight
-    if (one) heard({ name, group: one.group, addr: one.addr, area: one.area, role: one.role === 'leader' ? 'leader' : 'follower', gone: true })
+    if (one)
+      heard({
+        name,
+        group: one.group,
+        addr: one.addr,
+        area: one.area,
+        role: one.role === 'leader' ? 'leader' : 'follower',
+        gone: true,
+      })
     return one !== undefined
   }
   function peerList(): Peer[] {
@@ -570,7 +742,15 @@
       const rec = cell(groupKey(g))?.body as GroupRecord | undefined
       if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
     }
-    return { v: SUMMARY_EPOCH, node: set.node, area: set.area, num: ++sumNum, moving, leaving, tries: note?.tries ?? [] }
+    return {
+      v: SUMMARY_EPOCH,
+      node: set.node,
+      area: set.area,
+      num: ++sumNum,
+      moving,
+      leaving,
+      tries: note?.tries ?? [],
+    }
   }
   // Who holds a group's duty is told what this node's proxy saw of its leaders.
   function seenFor(node: string): { seen: [string, number][]; bad: [string, number][] } {
@@ -585,7 +765,10 @@
       return out
     }
     const note = proxy?.note
-    return { seen: ofHeld(ofLeaders(note?.seen ?? [])), bad: proxy && note?.bad ? ofHeld([...aged(note.bad, world.now() - proxy.at)]) : [] }
+    return {
+      seen: ofHeld(ofLeaders(note?.seen ?? [])),
+      bad: proxy && note?.bad ? ofHeld([...aged(note.bad, world.now() - proxy.at)]) : [],
+    }
   }
   async function askMembers(): Promise<{ members: Member[]; sure: boolean } | undefined> {
     const enough = quorum()
@@ -670,7 +853,22 @@
     return platform
   }
   const view = {
-    node: set.node, suspect: set.suspect ?? SUSPECT, instance: edges.instance, promotion: edges.promotion, platform: platformNow, proposer, termUntil: termNow, live, groups, cell, learned, sights: sightList, reports, askMembers, body: config, numbers,
+    node: set.node,
+    suspect: set.suspect ?? SUSPECT,
+    instance: edges.instance,
+    promotion: edges.promotion,
+    platform: platformNow,
+    proposer,
+    termUntil: termNow,
+    live,
+    groups,
+    cell,
+    learned,
+    sights: sightList,
+    reports,
+    askMembers,
+    body: config,
+    numbers,
   }
   const duty = startDuty(world, view, stop)
   const mover = startMover(world, view, stop)
@@ -686,7 +884,11 @@
   function coreSetOf(): { set: CoreSet; since: number } {
     return { set: coreSet, since: coreSetSince }
   }
-  startCoreSetDuty(world, { node: set.node, proposer, termUntil: termNow, live, learned, coreSet: coreSetOf, core: coreNow, spares }, stop)
+  startCoreSetDuty(
+    world,
+    { node: set.node, proposer, termUntil: termNow, live, learned, coreSet: coreSetOf, core: coreNow, spares },
+    stop,
+  )
   const peers = await startPeers(world, set.peer, stop, peerList, { all: sayAll, seenFor }, numbers, heardPeer)
 
   // Undefined: no majority of cores answered.
@@ -697,7 +899,9 @@
     for (const m of got.members) {
       const behind: { key: string; has: number; present: number }[] = []
       const acks = new Map(m.acks)
-      for (const [key, k] of known) if (key !== CORESET_KEY && (acks.get(key) ?? 0) < k.value.turn) behind.push({ key, has: acks.get(key) ?? 0, present: k.value.turn })
+      for (const [key, k] of known)
+        if (key !== CORESET_KEY && (acks.get(key) ?? 0) < k.value.turn)
+          behind.push({ key, has: acks.get(key) ?? 0, present: k.value.turn })
       out.push({ node: m.node, area: m.area, build: m.build, operator: m.operator, sessions: m.open, behind })
     }
     return out
@@ -707,7 +911,17 @@
     const lags = new Map(proxy?.note?.lags ?? [])
     for (const g of groups()) {
       const instances: unknown[] = []
-      for (const s of allSights()) if (s.group === g) instances.push({ name: s.name, addr: s.addr, area: s.area, role: s.role, leaving: s.leaving, age: Math.round(s.age), lag: lags.get(s.name) })
+      for (const s of allSights())
+        if (s.group === g)
+          instances.push({
+            name: s.name,
+            addr: s.addr,
+            area: s.area,
+            role: s.role,
+            leaving: s.leaving,
+            age: Math.round(s.age),
+            lag: lags.get(s.name),
+          })
       out.push({ name: g, record: cell(groupKey(g))?.body ?? null, instances })
     }
     return out
@@ -719,7 +933,13 @@
     function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
       if (now?.tag === tag) return undefined
       const rec = now?.body as GroupRecord | undefined
-      why = !rec ? 'the group has no leader yet' : rec.phase !== 'steady' ? `the group is in phase ${rec.phase}` : rec.leader === to ? `${to} leads already` : ''
+      why = !rec
+        ? 'the group has no leader yet'
+        : rec.phase !== 'steady'
+          ? `the group is in phase ${rec.phase}`
+          : rec.leader === to
+            ? `${to} leads already`
+            : ''
       if (why !== '' || !rec) return undefined
       return { body: { ...rec, wish: { to: to ?? '' } }, tag }
     }
@@ -732,7 +952,13 @@
   async function hinders(edits: Edit[]): Promise<Finding[]> {
     const out: Finding[] = []
     // A program of before moves would acknowledge one without heeding it.
-    if (edits.some(isMove)) for (const m of members) if (m.build !== set.build) out.push({ place: `member ${m.node}`, what: `runs build ${m.build}, not ${set.build}: finish the roll-out of programs before lanes are moved` })
+    if (edits.some(isMove))
+      for (const m of members)
+        if (m.build !== set.build)
+          out.push({
+            place: `member ${m.node}`,
+            what: `runs build ${m.build}, not ${set.build}: finish the roll-out of programs before lanes are moved`,
+          })
     function isMove(e: Edit): boolean {
       return e.op === 'move'
     }
@@ -740,7 +966,12 @@
       // A group that isn't there at all is found out when the change is decided; one that this change makes is led by nobody yet.
       if (e.op !== 'move' || (!groups().includes(e.to) && !edits.some(isMade))) continue
       function isMade(x: Edit): boolean {
-        return x.op === 'put' && x.what === 'group' && e.op === 'move' && (x.value as { name?: unknown } | null)?.name === e.to
+        return (
+          x.op === 'put' &&
+          x.what === 'group' &&
+          e.op === 'move' &&
+          (x.value as { name?: unknown } | null)?.name === e.to
+        )
       }
       const rec = cell(groupKey(e.to))?.body as GroupRecord | undefined
       if (rec?.leader === undefined || rec.addr === undefined) {
@@ -752,15 +983,28 @@
       const from = new Set<string>()
       for (const lane of meantBy(e, config()?.config)) from.add(lane.group)
       if (got.err) out.push({ place: `/edits/${k}/to`, what: `the leader of ${e.to} can't be asked: ${got.val}` })
-      else for (const g of from) if (g !== e.to && got.val.source?.group !== g) out.push({ place: `/edits/${k}/to`, what: `the leader of ${e.to} doesn't report that it holds anything of ${g} (STATUS rows source, source_epoch, source_position); else give proof "confirmed"` })
+      else
+        for (const g of from)
+          if (g !== e.to && got.val.source?.group !== g)
+            out.push({
+              place: `/edits/${k}/to`,
+              what: `the leader of ${e.to} doesn't report that it holds anything of ${g} (STATUS rows source, source_epoch, source_position); else give proof "confirmed"`,
+            })
     }
     return out
   }
   function credentials(): Credential[] | undefined {
     return operators
   }
-  if (operators === undefined && set.http !== undefined) world.log.warn('operators-open', { why: 'no operators in the settings: anyone may change the configuration' })
-  const operator = makeOperatorEdge(world, proposer, { members: readMembers, groups: readGroups, replace, hinders, body: config, news }, numbers, credentials)
+  if (operators === undefined && set.http !== undefined)
+    world.log.warn('operators-open', { why: 'no operators in the settings: anyone may change the configuration' })
+  const operator = makeOperatorEdge(
+    world,
+    proposer,
+    { members: readMembers, groups: readGroups, replace, hinders, body: config, news },
+    numbers,
+    credentials,
+  )
   function ready(): string | undefined {
     if (stop.fired()) return 'draining'
     return world.now() < termUntil ? undefined : 'no valid term'
@@ -793,9 +1037,20 @@
     const got = await within(world, CHANGE_ANSWER, shared)
     return got === LATE ? undefined : got
   }
-  const desk: Desk = { numbers, heard, left, change, read: readBody, body: config, coreSet: coreSetNow, ready, operator }
+  const desk: Desk = {
+    numbers,
+    heard,
+    left,
+    change,
+    read: readBody,
+    body: config,
+    coreSet: coreSetNow,
+    ready,
+    operator,
+  }
   const http = set.http !== undefined ? await edges.control(world, set.http, desk) : undefined
-  const listener = set.link !== undefined ? await world.listen(set.link, answerLinks(world, mine, serveProxy, lostProxy)) : undefined
+  const listener =
+    set.link !== undefined ? await world.listen(set.link, answerLinks(world, mine, serveProxy, lostProxy)) : undefined
 
   void loop(world, 'renew', TERM_BEAT, stop, renew, linked)
   // A ring of the bell between two beats must not be lost: the loop looks at what is wanted, not at the ring.
@@ -813,7 +1068,8 @@
     if (proxy) await pause(world, NOTE_BEAT)
     while (proxy?.note?.leaving === true && world.now() < until) await pause(world, NOTE_BEAT / 6)
     // The term is given up only when no proxy can be working under it; else it runs out by itself.
-    if (!proxy && world.now() > given) for (const { held } of cores.values()) held.tell({ t: 'leave', node: set.node, life })
+    if (!proxy && world.now() > given)
+      for (const { held } of cores.values()) held.tell({ t: 'leave', node: set.node, life })
     await pause(world, 20)
     stop.fire()
     proxy?.link.close()
--- a/packages/agent/src/coreset.ts
+++ b/packages/agent/src/coreset.ts
@@ -1,13 +1,40 @@
-import { CORE_GONE, CORE_JOIN, CORESET_BEAT, loop, readAs, ROUND_LIFE, type Flag, type Held, type World } from '@claynotch/base'
+import {
+  CORE_GONE,
+  CORE_JOIN,
+  CORESET_BEAT,
+  loop,
+  readAs,
+  ROUND_LIFE,
+  type Flag,
+  type Held,
+  type World,
+} from '@claynotch/base'
 import { holderOf } from '@claynotch/duty'
-import { CoreSet, CORESET_KEY, gather, quorumOf, votersOf, type CorePlace, type Proposer, type Settled, type State, type Value } from '@claynotch/register'
+import {
+  CoreSet,
+  CORESET_KEY,
+  gather,
+  quorumOf,
+  votersOf,
+  type CorePlace,
+  type Proposer,
+  type Settled,
+  type State,
+  type Value,
+} from '@claynotch/register'
 
 // The duty for the core set: docs/design/coreset.md. A voter that nobody hears is replaced by a spare, in two changes of the
 // register CORESET_KEY with a sweep between them. Each step goes by what the register says, so another holder goes on from there.
 // core: a voter's link and when it was last heard, at the earliest when its set was taken here.
 export type CoreSetView = {
-  node: string; proposer: Proposer; termUntil: () => number; live: () => string[]; learned: (key: string, value: Value, ballot: [number, string]) => void
-  coreSet: () => { set: CoreSet; since: number }; core: (id: string) => { held: Held; heard: number } | undefined; spares: () => CorePlace[]
+  node: string
+  proposer: Proposer
+  termUntil: () => number
+  live: () => string[]
+  learned: (key: string, value: Value, ballot: [number, string]) => void
+  coreSet: () => { set: CoreSet; since: number }
+  core: (id: string) => { held: Held; heard: number } | undefined
+  spares: () => CorePlace[]
 }
 
 export function startCoreSetDuty(world: World, view: CoreSetView, stop: Flag): void {
@@ -66,7 +93,13 @@
     const next: CorePlace[] = []
     for (const c of set.cores) next.push(c.id === gone.id ? spare : c)
     const got = await propose(set, { epoch: set.epoch + 1, cores: set.cores, next })
-    world.log.info('core-replacing', { node: view.node, epoch: set.epoch + 1, gone: gone.id, spare: spare.id, done: got.done })
+    world.log.info('core-replacing', {
+      node: view.node,
+      epoch: set.epoch + 1,
+      gone: gone.id,
+      spare: spare.id,
+      done: got.done,
+    })
   }
   // Every register, as it was chosen under older sets, at a quorum of the joint one: each that may decide later has one of it.
   async function sweep(set: CoreSet): Promise<boolean> {
--- a/packages/agent/src/seam.ts
+++ b/packages/agent/src/seam.ts
@@ -1,4 +1,13 @@
-import { OPERATOR_BODY_LIMIT, serve, type Addr, type Ask, type Numbers, type Reply, type Serving, type World } from '@claynotch/base'
+import {
+  OPERATOR_BODY_LIMIT,
+  serve,
+  type Addr,
+  type Ask,
+  type Numbers,
+  type Reply,
+  type Serving,
+  type World,
+} from '@claynotch/base'
 import { promote, takeProbe, type PromotionEdge } from '@claynotch/host'
 import { httpInstance, takeAnnouncement, type Announcement, type InstanceEdge } from '@claynotch/instance'
 import type { Body, Change, Decision } from '@claynotch/operator'
@@ -30,7 +39,9 @@
 // Where nodes that look for the cores are answered.
 export function takeSeeds(ask: Ask, { epoch, ...set }: CoreSet): Reply | undefined {
   if (ask.path !== '/seeds') return undefined
-  return set.cores.length > 0 ? { status: 200, body: { ...set, ...(epoch > 0 ? { epoch } : {}) } } : { status: 503, body: { cores: [] }, after: 1 }
+  return set.cores.length > 0
+    ? { status: 200, body: { ...set, ...(epoch > 0 ? { epoch } : {}) } }
+    : { status: 503, body: { cores: [] }, after: 1 }
 }
 
 function httpControl(world: World, addr: Addr, desk: Desk): Promise<Serving> {
--- a/packages/base/src/check.ts
+++ b/packages/base/src/check.ts
@@ -35,7 +35,9 @@
     for (let k = 0; k < e.context.length; k++) if (!skip.has(k)) kept.push(e.context[k])
     const place = pointer(kept)
     const last = e.context[e.context.length - 1]
-    const what = e.message ?? `expected ${last.type.name}, got ${e.value === undefined ? 'nothing' : JSON.stringify(e.value).slice(0, 60)}`
+    const what =
+      e.message ??
+      `expected ${last.type.name}, got ${e.value === undefined ? 'nothing' : JSON.stringify(e.value).slice(0, 60)}`
     const id = `${place} ${what}`
     if (!seen.has(id)) {
       seen.add(id)
@@ -49,10 +51,13 @@
 export function strange(shape: t.Mixed, value: unknown, place = ''): Finding[] {
   const tag = (shape as unknown as { _tag: string })._tag
   if (value === null || typeof value !== 'object') return []
-  if (tag === 'RefinementType' || tag === 'ReadonlyType') return strange((shape as unknown as { type: t.Mixed }).type, value, place)
+  if (tag === 'RefinementType' || tag === 'ReadonlyType')
+    return strange((shape as unknown as { type: t.Mixed }).type, value, place)
   const out: Finding[] = []
   if (tag === 'ArrayType') {
-    if (Array.isArray(value)) for (const [k, one] of value.entries()) out.push(...strange((shape as unknown as { type: t.Mixed }).type, one, `${place}/${k}`))
+    if (Array.isArray(value))
+      for (const [k, one] of value.entries())
+        out.push(...strange((shape as unknown as { type: t.Mixed }).type, one, `${place}/${k}`))
     return out
   }
   const props = propsOf(shape)
--- a/packages/base/src/hold.ts
+++ b/packages/base/src/hold.ts
@@ -29,7 +29,14 @@
 }
 
 // Keeps one link to a peer up, dialling anew with growing pauses whenever it is lost.
-export function holdLink(world: World, addr: Addr, mine: Hello, take: Take, stop: Flag, onUp?: (held: Held, peer: Hello) => void): Held {
+export function holdLink(
+  world: World,
+  addr: Addr,
+  mine: Hello,
+  take: Take,
+  stop: Flag,
+  onUp?: (held: Held, peer: Hello) => void,
+): Held {
   // link: set only while the hello was exchanged and the link is open.
   let link: Link | undefined
   let peer: Hello | undefined
@@ -64,7 +71,8 @@
       if (mineNow.closed.fired()) break
       if (world.now() - mineNow.heard() > LINK_QUIET) mineNow.close('link quiet')
       // Both sides must hear something; where they do anyway, no ping is needed.
-      else if (world.now() - Math.min(mineNow.heard(), mineNow.said()) > LINK_QUIET / 3) void mineNow.ask({ t: 'ping' }, LINK_QUIET)
+      else if (world.now() - Math.min(mineNow.heard(), mineNow.said()) > LINK_QUIET / 3)
+        void mineNow.ask({ t: 'ping' }, LINK_QUIET)
     }
     link = undefined
     unwatch()
@@ -96,7 +104,12 @@
 }
 
 // The answering side: says hello, then hands every later message on.
-export function answerLinks(world: World, mine: Hello, serve: (peer: Hello, link: Link) => Take, lost?: (peer: Hello, link: Link) => void): (stream: Parameters<typeof makeLink>[1]) => void {
+export function answerLinks(
+  world: World,
+  mine: Hello,
+  serve: (peer: Hello, link: Link) => Take,
+  lost?: (peer: Hello, link: Link) => void,
+): (stream: Parameters<typeof makeLink>[1]) => void {
   function open(stream: Parameters<typeof makeLink>[1]): void {
     let inner: Take | undefined
     async function take(msg: unknown, link: Link): Promise<unknown> {
--- a/packages/base/src/http.ts
+++ b/packages/base/src/http.ts
@@ -24,12 +24,22 @@
 export type Handle = (ask: Ask) => Promise<Reply | undefined> | Reply | undefined
 
 // drain: goes on answering, and asks each caller with its answer to go elsewhere. lines: connections open now.
-export type Serving = { drain: () => void; close: (ms?: number) => Promise<void>; busy: () => number; lines: () => number; idle: () => Promise<void> }
+export type Serving = {
+  drain: () => void
+  close: (ms?: number) => Promise<void>
+  busy: () => number
+  lines: () => number
+  idle: () => Promise<void>
+}
 
 // A body that is somewhat too long is read to its end all the same and thrown away: a connection closed with
 // unread bytes is reset, and its caller might never see the refusal.
 // hold: whether so many more bytes may be kept in memory now.
-async function readBody(req: IncomingMessage, most: number, hold: (size: number) => boolean): Promise<Buffer | 'long' | 'full'> {
+async function readBody(
+  req: IncomingMessage,
+  most: number,
+  hold: (size: number) => boolean,
+): Promise<Buffer | 'long' | 'full'> {
   const parts: Buffer[] = []
   let size = 0
   for await (const one of req) {
@@ -54,12 +64,22 @@
 }
 
 export function badInput(status: number, why: string, findings: unknown[] = []): Reply {
-  return { status, body: { outcome: 'refused', class: 'INVALID_ARGUMENT', kept: 'nothing', again: false, why, findings } }
+  return {
+    status,
+    body: { outcome: 'refused', class: 'INVALID_ARGUMENT', kept: 'nothing', again: false, why, findings },
+  }
 }
 
 // limit: bytes of a body, for all paths or by path. held: bytes of all bodies that are read or answered now. lines: connections at most. quiet: ms after which a connection that
 // asked nothing whole is closed, and BODY_WAIT later one whose answer isn't taken; without it, never.
-export type Serve = { limit?: number | ((path: string) => number); held?: number; lines?: number; quiet?: number; onLine?: (line: object, closed: Flag) => void; raw?: (path: string) => boolean }
+export type Serve = {
+  limit?: number | ((path: string) => number)
+  held?: number
+  lines?: number
+  quiet?: number
+  onLine?: (line: object, closed: Flag) => void
+  raw?: (path: string) => boolean
+}
 
 export async function serve(world: World, addr: Addr, handle: Handle, opt: Serve = {}): Promise<Serving> {
   const lines = new Map<Duplex, { closed: Flag; busy: number; last: number }>()
@@ -105,7 +125,17 @@
       }
       if (bytes === 'full') {
         res.setHeader('connection', 'close')
-        sendReply(res, { status: 503, body: { outcome: 'refused', class: 'UNAVAILABLE', kept: 'nothing', again: true, why: 'too much to read at once' }, after: AFTER_LOAD })
+        sendReply(res, {
+          status: 503,
+          body: {
+            outcome: 'refused',
+            class: 'UNAVAILABLE',
+            kept: 'nothing',
+            again: true,
+            why: 'too much to read at once',
+          },
+          after: AFTER_LOAD,
+        })
         return
       }
       if (bytes === 'long') {
@@ -131,7 +161,16 @@
       const got = req.headers[name]
       return Array.isArray(got) ? got[0] : got
     }
-    const reply = await handle({ method: req.method ?? 'GET', path: url.pathname, query: url.searchParams, header, body, line: req.socket, gone, raw: { req, res } })
+    const reply = await handle({
+      method: req.method ?? 'GET',
+      path: url.pathname,
+      query: url.searchParams,
+      header,
+      body,
+      line: req.socket,
+      gone,
+      raw: { req, res },
+    })
     if (ending && !res.headersSent) res.setHeader('connection', 'close')
     if (reply) sendReply(res, reply)
   }
@@ -159,11 +198,18 @@
       await answer(req, res)
     } catch (e) {
       if (!req.destroyed) world.log.error('request-fault', { path: req.url, why: (e as Error).stack ?? String(e) })
-      if (!res.headersSent) sendReply(res, { status: 500, body: { outcome: 'unknown', class: 'INTERNAL', kept: 'unknown', again: false, why: 'internal fault' } })
+      if (!res.headersSent)
+        sendReply(res, {
+          status: 500,
+          body: { outcome: 'unknown', class: 'INTERNAL', kept: 'unknown', again: false, why: 'internal fault' },
+        })
       else res.destroy()
     }
   }
-  const server = createServer({ keepAlive: true, requestTimeout: 0, headersTimeout: 0, keepAliveTimeout: 0 }, take as never)
+  const server = createServer(
+    { keepAlive: true, requestTimeout: 0, headersTimeout: 0, keepAliveTimeout: 0 },
+    take as never,
+  )
   server.timeout = 0
   function clientError(_e: Error, sock: Duplex): void {
     if (sock.writable) sock.end('HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n')
@@ -222,7 +268,8 @@
     const until = world.now() + ms
     while (lines.size > 0) {
       const now = world.now()
-      for (const [sock, one] of lines) if (now >= until || (one.busy === 0 && now - one.last >= LINE_GRACE)) sock.destroy()
+      for (const [sock, one] of lines)
+        if (now >= until || (one.busy === 0 && now - one.last >= LINE_GRACE)) sock.destroy()
       if (lines.size > 0) await pause(world, LINE_GRACE / 5)
     }
     await done
@@ -240,7 +287,13 @@
 export type Fail = { reach: Reach; why: string }
 export type Answer = { status: number; body: unknown; after?: number }
 export type Line = {
-  ask: (method: string, path: string, body: unknown, ms: number, headers?: [string, string][]) => Promise<Result<Answer, Fail>>
+  ask: (
+    method: string,
+    path: string,
+    body: unknown,
+    ms: number,
+    headers?: [string, string][],
+  ) => Promise<Result<Answer, Fail>>
   close: () => void
   alive: () => boolean
   closed: Flag
@@ -283,7 +336,13 @@
   function alive(): boolean {
     return !closed.fired()
   }
-  function ask(method: string, path: string, body: unknown, limit: number, headers: [string, string][] = []): Promise<Result<Answer, Fail>> {
+  function ask(
+    method: string,
+    path: string,
+    body: unknown,
+    limit: number,
+    headers: [string, string][] = [],
+  ): Promise<Result<Answer, Fail>> {
     function start(ok: (r: Result<Answer, Fail>) => void): void {
       if (closed.fired()) {
         ok(Err({ reach: 'none', why: 'connection closed' }))
@@ -345,7 +404,13 @@
       }
       let req: ClientRequest
       try {
-        req = request({ agent, method, path, host: 'x', headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) } })
+        req = request({
+          agent,
+          method,
+          path,
+          host: 'x',
+          headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) },
+        })
         for (const [name, value] of headers) req.setHeader(name, value)
       } catch (e) {
         cancel()
@@ -367,7 +432,15 @@
 }
 
 // One call on a connection of its own.
-export async function callOnce(world: World, addr: Addr, method: string, path: string, body: unknown, ms: number, headers: [string, string][] = []): Promise<Result<Answer, Fail>> {
+export async function callOnce(
+  world: World,
+  addr: Addr,
+  method: string,
+  path: string,
+  body: unknown,
+  ms: number,
+  headers: [string, string][] = [],
+): Promise<Result<Answer, Fail>> {
   const line = await openLine(world, addr, Math.min(ms, DIAL_LIMIT))
   if (line.err) return line
   const got = await line.val.ask(method, path, body, ms, headers)
--- a/packages/base/src/log.ts
+++ b/packages/base/src/log.ts
@@ -9,7 +9,12 @@
 }
 
 function show(value: unknown): string {
-  const text = typeof value === 'string' ? value : typeof value === 'number' ? String(Math.round(value * 1000) / 1000) : JSON.stringify(value) ?? 'none'
+  const text =
+    typeof value === 'string'
+      ? value
+      : typeof value === 'number'
+        ? String(Math.round(value * 1000) / 1000)
+        : (JSON.stringify(value) ?? 'none')
   return /^[\w.:/@+,-]+$/.test(text) ? text : JSON.stringify(text)
 }
 
--- a/packages/base/src/settings.ts
+++ b/packages/base/src/settings.ts
@@ -23,13 +23,24 @@
   } catch (e) {
     return Err([{ place: path, what: `malformed ${format.name}: ${(e as Error).message}` }])
   }
-  if (value === null || typeof value !== 'object' || Array.isArray(value)) return Err([{ place: path, what: 'expected an object' }])
+  if (value === null || typeof value !== 'object' || Array.isArray(value))
+    return Err([{ place: path, what: 'expected an object' }])
   return Ok(value)
 }
 
-export type Source<T> = { path: string | undefined; flags: Flags; lists: string[]; more?: (set: T) => Finding[]; format?: Format }
+export type Source<T> = {
+  path: string | undefined
+  flags: Flags
+  lists: string[]
+  more?: (set: T) => Finding[]
+  format?: Format
+}
 
-export async function readSettings<T>(world: World, codec: t.Type<T, unknown, unknown>, from: Source<T>): Promise<Result<T, Finding[]>> {
+export async function readSettings<T>(
+  world: World,
+  codec: t.Type<T, unknown, unknown>,
+  from: Source<T>,
+): Promise<Result<T, Finding[]>> {
   const all = new Map<string, unknown>()
   const format = from.format ?? JSON_FORMAT
   if (from.path !== undefined) {
@@ -57,7 +68,14 @@
 
 // Reads a settings file again when it changed or when the bell rings (SIGHUP). A bad new file is told
 // whole, and the old settings stay in force.
-export function watchSettings<T>(world: World, codec: t.Type<T, unknown, unknown>, from: Source<T>, stop: Flag, bell: Bell, apply: (next: T) => void): void {
+export function watchSettings<T>(
+  world: World,
+  codec: t.Type<T, unknown, unknown>,
+  from: Source<T>,
+  stop: Flag,
+  bell: Bell,
+  apply: (next: T) => void,
+): void {
   const { path } = from
   if (path === undefined) return
   let last: string | undefined
--- a/packages/base/src/streams.ts
+++ b/packages/base/src/streams.ts
@@ -10,7 +10,12 @@
 // answered: to be called after each answer, so that a planned end can come right then. busy: by how many more questions.
 export type Seat = { busy: (by: number) => void; answered: () => void }
 
-export async function serveStreams(world: World, addr: Addr, open: (stream: Duplex, seat: Seat) => Talk, most: number = LINES): Promise<Serving> {
+export async function serveStreams(
+  world: World,
+  addr: Addr,
+  open: (stream: Duplex, seat: Seat) => Talk,
+  most: number = LINES,
+): Promise<Serving> {
   const talks = new Map<Duplex, Talk>()
   let busy = 0
   let ending = false
--- a/packages/base/src/time.ts
+++ b/packages/base/src/time.ts
@@ -1,7 +1,12 @@
 import type { World, Cancel } from './world.js'
 
 // A flag that can be awaited. Once fired it stays so.
-export type Flag = { fire: () => void; fired: () => boolean; wait: () => Promise<void>; watch: (run: () => void) => Cancel }
+export type Flag = {
+  fire: () => void
+  fired: () => boolean
+  wait: () => Promise<void>
+  watch: (run: () => void) => Cancel
+}
 
 export function makeFlag(): Flag {
   let done = false
@@ -79,7 +84,11 @@
 
 // A bell wakes all who wait for it; unlike a flag it can ring again.
 // watch: runs at each ring until cancelled.
-export type Bell = { ring: () => void; wait: (world: World, ms: number, stop?: Flag) => Promise<void>; watch: (run: () => void) => Cancel }
+export type Bell = {
+  ring: () => void
+  wait: (world: World, ms: number, stop?: Flag) => Promise<void>
+  watch: (run: () => void) => Cancel
+}
 
 export function makeBell(): Bell {
   let now = makeFlag()
@@ -111,7 +120,14 @@
 
 // A loop in its own task: runs the step, then waits for the beat, until stopped.
 // A step that throws is a fault of ours: it is logged and the loop goes on.
-export async function loop(world: World, name: string, beat: number, stop: Flag, step: () => Promise<void> | void, bell?: Bell): Promise<void> {
+export async function loop(
+  world: World,
+  name: string,
+  beat: number,
+  stop: Flag,
+  step: () => Promise<void> | void,
+  bell?: Bell,
+): Promise<void> {
   while (!stop.fired()) {
     try {
       await step()
--- a/packages/claynotch/src/daemons.ts
+++ b/packages/claynotch/src/daemons.ts
@@ -23,7 +23,12 @@
       await http.close()
     }
     function apply(next: CoreShape): void {
-      needsRestart(world, [['id', set.id, next.id], ['cores', set.cores, next.cores], ['data', set.data, next.data], ['http', set.http, next.http]])
+      needsRestart(world, [
+        ['id', set.id, next.id],
+        ['cores', set.cores, next.cores],
+        ['data', set.data, next.data],
+        ['http', set.http, next.http],
+      ])
     }
     return { stop, apply }
   }
@@ -34,7 +39,13 @@
   async function start(world: World, set: AgentShape): Promise<Running<AgentShape>> {
     const agent = await startAgent(world, { ...set, build: BUILD })
     function apply(next: AgentShape): void {
-      needsRestart(world, [['node', set.node, next.node], ['area', set.area, next.area], ['link', set.link, next.link], ['peer', set.peer, next.peer], ['http', set.http, next.http]])
+      needsRestart(world, [
+        ['node', set.node, next.node],
+        ['area', set.area, next.area],
+        ['link', set.link, next.link],
+        ['peer', set.peer, next.peer],
+        ['http', set.http, next.http],
+      ])
       agent.apply({ seeds: next.seeds, platform: next.platform, operators: next.operators })
     }
     return { stop: agent.stop, apply }
@@ -46,7 +57,11 @@
   async function start(world: World, set: ProxyShape): Promise<Running<ProxyShape>> {
     const proxy = await startProxy(world, set)
     function apply(next: ProxyShape): void {
-      needsRestart(world, [['listen', set.listen, next.listen], ['admin', set.admin, next.admin], ['agent', set.agent, next.agent]])
+      needsRestart(world, [
+        ['listen', set.listen, next.listen],
+        ['admin', set.admin, next.admin],
+        ['agent', set.agent, next.agent],
+      ])
     }
     return { stop: proxy.stop, apply }
   }
--- a/packages/claynotch/src/machine.ts
+++ b/packages/claynotch/src/machine.ts
@@ -5,20 +5,58 @@
 
 // A core machine whose process is told neither its set nor its name in it. link: where it takes links; every machine of the
 // system has the same port there. first: the very first start of the whole system.
-export type CoreMachineSettings = { node: string; area: string; link: Addr; peer: Addr; http: Addr; seeds: Addr[]; first: boolean; data: string; platform?: Addr }
-export type CoreMachine = { core: Core; agent: Agent; apply: (next: { seeds: Addr[]; platform: Addr | undefined }) => void; stop: () => Promise<void> }
-
+export type CoreMachineSettings = {
+  node: string
+  area: string
+  link: Addr
+  peer: Addr
+  http: Addr
+  seeds: Addr[]
+  first: boolean
+  data: string
+  platform?: Addr
+}
+export type CoreMachine = {
+  core: Core
+  agent: Agent
+  apply: (next: { seeds: Addr[]; platform: Addr | undefined }) => void
+  stop: () => Promise<void>
+}
 
 // One process: a core, which votes if it is of the set, and an agent without a proxy, which serves operators and instances.
-export async function startCoreMachine(world: World, set: CoreMachineSettings, edges: AgentEdges = ownEdges): Promise<CoreMachine> {
+export async function startCoreMachine(
+  world: World,
+  set: CoreMachineSettings,
+  edges: AgentEdges = ownEdges,
+): Promise<CoreMachine> {
   let { seeds } = set
   function seedsNow(): Addr[] {
     return seeds
   }
   const { host, port } = parseAddr(set.link)
   const founders = set.first ? foundersOf(seeds, port) : undefined
-  const core = await startCore(world, { id: host, addr: set.link, data: set.data, seeds: seedsNow, ...(founders ? { founders } : {}) })
-  const agent = await startAgent(world, { node: set.node, area: set.area, peer: set.peer, http: set.http, seeds, coreSet: core.coreSet, core: { place: { id: host, addr: set.link }, adopt: core.adopt }, ...(set.platform !== undefined ? { platform: set.platform } : {}), build: BUILD }, edges)
+  const core = await startCore(world, {
+    id: host,
+    addr: set.link,
+    data: set.data,
+    seeds: seedsNow,
+    ...(founders ? { founders } : {}),
+  })
+  const agent = await startAgent(
+    world,
+    {
+      node: set.node,
+      area: set.area,
+      peer: set.peer,
+      http: set.http,
+      seeds,
+      coreSet: core.coreSet,
+      core: { place: { id: host, addr: set.link }, adopt: core.adopt },
+      ...(set.platform !== undefined ? { platform: set.platform } : {}),
+      build: BUILD,
+    },
+    edges,
+  )
   function apply(next: { seeds: Addr[]; platform: Addr | undefined }): void {
     seeds = next.seeds
     agent.apply({ ...next, operators: undefined })
@@ -31,8 +69,15 @@
 }
 
 // The agent of a front machine that is told seeds alone. At the very first start the set is known by rule.
-export type FrontAgentSettings = Omit<AgentSettings, 'build' | 'coreSet' | 'core'> & { corePort: number; first: boolean }
-export async function startFrontAgent(world: World, set: FrontAgentSettings, edges: AgentEdges = ownEdges): Promise<Agent> {
+export type FrontAgentSettings = Omit<AgentSettings, 'build' | 'coreSet' | 'core'> & {
+  corePort: number
+  first: boolean
+}
+export async function startFrontAgent(
+  world: World,
+  set: FrontAgentSettings,
+  edges: AgentEdges = ownEdges,
+): Promise<Agent> {
   const { corePort, first, ...rest } = set
   const founders = first ? foundersOf(set.seeds, corePort) : []
   function coreSet(): CoreSet {
--- a/packages/claynotch/src/run.ts
+++ b/packages/claynotch/src/run.ts
@@ -1,10 +1,25 @@
 import type * as t from 'io-ts'
-import { makeBell, makeFlag, makeLog, readSettings, realWorld, showFindings, watchSettings, type Source, type World } from '@claynotch/base'
+import {
+  makeBell,
+  makeFlag,
+  makeLog,
+  readSettings,
+  realWorld,
+  showFindings,
+  watchSettings,
+  type Source,
+  type World,
+} from '@claynotch/base'
 
 export type Running<T> = { stop: () => Promise<void>; apply: (next: T) => void }
 
 // Runs a daemon until it is told to stop: SIGTERM and SIGINT drain it and end with 0; SIGHUP reads its settings again.
-export async function runDaemon<T>(kind: string, codec: t.Type<T, unknown, unknown>, from: Source<T>, start: (world: World, set: T) => Promise<Running<T>>): Promise<void> {
+export async function runDaemon<T>(
+  kind: string,
+  codec: t.Type<T, unknown, unknown>,
+  from: Source<T>,
+  start: (world: World, set: T) => Promise<Running<T>>,
+): Promise<void> {
   // Signals are held from the first line on: one that comes while the daemon starts is not lost, nor does it kill.
   const stop = makeFlag()
   const bell = makeBell()
@@ -33,5 +48,6 @@
 
 // What can't change without a restart is named in the log when the file asks for it.
 export function needsRestart(world: World, names: [string, unknown, unknown][]): void {
-  for (const [name, old, next] of names) if (JSON.stringify(old) !== JSON.stringify(next)) world.log.warn('settings-need-restart', { field: name })
+  for (const [name, old, next] of names)
+    if (JSON.stringify(old) !== JSON.stringify(next)) world.log.warn('settings-need-restart', { field: name })
 }
--- a/packages/claynotch/src/settings.ts
+++ b/packages/claynotch/src/settings.ts
@@ -32,6 +32,10 @@
     ids.add(c.id)
   }
   if (!ids.has(set.id)) out.push({ place: '/cores', what: `${set.id} is not among them` })
-  if (set.cores.length % 2 === 0) out.push({ place: '/cores', what: `${set.cores.length} cores survive no more losses than ${set.cores.length - 1}: an odd number is wanted` })
+  if (set.cores.length % 2 === 0)
+    out.push({
+      place: '/cores',
+      what: `${set.cores.length} cores survive no more losses than ${set.cores.length - 1}: an odd number is wanted`,
+    })
   return out
 }
--- a/packages/claynotch/src/verbs.ts
+++ b/packages/claynotch/src/verbs.ts
@@ -1,5 +1,15 @@
 import { readFile } from 'node:fs/promises'
-import { checkAgainst, differences, makeCredential, readConfig, applyEdits, type Config, type Credential, type Edit, type Fleet } from '@claynotch/operator'
+import {
+  checkAgainst,
+  differences,
+  makeCredential,
+  readConfig,
+  applyEdits,
+  type Config,
+  type Credential,
+  type Edit,
+  type Fleet,
+} from '@claynotch/operator'
 import { Address, callOnce, realWorld, showFindings, type Answer, type Finding } from '@claynotch/base'
 
 // Operator verbs. Exit codes: 0 done, 1 refused, 2 bad input, 3 unclear or no answer.
@@ -13,7 +23,15 @@
   if (!Address.is(to)) stopWith(2, `--to: expected ${Address.name}`)
   // NAME:TOKEN of an operator, where the fleet asks for one.
   const token = process.env.CLAYNOTCH_TOKEN
-  const got = await callOnce(realWorld(), to, method, path, body, LIMIT, token !== undefined ? [['authorization', `Bearer ${token}`]] : [])
+  const got = await callOnce(
+    realWorld(),
+    to,
+    method,
+    path,
+    body,
+    LIMIT,
+    token !== undefined ? [['authorization', `Bearer ${token}`]] : [],
+  )
   if (got.err) stopWith(3, `no answer from ${to}: ${got.val.why}`)
   return got.val
 }
@@ -31,18 +49,32 @@
   }
 }
 
-export async function apply(args: { to: string; stream: string; number: string; expect?: string; whole?: string; edits?: string; stage?: string }): Promise<void> {
+export async function apply(args: {
+  to: string
+  stream: string
+  number: string
+  expect?: string
+  whole?: string
+  edits?: string
+  stage?: string
+}): Promise<void> {
   const findings: Finding[] = []
   const number = Number(args.number)
-  if (!Number.isInteger(number) || number < 1) findings.push({ place: '--number', what: 'expected a whole number from 1' })
-  if (args.whole !== undefined && args.edits !== undefined) findings.push({ place: '--whole, --edits', what: 'only one of them may be given' })
-  if (args.whole === undefined && args.edits === undefined && args.stage === undefined) findings.push({ place: '--whole, --edits', what: 'one of them is needed, or --stage to go on with an open stage' })
-  if (args.expect !== undefined && !Number.isInteger(Number(args.expect))) findings.push({ place: '--expect', what: 'expected an epoch' })
+  if (!Number.isInteger(number) || number < 1)
+    findings.push({ place: '--number', what: 'expected a whole number from 1' })
+  if (args.whole !== undefined && args.edits !== undefined)
+    findings.push({ place: '--whole, --edits', what: 'only one of them may be given' })
+  if (args.whole === undefined && args.edits === undefined && args.stage === undefined)
+    findings.push({ place: '--whole, --edits', what: 'one of them is needed, or --stage to go on with an open stage' })
+  if (args.expect !== undefined && !Number.isInteger(Number(args.expect)))
+    findings.push({ place: '--expect', what: 'expected an epoch' })
   if (findings.length > 0) stopWith(2, showFindings(findings))
   let expect = Number(args.expect)
-  if (args.expect === undefined) expect = ((await call(args.to, 'GET', '/configuration')).body as { epoch: number }).epoch
+  if (args.expect === undefined)
+    expect = ((await call(args.to, 'GET', '/configuration')).body as { epoch: number }).epoch
   await send(args, {
-    number, expect,
+    number,
+    expect,
     ...(args.whole !== undefined ? { whole: await readJson(args.whole, 'whole') } : {}),
     ...(args.edits !== undefined ? { edits: await readJson(args.edits, 'edits') } : {}),
     ...(args.stage !== undefined ? { stage: args.stage === 'all' ? 'all' : args.stage.split(',') } : {}),
@@ -58,20 +90,40 @@
 }
 
 // Opens, confirms or calls off a move of lanes between groups.
-export async function move(args: { to: string; stream: string; number: string; lanes?: string; from?: string; group?: string; proof?: string; confirm?: string; calloff?: string }): Promise<void> {
+export async function move(args: {
+  to: string
+  stream: string
+  number: string
+  lanes?: string
+  from?: string
+  group?: string
+  proof?: string
+  confirm?: string
+  calloff?: string
+}): Promise<void> {
   const findings: Finding[] = []
   const number = Number(args.number)
-  if (!Number.isInteger(number) || number < 1) findings.push({ place: '--number', what: 'expected a whole number from 1' })
+  if (!Number.isInteger(number) || number < 1)
+    findings.push({ place: '--number', what: 'expected a whole number from 1' })
   const edits: Edit[] = []
   if (args.confirm !== undefined) edits.push({ op: 'confirm', lane: args.confirm })
   if (args.calloff !== undefined) edits.push({ op: 'calloff', lane: args.calloff })
   if (args.group !== undefined) {
     const proof = args.proof ?? 'reported'
-    if (proof !== 'reported' && proof !== 'confirmed') findings.push({ place: '--proof', what: 'expected reported or confirmed' })
-    else if ((args.lanes === undefined) === (args.from === undefined)) findings.push({ place: '--lanes, --from', what: 'exactly one of them is needed' })
-    else edits.push({ op: 'move', to: args.group, proof, ...(args.lanes !== undefined ? { lanes: args.lanes.split(',') } : { group: args.from! }) })
+    if (proof !== 'reported' && proof !== 'confirmed')
+      findings.push({ place: '--proof', what: 'expected reported or confirmed' })
+    else if ((args.lanes === undefined) === (args.from === undefined))
+      findings.push({ place: '--lanes, --from', what: 'exactly one of them is needed' })
+    else
+      edits.push({
+        op: 'move',
+        to: args.group,
+        proof,
+        ...(args.lanes !== undefined ? { lanes: args.lanes.split(',') } : { group: args.from! }),
+      })
   }
-  if (findings.length === 0 && edits.length !== 1) findings.push({ place: '--group, --confirm, --calloff', what: 'exactly one of them is needed' })
+  if (findings.length === 0 && edits.length !== 1)
+    findings.push({ place: '--group, --confirm, --calloff', what: 'exactly one of them is needed' })
   if (findings.length > 0) stopWith(2, showFindings(findings))
   const now = (await call(args.to, 'GET', '/configuration')).body as { epoch: number }
   await send(args, { number, expect: now.epoch, edits })
@@ -86,7 +138,12 @@
 }
 
 export async function replace(args: { to: string; group: string; leader?: string }): Promise<void> {
-  const got = await call(args.to, 'POST', `/groups/${encodeURIComponent(args.group)}/replacement`, args.leader !== undefined ? { to: args.leader } : {})
+  const got = await call(
+    args.to,
+    'POST',
+    `/groups/${encodeURIComponent(args.group)}/replacement`,
+    args.leader !== undefined ? { to: args.leader } : {},
+  )
   process.stdout.write(`${JSON.stringify(got.body, null, 2)}\n`)
   process.exit(got.status === 202 ? 0 : 1)
 }
@@ -94,14 +151,20 @@
 // A configuration against the fleet as it is. Exit codes: 0 nothing found, 1 findings, 2 the configuration is
 // invalid or the input bad, 3 the fleet could not be read.
 export async function check(args: { to: string; whole?: string; edits?: string; json?: boolean }): Promise<void> {
-  if (args.whole !== undefined && args.edits !== undefined) stopWith(2, '--whole, --edits: only one of them may be given')
+  if (args.whole !== undefined && args.edits !== undefined)
+    stopWith(2, '--whole, --edits: only one of them may be given')
   async function read(path: string): Promise<unknown> {
     const got = await call(args.to, 'GET', path)
     if (got.status !== 200) stopWith(3, `${path}: status ${got.status} ${JSON.stringify(got.body)}`)
     return got.body
   }
   const now = (await read('/configuration')) as { epoch: number; config: Config | null }
-  const fleet = { ...now, moves: await read('/moves'), members: await read('/members'), groups: await read('/groups') } as Fleet
+  const fleet = {
+    ...now,
+    moves: await read('/moves'),
+    members: await read('/members'),
+    groups: await read('/groups'),
+  } as Fleet
   let next: unknown = now.config
   let findings: Finding[] = []
   if (args.whole !== undefined) next = await readJson(args.whole, 'whole')
@@ -117,7 +180,8 @@
   const invalid = findings.length > 0
   const changes = got?.ok ? differences(now.config, got.val) : []
   if (got?.ok) findings = checkAgainst(got.val, fleet)
-  if (args.json === true) process.stdout.write(`${JSON.stringify({ epoch: now.epoch, valid: !invalid, findings, changes }, null, 2)}\n`)
+  if (args.json === true)
+    process.stdout.write(`${JSON.stringify({ epoch: now.epoch, valid: !invalid, findings, changes }, null, 2)}\n`)
   else {
     process.stdout.write(`present epoch ${now.epoch}; the configuration is ${invalid ? 'invalid' : 'valid'}\n`)
     process.stdout.write(showFindings(findings))
@@ -129,7 +193,8 @@
 // Prints the secret once, and the entry for the agents' settings, which doesn't hold it.
 export function credential(args: { name: string; role: string; team?: string }): void {
   if (!['admin', 'team', 'reader'].includes(args.role)) stopWith(2, '--role: expected admin, team or reader')
-  if ((args.role === 'team') !== (args.team !== undefined)) stopWith(2, '--team: role team needs one, the others have none')
+  if ((args.role === 'team') !== (args.team !== undefined))
+    stopWith(2, '--team: role team needs one, the others have none')
   const { token, entry } = makeCredential(args.name, args.role as Credential['role'], args.team)
   process.stdout.write(`CLAYNOTCH_TOKEN=${args.name}:${token}\n${JSON.stringify(entry)}\n`)
 }
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -1,6 +1,33 @@
 import {
-  ANNOUNCE_LIFE, ASK_PAUSE, CALL_DONE, CALL_REFUSED, CALL_UNCLEAR, CANDIDATE_LIFE, CATCH_UP, DEMOTE_PAUSE, DRAIN, DUTY_BEAT, HINT_GOOD, HINT_SKEW, HOME_PAUSE, LOSS_WAIT, loop, makeBell,
-  makeFlag, MOVE_BEAT, NEWER, PROBE_LIMIT, PROMOTE_LOOK, SUSPECT_LIMIT, SUSPECT_SURE, TERM, TERM_SLACK, type Bell, type Flag, type Numbers, type World,
+  ANNOUNCE_LIFE,
+  ASK_PAUSE,
+  CALL_DONE,
+  CALL_REFUSED,
+  CALL_UNCLEAR,
+  CANDIDATE_LIFE,
+  CATCH_UP,
+  DEMOTE_PAUSE,
+  DRAIN,
+  DUTY_BEAT,
+  HINT_GOOD,
+  HINT_SKEW,
+  HOME_PAUSE,
+  LOSS_WAIT,
+  loop,
+  makeBell,
+  makeFlag,
+  MOVE_BEAT,
+  NEWER,
+  PROBE_LIMIT,
+  PROMOTE_LOOK,
+  SUSPECT_LIMIT,
+  SUSPECT_SURE,
+  TERM,
+  TERM_SLACK,
+  type Bell,
+  type Flag,
+  type Numbers,
+  type World,
 } from '@claynotch/base'
 import { BUSY, type InstanceEdge, type Mark, type Status } from '@claynotch/instance'
 import type { Body } from '@claynotch/operator'
@@ -99,7 +126,18 @@
 // leaderOk, candidateOk: when each was last known to be as it should. since: when this turn was first seen here.
 // asked: when the leader was last asked and whether it answered well. called: the latest promotion call for this record. pace: ms between looks while it waits for instances.
 // homeSince: since when an instance of a home area has been well, while the leader lives elsewhere.
-type Memory = { turn: number; since: number; leader: string | undefined; leaderOk: number; candidateOk: number; suspected: boolean; homeSince?: number; asked?: { at: number; well: boolean }; called?: { at: number; pause: number }; pace?: number }
+type Memory = {
+  turn: number
+  since: number
+  leader: string | undefined
+  leaderOk: number
+  candidateOk: number
+  suspected: boolean
+  homeSince?: number
+  asked?: { at: number; well: boolean }
+  called?: { at: number; pause: number }
+  pace?: number
+}
 
 export function startDuty(world: World, view: DutyView, stop: Flag): { ring: () => void } {
   const bells = new Map<string, Bell>()
@@ -132,7 +170,13 @@
 }
 
 // Whether each proxy stopped: all acknowledged this turn of the register, or any that did not has run out of its term.
-export async function haveStopped(world: World, view: Pick<DutyView, 'askMembers'>, key: string, turn: number, since: number): Promise<boolean> {
+export async function haveStopped(
+  world: World,
+  view: Pick<DutyView, 'askMembers'>,
+  key: string,
+  turn: number,
+  since: number,
+): Promise<boolean> {
   if (world.now() - since > TERM + 2 * TERM_SLACK) return true
   const got = await view.askMembers()
   if (!got || !got.sure) return false
@@ -170,8 +214,20 @@
     if (got.value) view.learned(key, got.value, got.ballot)
     const won = got.value?.tag === tag
     if (won) {
-      view.numbers.add('claynotch_duty_records_total', [['group', group], ['phase', body.phase]])
-      world.log.info('group-record', { group, phase: body.phase, epoch: body.epoch, leader: body.leader, candidate: body.candidate, holder: body.holder, fence: body.fence, note: body.note })
+      view.numbers.add('claynotch_duty_records_total', [
+        ['group', group],
+        ['phase', body.phase],
+      ])
+      world.log.info('group-record', {
+        group,
+        phase: body.phase,
+        epoch: body.epoch,
+        leader: body.leader,
+        candidate: body.candidate,
+        holder: body.holder,
+        fence: body.fence,
+        note: body.note,
+      })
     }
     return won
   }
@@ -260,10 +316,13 @@
     const near: Sight[] = []
     for (const s of sightsHere()) if (!s.leaving && home().includes(s.area)) near.push(s)
     const well: Seen[] = []
-    for (const s of await look(near)) if (s.status.role === 'follower' && termOf(s.status) === (rec.term ?? rec.epoch)) well.push(s)
+    for (const s of await look(near))
+      if (s.status.role === 'follower' && termOf(s.status) === (rec.term ?? rec.epoch)) well.push(s)
     if (well.length === 0) delete m.homeSince
     else m.homeSince ??= world.now()
-    return m.homeSince !== undefined && world.now() - m.homeSince > HOME_PAUSE ? furthest(well, undefined)?.name : undefined
+    return m.homeSince !== undefined && world.now() - m.homeSince > HOME_PAUSE
+      ? furthest(well, undefined)?.name
+      : undefined
   }
   function stopped(turn: number, since: number): Promise<boolean> {
     return haveStopped(world, view, key, turn, since)
@@ -272,7 +331,8 @@
     const got = await view.askMembers()
     let best: Mark | undefined
     for (const m of got?.members ?? []) {
-      for (const [g, epoch, position] of m.highs) if (g === group && (!best || compareMarks({ epoch, position }, best) > 0)) best = { epoch, position }
+      for (const [g, epoch, position] of m.highs)
+        if (g === group && (!best || compareMarks({ epoch, position }, best) > 0)) best = { epoch, position }
     }
     return best
   }
@@ -291,12 +351,31 @@
     for (const s of heads) if (first && termOf(s.status) > termOf(first.status)) first = s
     if (first) {
       const term = first.status.epoch
-      return (await put(0, { epoch: termOf(first.status), phase: 'steady', holder: view.node, fence: 1, leader: first.name, addr: first.addr, ...(term === undefined ? {} : { term }) })) === true
+      return (
+        (await put(0, {
+          epoch: termOf(first.status),
+          phase: 'steady',
+          holder: view.node,
+          fence: 1,
+          leader: first.name,
+          addr: first.addr,
+          ...(term === undefined ? {} : { term }),
+        })) === true
+      )
     }
     if (!waited) return false
     const best = furthest(seen, undefined)
     if (!best) return false
-    return (await put(0, { epoch: termOf(best.status) + 1, phase: 'stop', holder: view.node, fence: 1, candidate: best.name, candidateAddr: best.addr })) === true
+    return (
+      (await put(0, {
+        epoch: termOf(best.status) + 1,
+        phase: 'stop',
+        holder: view.node,
+        fence: 1,
+        candidate: best.name,
+        candidateAddr: best.addr,
+      })) === true
+    )
   }
 
   // Whether the instance has said this since the record stands. A sight's age is that of what it last said anew; one that
@@ -312,7 +391,8 @@
     for (const s of sightsHere()) {
       if (s.role !== 'leader' || s.name === rec.leader || !isNews(s, m)) continue
       const got = await demote(s, rec.term ?? rec.epoch)
-      if (got?.role === 'leader' && termOf(got) > (rec.term ?? rec.epoch)) return await stopFor(turn, rec, false, { name: s.name, addr: s.addr, status: got })
+      if (got?.role === 'leader' && termOf(got) > (rec.term ?? rec.epoch))
+        return await stopFor(turn, rec, false, { name: s.name, addr: s.addr, status: got })
     }
     return false
   }
@@ -329,7 +409,11 @@
     let refused = false
     if (calm) m.leaderOk = now
     // One that answered well is asked again at once only for trouble that began after it did.
-    else if (m.asked?.well !== true || now - m.asked.at >= ASK_PAUSE || (told.bad > 1 && told.hears === 0 && now - told.since > m.asked.at)) {
+    else if (
+      m.asked?.well !== true ||
+      now - m.asked.at >= ASK_PAUSE ||
+      (told.bad > 1 && told.hears === 0 && now - told.since > m.asked.at)
+    ) {
       let lives = false
       function isBusy(): void {
         lives = true
@@ -338,7 +422,8 @@
       const well = head !== undefined ? leadsAs(rec, head.status) : lives
       m.asked = { at: world.now(), well }
       if (well) m.leaderOk = world.now()
-      else if (head && head.status.role === 'leader' && termOf(head.status) > (rec.term ?? rec.epoch)) return await stopFor(turn, rec, false, head)
+      else if (head && head.status.role === 'leader' && termOf(head.status) > (rec.term ?? rec.epoch))
+        return await stopFor(turn, rec, false, head)
       else refused = head !== undefined
       told = weigh(view.reports(), leader.name)
     }
@@ -349,7 +434,8 @@
     }
     // Strong: several nodes fail, more than may only not have told yet that they still hear it, and none has heard it since;
     // or the leader says itself that it doesn't lead.
-    const strong = refused || (told.bad >= Math.min(2, told.bad + told.good) && told.hears === 0 && told.bad > told.good)
+    const strong =
+      refused || (told.bad >= Math.min(2, told.bad + told.good) && told.hears === 0 && told.bad > told.good)
     // leaderOk is as of our own beats; where several nodes fail, they know better since when.
     const quiet = strong && !refused ? told.since : world.now() - m.leaderOk
     const need = strong ? Math.min(SUSPECT_SURE, view.suspect) : view.suspect
@@ -360,7 +446,15 @@
     if (!m.suspected) {
       m.suspected = true
       view.numbers.add('claynotch_duty_suspicions_total', [['group', group]])
-      world.log.warn('leader-suspected', { group, leader: leader.name, quiet: Math.round(quiet), bad: told.bad, good: told.good, hears: told.hears, refused })
+      world.log.warn('leader-suspected', {
+        group,
+        leader: leader.name,
+        quiet: Math.round(quiet),
+        bad: told.bad,
+        good: told.good,
+        hears: told.hears,
+        refused,
+      })
     }
     // Nodes of ours that still hear the leader speak against acting on our own link's trouble.
     if (!refused && told.hears > 0 && told.hears >= told.bad) return false
@@ -394,18 +488,28 @@
     const best = to ?? furthest(await look(here), old) ?? furthest(await look(olds, old), old)
     if (!best) return false
     const term = rec.term
-    return (await put(turn, {
-      ...(term === undefined ? {} : { term }),
-      epoch: Math.max(rec.epoch, best.status.mark.epoch, termOf(best.status)) + 1, phase: 'stop', holder: view.node, fence: rec.fence,
-      candidate: best.name, candidateAddr: best.addr, planned, ...(old !== undefined ? { old } : {}),
-    })) === true
+    return (
+      (await put(turn, {
+        ...(term === undefined ? {} : { term }),
+        epoch: Math.max(rec.epoch, best.status.mark.epoch, termOf(best.status)) + 1,
+        phase: 'stop',
+        holder: view.node,
+        fence: rec.fence,
+        candidate: best.name,
+        candidateAddr: best.addr,
+        planned,
+        ...(old !== undefined ? { old } : {}),
+      })) === true
+    )
   }
 
   async function drain(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
     const spent = world.now() - m.since
     // Proxies acknowledge once they are quiet, at the latest after DRAIN; one that is silent runs out of its term.
     if (spent < DRAIN + TERM && !(await stopped(turn, m.since + DRAIN))) return false
-    const here: { name: string; addr: string }[] = [{ name: rec.leader as string, addr: addrOf(rec.leader as string, rec.addr as string) }]
+    const here: { name: string; addr: string }[] = [
+      { name: rec.leader as string, addr: addrOf(rec.leader as string, rec.addr as string) },
+    ]
     for (const s of sightsHere()) if (!s.leaving && s.name !== rec.leader) here.push(s)
     m.pace = PROMOTE_LOOK
     const seen = await look(here)
@@ -419,7 +523,11 @@
     const best = furthest(rest, undefined)
     if (best && compareMarks(best.status.mark, head.status.mark) >= 0) return await stopFor(turn, rec, true, best)
     if (spent < DRAIN + CATCH_UP) return false
-    const back: GroupRecord = { ...rec, phase: 'steady', note: 'planned replacement called off: no follower caught up in time' }
+    const back: GroupRecord = {
+      ...rec,
+      phase: 'steady',
+      note: 'planned replacement called off: no follower caught up in time',
+    }
     delete back.wish
     delete back.planned
     view.numbers.add('claynotch_duty_called_off_total', [['group', group]])
@@ -443,12 +551,18 @@
     if (behind && world.now() - m.since < lossWait()) return false
     let next: GroupRecord = { ...rec, phase: 'promote' }
     // Nobody writes now, so who is ahead now stays so; a candidate that isn't gives way.
-    if (!mine || compareMarks(best.status.mark, mine.status.mark) > 0) next = { ...next, candidate: best.name, candidateAddr: best.addr }
+    if (!mine || compareMarks(best.status.mark, mine.status.mark) > 0)
+      next = { ...next, candidate: best.name, candidateAddr: best.addr }
     if (behind) {
       const note = `promoted behind: commits up to ${high.epoch}/${high.position} were seen, the furthest instance has ${best.status.mark.epoch}/${best.status.mark.position}`
       next = { ...next, note }
       view.numbers.add('claynotch_duty_promoted_behind_total', [['group', group]])
-      world.log.error('promotion-behind', { group, candidate: best.name, seen: `${high.epoch}/${high.position}`, has: `${best.status.mark.epoch}/${best.status.mark.position}` })
+      world.log.error('promotion-behind', {
+        group,
+        candidate: best.name,
+        seen: `${high.epoch}/${high.position}`,
+        has: `${best.status.mark.epoch}/${best.status.mark.position}`,
+      })
     }
     return (await put(turn, next)) === true
   }
@@ -475,9 +589,25 @@
       if (!now.done || now.value?.turn !== turn || (now.value.body as GroupRecord).holder !== view.node) return false
       if (world.now() >= view.termUntil()) return false
       // The old leader, if it lives, is told as well; nobody waits for its answer.
-      if (rec.old !== undefined && rec.old !== who.name && sightOf(rec.old)) void demote({ name: rec.old, addr: sightOf(rec.old)!.addr }, (rec.term ?? rec.epoch - 1) + 1)
-      const got = await view.promotion(world, view.platform(), { group, instance: who.name, addr: who.addr, epoch: rec.epoch, holder: view.node, fence: rec.fence })
-      m.called = { at: world.now(), pause: got.end === 'done' ? CALL_DONE : got.end === 'unclear' ? CALL_UNCLEAR : Math.min(CALL_DONE, 2 * Math.max(CALL_REFUSED / 2, m.called?.pause ?? 0)) }
+      if (rec.old !== undefined && rec.old !== who.name && sightOf(rec.old))
+        void demote({ name: rec.old, addr: sightOf(rec.old)!.addr }, (rec.term ?? rec.epoch - 1) + 1)
+      const got = await view.promotion(world, view.platform(), {
+        group,
+        instance: who.name,
+        addr: who.addr,
+        epoch: rec.epoch,
+        holder: view.node,
+        fence: rec.fence,
+      })
+      m.called = {
+        at: world.now(),
+        pause:
+          got.end === 'done'
+            ? CALL_DONE
+            : got.end === 'unclear'
+              ? CALL_UNCLEAR
+              : Math.min(CALL_DONE, 2 * Math.max(CALL_REFUSED / 2, m.called?.pause ?? 0)),
+      }
       view.numbers.add('claynotch_duty_promotions_total', [['end', got.end]])
       world.log.info('promotion-called', { group, candidate: who.name, epoch: rec.epoch, end: got.end, why: got.why })
       // One that counts by itself leads only some time after the call; it is looked at then.
@@ -486,7 +616,16 @@
     if (is?.leads) {
       const { note } = rec
       const { term } = is
-      const did = await put(turn, { epoch: Math.max(rec.epoch, term ?? 0), phase: 'steady', holder: view.node, fence: rec.fence, leader: who.name, addr: who.addr, ...(term === undefined ? {} : { term }), ...(note ? { note } : {}) })
+      const did = await put(turn, {
+        epoch: Math.max(rec.epoch, term ?? 0),
+        phase: 'steady',
+        holder: view.node,
+        fence: rec.fence,
+        leader: who.name,
+        addr: who.addr,
+        ...(term === undefined ? {} : { term }),
+        ...(note ? { note } : {}),
+      })
       return did === true
     }
     const quiet = world.now() - Math.max(m.candidateOk, m.since)
@@ -515,7 +654,14 @@
       const now = world.now()
       // A record that kept its leader (a claim, a wish) doesn't make us forget how long it was quiet.
       const kept = mem && mem.turn !== 0 && mem.leader === rec.leader
-      mem = { turn: cell.turn, since: now, leader: rec.leader, leaderOk: kept && mem ? mem.leaderOk : now, candidateOk: now, suspected: kept && mem ? mem.suspected : false }
+      mem = {
+        turn: cell.turn,
+        since: now,
+        leader: rec.leader,
+        leaderOk: kept && mem ? mem.leaderOk : now,
+        candidateOk: now,
+        suspected: kept && mem ? mem.suspected : false,
+      }
     }
     if (rec.holder !== view.node) {
       // Two nodes that see different members would else take it from each other as fast as rounds go.
--- a/packages/duty/src/move.ts
+++ b/packages/duty/src/move.ts
@@ -1,4 +1,15 @@
-import { DRAIN, DUTY_BEAT, loop, makeBell, MOVE_NEAR, MOVE_QUIET, SAMPLE_LIMIT, type Bell, type Flag, type World } from '@claynotch/base'
+import {
+  DRAIN,
+  DUTY_BEAT,
+  loop,
+  makeBell,
+  MOVE_NEAR,
+  MOVE_QUIET,
+  SAMPLE_LIMIT,
+  type Bell,
+  type Flag,
+  type World,
+} from '@claynotch/base'
 import type { Mark, Status } from '@claynotch/instance'
 import { callOff, CONFIG_KEY, stepMove, switchMove, type Body, type Move } from '@claynotch/operator'
 import { groupKey, type GroupRecord, type Value } from '@claynotch/register'
@@ -10,7 +21,13 @@
 
 // What the holder remembers of one move between beats; lost with it, and nothing rests on it but waiting anew.
 // turn: a turn of the register that has the phase. since: when it was first seen here. heads: the source by the time it was asked.
-type Memory = { phase: Move['phase']; turn: number; since: number; mark: Mark | undefined; heads: { at: number; mark: Mark }[] }
+type Memory = {
+  phase: Move['phase']
+  turn: number
+  since: number
+  mark: Mark | undefined
+  heads: { at: number; mark: Mark }[]
+}
 
 export function startMover(world: World, view: DutyView, stop: Flag): { ring: () => void } {
   const bell: Bell = makeBell()
@@ -34,7 +51,15 @@
       return stepMove(body, move.id, move.phase, { phase: next, ...(mark ? { mark } : {}) })
     }
     const did = await change(edit)
-    if (did) world.log.info('move-phase', { move: move.id, from: move.from, to: move.to, lanes: move.lanes.join(','), phase: next, ...(mark ? { mark: `${mark.epoch}/${mark.position}` } : {}) })
+    if (did)
+      world.log.info('move-phase', {
+        move: move.id,
+        from: move.from,
+        to: move.to,
+        lanes: move.lanes.join(','),
+        phase: next,
+        ...(mark ? { mark: `${mark.epoch}/${mark.position}` } : {}),
+      })
     return did
   }
   async function giveUp(move: Move, why: string): Promise<boolean> {
@@ -56,7 +81,11 @@
   async function leader(group: string): Promise<Status | undefined> {
     const rec = view.cell(groupKey(group))?.body as GroupRecord | undefined
     if (rec?.phase !== 'steady' || rec.leader === undefined || rec.addr === undefined) return undefined
-    const got = await view.instance.status(world, { name: rec.leader, group, addr: addrIn(view, group, rec.leader, rec.addr) }, SAMPLE_LIMIT)
+    const got = await view.instance.status(
+      world,
+      { name: rec.leader, group, addr: addrIn(view, group, rec.leader, rec.addr) },
+      SAMPLE_LIMIT,
+    )
     return got.ok && got.val.name === rec.leader && leadsAs(rec, got.val) ? got.val : undefined
   }
   // Whether the target's leader holds the mark, and one of its followers all that the leader had then, so that the loss
@@ -91,7 +120,13 @@
     return (await stopped(m, m.since + DRAIN)) && (await step(move, move.phase === 'ease' ? 'drain' : 'quiet'))
   }
   async function quiet(move: Move, m: Memory): Promise<boolean> {
-    if (world.now() - m.since > MOVE_QUIET) return await giveUp(move, move.proof === 'confirmed' ? 'nobody confirmed in time that the target holds everything' : 'the target did not hold everything in time')
+    if (world.now() - m.since > MOVE_QUIET)
+      return await giveUp(
+        move,
+        move.proof === 'confirmed'
+          ? 'nobody confirmed in time that the target holds everything'
+          : 'the target did not hold everything in time',
+      )
     if (!(await stopped(m))) return false
     // No write of these lanes counts any more, so what the source's leader has now is all that there will be.
     m.mark ??= (await leader(move.from))?.mark
@@ -133,13 +168,14 @@
     }
   }
   async function steps(): Promise<void> {
-    for (let on = true; on && !stop.fired(); ) {
+    for (let on = true; on && !stop.fired();) {
       on = false
       const moves = view.body()?.moves ?? []
       const ids = new Set<number>()
       for (const move of moves) {
         ids.add(move.id)
-        if (world.now() >= view.termUntil() || holderOf(`move/${move.id}`, view.live()) !== view.node) memories.delete(move.id)
+        if (world.now() >= view.termUntil() || holderOf(`move/${move.id}`, view.live()) !== view.node)
+          memories.delete(move.id)
         else if (await work(move, view.cell(CONFIG_KEY)?.turn ?? 0)) on = true
       }
       for (const id of memories.keys()) if (!ids.has(id)) memories.delete(id)
--- a/packages/fleet/src/areas.ts
+++ b/packages/fleet/src/areas.ts
@@ -39,10 +39,12 @@
   }
   const from = f.sim.now()
   function served(): boolean {
-    for (let k = f.events.length - 1; k >= 0 && f.events[k].end > from; k--) if (f.events[k].tag !== undefined && f.events[k].outcome === 'done' && f.events[k].start > from + 200) return true
+    for (let k = f.events.length - 1; k >= 0 && f.events[k].end > from; k--)
+      if (f.events[k].tag !== undefined && f.events[k].outcome === 'done' && f.events[k].start > from + 200) return true
     return false
   }
-  if (!(await f.sim.until(served, 12000))) f.watched.push({ rule: 'service', what: `no write was done in 12 s after area ${area} was lost` })
+  if (!(await f.sim.until(served, 12000)))
+    f.watched.push({ rule: 'service', what: `no write was done in 12 s after area ${area} was lost` })
   notes.set('ms until a write was done', Math.round(f.sim.now() - from))
   await wait(f, 10000)
   for (const m of gone) m.dark = false
@@ -68,8 +70,11 @@
     return x.node === holder
   }
   const picks: [string, Proc[]][] = [
-    ['a proxy', [f.fronts[pick(f, f.fronts.length)].proxyProc]], ['the agent that holds the duty', [front.agentProc]],
-    ['one core', [f.cores[0].proc]], ['two cores', [f.cores[1].proc, f.cores[3].proc]], ['an agent and its proxy', [front.agentProc, front.proxyProc]],
+    ['a proxy', [f.fronts[pick(f, f.fronts.length)].proxyProc]],
+    ['the agent that holds the duty', [front.agentProc]],
+    ['one core', [f.cores[0].proc]],
+    ['two cores', [f.cores[1].proc, f.cores[3].proc]],
+    ['an agent and its proxy', [front.agentProc, front.proxyProc]],
   ]
   const [what, procs] = picks[pick(f, picks.length)]
   notes.set(what, 1)
@@ -89,7 +94,11 @@
   notes.set('calls not done', failed)
   notes.set('of calls', f.events.length - skip)
   notes.set('false moves', f.promotions.length - before)
-  if (f.promotions.length > before) f.watched.push({ rule: 'false move', what: `${f.promotions.length - before} leaders were replaced while ${what} was slow and every leader well` })
+  if (f.promotions.length > before)
+    f.watched.push({
+      rule: 'false move',
+      what: `${f.promotions.length - before} leaders were replaced while ${what} was slow and every leader well`,
+    })
 }
 // An instance leaves; the agents that heard it first, and the proxies, are restarted, and a machine joins afterwards.
 async function leavingThrough(f: SimFleet, notes: Map<string, number>): Promise<void> {
@@ -157,7 +166,8 @@
   else to.machine.dark = true
   await wait(f, 18000)
   const rec = recordOf(f)
-  if (rec?.phase !== 'steady') f.watched.push({ rule: 'unfinished', what: `18 s after the target failed the record is ${JSON.stringify(rec)}` })
+  if (rec?.phase !== 'steady')
+    f.watched.push({ rule: 'unfinished', what: `18 s after the target failed the record is ${JSON.stringify(rec)}` })
 }
 // A share of all datagrams is lost and of all chunks delayed, for the whole run.
 async function lossyDay(f: SimFleet, notes: Map<string, number>): Promise<void> {
@@ -165,7 +175,11 @@
   f.sim.loss(0.03)
   await wait(f, 25000)
   notes.set('false moves', f.promotions.length - before)
-  if (f.promotions.length > before) f.watched.push({ rule: 'false move', what: `${f.promotions.length - before} leaders were replaced under loss alone` })
+  if (f.promotions.length > before)
+    f.watched.push({
+      rule: 'false move',
+      what: `${f.promotions.length - before} leaders were replaced under loss alone`,
+    })
 }
 function fourFronts(s: Shape): Shape {
   return { ...s, fronts: 4, requesters: 12 }
@@ -173,15 +187,46 @@
 
 // Some read in one transaction for longer than an instance that leaves may be used.
 function watching(s: Shape): Shape {
-  return { ...s, requesters: 12, connections: 48, config: { ...s.config, groups: [{ name: 'g1', connections: 48 }] }, mixes: [...s.mixes, { kind: 'watch', lane: 'cal-g1', group: 'g1', op: 'watch', weight: 1, within: 1500, own: false }] }
+  return {
+    ...s,
+    requesters: 12,
+    connections: 48,
+    config: { ...s.config, groups: [{ name: 'g1', connections: 48 }] },
+    mixes: [
+      ...s.mixes,
+      { kind: 'watch', lane: 'cal-g1', group: 'g1', op: 'watch', weight: 1, within: 1500, own: false },
+    ],
+  }
 }
 
 export const areas: Scenario[] = [
   { name: 'area-lost', long: true, rule: 'a whole area lost at once', shape: fourFronts, harm: areaLost },
-  { name: 'area-cut', long: true, rule: 'an area cut off while requesters inside go on', shape: fourFronts, harm: areaCut },
-  { name: 'slowed', long: true, rule: 'our processes slowed, not stopped: service goes on and no leader is replaced', harm: slowed },
-  { name: 'leaving-through', long: true, rule: '7 s from the first notice, over restarts and joins', shape: watching, harm: leavingThrough },
-  { name: 'three-at-once', long: true, rule: 'a deaf follower, a dead leader and a restarted holder at once', harm: threeAtOnce },
+  {
+    name: 'area-cut',
+    long: true,
+    rule: 'an area cut off while requesters inside go on',
+    shape: fourFronts,
+    harm: areaCut,
+  },
+  {
+    name: 'slowed',
+    long: true,
+    rule: 'our processes slowed, not stopped: service goes on and no leader is replaced',
+    harm: slowed,
+  },
+  {
+    name: 'leaving-through',
+    long: true,
+    rule: '7 s from the first notice, over restarts and joins',
+    shape: watching,
+    harm: leavingThrough,
+  },
+  {
+    name: 'three-at-once',
+    long: true,
+    rule: 'a deaf follower, a dead leader and a restarted holder at once',
+    harm: threeAtOnce,
+  },
   { name: 'target-fails', long: true, rule: 'a planned replacement whose target fails', harm: targetFails },
   { name: 'lossy-day', long: true, rule: 'packet loss for a whole run', harm: lossyDay },
 ]
--- a/packages/fleet/src/days.ts
+++ b/packages/fleet/src/days.ts
@@ -12,11 +12,16 @@
     const stream = `s${k % STREAMS}`
     // Two of three are refused: against an epoch long past, or invalid.
     const way = k % 3
-    const line = { number: Math.floor(k / STREAMS) + 1, expect: way === 1 ? 0 : epoch, edits: [{ op: 'proxies', value: way === 2 ? 40 : 4 + (k % 2) }] }
+    const line = {
+      number: Math.floor(k / STREAMS) + 1,
+      expect: way === 1 ? 0 : epoch,
+      edits: [{ op: 'proxies', value: way === 2 ? 40 : 4 + (k % 2) }],
+    }
     const sent = f.change(pick(f, f.fronts.length), stream, [line])
     await f.sim.until(sent.done, 15000)
     const told = sent.out()[0]
-    if (told.decision !== (way === 0 ? 'accepted' : 'refused')) f.watched.push({ rule: 'configuration', what: `${stream}#${line.number} was told ${JSON.stringify(told)}` })
+    if (told.decision !== (way === 0 ? 'accepted' : 'refused'))
+      f.watched.push({ rule: 'configuration', what: `${stream}#${line.number} was told ${JSON.stringify(told)}` })
     if (told.decision !== 'accepted') continue
     epoch = told.epoch ?? 0
     firsts.push({ stream, line, epoch })
@@ -39,14 +44,19 @@
     await wait(f, 2500 * f.sim.random())
     f.sim.kill(f.cores[k].proc)
     f.startCoreAt(k)
-    if (!(await f.sim.until(serves, 20000))) f.watched.push({ rule: 'repair', what: `${f.cores[k].id} was not refilled in 20 s` })
+    if (!(await f.sim.until(serves, 20000)))
+      f.watched.push({ rule: 'repair', what: `${f.cores[k].id} was not refilled in 20 s` })
   }
   for (let k = 0; k < 12; k++) {
     const one = firsts[pick(f, firsts.length)]
     const sent = f.change(pick(f, f.fronts.length), one.stream, [one.line])
     await f.sim.until(sent.done, 15000)
     const told = sent.out()[0]
-    if (told.decision !== 'accepted' || told.epoch !== one.epoch) f.watched.push({ rule: 'configuration', what: `the repeat of a change of ${one.stream} accepted as ${one.epoch} was told ${JSON.stringify(told)}` })
+    if (told.decision !== 'accepted' || told.epoch !== one.epoch)
+      f.watched.push({
+        rule: 'configuration',
+        what: `the repeat of a change of ${one.stream} accepted as ${one.epoch} was told ${JSON.stringify(told)}`,
+      })
   }
   let size = 0
   for (const c of f.cores) for (const b of c.machine.files.values()) size = Math.max(size, b.length)
--- a/packages/fleet/src/detection.ts
+++ b/packages/fleet/src/detection.ts
@@ -67,7 +67,9 @@
         times.push(await crash(seed, suspect, loss))
         moves += await pauses(seed, suspect, loss)
       }
-      out(`| ${suspect} | ${loss} | ${Math.round(median(times))} | ${Math.round(Math.max(...times))} | ${Math.round((10 * moves * 60000) / CALM / seeds) / 10} |`)
+      out(
+        `| ${suspect} | ${loss} | ${Math.round(median(times))} | ${Math.round(Math.max(...times))} | ${Math.round((10 * moves * 60000) / CALM / seeds) / 10} |`,
+      )
     }
   }
 }
--- a/packages/fleet/src/harm.ts
+++ b/packages/fleet/src/harm.ts
@@ -3,10 +3,27 @@
 import type { Shape, SimFleet } from './simfleet.js'
 
 // What scenarios are made of.
-export type Outcome = { name: string; seed: number; began: boolean; judgement: Judgement; faults: string[]; counts: Map<string, number>; notes: Map<string, number>; fleet: SimFleet }
+export type Outcome = {
+  name: string
+  seed: number
+  began: boolean
+  judgement: Judgement
+  faults: string[]
+  counts: Map<string, number>
+  notes: Map<string, number>
+  fleet: SimFleet
+}
 // long: a run of it takes so much that the tests run it under two seeds.
 // calm: everything that stops does so as planned, so no answer may be dropped and no commit lost.
-export type Scenario = { name: string; rule: string; shape?: (s: Shape) => Shape; calm?: boolean; long?: boolean; reads?: boolean; harm: (f: SimFleet, notes: Map<string, number>) => Promise<void> }
+export type Scenario = {
+  name: string
+  rule: string
+  shape?: (s: Shape) => Shape
+  calm?: boolean
+  long?: boolean
+  reads?: boolean
+  harm: (f: SimFleet, notes: Map<string, number>) => Promise<void>
+}
 
 export function indexOf(f: SimFleet, box: { name: string } | undefined): number {
   for (const [k, b] of f.boxes.entries()) if (b === box) return k
--- a/packages/fleet/src/hollow.ts
+++ b/packages/fleet/src/hollow.ts
@@ -6,32 +6,74 @@
 import { callOnce, logTo, makeFlag, nothing, parseAddr, pause, realWorld, type Addr, type World } from '@claynotch/base'
 import type { Agent } from '@claynotch/agent'
 import type { Core } from '@claynotch/register'
-import { changeOf, planHollow, startHollowAgent, startHollowCore, startHollowInstance, startHollowProxy, type HollowPlan, type HollowProxy, type HollowShape } from './hollownode.js'
+import {
+  changeOf,
+  planHollow,
+  startHollowAgent,
+  startHollowCore,
+  startHollowInstance,
+  startHollowProxy,
+  type HollowPlan,
+  type HollowProxy,
+  type HollowShape,
+} from './hollownode.js'
 import type { PartSpec, Reading, State } from './hollowpart.js'
 import { makeRandom, makeSim } from './sim.js'
 import { makeTally, tapWorld, type Carried, type Line, type Tally } from './tap.js'
 
 // A hollow fleet: many nodes to a process, real protocols, real cores; measured and stopped by itself.
-export type HollowOptions = HollowShape & { seconds: number; changes: number; seed: number; per: number; watch: number; mute: boolean; history: number; out: (line: string) => void }
+export type HollowOptions = HollowShape & {
+  seconds: number
+  changes: number
+  seed: number
+  per: number
+  watch: number
+  mute: boolean
+  history: number
+  out: (line: string) => void
+}
 
 // Of one role in one window, for each member of the role (a core, a node, an instance). share: of the processor time.
 export type Mechanism = { name: string; outCount: number; outBytes: number; inCount: number; inBytes: number }
-export type RoleReading = { members: number; processes: number; cpu: number; rss: number; heap: number; lag: number; mechanisms: Mechanism[]; spent: [string, number][] }
+export type RoleReading = {
+  members: number
+  processes: number
+  cpu: number
+  rss: number
+  heap: number
+  lag: number
+  mechanisms: Mechanism[]
+  spent: [string, number][]
+}
 export type Window = { seconds: number; roles: { role: string; reading: RoleReading }[] }
 export type HollowReport = {
   shape: HollowShape & { changes: number; mute: boolean; history: number; seed: number }
   // ms from the start of all agents at once until each has a term; until each proxy works by the first configuration; until each has a share.
   // undefined where it did not come true within the bound.
-  termed?: number; applied?: number; shared?: number; led?: number; back?: number
+  termed?: number
+  applied?: number
+  shared?: number
+  led?: number
+  back?: number
   changes: { sent: number; accepted: number; inForce: number[] }
   values: [string, number][]
-  calm: Window; changing: Window; starting: Window; returning: Window; repair: Window
+  calm: Window
+  changing: Window
+  starting: Window
+  returning: Window
+  repair: Window
 }
 
 // Whose longest frame is told: registers, renewals and their answers.
 const SIZES = ['configuration', 'slots', 'group/g1', 'renewal', 'answer to a renewal']
 
-type Part = { role: string; spec: PartSpec; proc: ChildProcess; members: number; order: (what: string) => Promise<unknown> }
+type Part = {
+  role: string
+  spec: PartSpec
+  proc: ChildProcess
+  members: number
+  order: (what: string) => Promise<unknown>
+}
 const partPath = fileURLToPath(new URL('./hollowpart.js', import.meta.url))
 // ms. Longest wait for the fleet to stand, for its shares and its return; a run ends in any case.
 const STAND_LIMIT = 45000
@@ -39,7 +81,11 @@
 function startPart(data: string, role: string, spec: PartSpec, members: number, seed: number): Part {
   const path = join(data, `part${seed}.json`)
   writeFileSync(path, JSON.stringify(spec))
-  const proc = fork(partPath, [path, String(seed)], { execArgv: ['--expose-gc'], stdio: ['ignore', 'ignore', 'inherit', 'ipc'], env: { ...process.env, UV_USE_IO_URING: '0' } })
+  const proc = fork(partPath, [path, String(seed)], {
+    execArgv: ['--expose-gc'],
+    stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
+    env: { ...process.env, UV_USE_IO_URING: '0' },
+  })
   const waiting = new Map<number, { ok: (v: unknown) => void; fail: (e: Error) => void }>()
   let num = 0
   function take(got: { num: number; answer?: unknown; fault?: string }): void {
@@ -89,19 +135,38 @@
     for (const l of reading.lines) {
       const old = sums.get(l.name) ?? { name: l.name, outCount: 0, outBytes: 0, inCount: 0, inBytes: 0 }
       sums.set(l.name, {
-        name: l.name, outCount: old.outCount + l.outCount / reading.seconds, outBytes: old.outBytes + l.outBytes / reading.seconds,
-        inCount: old.inCount + l.inCount / reading.seconds, inBytes: old.inBytes + l.inBytes / reading.seconds,
+        name: l.name,
+        outCount: old.outCount + l.outCount / reading.seconds,
+        outBytes: old.outBytes + l.outBytes / reading.seconds,
+        inCount: old.inCount + l.inCount / reading.seconds,
+        inBytes: old.inBytes + l.inBytes / reading.seconds,
       })
     }
     for (const [name, hits] of reading.spent) spent.set(name, (spent.get(name) ?? 0) + hits)
   }
   const mechanisms: Mechanism[] = []
-  for (const m of sums.values()) mechanisms.push({ name: m.name, outCount: m.outCount / members, outBytes: m.outBytes / members, inCount: m.inCount / members, inBytes: m.inBytes / members })
+  for (const m of sums.values())
+    mechanisms.push({
+      name: m.name,
+      outCount: m.outCount / members,
+      outBytes: m.outBytes / members,
+      inCount: m.inCount / members,
+      inBytes: m.inBytes / members,
+    })
   let hits = 0
   for (const n of spent.values()) hits += n
   const shares: [string, number][] = []
   for (const [name, n] of [...spent].sort()) shares.push([name, hits > 0 ? (n / hits) * (cpu / members) : 0])
-  return { members, processes: got.length, cpu: cpu / members, rss: rss / members, heap: heap / members, lag, mechanisms, spent: shares }
+  return {
+    members,
+    processes: got.length,
+    cpu: cpu / members,
+    rss: rss / members,
+    heap: heap / members,
+    lag,
+    mechanisms,
+    spent: shares,
+  }
 }
 
 export async function runHollow(opt: HollowOptions): Promise<HollowReport> {
@@ -126,11 +191,34 @@
   process.on('exit', stopAll)
   const watching = Math.min(opt.watch, opt.nodes)
   try {
-    for (const c of plan.cores) parts.push(startPart(data, 'core', { role: 'core', id: c.id, cores: plan.set, data: join(data, c.id), http: c.http }, 1, nextSeed()))
-    for (const nodes of slice(plan.nodes, opt.per)) parts.push(startPart(data, 'agent', { role: 'agent', nodes, seeds: plan.seeds, mute: opt.mute }, nodes.length, nextSeed()))
-    if (watching > 0) parts.push(startPart(data, 'watching proxy', { role: 'proxy', nodes: plan.nodes.slice(0, watching), watch: true }, watching, nextSeed()))
-    for (const nodes of slice(plan.nodes.slice(watching), 2 * opt.per)) parts.push(startPart(data, 'proxy', { role: 'proxy', nodes, watch: false }, nodes.length, nextSeed()))
-    for (const list of slice(plan.instances, 150)) parts.push(startPart(data, 'instance', { role: 'instance', list }, list.length, nextSeed()))
+    for (const c of plan.cores)
+      parts.push(
+        startPart(
+          data,
+          'core',
+          { role: 'core', id: c.id, cores: plan.set, data: join(data, c.id), http: c.http },
+          1,
+          nextSeed(),
+        ),
+      )
+    for (const nodes of slice(plan.nodes, opt.per))
+      parts.push(
+        startPart(data, 'agent', { role: 'agent', nodes, seeds: plan.seeds, mute: opt.mute }, nodes.length, nextSeed()),
+      )
+    if (watching > 0)
+      parts.push(
+        startPart(
+          data,
+          'watching proxy',
+          { role: 'proxy', nodes: plan.nodes.slice(0, watching), watch: true },
+          watching,
+          nextSeed(),
+        ),
+      )
+    for (const nodes of slice(plan.nodes.slice(watching), 2 * opt.per))
+      parts.push(startPart(data, 'proxy', { role: 'proxy', nodes, watch: false }, nodes.length, nextSeed()))
+    for (const list of slice(plan.instances, 150))
+      parts.push(startPart(data, 'instance', { role: 'instance', list }, list.length, nextSeed()))
 
     function of(...roles: string[]): Part[] {
       const out: Part[] = []
@@ -195,7 +283,12 @@
       const at = world.now()
       const node = plan.nodes[number % plan.nodes.length]
       const got = await callOnce(world, node.http, 'POST', '/streams/hollow', change, 15000)
-      const body = got.ok ? (typeof got.val.body === 'string' ? JSON.parse(got.val.body) : got.val.body) as { decision?: string; epoch?: number } : {}
+      const body = got.ok
+        ? ((typeof got.val.body === 'string' ? JSON.parse(got.val.body) : got.val.body) as {
+            decision?: string
+            epoch?: number
+          })
+        : {}
       if (body.decision !== 'accepted' || body.epoch === undefined) return false
       epoch = body.epoch
       sentAt.set(epoch, at)
@@ -208,7 +301,8 @@
     if ((await until(set)) === undefined) throw new Error('the configuration was not accepted in time')
     async function inForce(): Promise<boolean> {
       let count = 0
-      for (const s of await states('proxy', 'watching proxy')) for (const [e, n] of s.epochs) if (e === epoch) count += n
+      for (const s of await states('proxy', 'watching proxy'))
+        for (const [e, n] of s.epochs) if (e === epoch) count += n
       return count >= opt.nodes
     }
     const applied = await until(inForce)
@@ -226,7 +320,9 @@
     }
     if ((await until(led)) !== undefined) report.led = world.now() - from
     report.starting = await readWindow()
-    opt.out(`standing: terms ${show(report.termed)}, configuration ${show(report.applied)}, shares ${show(report.shared)}, leaders ${show(report.led)}`)
+    opt.out(
+      `standing: terms ${show(report.termed)}, configuration ${show(report.applied)}, shares ${show(report.shared)}, leaders ${show(report.led)}`,
+    )
 
     // Changes before the measuring, where the size of a grown register is asked for.
     for (let k = 0; k < opt.history; k++) {
@@ -300,7 +396,8 @@
       let up = 0
       for (const s of await states('agent')) up += s.up
       if (up < opt.nodes) return false
-      for (const s of await states('proxy', 'watching proxy')) for (const at of s.fed) if (at < returned + 100) return false
+      for (const s of await states('proxy', 'watching proxy'))
+        for (const at of s.fed) if (at < returned + 100) return false
       return true
     }
     if ((await until(back)) !== undefined) report.back = world.now() - returned
@@ -321,7 +418,10 @@
     report.repair = await readWindow()
     await all(parts, 'end').catch(nothing)
     const { nodes, groups, lanes, cores, instances, areas, changes, mute, history, seed, shares } = opt
-    return { ...report, shape: { nodes, groups, lanes, cores, instances, areas, changes, mute, history, seed, shares } } as HollowReport
+    return {
+      ...report,
+      shape: { nodes, groups, lanes, cores, instances, areas, changes, mute, history, seed, shares },
+    } as HollowReport
   } finally {
     stopAll()
     process.removeListener('exit', stopAll)
@@ -334,14 +434,23 @@
 
 // Counts alone, from a run on virtual time.
 export function showVirtual(got: Awaited<ReturnType<typeof simHollow>>, shape: HollowShape): string {
-  const lines = [`${shape.nodes} nodes, ${shape.groups} groups of ${shape.instances}, ${shape.lanes} lanes, ${shape.cores} cores, shares by ${shape.shares}, virtual time${got.stood ? '' : '; it did not stand within 60 s'}`]
-  for (const [role, members, list] of [['core', shape.cores, got.core], ['agent', shape.nodes, got.agent], ['proxy', shape.nodes, got.proxy], ['instance', shape.groups * shape.instances, got.instance]] as [string, number, Line[]][]) {
+  const lines = [
+    `${shape.nodes} nodes, ${shape.groups} groups of ${shape.instances}, ${shape.lanes} lanes, ${shape.cores} cores, shares by ${shape.shares}, virtual time${got.stood ? '' : '; it did not stand within 60 s'}`,
+  ]
+  for (const [role, members, list] of [
+    ['core', shape.cores, got.core],
+    ['agent', shape.nodes, got.agent],
+    ['proxy', shape.nodes, got.proxy],
+    ['instance', shape.groups * shape.instances, got.instance],
+  ] as [string, number, Line[]][]) {
     lines.push(`each ${role} (${members})`)
     for (const l of list) {
       function rate(n: number): number {
         return n / got.seconds / members
       }
-      lines.push(`  ${l.name}: out ${rate(l.outCount).toFixed(1)} a second, ${Math.round(rate(l.outBytes))} bytes/s; in ${rate(l.inCount).toFixed(1)}, ${Math.round(rate(l.inBytes))} bytes/s`)
+      lines.push(
+        `  ${l.name}: out ${rate(l.outCount).toFixed(1)} a second, ${Math.round(rate(l.outBytes))} bytes/s; in ${rate(l.inCount).toFixed(1)}, ${Math.round(rate(l.inBytes))} bytes/s`,
+      )
     }
   }
   return lines.join('\n')
@@ -349,22 +458,43 @@
 
 export function showHollow(r: HollowReport): string {
   const s = r.shape
-  const lines = [`${s.nodes} nodes, ${s.groups} groups of ${s.instances}, ${s.lanes} lanes, ${s.cores} cores, shares by ${s.shares}, ${s.changes} changes a second${s.mute ? ', summaries muted' : ''}`]
-  lines.push(`all agents at once: terms ${show(r.termed)}, first configuration ${show(r.applied)}, shares ${show(r.shared)}, leaders ${show(r.led)}; back after a restart of all ${show(r.back)}`)
+  const lines = [
+    `${s.nodes} nodes, ${s.groups} groups of ${s.instances}, ${s.lanes} lanes, ${s.cores} cores, shares by ${s.shares}, ${s.changes} changes a second${s.mute ? ', summaries muted' : ''}`,
+  ]
+  lines.push(
+    `all agents at once: terms ${show(r.termed)}, first configuration ${show(r.applied)}, shares ${show(r.shared)}, leaders ${show(r.led)}; back after a restart of all ${show(r.back)}`,
+  )
   const times = [...r.changes.inForce].sort(byNumber)
-  lines.push(`changes: ${r.changes.accepted} of ${r.changes.sent} accepted; in force everywhere: median ${times[Math.floor(times.length / 2)] ?? 'none'} ms, most ${times[times.length - 1] ?? 'none'} ms${times.includes(-1) ? ', some not within the window' : ''}`)
+  lines.push(
+    `changes: ${r.changes.accepted} of ${r.changes.sent} accepted; in force everywhere: median ${times[Math.floor(times.length / 2)] ?? 'none'} ms, most ${times[times.length - 1] ?? 'none'} ms${times.includes(-1) ? ', some not within the window' : ''}`,
+  )
   for (const [key, size] of r.values) lines.push(`longest frame with ${key}: ${size} bytes`)
-  for (const [name, w] of [['start of all', r.starting], ['return of all agents', r.returning], ['return of a core', r.repair]] as [string, Window][]) {
+  for (const [name, w] of [
+    ['start of all', r.starting],
+    ['return of all agents', r.returning],
+    ['return of a core', r.repair],
+  ] as [string, Window][]) {
     for (const { role, reading } of w.roles) {
       const parts: string[] = []
-      for (const m of reading.mechanisms) parts.push(`${m.name} ${Math.round((m.outCount + m.inCount) * w.seconds)} (${Math.round((m.outBytes + m.inBytes) * w.seconds)})`)
+      for (const m of reading.mechanisms)
+        parts.push(
+          `${m.name} ${Math.round((m.outCount + m.inCount) * w.seconds)} (${Math.round((m.outBytes + m.inBytes) * w.seconds)})`,
+        )
       lines.push(`${name}, ${w.seconds.toFixed(1)} s, each ${role}, messages (bytes): ${parts.join(', ')}`)
     }
   }
-  for (const [name, w] of [['calm', r.calm], ['changing', r.changing]] as [string, Window][]) {
+  for (const [name, w] of [
+    ['calm', r.calm],
+    ['changing', r.changing],
+  ] as [string, Window][]) {
     for (const { role, reading } of w.roles) {
-      lines.push(`${name}, each ${role} (${reading.members} in ${reading.processes} processes): ${(reading.cpu * 100).toFixed(2)} % of a core, ${Math.round(reading.rss / 1024)} KiB resident, ${Math.round(reading.heap / 1024)} KiB of heap, loop at most ${Math.round(reading.lag)} ms late`)
-      for (const m of reading.mechanisms) lines.push(`  ${m.name}: out ${m.outCount.toFixed(1)} a second, ${Math.round(m.outBytes)} bytes/s; in ${m.inCount.toFixed(1)}, ${Math.round(m.inBytes)} bytes/s`)
+      lines.push(
+        `${name}, each ${role} (${reading.members} in ${reading.processes} processes): ${(reading.cpu * 100).toFixed(2)} % of a core, ${Math.round(reading.rss / 1024)} KiB resident, ${Math.round(reading.heap / 1024)} KiB of heap, loop at most ${Math.round(reading.lag)} ms late`,
+      )
+      for (const m of reading.mechanisms)
+        lines.push(
+          `  ${m.name}: out ${m.outCount.toFixed(1)} a second, ${Math.round(m.outBytes)} bytes/s; in ${m.inCount.toFixed(1)}, ${Math.round(m.inBytes)} bytes/s`,
+        )
       const spent: string[] = []
       for (const [what, share] of reading.spent) if (share > 0.0001) spent.push(`${what} ${(share * 100).toFixed(2)} %`)
       if (spent.length > 0) lines.push(`  processor time: ${spent.join(', ')}`)
@@ -377,7 +507,11 @@
 }
 
 // The same tasks on virtual time: counts repeat by seed; processor time and memory mean nothing here.
-export async function simHollow(seed: number, shape: HollowShape, ms: number): Promise<{ stood: boolean; seconds: number; core: Line[]; agent: Line[]; proxy: Line[]; instance: Line[] }> {
+export async function simHollow(
+  seed: number,
+  shape: HollowShape,
+  ms: number,
+): Promise<{ stood: boolean; seconds: number; core: Line[]; agent: Line[]; proxy: Line[]; instance: Line[] }> {
   const sim = makeSim(seed)
   const random = makeRandom(seed)
   function where(kind: 'core' | 'node' | 'instance', k: number, port: number): Addr {
@@ -385,12 +519,20 @@
     return `10.${kind === 'core' ? 1 : kind === 'node' ? 2 : 3}.${far >> 8}.${far & 255}:${port}`
   }
   const plan: HollowPlan = planHollow(shape, where)
-  const tallies = new Map<string, Tally>([['core', makeTally()], ['agent', makeTally()], ['proxy', makeTally()], ['instance', makeTally()]])
+  const tallies = new Map<string, Tally>([
+    ['core', makeTally()],
+    ['agent', makeTally()],
+    ['proxy', makeTally()],
+    ['instance', makeTally()],
+  ])
   const stop = makeFlag()
   function tapped(role: string, world: World): World {
     function carried(_way: 'dial' | 'listen', addr: Addr): Carried {
       const { port } = parseAddr(addr)
-      return { name: port === 7001 ? 'discovery' : port === 7080 ? 'announcements' : 'probes', frames: port === 7000 || port === 7100 }
+      return {
+        name: port === 7001 ? 'discovery' : port === 7080 ? 'announcements' : 'probes',
+        frames: port === 7000 || port === 7100,
+      }
     }
     return tapWorld(world, tallies.get(role) as Tally, carried)
   }
@@ -426,7 +568,14 @@
   await sim.until(termed, 10000)
   await sim.run(sim.now() + 5000)
   async function operate(world: World): Promise<void> {
-    await callOnce(world, plan.nodes[Math.floor(random() * plan.nodes.length)].http, 'POST', '/streams/hollow', { number: 1, expect: 0, whole: plan.config }, 10000)
+    await callOnce(
+      world,
+      plan.nodes[Math.floor(random() * plan.nodes.length)].http,
+      'POST',
+      '/streams/hollow',
+      { number: 1, expect: 0, whole: plan.config },
+      10000,
+    )
   }
   sim.spawn(sim.machine('desk', '10.9.0.1'), 'operator', operate)
   function stands(): boolean {
@@ -443,5 +592,12 @@
   function lines(role: string): Line[] {
     return (tallies.get(role) as Tally).read()
   }
-  return { stood, seconds: (sim.now() - from) / 1000, core: lines('core'), agent: lines('agent'), proxy: lines('proxy'), instance: lines('instance') }
+  return {
+    stood,
+    seconds: (sim.now() - from) / 1000,
+    core: lines('core'),
+    agent: lines('agent'),
+    proxy: lines('proxy'),
+    instance: lines('instance'),
+  }
 }
--- a/packages/fleet/src/hollownode.ts
+++ b/packages/fleet/src/hollownode.ts
@@ -1,5 +1,21 @@
 import { startAgent, type Agent } from '@claynotch/agent'
-import { callOnce, hello, holdLink, loop, makeFlag, makeNumbers, NOTE_BEAT, pause, readAs, serve, type Addr, type Ask, type Flag, type Reply, type World } from '@claynotch/base'
+import {
+  callOnce,
+  hello,
+  holdLink,
+  loop,
+  makeFlag,
+  makeNumbers,
+  NOTE_BEAT,
+  pause,
+  readAs,
+  serve,
+  type Addr,
+  type Ask,
+  type Flag,
+  type Reply,
+  type World,
+} from '@claynotch/base'
 import { httpInstance } from '@claynotch/instance'
 import type { Config } from '@claynotch/operator'
 import { makeState, startWatch, type State } from '@claynotch/proxy'
@@ -10,7 +26,10 @@
 export type NodePlace = { node: string; area: string; link: Addr; peer: Addr; http: Addr }
 export type InstancePlace = { name: string; group: string; area: string; addr: Addr; leader: boolean; agents: Addr[] }
 
-export async function startHollowCore(world: World, set: { id: string; cores: CorePlace[]; data: string; http: Addr }): Promise<Core> {
+export async function startHollowCore(
+  world: World,
+  set: { id: string; cores: CorePlace[]; data: string; http: Addr },
+): Promise<Core> {
   const core = await startCore(world, { id: set.id, cores: set.cores, data: set.data })
   function handle(ask: Ask): Reply {
     return ask.path === '/seeds' ? { status: 200, body: { cores: set.cores } } : { status: 404, body: {} }
@@ -20,7 +39,15 @@
 }
 
 export async function startHollowAgent(world: World, place: NodePlace, seeds: Addr[]): Promise<Agent> {
-  return await startAgent(world, { node: place.node, area: place.area, link: place.link, peer: place.peer, http: place.http, seeds, build: 'hollow' })
+  return await startAgent(world, {
+    node: place.node,
+    area: place.area,
+    link: place.link,
+    peer: place.peer,
+    http: place.http,
+    seeds,
+    build: 'hollow',
+  })
 }
 
 // Takes feeds by the product's own state and acknowledges them as the product does; it carries no requests.
@@ -48,7 +75,18 @@
       const rec = group === undefined ? undefined : state.group(group)?.record
       if (group !== undefined && rec && rec.phase !== 'steady') moving.push([group, rec.epoch])
     }
-    const word: Note = { t: 'note', life, acks: [...state.turns()], highs: [], seen: list, moving, tries: [], open: 0, leaving: false, lags: [] }
+    const word: Note = {
+      t: 'note',
+      life,
+      acks: [...state.turns()],
+      highs: [],
+      seen: list,
+      moving,
+      tries: [],
+      open: 0,
+      leaving: false,
+      lags: [],
+    }
     agent.tell(word)
   }
   function take(msg: unknown): undefined {
@@ -81,7 +119,13 @@
       role = 'leader'
       return { status: 200, body: {} }
     }
-    const rows = [{ field: 'name', value: set.name }, { field: 'group', value: set.group }, { field: 'role', value: role }, { field: 'epoch', value: epoch }, { field: 'position', value: 1 }]
+    const rows = [
+      { field: 'name', value: set.name },
+      { field: 'group', value: set.group },
+      { field: 'role', value: role },
+      { field: 'epoch', value: epoch },
+      { field: 'position', value: 1 },
+    ]
     return ask.path === '/status' ? { status: 200, body: { rows } } : { status: 404, body: {} }
   }
   await serve(world, set.addr, handle)
@@ -89,7 +133,14 @@
   async function announce(): Promise<void> {
     for (let k = 0; k < set.agents.length; k++) {
       const to = set.agents[(turn + k) % set.agents.length]
-      const got = await callOnce(world, to, 'POST', '/announcement', { name: set.name, group: set.group, addr: set.addr, area: set.area, role }, 1000)
+      const got = await callOnce(
+        world,
+        to,
+        'POST',
+        '/announcement',
+        { name: set.name, group: set.group, addr: set.addr, area: set.area, role },
+        1000,
+      )
       if (got.ok && got.val.status === 200) {
         turn += k
         return
@@ -107,14 +158,30 @@
 // --- what a fleet of such tasks looks like ---
 
 // shares: by slots in a register, or by the live members.
-export type HollowShape = { nodes: number; groups: number; lanes: number; cores: number; instances: number; areas: number; shares: 'slots' | 'live' }
+export type HollowShape = {
+  nodes: number
+  groups: number
+  lanes: number
+  cores: number
+  instances: number
+  areas: number
+  shares: 'slots' | 'live'
+}
 // place: an address of its own for each thing, by kind and number.
 export type Where = (kind: 'core' | 'node' | 'instance', k: number, port: number) => Addr
-export type HollowPlan = { cores: { id: string; addr: Addr; http: Addr }[]; set: CorePlace[]; seeds: Addr[]; nodes: NodePlace[]; instances: InstancePlace[]; config: Config }
+export type HollowPlan = {
+  cores: { id: string; addr: Addr; http: Addr }[]
+  set: CorePlace[]
+  seeds: Addr[]
+  nodes: NodePlace[]
+  instances: InstancePlace[]
+  config: Config
+}
 
 export function planHollow(shape: HollowShape, where: Where): HollowPlan {
   const cores: HollowPlan['cores'] = []
-  for (let k = 0; k < shape.cores; k++) cores.push({ id: `core${k + 1}`, addr: where('core', k, 7000), http: where('core', k, 7001) })
+  for (let k = 0; k < shape.cores; k++)
+    cores.push({ id: `core${k + 1}`, addr: where('core', k, 7000), http: where('core', k, 7001) })
   const set: CorePlace[] = []
   const seeds: Addr[] = []
   for (const c of cores) {
@@ -122,7 +189,14 @@
     if (seeds.length < 3) seeds.push(c.http)
   }
   const nodes: NodePlace[] = []
-  for (let k = 0; k < shape.nodes; k++) nodes.push({ node: `node${k + 1}`, area: `area${k % shape.areas}`, link: where('node', k, 7100), peer: where('node', k, 7200), http: where('node', k, 7080) })
+  for (let k = 0; k < shape.nodes; k++)
+    nodes.push({
+      node: `node${k + 1}`,
+      area: `area${k % shape.areas}`,
+      link: where('node', k, 7100),
+      peer: where('node', k, 7200),
+      http: where('node', k, 7080),
+    })
   const groups: Config['groups'] = []
   const instances: InstancePlace[] = []
   for (let g = 0; g < shape.groups; g++) {
@@ -132,16 +206,44 @@
       const num = g * shape.instances + k
       const agents: Addr[] = []
       for (let n = 0; n < 3; n++) agents.push(nodes[(num + n * 7) % nodes.length].http)
-      instances.push({ name: `g${g + 1}-${k + 1}`, group: `g${g + 1}`, area: `area${k % shape.areas}`, addr: where('instance', num, 5000), leader: k === 0, agents })
+      instances.push({
+        name: `g${g + 1}-${k + 1}`,
+        group: `g${g + 1}`,
+        area: `area${k % shape.areas}`,
+        addr: where('instance', num, 5000),
+        leader: k === 0,
+        agents,
+      })
     }
   }
   const lanes: Config['lanes'] = []
-  for (let l = 0; l < shape.lanes; l++) lanes.push({ name: `lane${l + 1}`, database: `database${l + 1}`, group: `g${(l % shape.groups) + 1}`, reads: l % 3 === 0 ? 'leader' : { within: 2000 + (l % 1000), own: true } })
-  return { cores, set, seeds, nodes, instances, config: { proxies: shape.shares === 'live' ? 'live' : shape.nodes, groups, lanes } }
+  for (let l = 0; l < shape.lanes; l++)
+    lanes.push({
+      name: `lane${l + 1}`,
+      database: `database${l + 1}`,
+      group: `g${(l % shape.groups) + 1}`,
+      reads: l % 3 === 0 ? 'leader' : { within: 2000 + (l % 1000), own: true },
+    })
+  return {
+    cores,
+    set,
+    seeds,
+    nodes,
+    instances,
+    config: { proxies: shape.shares === 'live' ? 'live' : shape.nodes, groups, lanes },
+  }
 }
 
 // A change as operators make them: one lane's bound.
-export function changeOf(plan: HollowPlan, number: number, expect: number): { number: number; expect: number; edits: unknown[] } {
+export function changeOf(
+  plan: HollowPlan,
+  number: number,
+  expect: number,
+): { number: number; expect: number; edits: unknown[] } {
   const lane = plan.config.lanes[number % plan.config.lanes.length]
-  return { number, expect, edits: [{ op: 'put', what: 'lane', value: { ...lane, reads: { within: 2000 + (number % 1000), own: true } } }] }
+  return {
+    number,
+    expect,
+    edits: [{ op: 'put', what: 'lane', value: { ...lane, reads: { within: 2000 + (number % 1000), own: true } } }],
+  }
 }
--- a/packages/fleet/src/hollowpart.ts
+++ b/packages/fleet/src/hollowpart.ts
@@ -2,7 +2,15 @@
 import { makeFlag, nothing, parseAddr, pause, realWorld, type Addr, type World } from '@claynotch/base'
 import type { Agent } from '@claynotch/agent'
 import type { Core, CorePlace } from '@claynotch/register'
-import { startHollowAgent, startHollowCore, startHollowInstance, startHollowProxy, type HollowProxy, type InstancePlace, type NodePlace } from './hollownode.js'
+import {
+  startHollowAgent,
+  startHollowCore,
+  startHollowInstance,
+  startHollowProxy,
+  type HollowProxy,
+  type InstancePlace,
+  type NodePlace,
+} from './hollownode.js'
 import { makeRandom } from './sim.js'
 import { makeSampling, type Sampling } from './spent.js'
 import { makeTally, tapWorld, type Carried, type Line } from './tap.js'
@@ -17,7 +25,16 @@
   | { role: 'instance'; list: InstancePlace[] }
 // spent: processor time by mechanism, in samples. cpu: s of user and system time since the last mark,
 // at the rate of the time before the sampling.
-export type Reading = { cpu: number; seconds: number; rss: number; heap: number; lines: Line[]; longest: [string, number][]; spent: [string, number][]; lag: number }
+export type Reading = {
+  cpu: number
+  seconds: number
+  rss: number
+  heap: number
+  lines: Line[]
+  longest: [string, number][]
+  spent: [string, number][]
+  lag: number
+}
 // epochs: [epoch, proxies that have it, monotonic ms of the last]. fed: of each proxy, ms of its last feed, where its term runs.
 export type State = { up: number; fed: number[]; shares: number; steady: number; epochs: [number, number, number][] }
 
@@ -118,7 +135,16 @@
   world.settle()
   const { rss } = process.memoryUsage()
   ;(globalThis as { gc?: () => void }).gc?.()
-  return { cpu: (cpu / over) * seconds, seconds, rss, heap: process.memoryUsage().heapUsed, lines: tally.read(), longest: [...tally.longest], spent: [...spent], lag: worstLag }
+  return {
+    cpu: (cpu / over) * seconds,
+    seconds,
+    rss,
+    heap: process.memoryUsage().heapUsed,
+    lines: tally.read(),
+    longest: [...tally.longest],
+    spent: [...spent],
+    lag: worstLag,
+  }
 }
 function state(): State {
   const now = inner.now()
--- a/packages/fleet/src/instance.ts
+++ b/packages/fleet/src/instance.ts
@@ -1,5 +1,17 @@
 import {
-  callOnce, loop, makeFile, makeFlag, makeTurnstile, openLine, serve, type Addr, type Ask, type Flag, type Line, type Reply, type World,
+  callOnce,
+  loop,
+  makeFile,
+  makeFlag,
+  makeTurnstile,
+  openLine,
+  serve,
+  type Addr,
+  type Ask,
+  type Flag,
+  type Line,
+  type Reply,
+  type World,
 } from '@claynotch/base'
 
 // A stand-in for a database instance: a table of lists, written by 'append', read by 'list'. It speaks the
@@ -21,24 +33,68 @@
   sick: number // share of statements answered with ELECTION though STATUS looks well
 }
 export type InstanceSettings = {
-  name: string; group: string; area: string; addr: Addr; peers: Addr[]; agents: Addr[]; leader: boolean; connections: number; lag: number; data: string; leaves?: boolean
+  name: string
+  group: string
+  area: string
+  addr: Addr
+  peers: Addr[]
+  agents: Addr[]
+  leader: boolean
+  connections: number
+  lag: number
+  data: string
+  leaves?: boolean
   // A leader copies all that this group has, by its leader's log.
   source?: { group: string; peers: Addr[] }
 }
 export type Instance = {
-  stop: () => Promise<void>; leave: () => Promise<void>; faults: Faults; record: () => InstanceRecord; role: () => string; epoch: () => number; position: () => number
+  stop: () => Promise<void>
+  leave: () => Promise<void>
+  faults: Faults
+  record: () => InstanceRecord
+  role: () => string
+  epoch: () => number
+  position: () => number
+}
+export type InstanceRecord = {
+  name: string
+  group: string
+  log: Entry[]
+  ran: Ran[]
+  took: Took[]
+  most: number
+  limit: number
+  lateWork: number
+  leftAt: number | undefined
+  wrongSettings: number
 }
-export type InstanceRecord = { name: string; group: string; log: Entry[]; ran: Ran[]; took: Took[]; most: number; limit: number; lateWork: number; leftAt: number | undefined; wrongSettings: number }
 
 // One connection: what a database keeps for it.
-type Session = { settings: Map<string, string>; shapes: Map<string, string>; open: { ops: [string, string][]; mode: string; epoch: number } | undefined }
+type Session = {
+  settings: Map<string, string>
+  shapes: Map<string, string>
+  open: { ops: [string, string][]; mode: string; epoch: number } | undefined
+}
 
-type Saved = { k: 'role'; role: 'leader' | 'follower'; epoch: number; base: number } | { k: 'log'; entries: Entry[]; ran?: Ran[] } | { k: 'took'; took: Took } | { k: 'cut'; at: number }
+type Saved =
+  | { k: 'role'; role: 'leader' | 'follower'; epoch: number; base: number }
+  | { k: 'log'; entries: Entry[]; ran?: Ran[] }
+  | { k: 'took'; took: Took }
+  | { k: 'cut'; at: number }
 
 export async function startInstance(world: World, set: InstanceSettings): Promise<Instance> {
   const stop = makeFlag()
   const file = makeFile(world, `${set.data}/log`)
-  const faults: Faults = { dark: false, lose: [], full: false, deaf: false, lag: set.lag, left: false, uncopied: false, sick: 0 }
+  const faults: Faults = {
+    dark: false,
+    lose: [],
+    full: false,
+    deaf: false,
+    lag: set.lag,
+    left: false,
+    uncopied: false,
+    sick: 0,
+  }
   let log: Entry[] = []
   let table = new Map<string, string[]>()
   let role: 'leader' | 'follower' = set.leader ? 'leader' : 'follower'
@@ -121,9 +177,13 @@
     await save()
     return { status: 200, body: { rows: [ops.length], epoch: mine, position } }
   }
-  async function statement(s: Session, body: { text?: string; shape?: string; args?: unknown[]; mode?: string }): Promise<Reply> {
+  async function statement(
+    s: Session,
+    body: { text?: string; shape?: string; args?: unknown[]; mode?: string },
+  ): Promise<Reply> {
     if (leftAt !== undefined && world.now() - leftAt > 7000) lateWork++
-    if (faults.sick > 0 && !s.open && world.random() < faults.sick) return error('ELECTION', 'an election is in progress')
+    if (faults.sick > 0 && !s.open && world.random() < faults.sick)
+      return error('ELECTION', 'an election is in progress')
     const text = body.shape !== undefined ? s.shapes.get(body.shape) : body.text
     const args = body.args ?? []
     if (text === undefined) return error('NOT_FOUND', `no shape ${body.shape}`)
@@ -158,11 +218,37 @@
     return error('SYNTAX', `unknown statement ${text.slice(0, 40)}`)
   }
   async function answer(ask: Ask): Promise<Reply> {
-    const body = (ask.body ?? {}) as { text?: string; mode?: string; settings?: { name: string; value: string }[]; name?: string; epoch?: number; position?: number; last?: number }
+    const body = (ask.body ?? {}) as {
+      text?: string
+      mode?: string
+      settings?: { name: string; value: string }[]
+      name?: string
+      epoch?: number
+      position?: number
+      last?: number
+    }
     const s = sessionOf(ask.line)
     switch (ask.path) {
       case '/status':
-        return { status: 200, body: { rows: [{ field: 'name', value: set.name }, { field: 'group', value: set.group }, { field: 'role', value: role }, { field: 'epoch', value: epoch }, { field: 'position', value: log.length }, ...(copied && role === 'leader' ? [{ field: 'source', value: set.source!.group }, { field: 'source_epoch', value: copied.epoch }, { field: 'source_position', value: copied.position }] : [])] } }
+        return {
+          status: 200,
+          body: {
+            rows: [
+              { field: 'name', value: set.name },
+              { field: 'group', value: set.group },
+              { field: 'role', value: role },
+              { field: 'epoch', value: epoch },
+              { field: 'position', value: log.length },
+              ...(copied && role === 'leader'
+                ? [
+                    { field: 'source', value: set.source!.group },
+                    { field: 'source_epoch', value: copied.epoch },
+                    { field: 'source_position', value: copied.position },
+                  ]
+                : []),
+            ],
+          },
+        }
       case '/statement':
         return await statement(s, body)
       case '/begin':
@@ -193,7 +279,8 @@
       case '/promotion': {
         const next = Number(body.epoch)
         if (next === epoch && role === 'leader') return { status: 200, body: { leader: true } }
-        if (!(next > epoch)) return { status: 409, body: { code: 'ABORTED', message: `epoch ${next} is not above ${epoch}` } }
+        if (!(next > epoch))
+          return { status: 409, body: { code: 'ABORTED', message: `epoch ${next} is not above ${epoch}` } }
         role = 'leader'
         epoch = next
         base = log.length
@@ -206,7 +293,12 @@
         if (role !== 'leader') return error('READONLY', 'not the leader')
         const from = Number(body.position)
         const fits = from <= log.length && (from === 0 || log[from - 1].epoch === body.last)
-        return { status: 200, body: fits ? { epoch, base, from, entries: log.slice(from, from + 500), end: log.length } : { epoch, base, from: -1, entries: [], end: log.length } }
+        return {
+          status: 200,
+          body: fits
+            ? { epoch, base, from, entries: log.slice(from, from + 500), end: log.length }
+            : { epoch, base, from: -1, entries: [], end: log.length },
+        }
       }
       case '/record':
         return { status: 200, body: record() }
@@ -224,7 +316,8 @@
       await makeFlag().wait()
       return undefined
     }
-    if (lines > set.connections && ask.path !== '/record' && ask.path !== '/fault') return error('BUSY', 'too many connections')
+    if (lines > set.connections && ask.path !== '/record' && ask.path !== '/fault')
+      return error('BUSY', 'too many connections')
     const reply = await answer(ask)
     const at = faults.lose.indexOf(ask.path)
     if (at >= 0) {
@@ -255,7 +348,8 @@
       if (got.err || got.val.status !== 200) continue
       const rows = new Map<string, unknown>()
       for (const r of (got.val.body as { rows: { field: string; value: unknown }[] }).rows) rows.set(r.field, r.value)
-      if (rows.get('role') === 'leader' && (!best || Number(rows.get('epoch')) > best.epoch)) best = { addr, epoch: Number(rows.get('epoch')) }
+      if (rows.get('role') === 'leader' && (!best || Number(rows.get('epoch')) > best.epoch))
+        best = { addr, epoch: Number(rows.get('epoch')) }
     }
     return best
   }
@@ -330,7 +424,9 @@
     }
     if (!place) {
       place = { at: 0, last: 0 }
-      for (const e of log) if (e.src?.group === source.group && e.src.position > place.at) place = { at: e.src.position, last: e.src.epoch }
+      for (const e of log)
+        if (e.src?.group === source.group && e.src.position > place.at)
+          place = { at: e.src.position, last: e.src.epoch }
     }
     const { at, last } = place
     const mine = epoch
@@ -382,7 +478,21 @@
     if (faults.dark) return
     async function one(addr: Addr): Promise<void> {
       const leaving = faults.left
-      const got = await callOnce(world, addr, 'POST', '/announcement', { name: set.name, group: set.group, addr: set.addr, area: set.area, role, ...(leaving ? { leaving: true } : {}) }, 800)
+      const got = await callOnce(
+        world,
+        addr,
+        'POST',
+        '/announcement',
+        {
+          name: set.name,
+          group: set.group,
+          addr: set.addr,
+          area: set.area,
+          role,
+          ...(leaving ? { leaving: true } : {}),
+        },
+        800,
+      )
       // The users' 7 s count from when anyone has learned of it.
       if (leaving && got.ok && got.val.status === 200) leftAt ??= world.now()
     }
@@ -399,7 +509,18 @@
     await http.close()
   }
   function record(): InstanceRecord {
-    return { name: set.name, group: set.group, log, ran, took, most, limit: set.connections, lateWork, leftAt, wrongSettings }
+    return {
+      name: set.name,
+      group: set.group,
+      log,
+      ran,
+      took,
+      most,
+      limit: set.connections,
+      lateWork,
+      leftAt,
+      wrongSettings,
+    }
   }
   function roleNow(): string {
     return role
--- a/packages/fleet/src/judge.ts
+++ b/packages/fleet/src/judge.ts
@@ -6,7 +6,14 @@
 export type Breach = { rule: string; what: string }
 // What a lane was from a time on, by an accepted change; group undefined: it was dropped.
 // fenced: it took the group over by a move, so no write may count on the other side once one did on this.
-export type Law = { lane: string; from: number; group: string | undefined; within: number; own: boolean; fenced?: boolean }
+export type Law = {
+  lane: string
+  from: number
+  group: string | undefined
+  within: number
+  own: boolean
+  fenced?: boolean
+}
 // ms. Work by a rule that was replaced longer ago than this is a breach: the users' 3 s, and half a second for the
 // requester's own way to its node and back.
 const HEEDED = 3500
@@ -61,10 +68,12 @@
     }
     took.set(r.group, [...(took.get(r.group) ?? []), ...r.took])
     const old = lines.get(r.group)
-    if (!old || lastEpoch(r) > lastEpoch(old) || (lastEpoch(r) === lastEpoch(old) && r.log.length > old.log.length)) lines.set(r.group, r)
+    if (!old || lastEpoch(r) > lastEpoch(old) || (lastEpoch(r) === lastEpoch(old) && r.log.length > old.log.length))
+      lines.set(r.group, r)
     if (r.lateWork > 0) breach('leaving', `${r.name} got ${r.lateWork} new pieces of work over 7 s after its notice`)
     if (r.most > r.limit) breach('connections', `${r.name} had ${r.most} connections of ${r.limit}`)
-    if (r.wrongSettings > 0) breach('settings', `${r.name} saw ${r.wrongSettings} statements under settings of another session`)
+    if (r.wrongSettings > 0)
+      breach('settings', `${r.name} saw ${r.wrongSettings} statements under settings of another session`)
   }
   function lastEpoch(r: InstanceRecord): number {
     let e = r.log.length > 0 ? r.log[r.log.length - 1].epoch : 0
@@ -83,7 +92,8 @@
       by.set(tag, groups.add(r.group))
     }
   }
-  for (const [tag, list] of ranBy) if (list.length > 1) breach('resent', `${tag} ran ${list.length} times: ${list.map(showRun).join(', ')}`)
+  for (const [tag, list] of ranBy)
+    if (list.length > 1) breach('resent', `${tag} ran ${list.length} times: ${list.map(showRun).join(', ')}`)
 
   const checked = { writes: 0, reads: 0, done: 0, promised: 0 }
   const byKey = new Map<string, Event[]>()
@@ -102,16 +112,25 @@
         continue
       }
       for (const run of runs) {
-        if (!heeds(e.lane, run.group, run.at, run.at)) breach('unheeded', `${e.tag} of lane ${e.lane} ran in ${run.group} at ${Math.round(run.at)}, by a rule replaced long before`)
+        if (!heeds(e.lane, run.group, run.at, run.at))
+          breach(
+            'unheeded',
+            `${e.tag} of lane ${e.lane} ran in ${run.group} at ${Math.round(run.at)}, by a rule replaced long before`,
+          )
         for (const next of took.get(run.group) ?? []) {
-          if (next.epoch > run.epoch && run.at > next.at) breach('old leader', `${e.tag} ran on ${run.name} in epoch ${run.epoch} at ${Math.round(run.at)}, after epoch ${next.epoch} began at ${Math.round(next.at)}, and was told done`)
+          if (next.epoch > run.epoch && run.at > next.at)
+            breach(
+              'old leader',
+              `${e.tag} ran on ${run.name} in epoch ${run.epoch} at ${Math.round(run.at)}, after epoch ${next.epoch} began at ${Math.round(next.at)}, and was told done`,
+            )
         }
       }
       if (runs.length > 0 && !by.get(e.tag)?.has(runs[0].group)) lost.add(e.tag)
     } else if (e.kept === 'nothing') {
       checked.promised++
       if (runs.length > 0 || kept.has(e.tag)) breach('promise', `${e.tag} was told that nothing was kept, and it ran`)
-    } else if ((e.outcome === 'failed' || e.outcome === 'refused') && !e.sentCommit && kept.has(e.tag)) breach('promise', `${e.tag} took effect though its commit was never sent`)
+    } else if ((e.outcome === 'failed' || e.outcome === 'refused') && !e.sentCommit && kept.has(e.tag))
+      breach('promise', `${e.tag} took effect though its commit was never sent`)
   }
   for (const [lane, list] of byLane) {
     for (const [k, law] of list.entries()) {
@@ -119,15 +138,29 @@
       // From the first write that counted on this side to the next law, none may on the other.
       const until = list[k + 1]?.from ?? Infinity
       let first = Infinity
-      for (const e of events) if (e.lane === lane && e.tag !== undefined && e.outcome === 'done') for (const run of ranBy.get(e.tag) ?? []) if (run.group === law.group && run.at >= law.from - 1000) first = Math.min(first, run.at)
-      for (const e of events) if (e.lane === lane && e.tag !== undefined && e.outcome === 'done') for (const run of ranBy.get(e.tag) ?? []) if (run.group !== law.group && run.at > first && run.at < until) breach('both sides', `${e.tag} of lane ${lane} ran in ${run.group} at ${Math.round(run.at)} and was told done, after ${law.group} had taken a write at ${Math.round(first)}`)
+      for (const e of events)
+        if (e.lane === lane && e.tag !== undefined && e.outcome === 'done')
+          for (const run of ranBy.get(e.tag) ?? [])
+            if (run.group === law.group && run.at >= law.from - 1000) first = Math.min(first, run.at)
+      for (const e of events)
+        if (e.lane === lane && e.tag !== undefined && e.outcome === 'done')
+          for (const run of ranBy.get(e.tag) ?? [])
+            if (run.group !== law.group && run.at > first && run.at < until)
+              breach(
+                'both sides',
+                `${e.tag} of lane ${lane} ran in ${run.group} at ${Math.round(run.at)} and was told done, after ${law.group} had taken a write at ${Math.round(first)}`,
+              )
     }
   }
   for (const e of events) {
     if (e.list === undefined || e.outcome !== 'done') continue
     checked.reads++
     const has = new Set(e.list)
-    if (!heeds(e.lane, e.served, e.start, e.end)) breach('unheeded', `${e.kind} of lane ${e.lane} at ${Math.round(e.start)} was served by ${e.served}, by a rule replaced long before`)
+    if (!heeds(e.lane, e.served, e.start, e.end))
+      breach(
+        'unheeded',
+        `${e.kind} of lane ${e.lane} at ${Math.round(e.start)} was served by ${e.served}, by a rule replaced long before`,
+      )
     const ruled = lawsOf(e.lane, e.start, e.end)
     let within = ruled.length > 0 ? 0 : e.within
     let own = ruled.length > 0 || e.own
@@ -141,7 +174,10 @@
       const mine = own && w.session === e.session && w.end <= e.start && e.kind.startsWith(w.kind)
       if (!mine && !(w.end < e.start - within)) continue
       if (!has.has(w.tag as string) && !lost.has(w.tag as string)) {
-        breach('stale', `${e.kind} of session ${e.session} at ${Math.round(e.start)} missed ${w.tag}, told done at ${Math.round(w.end)} (${mine ? 'its own' : `owed within ${within} ms`})`)
+        breach(
+          'stale',
+          `${e.kind} of session ${e.session} at ${Math.round(e.start)} missed ${w.tag}, told done at ${Math.round(w.end)} (${mine ? 'its own' : `owed within ${within} ms`})`,
+        )
       }
     }
   }
--- a/packages/fleet/src/lanes.ts
+++ b/packages/fleet/src/lanes.ts
@@ -21,8 +21,12 @@
   const sent = f.change(pick(f, f.fronts.length), `lanes${num}`, [{ number: 1, expect: epochNow(f), edits }])
   await f.sim.until(sent.done, 15000)
   const told = sent.out()[0]
-  if (told?.decision !== 'accepted') f.watched.push({ rule: 'configuration', what: `a change of lane ${name} was told ${JSON.stringify(told)}` })
-  else f.laws.push(next ? lawOf(next, f.sim.now()) : { lane: name, from: f.sim.now(), group: undefined, within: 0, own: false })
+  if (told?.decision !== 'accepted')
+    f.watched.push({ rule: 'configuration', what: `a change of lane ${name} was told ${JSON.stringify(told)}` })
+  else
+    f.laws.push(
+      next ? lawOf(next, f.sim.now()) : { lane: name, from: f.sim.now(), group: undefined, within: 0, own: false },
+    )
 }
 // The epoch last told accepted.
 export function epochNow(f: SimFleet): number {
@@ -37,7 +41,11 @@
   for (let k = 0; k < 3; k++) {
     const name = ['book-g1', 'dep-g1', 'cal-g1'][pick(f, 3)]
     const was = laneNow(f, name)
-    const ways: [string, Lane | undefined][] = [['moved', { ...was, group: 'g2' }], ['dropped', undefined], ['tightened', { ...was, reads: 'leader' }]]
+    const ways: [string, Lane | undefined][] = [
+      ['moved', { ...was, group: 'g2' }],
+      ['dropped', undefined],
+      ['tightened', { ...was, reads: 'leader' }],
+    ]
     if (was.reads !== 'leader') ways.push(['own bound', { ...was, reads: { within: 1000, own: true } }])
     const [way, next] = ways[pick(f, ways.length)]
     const dead = f.sim.random() < 0.5 ? leaderIndex(f, 'g1') : -1
@@ -59,18 +67,40 @@
   for (const lane of s.config.lanes) lane.database = `kiln-${lane.group}`
   // Room for transactions that hold a connection for seconds, also where all are on one group and one proxy is away.
   for (const g of s.config.groups) g.connections = 60
-  return { ...s, requesters: 16, connections: 60, mixes: [...s.mixes, { kind: 'linger', lane: 'book-g1', group: 'g1', op: 'linger', weight: 1, within: 0, own: false }] }
+  return {
+    ...s,
+    requesters: 16,
+    connections: 60,
+    mixes: [
+      ...s.mixes,
+      { kind: 'linger', lane: 'book-g1', group: 'g1', op: 'linger', weight: 1, within: 0, own: false },
+    ],
+  }
 }
 // Both groups hold everything, each copying from the other.
 function twoSides(): Shape {
-  return { ...twoGroups(), copies: [['g1', 'g2'], ['g2', 'g1']] }
+  return {
+    ...twoGroups(),
+    copies: [
+      ['g1', 'g2'],
+      ['g2', 'g1'],
+    ],
+  }
 }
 function twoCalm(): Shape {
   return { ...twoSides(), mixes: smallShape(2).mixes }
 }
 // Without reading transactions, which a follower that lags by seconds ends.
 function twoLagging(): Shape {
-  const looks = { kind: 'deposit look', lane: 'dep-g1', group: 'g1', op: 'lookup', weight: 6, within: 2500, own: true } as const
+  const looks = {
+    kind: 'deposit look',
+    lane: 'dep-g1',
+    group: 'g1',
+    op: 'lookup',
+    weight: 6,
+    within: 2500,
+    own: true,
+  } as const
   return { ...twoSides(), mixes: [...smallShape(2).mixes.filter(isShort), looks] }
 }
 // The old side gets nothing back from the new one.
@@ -86,12 +116,20 @@
 }
 // Sends one change of edits; what was told.
 async function send(f: SimFleet, stream: string, edits: unknown[]): Promise<Decided> {
-  const sent = f.change(pick(f, f.fronts.length), stream, [{ number: f.decided.length + 1, expect: bodyNow(f)?.epoch ?? 0, edits }])
+  const sent = f.change(pick(f, f.fronts.length), stream, [
+    { number: f.decided.length + 1, expect: bodyNow(f)?.epoch ?? 0, edits },
+  ])
   await f.sim.until(sent.done, 15000)
   return sent.out()[0] ?? { decision: 'no answer' }
 }
 // Runs a move to its end, with a harm on the way; true where the lanes went over.
-async function moveLanes(f: SimFleet, lanes: string[], to: string, notes: Map<string, number>, harm?: { phase: string; run: () => Promise<void> | void }): Promise<boolean> {
+async function moveLanes(
+  f: SimFleet,
+  lanes: string[],
+  to: string,
+  notes: Map<string, number>,
+  harm?: { phase: string; run: () => Promise<void> | void },
+): Promise<boolean> {
   const told = await send(f, 'moves', [{ op: 'move', lanes, to }])
   if (told.decision !== 'accepted') {
     f.watched.push({ rule: 'move', what: `a move of ${lanes.join()} to ${to} was told ${JSON.stringify(told)}` })
@@ -118,7 +156,10 @@
     return m === undefined && (bodyNow(f)?.epoch ?? 0) >= id
   }
   if (!(await f.sim.until(over, 60000))) {
-    f.watched.push({ rule: 'move', what: `the move of ${lanes.join()} to ${to} has not ended after a minute: ${JSON.stringify(move())}` })
+    f.watched.push({
+      rule: 'move',
+      what: `the move of ${lanes.join()} to ${to} has not ended after a minute: ${JSON.stringify(move())}`,
+    })
     return false
   }
   let there = false
@@ -127,14 +168,22 @@
     there = true
     f.laws.push({ ...lawOf(lane, last), fenced: true })
   }
-  if (there) notes.set('ms from the drain to the switch, most', Math.max(notes.get('ms from the drain to the switch, most') ?? 0, Math.round(f.sim.now() - (stopped || from))))
+  if (there)
+    notes.set(
+      'ms from the drain to the switch, most',
+      Math.max(notes.get('ms from the drain to the switch, most') ?? 0, Math.round(f.sim.now() - (stopped || from))),
+    )
   return there
 }
 // A move with everything well, there and back: no answer is dropped, and the lanes' writes stall for a moment only.
 async function moveCalm(f: SimFleet, notes: Map<string, number>): Promise<void> {
   const lanes = ['book-g1', 'dep-g1', 'cal-g1']
   const part = await send(f, 'part', [{ op: 'move', lanes: ['dep-g1'], to: 'g2' }])
-  if (part.decision !== 'refused') f.watched.push({ rule: 'move', what: `a lane without its fellows to the same database was told ${JSON.stringify(part)}` })
+  if (part.decision !== 'refused')
+    f.watched.push({
+      rule: 'move',
+      what: `a lane without its fellows to the same database was told ${JSON.stringify(part)}`,
+    })
   for (const to of ['g2', 'g1']) {
     const from = f.sim.now()
     const did = await moveLanes(f, lanes, to, notes)
@@ -147,8 +196,12 @@
       stall = Math.max(stall, e.end - last)
       last = Math.max(last, e.end)
     }
-    notes.set('ms without a write done, most', Math.max(notes.get('ms without a write done, most') ?? 0, Math.round(stall)))
-    if (stall > 1000) f.watched.push({ rule: 'move', what: `no write of ${lanes.join()} was done for ${Math.round(stall)} ms` })
+    notes.set(
+      'ms without a write done, most',
+      Math.max(notes.get('ms without a write done, most') ?? 0, Math.round(stall)),
+    )
+    if (stall > 1000)
+      f.watched.push({ rule: 'move', what: `no write of ${lanes.join()} was done for ${Math.round(stall)} ms` })
   }
   await wait(f, 2000)
 }
@@ -176,7 +229,12 @@
     return h.name === 'proxyDeaf'
   }
 }
-async function moveUnder(f: SimFleet, notes: Map<string, number>, phase: string, harm: () => Promise<void> | void): Promise<void> {
+async function moveUnder(
+  f: SimFleet,
+  notes: Map<string, number>,
+  phase: string,
+  harm: () => Promise<void> | void,
+): Promise<void> {
   notes.set(`${harm.name} in ${phase}`, 1)
   const lanes = ['book-g1', 'dep-g1', 'cal-g1']
   const did = await moveLanes(f, lanes, 'g2', notes, { phase, run: harm })
@@ -259,16 +317,60 @@
       f.sim.thaw(box.proc)
     }
   }
-  return [holderDies, holderSleeps, sourceDies, targetDies, proxyDeaf, proxySleeps, agentSilent, copyStops, calledOff, coresLost, sourceSlow]
+  return [
+    holderDies,
+    holderSleeps,
+    sourceDies,
+    targetDies,
+    proxyDeaf,
+    proxySleeps,
+    agentSilent,
+    copyStops,
+    calledOff,
+    coresLost,
+    sourceSlow,
+  ]
 }
 function twoApart(): Shape {
   return { ...twoGroups(), apart: true }
 }
 
 export const lanes: Scenario[] = [
-  { name: 'lanes-changed', long: true, rule: 'no call, session or transaction goes by a rule replaced over 3 s ago', shape: twoApart, harm: lanesChanged },
-  { name: 'move', long: true, calm: true, rule: 'a move of lanes drops no answer and misses no write', shape: twoCalm, harm: moveCalm },
-  { name: 'move-lagging', long: true, calm: true, rule: "a session's own writes of before a move are not missed after it", shape: twoLagging, harm: moveLagging },
-  { name: 'move-deaf', long: true, rule: 'no read of the old side once the new one took a write', shape: oneWay, harm: moveDeaf },
-  { name: 'move-harmed', long: true, rule: 'no write on both sides of a move, none missed after it, whatever fails', shape: twoSides, harm: moveHarmed },
+  {
+    name: 'lanes-changed',
+    long: true,
+    rule: 'no call, session or transaction goes by a rule replaced over 3 s ago',
+    shape: twoApart,
+    harm: lanesChanged,
+  },
+  {
+    name: 'move',
+    long: true,
+    calm: true,
+    rule: 'a move of lanes drops no answer and misses no write',
+    shape: twoCalm,
+    harm: moveCalm,
+  },
+  {
+    name: 'move-lagging',
+    long: true,
+    calm: true,
+    rule: "a session's own writes of before a move are not missed after it",
+    shape: twoLagging,
+    harm: moveLagging,
+  },
+  {
+    name: 'move-deaf',
+    long: true,
+    rule: 'no read of the old side once the new one took a write',
+    shape: oneWay,
+    harm: moveDeaf,
+  },
+  {
+    name: 'move-harmed',
+    long: true,
+    rule: 'no write on both sides of a move, none missed after it, whatever fails',
+    shape: twoSides,
+    harm: moveHarmed,
+  },
 ]
--- a/packages/fleet/src/local.ts
+++ b/packages/fleet/src/local.ts
@@ -11,7 +11,15 @@
 import { runRequester, type Event } from './requester.js'
 
 // A whole fleet on one machine, as processes of its own kind each, with stand-in instances and requesters.
-export type LocalOptions = { profile: Profile; seconds: number; kill: boolean; data?: string; keep: boolean; scale: number; out: (line: string) => void }
+export type LocalOptions = {
+  profile: Profile
+  seconds: number
+  kill: boolean
+  data?: string
+  keep: boolean
+  scale: number
+  out: (line: string) => void
+}
 export type LocalReport = { judgement: Judgement; text: string; json: unknown }
 
 type Child = { name: string; proc: ChildProcess; args: string[] }
@@ -62,7 +70,10 @@
   }
   function start(name: string, path: string, args: string[]): void {
     const log = openSync(join(data, `${name}.log`), 'a')
-    const proc = spawn(process.execPath, [path, ...args], { stdio: ['ignore', log, log], env: { ...process.env, UV_USE_IO_URING: '0' } })
+    const proc = spawn(process.execPath, [path, ...args], {
+      stdio: ['ignore', log, log],
+      env: { ...process.env, UV_USE_IO_URING: '0' },
+    })
     children.set(name, { name, proc, args: [path, ...args] })
   }
   function settings(name: string, body: unknown): string {
@@ -96,7 +107,12 @@
     for (let k = 0; k < profile.cores; k++) cores.push({ id: `core${k + 1}`, addr: await addr(), http: await addr() })
     const set: { id: string; addr: Addr }[] = []
     for (const c of cores) set.push({ id: c.id, addr: c.addr })
-    for (const c of cores) start(c.id, claynotchPath, ['core', '--settings', settings(c.id, { id: c.id, cores: set, data: join(data, c.id), http: c.http })])
+    for (const c of cores)
+      start(c.id, claynotchPath, [
+        'core',
+        '--settings',
+        settings(c.id, { id: c.id, cores: set, data: join(data, c.id), http: c.http }),
+      ])
     const seeds = [cores[0].http, cores[1].http, cores[2].http]
     // --- fronts and platform ---
     const platform = await addr()
@@ -105,8 +121,24 @@
       const f = { node: `front${k + 1}`, http: await addr(), listen: await addr(), admin: await addr() }
       const link = await addr()
       fronts.push(f)
-      start(`${f.node}-agent`, claynotchPath, ['agent', '--settings', settings(`${f.node}-agent`, { node: f.node, area: profile.areas[k % profile.areas.length], link, peer: await addr(), http: f.http, seeds, platform })])
-      start(`${f.node}-proxy`, claynotchPath, ['proxy', '--settings', settings(`${f.node}-proxy`, { listen: f.listen, admin: f.admin, agent: link })])
+      start(`${f.node}-agent`, claynotchPath, [
+        'agent',
+        '--settings',
+        settings(`${f.node}-agent`, {
+          node: f.node,
+          area: profile.areas[k % profile.areas.length],
+          link,
+          peer: await addr(),
+          http: f.http,
+          seeds,
+          platform,
+        }),
+      ])
+      start(`${f.node}-proxy`, claynotchPath, [
+        'proxy',
+        '--settings',
+        settings(`${f.node}-proxy`, { listen: f.listen, admin: f.admin, agent: link }),
+      ])
     }
     // --- instances ---
     const boxes: { name: string; group: string; addr: Addr; path: string }[] = []
@@ -117,15 +149,34 @@
         const name = `${group}${k + 1}`
         const peers: Addr[] = []
         for (const a of addrs) if (a !== addrs[k]) peers.push(a)
-        const agents = [fronts[k % fronts.length].http, fronts[(k + 3) % fronts.length].http, fronts[(k + 5) % fronts.length].http]
-        const path = settings(name, { name, group, area: profile.areas[k % profile.areas.length], addr: addrs[k], peers, agents, leader: k === 0, connections: profile.connections, lag: 50, data: join(data, name) })
+        const agents = [
+          fronts[k % fronts.length].http,
+          fronts[(k + 3) % fronts.length].http,
+          fronts[(k + 5) % fronts.length].http,
+        ]
+        const path = settings(name, {
+          name,
+          group,
+          area: profile.areas[k % profile.areas.length],
+          addr: addrs[k],
+          peers,
+          agents,
+          leader: k === 0,
+          connections: profile.connections,
+          lag: 50,
+          data: join(data, name),
+        })
         boxes.push({ name, group, addr: addrs[k], path })
         start(name, mainPath, ['instance', '--settings', path])
       }
     }
     const platformMap: { name: string; addr: Addr }[] = []
     for (const b of boxes) platformMap.push({ name: b.name, addr: b.addr })
-    start('platform', mainPath, ['platform', '--settings', settings('platform', { addr: platform, instances: platformMap })])
+    start('platform', mainPath, [
+      'platform',
+      '--settings',
+      settings('platform', { addr: platform, instances: platformMap }),
+    ])
 
     async function coresServe(): Promise<boolean> {
       for (const c of cores) if (!(await isReady(c.http))) return false
@@ -137,9 +188,19 @@
 
     // --- configuration ---
     const sentAt = world.now()
-    const made = await callOnce(world, fronts[0].http, 'POST', '/streams/setup', { number: 1, expect: 0, whole: profile.config }, 15000)
-    const decision = made.ok ? (typeof made.val.body === 'string' ? JSON.parse(made.val.body) : made.val.body) as { decision: string } : { decision: 'none' }
-    if (decision.decision !== 'accepted') throw new Error(`the configuration was not accepted: ${JSON.stringify(decision)}`)
+    const made = await callOnce(
+      world,
+      fronts[0].http,
+      'POST',
+      '/streams/setup',
+      { number: 1, expect: 0, whole: profile.config },
+      15000,
+    )
+    const decision = made.ok
+      ? ((typeof made.val.body === 'string' ? JSON.parse(made.val.body) : made.val.body) as { decision: string })
+      : { decision: 'none' }
+    if (decision.decision !== 'accepted')
+      throw new Error(`the configuration was not accepted: ${JSON.stringify(decision)}`)
     const acceptedMs = world.now() - sentAt
     async function proxiesServe(): Promise<boolean> {
       for (const f of fronts) if (!(await isReady(f.admin))) return false
@@ -153,7 +214,9 @@
       return true
     }
     const led = await until(groupsLead, 15000, 'a leader in each group')
-    opt.out(`configuration accepted after ${Math.round(acceptedMs)} ms, every proxy ready ${Math.round(applied)} ms later, leaders known after another ${Math.round(led)} ms`)
+    opt.out(
+      `configuration accepted after ${Math.round(acceptedMs)} ms, every proxy ready ${Math.round(applied)} ms later, leaders known after another ${Math.round(led)} ms`,
+    )
 
     // --- traffic ---
     const events: Event[] = []
@@ -169,12 +232,22 @@
     // Open loop enough: think time is set so that all sessions together make the profile's rate.
     const think = (sessions / (profile.rate * opt.scale)) * 1000
     const runs: Promise<void>[] = []
-    for (let k = 0; k < sessions; k++) runs.push(runRequester(world, { id: k, nodes, mixes: profile.mixes, think, keys: 400, again: false, until: never, note }, stop))
+    for (let k = 0; k < sessions; k++)
+      runs.push(
+        runRequester(
+          world,
+          { id: k, nodes, mixes: profile.mixes, think, keys: 400, again: false, until: never, note },
+          stop,
+        ),
+      )
     const from = world.now()
     const moves: string[] = []
     async function leaderOf(group: string): Promise<{ name: string; epoch: number } | undefined> {
-      const groups = (await get(fronts[1].http, '/groups')) as { name: string; record: { leader?: string; epoch: number; phase: string } | null }[] | undefined
-      for (const g of groups ?? []) if (g.name === group && g.record?.leader !== undefined && g.record.phase === 'steady') return { name: g.record.leader, epoch: g.record.epoch }
+      const groups = (await get(fronts[1].http, '/groups')) as
+        { name: string; record: { leader?: string; epoch: number; phase: string } | null }[] | undefined
+      for (const g of groups ?? [])
+        if (g.name === group && g.record?.leader !== undefined && g.record.phase === 'steady')
+          return { name: g.record.leader, epoch: g.record.epoch }
       return undefined
     }
     if (opt.kill) {
@@ -191,9 +264,13 @@
         return next !== undefined && next.epoch > old!.epoch
       }
       await until(replaced, 20000, 'a new leader')
-      moves.push(`${group}: ${old.name} killed, ${next!.name} led in epoch ${next!.epoch} after ${Math.round(world.now() - killedAt)} ms`)
+      moves.push(
+        `${group}: ${old.name} killed, ${next!.name} led in epoch ${next!.epoch} after ${Math.round(world.now() - killedAt)} ms`,
+      )
       function firstWrite(): number {
-        for (const e of events) if (e.group === group && e.tag !== undefined && e.outcome === 'done' && e.end > killedAt + 300) return e.end - killedAt
+        for (const e of events)
+          if (e.group === group && e.tag !== undefined && e.outcome === 'done' && e.end > killedAt + 300)
+            return e.end - killedAt
         return NaN
       }
       await pause(world, 1500)
@@ -214,12 +291,31 @@
         return next !== undefined && next.epoch > was!.epoch
       }
       await until(moved, 20000, 'the planned replacement')
-      moves.push(`${other}: ${was!.name} replaced as planned by ${next!.name} after ${Math.round(world.now() - askedAt)} ms`)
+      moves.push(
+        `${other}: ${was!.name} replaced as planned by ${next!.name} after ${Math.round(world.now() - askedAt)} ms`,
+      )
       opt.out(moves[moves.length - 1])
     }
     // A small change in the middle of the run, timed to the last member's acknowledgement.
     const changeAt = world.now()
-    const change = await callOnce(world, fronts[fronts.length - 1].http, 'POST', '/streams/setup', { number: 2, expect: 1, edits: [{ op: 'put', what: 'lane', value: { name: 'extra', database: 'extra', group: profile.groups[0], reads: 'leader' } }] }, 15000)
+    const change = await callOnce(
+      world,
+      fronts[fronts.length - 1].http,
+      'POST',
+      '/streams/setup',
+      {
+        number: 2,
+        expect: 1,
+        edits: [
+          {
+            op: 'put',
+            what: 'lane',
+            value: { name: 'extra', database: 'extra', group: profile.groups[0], reads: 'leader' },
+          },
+        ],
+      },
+      15000,
+    )
     const changed = world.now() - changeAt
     async function acked(): Promise<boolean> {
       const members = (await get(fronts[1].http, '/members')) as { node: string; behind: unknown[] }[] | undefined
@@ -260,22 +356,30 @@
       if (e.outcome === 'done') times.set(e.kind, [...(times.get(e.kind) ?? []), e.end - e.start])
     }
     const lines: string[] = []
-    lines.push(`profile ${profile.name}: ${profile.fronts} proxies with agents, ${profile.cores} cores, ${boxes.length} instances, ${sessions} sessions, ${Math.round(spent / 1000)} s`)
+    lines.push(
+      `profile ${profile.name}: ${profile.fronts} proxies with agents, ${profile.cores} cores, ${boxes.length} instances, ${sessions} sessions, ${Math.round(spent / 1000)} s`,
+    )
     lines.push(`operations: ${events.length} (${Math.round((events.length / spent) * 1000)} a second)`)
     for (const [k, n] of [...counts].sort()) lines.push(`  ${k}: ${n}`)
     lines.push('times of done operations in ms (noisy: one machine carries all):')
     for (const [k, list] of times) {
       list.sort(byNumber)
-      lines.push(`  ${k}: median ${list[Math.floor(list.length / 2)].toFixed(1)}, 99 % ${list[Math.floor(list.length * 0.99)].toFixed(1)}, most ${list[list.length - 1].toFixed(0)}`)
+      lines.push(
+        `  ${k}: median ${list[Math.floor(list.length / 2)].toFixed(1)}, 99 % ${list[Math.floor(list.length * 0.99)].toFixed(1)}, most ${list[list.length - 1].toFixed(0)}`,
+      )
     }
     lines.push(...moves)
-    lines.push(`configuration: accepted in ${Math.round(changed)} ms, acknowledged by every member ${Math.round(ackMs)} ms later`)
+    lines.push(
+      `configuration: accepted in ${Math.round(changed)} ms, acknowledged by every member ${Math.round(ackMs)} ms later`,
+    )
     lines.push('retry metrics, summed over proxies:')
     for (const [k, n] of [...sums].sort()) lines.push(`  ${k}: ${n}`)
     let most = 0
     for (const r of records) most = Math.max(most, r.most)
     lines.push(`most connections at one instance: ${most} of ${profile.connections}`)
-    lines.push(`checked: ${judgement.checked.writes} writes (${judgement.checked.done} told done, ${judgement.checked.promised} promised nothing kept), ${judgement.checked.reads} reads`)
+    lines.push(
+      `checked: ${judgement.checked.writes} writes (${judgement.checked.done} told done, ${judgement.checked.promised} promised nothing kept), ${judgement.checked.reads} reads`,
+    )
     lines.push(`acknowledged commits lost with a killed leader's unreplicated tail: ${judgement.lost.length}`)
     lines.push(`breaches of the never-rules: ${judgement.breaches.length}`)
     for (const b of judgement.breaches.slice(0, 20)) lines.push(`  ${b.rule}: ${b.what}`)
@@ -284,7 +388,9 @@
     for (const c of children.values()) if (/^(core|front)/.test(c.name)) ends.push(endOf(c))
     const bad: string[] = []
     for (const e of await Promise.all(ends)) if (e !== undefined) bad.push(e)
-    lines.push(bad.length === 0 ? 'every daemon ended with 0 at SIGTERM' : `daemons that did not end with 0: ${bad.join(', ')}`)
+    lines.push(
+      bad.length === 0 ? 'every daemon ended with 0 at SIGTERM' : `daemons that did not end with 0: ${bad.join(', ')}`,
+    )
     if (bad.length > 0) judgement.breaches.push({ rule: 'planned stop', what: bad.join(', ') })
     const text = lines.join('\n')
     return { judgement, text, json: { counts: [...counts], metrics: [...sums], moves, judgement } }
--- a/packages/fleet/src/requester.ts
+++ b/packages/fleet/src/requester.ts
@@ -7,15 +7,60 @@
 // start and end: its own clock, around the whole operation. within: how old a commit a read may miss; 0 on the leader path.
 // served: the group whose rows a read was given.
 export type Event = {
-  kind: string; lane: string; group: string; served: string; session: number; key: string; tag: string | undefined; list: string[] | undefined; within: number; own: boolean
-  start: number; end: number; outcome: 'done' | 'refused' | 'failed' | 'unknown' | 'none'; class: string; kept: string; sentCommit: boolean; wrong: boolean; node: string; after: boolean; why: string
+  kind: string
+  lane: string
+  group: string
+  served: string
+  session: number
+  key: string
+  tag: string | undefined
+  list: string[] | undefined
+  within: number
+  own: boolean
+  start: number
+  end: number
+  outcome: 'done' | 'refused' | 'failed' | 'unknown' | 'none'
+  class: string
+  kept: string
+  sentCommit: boolean
+  wrong: boolean
+  node: string
+  after: boolean
+  why: string
 }
 
-export type Mix = { kind: string; lane: string; group: string; op: 'book' | 'deposit' | 'lookup' | 'post' | 'browse' | 'watch' | 'linger'; weight: number; within: number; own: boolean }
+export type Mix = {
+  kind: string
+  lane: string
+  group: string
+  op: 'book' | 'deposit' | 'lookup' | 'post' | 'browse' | 'watch' | 'linger'
+  weight: number
+  within: number
+  own: boolean
+}
 
-export type RequesterSettings = { id: number; nodes: Addr[]; mixes: Mix[]; think: number; keys: number; again: boolean; until: () => boolean; note: (e: Event) => void }
+export type RequesterSettings = {
+  id: number
+  nodes: Addr[]
+  mixes: Mix[]
+  think: number
+  keys: number
+  again: boolean
+  until: () => boolean
+  note: (e: Event) => void
+}
 
-type Told = { outcome: Event['outcome']; class?: string; kept?: string; rows?: unknown[]; token?: string; session?: string; again?: boolean; after?: number; why?: string }
+type Told = {
+  outcome: Event['outcome']
+  class?: string
+  kept?: string
+  rows?: unknown[]
+  token?: string
+  session?: string
+  again?: boolean
+  after?: number
+  why?: string
+}
 
 export async function runRequester(world: World, set: RequesterSettings, stop: Flag): Promise<void> {
   let node = set.id % set.nodes.length
@@ -25,7 +70,6 @@
   const shaped = new Set<string>()
   let count = 0
 
-
   async function call(method: string, path: string, body: unknown): Promise<Told> {
     if (!line?.alive()) {
       const got = await openLine(world, set.nodes[node], 1000)
@@ -49,7 +93,11 @@
   async function sessionFor(mix: Mix): Promise<string | undefined> {
     const has = sessions.get(mix.lane)
     if (has !== undefined) return has
-    const got = await call('POST', '/sessions', { lane: mix.lane, settings: [{ name: 'who', value: `r${set.id}` }], token: tokens.get(mix.lane) ?? '' })
+    const got = await call('POST', '/sessions', {
+      lane: mix.lane,
+      settings: [{ name: 'who', value: `r${set.id}` }],
+      token: tokens.get(mix.lane) ?? '',
+    })
     if (got.outcome !== 'done' || got.session === undefined) {
       move()
       await pause(world, 200 + 300 * world.random(), stop)
@@ -96,7 +144,11 @@
         told = await call('POST', `${at}/shapes`, { name: 'find', text: 'list' })
         if (told.outcome === 'done') shaped.add(session)
       }
-      told = await call('POST', `${at}/statement`, { kind: 'read', ...(shaped.has(session) ? { shape: 'find' } : { text: 'list' }), args: [key] })
+      told = await call('POST', `${at}/statement`, {
+        kind: 'read',
+        ...(shaped.has(session) ? { shape: 'find' } : { text: 'list' }),
+        args: [key],
+      })
       rowsOf(told)
     } else if (mix.op === 'browse' || mix.op === 'watch') {
       // A reading transaction that takes its time between its looks; each look is owed what the lane says.
@@ -108,7 +160,29 @@
         const from = world.now()
         told = await call('POST', `${at}/statement`, { kind: 'read', text: 'list', args: [key] })
         rowsOf(told)
-        if (told.outcome === 'done') set.note({ kind: `${mix.kind} look`, lane: mix.lane, group: mix.group, served, session: set.id, key, within: mix.within, own: mix.own, wrong, node: node0, after: false, why: '', tag: undefined, list, start: from, end: world.now(), outcome: 'done', class: '', kept: '', sentCommit: false })
+        if (told.outcome === 'done')
+          set.note({
+            kind: `${mix.kind} look`,
+            lane: mix.lane,
+            group: mix.group,
+            served,
+            session: set.id,
+            key,
+            within: mix.within,
+            own: mix.own,
+            wrong,
+            node: node0,
+            after: false,
+            why: '',
+            tag: undefined,
+            list,
+            start: from,
+            end: world.now(),
+            outcome: 'done',
+            class: '',
+            kept: '',
+            sentCommit: false,
+          })
       }
       list = undefined
       if (told.outcome === 'done') told = await call('POST', `${at}/commit`, {})
@@ -121,10 +195,15 @@
     } else {
       told = await call('POST', `${at}/begin`, { kind: 'write' })
       if (told.outcome === 'done') {
-        const set1 = await call('POST', `${at}/statement`, { kind: 'read', text: 'setting', args: ['who', `r${set.id}`] })
+        const set1 = await call('POST', `${at}/statement`, {
+          kind: 'read',
+          text: 'setting',
+          args: ['who', `r${set.id}`],
+        })
         told = set1
         if (told.outcome === 'done' && (told.rows ?? [])[1] !== `r${set.id}`) wrong = true
-        if (told.outcome === 'done') told = await call('POST', `${at}/statement`, { kind: 'write', text: 'append', args: [key, tag] })
+        if (told.outcome === 'done')
+          told = await call('POST', `${at}/statement`, { kind: 'write', text: 'append', args: [key, tag] })
         // Some keep their transaction open for a while, as a desk does that looks something up.
         if (told.outcome === 'done' && mix.op === 'linger') await pause(world, 1000 + 6000 * world.random(), stop)
         if (told.outcome === 'done' && world.random() < 0.1) {
@@ -138,8 +217,31 @@
       }
     }
     const end = world.now()
-    const base = { kind: mix.kind, lane: mix.lane, group: mix.group, session: set.id, key, within: mix.within, own: mix.own, wrong, node: node0, after: told.after !== undefined, why: told.why ?? '' }
-    set.note({ ...base, served, tag: wrote ? tag : undefined, list, start, end, outcome: told.outcome, class: told.class ?? '', kept: told.kept ?? '', sentCommit })
+    const base = {
+      kind: mix.kind,
+      lane: mix.lane,
+      group: mix.group,
+      session: set.id,
+      key,
+      within: mix.within,
+      own: mix.own,
+      wrong,
+      node: node0,
+      after: told.after !== undefined,
+      why: told.why ?? '',
+    }
+    set.note({
+      ...base,
+      served,
+      tag: wrote ? tag : undefined,
+      list,
+      start,
+      end,
+      outcome: told.outcome,
+      class: told.class ?? '',
+      kept: told.kept ?? '',
+      sentCommit,
+    })
     if (told.outcome === 'done' && told.token !== undefined) tokens.set(mix.lane, told.token)
     // After a deposit the session looks at what it wrote.
     if (told.outcome === 'done' && mix.op === 'deposit') {
@@ -147,7 +249,20 @@
       const seen = await call('POST', `${at}/statement`, { kind: 'read', text: 'list', args: [key] })
       list = undefined
       rowsOf(seen)
-      set.note({ ...base, served, kind: `${mix.kind} own`, tag: undefined, list, start: from, end: world.now(), outcome: seen.outcome, class: seen.class ?? '', kept: seen.kept ?? '', sentCommit: false, wrong })
+      set.note({
+        ...base,
+        served,
+        kind: `${mix.kind} own`,
+        tag: undefined,
+        list,
+        start: from,
+        end: world.now(),
+        outcome: seen.outcome,
+        class: seen.class ?? '',
+        kept: seen.kept ?? '',
+        sentCommit: false,
+        wrong,
+      })
     }
     return told
   }
@@ -157,14 +272,28 @@
     let told = await operate(mix)
     // A requester that retries whole operations, as those of our users do: at once, on another node.
     let tries = 0
-    while (set.again && told && told.outcome !== 'done' && told.class !== 'ROLLED_BACK' && told.outcome !== 'unknown' && tries < 2 && !stop.fired()) {
+    while (
+      set.again &&
+      told &&
+      told.outcome !== 'done' &&
+      told.class !== 'ROLLED_BACK' &&
+      told.outcome !== 'unknown' &&
+      tries < 2 &&
+      !stop.fired()
+    ) {
       tries++
       move()
       told = await operate(mix)
     }
     // Some move to another node, and so another area, with nothing wrong at all; their tokens go with them.
     if (world.random() < 0.02) move()
-    if (told && (told.outcome === 'none' || told.class === 'NOT_FOUND' || (told.outcome === 'refused' && told.class !== 'ROLLED_BACK' && world.random() < 0.3))) move()
+    if (
+      told &&
+      (told.outcome === 'none' ||
+        told.class === 'NOT_FOUND' ||
+        (told.outcome === 'refused' && told.class !== 'ROLLED_BACK' && world.random() < 0.3))
+    )
+      move()
     await pause(world, set.think * (0.5 + world.random()), stop)
   }
   line?.close()
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -14,7 +14,14 @@
   const from = f.sim.now()
   const skip = f.events.length
   function served(): boolean {
-    for (let k = skip; k < f.events.length; k++) if (f.events[k].tag !== undefined && f.events[k].outcome === 'done' && f.events[k].start > from - 1e9 && f.events[k].end > from + 500) return true
+    for (let k = skip; k < f.events.length; k++)
+      if (
+        f.events[k].tag !== undefined &&
+        f.events[k].outcome === 'done' &&
+        f.events[k].start > from - 1e9 &&
+        f.events[k].end > from + 500
+      )
+        return true
     return false
   }
   await f.sim.until(served, limit)
@@ -28,12 +35,15 @@
   notes.set('ms until served', await untilServed(f, 30000))
   // The promotion is absorbed: at most one call of each requester hears of it.
   let told = 0
-  for (const e of f.events) if (e.start >= from && (e.outcome === 'refused' || e.outcome === 'failed') && e.class === 'UNAVAILABLE') told++
+  for (const e of f.events)
+    if (e.start >= from && (e.outcome === 'refused' || e.outcome === 'failed') && e.class === 'UNAVAILABLE') told++
   // Retries, summed over all nodes, against first sends in the whole run.
   const { firsts, again } = triesOf(f)
   notes.set('retries for each first send, fleet', Math.round((1000 * again) / firsts) / 1000)
-  if (again > 0.25 * firsts) f.watched.push({ rule: 'retry storm', what: `${again} retries for ${firsts} first sends over all nodes` })
-  if (told > f.shape.requesters) f.watched.push({ rule: 'absorbed', what: `${told} calls were told UNAVAILABLE during one promotion` })
+  if (again > 0.25 * firsts)
+    f.watched.push({ rule: 'retry storm', what: `${again} retries for ${firsts} first sends over all nodes` })
+  if (told > f.shape.requesters)
+    f.watched.push({ rule: 'absorbed', what: `${told} calls were told UNAVAILABLE during one promotion` })
   await wait(f, 4000)
   f.startBoxAt(at)
   await wait(f, 6000)
@@ -108,7 +118,11 @@
   // A successor has finished the move: one leader, by record and by its own word.
   const rec = recordOf(f)
   const lead = f.leaderOf('g1')
-  if (rec?.phase !== 'steady' || rec.epoch <= first || lead?.name !== rec.leader) f.watched.push({ rule: 'unfinished', what: `15 s after its holder failed (${step}) the record is ${JSON.stringify(rec)}, ${lead?.name} leads` })
+  if (rec?.phase !== 'steady' || rec.epoch <= first || lead?.name !== rec.leader)
+    f.watched.push({
+      rule: 'unfinished',
+      what: `15 s after its holder failed (${step}) the record is ${JSON.stringify(rec)}, ${lead?.name} leads`,
+    })
 }
 async function quickRestart(f: SimFleet): Promise<void> {
   // Instances restart within a moment: requests go out on connections that are broken already.
@@ -123,7 +137,13 @@
 async function ackLost(f: SimFleet): Promise<void> {
   // The operator never hears what became of its change and sends the same number again, by another agent.
   for (let k = 0; k < 5; k++) {
-    const line = { number: k + 1, expect: k + 1, edits: [{ op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } }] }
+    const line = {
+      number: k + 1,
+      expect: k + 1,
+      edits: [
+        { op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } },
+      ],
+    }
     const n = pick(f, f.fronts.length)
     const first = f.change(n, 'again', [line])
     await wait(f, 8 * f.sim.random())
@@ -135,7 +155,8 @@
     const second = f.change((n + 1) % f.fronts.length, 'again', [line])
     await f.sim.until(second.done, 15000)
     const told = second.out()[0]
-    if (told.decision !== 'accepted' || told.epoch !== k + 2) f.watched.push({ rule: 'configuration', what: `the repeat of again#${k + 1} was told ${JSON.stringify(told)}` })
+    if (told.decision !== 'accepted' || told.epoch !== k + 2)
+      f.watched.push({ rule: 'configuration', what: `the repeat of again#${k + 1} was told ${JSON.stringify(told)}` })
     await wait(f, 1500)
   }
 }
@@ -143,11 +164,21 @@
   // Two cores can write no more, one after the other; each says so and votes no more, until it is restarted with room.
   for (const at of [0, 1]) {
     f.cores[at].machine.full = true
-    const sent = f.change(1, `full${at}`, [{ number: 1, expect: at + 1, edits: [{ op: 'put', what: 'lane', value: { name: `extra${at}`, database: 'kiln', group: 'g1', reads: 'leader' } }] }])
+    const sent = f.change(1, `full${at}`, [
+      {
+        number: 1,
+        expect: at + 1,
+        edits: [
+          { op: 'put', what: 'lane', value: { name: `extra${at}`, database: 'kiln', group: 'g1', reads: 'leader' } },
+        ],
+      },
+    ])
     await f.sim.until(sent.done, 8000)
-    if (sent.out()[0]?.decision !== 'accepted') f.watched.push({ rule: 'disk', what: `with a core's disk full a change was told ${JSON.stringify(sent.out())}` })
+    if (sent.out()[0]?.decision !== 'accepted')
+      f.watched.push({ rule: 'disk', what: `with a core's disk full a change was told ${JSON.stringify(sent.out())}` })
     await wait(f, 1000)
-    if (f.cores[at].core?.serving()) f.watched.push({ rule: 'disk', what: `${f.cores[at].id} calls itself serving with a full disk` })
+    if (f.cores[at].core?.serving())
+      f.watched.push({ rule: 'disk', what: `${f.cores[at].id} calls itself serving with a full disk` })
   }
   await wait(f, 3000)
   for (const at of [0, 1]) {
@@ -155,7 +186,8 @@
     f.cores[at].machine.full = false
     f.startCoreAt(at)
     await wait(f, 1500)
-    if (!f.cores[at].core?.serving()) f.watched.push({ rule: 'disk', what: `${f.cores[at].id} does not serve again with room on its disk` })
+    if (!f.cores[at].core?.serving())
+      f.watched.push({ rule: 'disk', what: `${f.cores[at].id} does not serve again with room on its disk` })
   }
 }
 async function drainDark(f: SimFleet): Promise<void> {
@@ -175,8 +207,14 @@
   }
   await f.sim.until(isOver, 15000)
   f.sim.kill(proxyProc)
-  for (const e of f.events) if (e.class === 'BROKE') f.watched.push({ rule: 'dropped answer', what: `${e.kind} of session ${e.session} broke ${Math.round(e.end - from)} ms after the stop began` })
-  if (f.sim.now() - from > 9000) f.watched.push({ rule: 'planned stop', what: `the proxy took ${Math.round(f.sim.now() - from)} ms to end` })
+  for (const e of f.events)
+    if (e.class === 'BROKE')
+      f.watched.push({
+        rule: 'dropped answer',
+        what: `${e.kind} of session ${e.session} broke ${Math.round(e.end - from)} ms after the stop began`,
+      })
+  if (f.sim.now() - from > 9000)
+    f.watched.push({ rule: 'planned stop', what: `the proxy took ${Math.round(f.sim.now() - from)} ms to end` })
   box.machine.dark = false
   f.startProxyAt(0)
   await wait(f, 4000)
@@ -192,7 +230,8 @@
     function isOver(): boolean {
       return over
     }
-    if (!(await f.sim.until(isOver, 10000))) f.watched.push({ rule: 'planned stop', what: 'a process did not end within 10 s' })
+    if (!(await f.sim.until(isOver, 10000)))
+      f.watched.push({ rule: 'planned stop', what: 'a process did not end within 10 s' })
   }
   for (const [k, c] of f.cores.entries()) {
     await ended(c.core?.stop())
@@ -217,7 +256,9 @@
   // a machine that is gone for good.
   const late = [f.addFront(), f.addFront()]
   await wait(f, 4000)
-  for (const k of late) if (f.fronts[k].proxy?.state.share()) f.watched.push({ rule: 'shares', what: `${f.fronts[k].node} holds a share though all were held` })
+  for (const k of late)
+    if (f.fronts[k].proxy?.state.share())
+      f.watched.push({ rule: 'shares', what: `${f.fronts[k].node} holds a share though all were held` })
   f.sim.kill(f.fronts[0].agentProc)
   f.sim.kill(f.fronts[0].proxyProc)
   const from = f.sim.now()
@@ -234,10 +275,20 @@
   f.startAgentAt(0)
   f.startProxyAt(0)
   await wait(f, 9000)
-  for (const x of f.fronts) if (!x.proxy?.state.share()) f.watched.push({ rule: 'shares', what: `${x.node} holds no share though there are five` })
+  for (const x of f.fronts)
+    if (!x.proxy?.state.share())
+      f.watched.push({ rule: 'shares', what: `${x.node} holds no share though there are five` })
 }
 function threeShares(s: Shape): Shape {
-  return { ...s, requesters: 24, think: 60, keys: 100, latency: 8, connections: 20, config: { ...s.config, proxies: 3, groups: [{ name: 'g1', connections: 20 }] } }
+  return {
+    ...s,
+    requesters: 24,
+    think: 60,
+    keys: 100,
+    latency: 8,
+    connections: 20,
+    config: { ...s.config, proxies: 3, groups: [{ name: 'g1', connections: 20 }] },
+  }
 }
 async function agentRestarts(f: SimFleet): Promise<void> {
   // An agent that is back within its term interrupts nothing.
@@ -247,10 +298,23 @@
     f.startAgentAt(k)
     // News comes to it before its first renewal.
     await wait(f, 20)
-    f.change((k + 1) % f.fronts.length, `away${k}`, [{ number: 1, expect: k + 1, edits: [{ op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } }] }])
+    f.change((k + 1) % f.fronts.length, `away${k}`, [
+      {
+        number: 1,
+        expect: k + 1,
+        edits: [
+          { op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } },
+        ],
+      },
+    ])
     await wait(f, 3000)
   }
-  for (const e of f.events) if (e.outcome !== 'done' && e.class !== 'ROLLED_BACK') f.watched.push({ rule: 'interrupted', what: `${e.kind} ended ${e.outcome} ${e.class} at ${Math.round(e.end)} while agents restarted` })
+  for (const e of f.events)
+    if (e.outcome !== 'done' && e.class !== 'ROLLED_BACK')
+      f.watched.push({
+        rule: 'interrupted',
+        what: `${e.kind} ended ${e.outcome} ${e.class} at ${Math.round(e.end)} while agents restarted`,
+      })
 }
 async function proxiesFail(f: SimFleet): Promise<void> {
   for (let k = 0; k < 5; k++) {
@@ -323,12 +387,21 @@
   await wait(f, 3000)
 }
 async function laggingFollowers(f: SimFleet): Promise<void> {
-  for (const b of f.boxes) if (b.instance && b.instance.role() === 'follower') b.instance.faults.lag = 900 + 1500 * f.sim.random()
+  for (const b of f.boxes)
+    if (b.instance && b.instance.role() === 'follower') b.instance.faults.lag = 900 + 1500 * f.sim.random()
   await wait(f, 10000)
 }
 async function coresRestart(f: SimFleet): Promise<void> {
   for (let k = 0; k < f.cores.length; k++) {
-    f.change(pick(f, 3), `during${k}`, [{ number: 1, expect: k + 1, edits: [{ op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } }] }])
+    f.change(pick(f, 3), `during${k}`, [
+      {
+        number: 1,
+        expect: k + 1,
+        edits: [
+          { op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } },
+        ],
+      },
+    ])
     f.sim.kill(f.cores[k].proc)
     await wait(f, 300 + 1000 * f.sim.random())
     f.startCoreAt(k)
@@ -339,7 +412,15 @@
   for (const k of [0, 1, 2, 3, 4]) {
     f.sim.kill(f.cores[k].proc)
     f.cores[k].machine.files.clear()
-    const sent = f.change(pick(f, 3), `during${k}`, [{ number: 1, expect: k + 1, edits: [{ op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } }] }])
+    const sent = f.change(pick(f, 3), `during${k}`, [
+      {
+        number: 1,
+        expect: k + 1,
+        edits: [
+          { op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } },
+        ],
+      },
+    ])
     await wait(f, 500)
     f.startCoreAt(k)
     await f.sim.until(sent.done, 15000)
@@ -393,7 +474,8 @@
     // One more asks for what can't be: 24 connections over 40 proxies.
     const c = f.change(2, `c${k}`, [{ number: 1, expect: k + 2, edits: [{ op: 'proxies', value: 40 }] }])
     await f.sim.until(c.done, 20000)
-    if (c.out()[0].decision === 'accepted') f.watched.push({ rule: 'configuration', what: `c${k} is invalid and was accepted` })
+    if (c.out()[0].decision === 'accepted')
+      f.watched.push({ rule: 'configuration', what: `c${k} is invalid and was accepted` })
     await wait(f, 800)
   }
 }
@@ -424,11 +506,21 @@
   const span = times.length > 0 ? Math.max(...times) - Math.min(...times) : 0
   notes.set('commits lost', lost.size)
   notes.set('ms between the first and the last of them', Math.round(span))
-  if (span > GUARD + 700) f.watched.push({ rule: 'guard', what: `commits over ${Math.round(span)} ms were lost since ${Math.round(from)}, with a guard of ${GUARD} ms` })
+  if (span > GUARD + 700)
+    f.watched.push({
+      rule: 'guard',
+      what: `commits over ${Math.round(span)} ms were lost since ${Math.round(from)}, with a guard of ${GUARD} ms`,
+    })
 }
 const GUARD = 600
 function guardedBusy(s: Shape): Shape {
-  return { ...s, requesters: 10, think: 90, keys: 60, config: { ...s.config, groups: [{ name: 'g1', connections: 24, guard: GUARD }] } }
+  return {
+    ...s,
+    requesters: 10,
+    think: 90,
+    keys: 60,
+    config: { ...s.config, groups: [{ name: 'g1', connections: 24, guard: GUARD }] },
+  }
 }
 async function lateDelivery(f: SimFleet): Promise<void> {
   // Writes on their way to a leader are held up by the network; they arrive, run and are answered after
@@ -454,11 +546,15 @@
     const n = pick(f, f.fronts.length)
     const c = pick(f, f.cores.length)
     f.sim.cut(f.fronts[n].machine, f.cores[c].machine)
-    const a = f.change((n + 1) % f.fronts.length, `late${k}`, [{ number: 1, expect: 2 * k + 1, edits: [{ op: 'put', what: 'lane', value: { ...lane, name: `first${k}` } }] }])
+    const a = f.change((n + 1) % f.fronts.length, `late${k}`, [
+      { number: 1, expect: 2 * k + 1, edits: [{ op: 'put', what: 'lane', value: { ...lane, name: `first${k}` } }] },
+    ])
     await f.sim.until(a.done, 8000)
     await wait(f, 50)
     f.sim.kill(f.cores[c].proc)
-    const b = f.change((n + 1) % f.fronts.length, `later${k}`, [{ number: 1, expect: 2 * k + 2, edits: [{ op: 'put', what: 'lane', value: { ...lane, name: `second${k}` } }] }])
+    const b = f.change((n + 1) % f.fronts.length, `later${k}`, [
+      { number: 1, expect: 2 * k + 2, edits: [{ op: 'put', what: 'lane', value: { ...lane, name: `second${k}` } }] },
+    ])
     await f.sim.until(b.done, 8000)
     await wait(f, 300)
     f.sim.heal()
@@ -521,7 +617,15 @@
     const n = pick(f, f.fronts.length)
     const lone = f.fronts[n]
     for (const c of f.cores) f.sim.cut(lone.machine, c.machine)
-    const sent = f.change((n + 1) % f.fronts.length, `news${k}`, [{ number: 1, expect: k + 1, edits: [{ op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } }] }])
+    const sent = f.change((n + 1) % f.fronts.length, `news${k}`, [
+      {
+        number: 1,
+        expect: k + 1,
+        edits: [
+          { op: 'put', what: 'lane', value: { name: `extra${k}`, database: 'kiln', group: 'g1', reads: 'leader' } },
+        ],
+      },
+    ])
     await f.sim.until(sent.done, 8000)
     await wait(f, 200)
     f.sim.reset(lone.agentProc)
@@ -545,7 +649,8 @@
   notes.set('quiet team, share of its rate alone', Math.round((100 * beside) / alone) / 100)
   // Two teams of equal share: beside the crowd it has one connection of the two that it has alone, and waits for
   // it behind a call of the crowd's that runs already, as connections aren't taken away from a call.
-  if (beside < 0.33 * alone) f.watched.push({ rule: 'starved', what: `the quiet team got ${beside} a second beside the crowd, ${alone} alone` })
+  if (beside < 0.33 * alone)
+    f.watched.push({ rule: 'starved', what: `the quiet team got ${beside} a second beside the crowd, ${alone} alone` })
 }
 function kindRate(f: SimFleet, kind: string, from: number, to: number): number {
   let n = 0
@@ -557,21 +662,49 @@
 }
 function twoTeams(s: Shape): Shape {
   return {
-    ...s, requesters: 6, think: 60, keys: 40, latency: 8, connections: 16, mixes: teamMixes('quiet'),
+    ...s,
+    requesters: 6,
+    think: 60,
+    keys: 40,
+    latency: 8,
+    connections: 16,
+    mixes: teamMixes('quiet'),
     config: {
-      proxies: 4, groups: [{ name: 'g1', connections: 16 }], teams: [{ name: 'quiet', share: 1 }, { name: 'loud', share: 1 }],
-      lanes: [{ name: 'lane-quiet', database: 'kiln', group: 'g1', reads: 'leader', team: 'quiet' }, { name: 'lane-loud', database: 'kiln', group: 'g1', reads: 'leader', team: 'loud' }],
+      proxies: 4,
+      groups: [{ name: 'g1', connections: 16 }],
+      teams: [
+        { name: 'quiet', share: 1 },
+        { name: 'loud', share: 1 },
+      ],
+      lanes: [
+        { name: 'lane-quiet', database: 'kiln', group: 'g1', reads: 'leader', team: 'quiet' },
+        { name: 'lane-loud', database: 'kiln', group: 'g1', reads: 'leader', team: 'loud' },
+      ],
     },
   }
 }
 function crowded(s: Shape): Shape {
-  return { ...s, requesters: 30, think: 60, keys: 100, latency: 8, connections: 16, config: { ...s.config, groups: [{ name: 'g1', connections: 16 }] } }
+  return {
+    ...s,
+    requesters: 30,
+    think: 60,
+    keys: 100,
+    latency: 8,
+    connections: 16,
+    config: { ...s.config, groups: [{ name: 'g1', connections: 16 }] },
+  }
 }
 async function coreAway(f: SimFleet, notes: Map<string, number>): Promise<void> {
   // A core is away while registers change; soon after its return it must hold them all.
   const at = pick(f, f.cores.length)
   f.sim.kill(f.cores[at].proc)
-  const sent = f.change(0, 'away', [{ number: 1, expect: 1, edits: [{ op: 'put', what: 'lane', value: { name: 'extra', database: 'kiln', group: 'g1', reads: 'leader' } }] }])
+  const sent = f.change(0, 'away', [
+    {
+      number: 1,
+      expect: 1,
+      edits: [{ op: 'put', what: 'lane', value: { name: 'extra', database: 'kiln', group: 'g1', reads: 'leader' } }],
+    },
+  ])
   await f.sim.until(sent.done, 8000)
   const move = f.ask(1, '/groups/g1/replacement', 'POST', {})
   await f.sim.until(move.done, 8000)
@@ -588,7 +721,11 @@
   }
   const whole = await f.sim.until(same, 6000)
   notes.set('ms until the core held all', Math.round(f.sim.now() - from))
-  if (!whole) f.watched.push({ rule: 'repair', what: `6 s after its return ${f.cores[at].id} holds ${turns(at)}, another ${turns((at + 1) % f.cores.length)}` })
+  if (!whole)
+    f.watched.push({
+      rule: 'repair',
+      what: `6 s after its return ${f.cores[at].id} holds ${turns(at)}, another ${turns((at + 1) % f.cores.length)}`,
+    })
 }
 async function ownArea(f: SimFleet, notes: Map<string, number>): Promise<void> {
   // Reads stay in their own area while a follower there is fresh, and go elsewhere when it is not.
@@ -628,7 +765,8 @@
     function is(): boolean {
       return recordOf(f)?.phase === 'steady' && recordOf(f)?.leader === 'g12'
     }
-    if (!(await f.sim.until(is, limit))) f.watched.push({ rule: 'home', what: `after ${limit} ms the leader is ${recordOf(f)?.leader}, home is g12's` })
+    if (!(await f.sim.until(is, limit)))
+      f.watched.push({ rule: 'home', what: `after ${limit} ms the leader is ${recordOf(f)?.leader}, home is g12's` })
     return Math.round(f.sim.now() - from)
   }
   await home(30000)
@@ -636,11 +774,13 @@
   const sent = f.ask(0, '/groups/g1/replacement', 'POST', { to: 'g13' })
   await f.sim.until(sent.done, 8000)
   await wait(f, 3000)
-  if (recordOf(f)?.leader !== 'g13') f.watched.push({ rule: 'home', what: `an operator's wish for g13 left ${recordOf(f)?.leader}` })
+  if (recordOf(f)?.leader !== 'g13')
+    f.watched.push({ rule: 'home', what: `an operator's wish for g13 left ${recordOf(f)?.leader}` })
   const took = await home(40000)
   notes.set('ms until home again', took)
   if (took < 15000) f.watched.push({ rule: 'home', what: `it went home after ${took} ms already` })
-  if (f.promotions.length > moves + 2) f.watched.push({ rule: 'home', what: `${f.promotions.length - moves} promotions for one wish and one way home` })
+  if (f.promotions.length > moves + 2)
+    f.watched.push({ rule: 'home', what: `${f.promotions.length - moves} promotions for one wish and one way home` })
 }
 function homed(s: Shape): Shape {
   return { ...s, requesters: 6, config: { ...s.config, groups: [{ name: 'g1', connections: 24, home: ['b'] }] } }
@@ -659,7 +799,11 @@
   notes.set('first sends', firsts)
   notes.set('retries for each first send, fleet', Math.round((1000 * again) / firsts) / 1000)
   const most = 0.2 * firsts + RETRY_TOKENS * f.fronts.length
-  if (again > most) f.watched.push({ rule: 'retry storm', what: `${again} retries for ${firsts} first sends over all nodes, ${Math.round(most)} at most` })
+  if (again > most)
+    f.watched.push({
+      rule: 'retry storm',
+      what: `${again} retries for ${firsts} first sends over all nodes, ${Math.round(most)} at most`,
+    })
 }
 // Sends over all nodes, by first and again.
 function triesOf(f: SimFleet): { firsts: number; again: number } {
@@ -689,7 +833,26 @@
 }
 // Two or three of those that any fleet can bear, overlapping, as the seed has it.
 async function mixed(f: SimFleet, notes: Map<string, number>): Promise<void> {
-  const list = [leaderCrash, leaderDark, leaderFrozen, planned, answersLost, proxiesFail, frozenThroughMove, cuts, deafFollower, coresRestart, resets, lossy, laggingFollowers, quickRestart, coresCut, split, proxyCutOff, ...mixable]
+  const list = [
+    leaderCrash,
+    leaderDark,
+    leaderFrozen,
+    planned,
+    answersLost,
+    proxiesFail,
+    frozenThroughMove,
+    cuts,
+    deafFollower,
+    coresRestart,
+    resets,
+    lossy,
+    laggingFollowers,
+    quickRestart,
+    coresCut,
+    split,
+    proxyCutOff,
+    ...mixable,
+  ]
   const runs: Promise<void>[] = []
   for (let k = f.sim.random() < 0.5 ? 2 : 3; k > 0; k--) runs.push(one(list.splice(pick(f, list.length), 1)[0]))
   async function one(harm: Scenario['harm']): Promise<void> {
@@ -740,18 +903,41 @@
   { name: 'proxy-cut-off', rule: 'the fence holds for a node that hears nothing', harm: proxyCutOff },
   { name: 'news-cut-off', rule: 'no acknowledged configuration unheeded after 3 s', harm: newsCutOff },
   { name: 'split', shape: busy, rule: 'no write on an old leader reported done', harm: split },
-  { name: 'guarded-split', rule: 'with a guard, what a leader takes to its grave is bounded', shape: guardedBusy, harm: guardedSplit },
+  {
+    name: 'guarded-split',
+    rule: 'with a guard, what a leader takes to its grave is bounded',
+    shape: guardedBusy,
+    harm: guardedSplit,
+  },
   { name: 'late-delivery', rule: 'a reply under a lapsed epoch is unknown, never done', harm: lateDelivery },
   { name: 'late-news', rule: 'no node slips back to an older configuration', harm: lateNews },
   { name: 'too-many', rule: 'caps hold with more machines than shares', shape: threeShares, harm: tooMany },
   { name: 'crowd', rule: 'caps hold, new machines join', shape: crowded, harm: crowd },
   { name: 'core-away', rule: 'what a missing core should have had is handed over', harm: coreAway },
   { name: 'own-area', rule: 'reads stay near, and go elsewhere in need', harm: ownArea },
-  { name: 'homecoming', long: true, calm: true, rule: 'a leader lives in its home area, and is brought there once that is well', shape: homed, harm: homecoming },
-  { name: 'noisy-team', rule: "one team's crowd doesn't starve another", shape: twoTeams, reads: false, harm: noisyTeam },
+  {
+    name: 'homecoming',
+    long: true,
+    calm: true,
+    rule: 'a leader lives in its home area, and is brought there once that is well',
+    shape: homed,
+    harm: homecoming,
+  },
+  {
+    name: 'noisy-team',
+    rule: "one team's crowd doesn't starve another",
+    shape: twoTeams,
+    reads: false,
+    harm: noisyTeam,
+  },
   { name: 'swapped', rule: 'whole groups swapped one by one', harm: swapped },
   { name: 'retrying-crowd', rule: 'service back though requesters retry', shape: retrying, harm: leaderCrash },
-  { name: 'sick-leader', rule: 'retries summed over nodes are capped; service comes back', shape: retrying, harm: sickLeader },
+  {
+    name: 'sick-leader',
+    rule: 'retries summed over nodes are capped; service comes back',
+    shape: retrying,
+    harm: sickLeader,
+  },
   ...lanes,
   ...days,
   ...areas,
@@ -795,7 +981,8 @@
     await wait(f, 14000)
     const rate = rateOf(f, back + 12000, back + 14000)
     notes.set('service, share of normal', Math.round((100 * rate) / normal) / 100)
-    if (rate < normal / 4) more.push({ rule: 'service', what: `${rate} operations a second 12 s after the return, ${normal} before` })
+    if (rate < normal / 4)
+      more.push({ rule: 'service', what: `${rate} operations a second 12 s after the return, ${normal} before` })
     await f.quiet()
     more.push(...(await f.readBack()))
   }
@@ -803,12 +990,18 @@
   for (const e of f.events) {
     const k = `${e.outcome}${e.class ? ` ${e.class}` : ''}`
     counts.set(k, (counts.get(k) ?? 0) + 1)
-    if (s.calm && (e.outcome === 'unknown' || e.outcome === 'failed' || e.class === 'BROKE')) more.push({ rule: 'dropped answer', what: `${e.kind} of session ${e.session} ended ${e.outcome} ${e.class} at ${Math.round(e.end)} though every stop was planned` })
+    if (s.calm && (e.outcome === 'unknown' || e.outcome === 'failed' || e.class === 'BROKE'))
+      more.push({
+        rule: 'dropped answer',
+        what: `${e.kind} of session ${e.session} ended ${e.outcome} ${e.class} at ${Math.round(e.end)} though every stop was planned`,
+      })
   }
   const faults: string[] = []
   for (const line of f.sim.lines) if (line.includes('-fault')) faults.push(line)
   const judgement = f.judge()
   judgement.breaches.push(...more)
-  if (s.calm) for (const tag of judgement.lost) judgement.breaches.push({ rule: 'lost', what: `${tag} was lost though every stop was planned` })
+  if (s.calm)
+    for (const tag of judgement.lost)
+      judgement.breaches.push({ rule: 'lost', what: `${tag} was lost though every stop was planned` })
   return { name: s.name, seed, began, judgement, faults, counts, notes, fleet: f }
 }
