--- a/packages/fleet/src/sim.ts
+++ b/packages/fleet/src/sim.ts
@@ -1,5 +1,14 @@
 import { Duplex } from 'node:stream'
-import { logTo, parseAddr, type Addr, type Cancel, type Disk, type Listener, type Wire, type World } from '@claynotch/base'
+import {
+  logTo,
+  parseAddr,
+  type Addr,
+  type Cancel,
+  type Disk,
+  type Listener,
+  type Wire,
+  type World,
+} from '@claynotch/base'
 
 // The simulator: many processes in one, on virtual time. Each gets a World of its own; the same tasks run
 // in it as in a real process, node:http and its parser included, over streams that the simulator carries.
@@ -9,10 +18,26 @@
 type Happening = { at: number; num: number; proc: Proc | undefined; run: () => void }
 
 // state: dead ones get nothing any more; frozen ones get all they missed, in order, when they thaw.
-export type Proc = { name: string; machine: Machine; state: 'up' | 'dead' | 'frozen'; held: Happening[]; ends: Set<End>; open: Set<string>; inFlight: Set<Writing> }
+export type Proc = {
+  name: string
+  machine: Machine
+  state: 'up' | 'dead' | 'frozen'
+  held: Happening[]
+  ends: Set<End>
+  open: Set<string>
+  inFlight: Set<Writing>
+}
 // dark: off the network (and, when its processes are killed with it, without power).
 // full: no write to its disk succeeds. slow: how many times longer its disk takes.
-export type Machine = { name: string; ip: string; skew: number; files: Map<string, Buffer>; dark: boolean; full: boolean; slow: number }
+export type Machine = {
+  name: string
+  ip: string
+  skew: number
+  files: Map<string, Buffer>
+  dark: boolean
+  full: boolean
+  slow: number
+}
 type Writing = { machine: Machine; path: string; bytes: Uint8Array; whole: boolean }
 type End = Duplex & { peerEnd?: End; proc: Proc; shut: boolean; lastAt: number }
 
@@ -320,12 +345,28 @@
 
   // --- control ---
   function machine(name: string, ip: string): Machine {
-    const m: Machine = { name, ip, skew: Math.floor(random() * 1e6), files: new Map(), dark: false, full: false, slow: 1 }
+    const m: Machine = {
+      name,
+      ip,
+      skew: Math.floor(random() * 1e6),
+      files: new Map(),
+      dark: false,
+      full: false,
+      slow: 1,
+    }
     machines.set(ip, m)
     return m
   }
   function spawn(on: Machine, name: string, start: (world: World) => Promise<unknown>): Proc {
-    const proc: Proc = { name, machine: on, state: 'up', held: [], ends: new Set(), open: new Set(), inFlight: new Set() }
+    const proc: Proc = {
+      name,
+      machine: on,
+      state: 'up',
+      held: [],
+      ends: new Set(),
+      open: new Set(),
+      inFlight: new Set(),
+    }
     function failed(e: unknown): void {
       lines.push(`t=${(now / 1000).toFixed(3)} proc=${name} event=start-fault why=${String((e as Error).message)}`)
     }
@@ -472,5 +513,22 @@
   function events(): number {
     return done
   }
-  return { now: nowTime, random, machine, spawn, kill, freeze, thaw, cut, heal, loss, reset, at, run, until: untilTrue, lines, events }
+  return {
+    now: nowTime,
+    random,
+    machine,
+    spawn,
+    kill,
+    freeze,
+    thaw,
+    cut,
+    heal,
+    loss,
+    reset,
+    at,
+    run,
+    until: untilTrue,
+    lines,
+    events,
+  }
 }
--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -9,14 +9,56 @@
 import { makeSim, type Machine, type Proc, type Sim } from './sim.js'
 
 // A whole fleet in the simulator. copies: [source, target] groups; the target's leader copies all that the source has.
-export type Shape = { fronts: number; areas: string[]; cores: number; groups: string[]; instances: number; connections: number; lag: number; config: Config; mixes: Mix[]; requesters: number; think: number; keys: number; again?: boolean; latency?: number; operators?: Credential[]; suspect?: number; apart?: boolean; copies?: [string, string][] }
+export type Shape = {
+  fronts: number
+  areas: string[]
+  cores: number
+  groups: string[]
+  instances: number
+  connections: number
+  lag: number
+  config: Config
+  mixes: Mix[]
+  requesters: number
+  think: number
+  keys: number
+  again?: boolean
+  latency?: number
+  operators?: Credential[]
+  suspect?: number
+  apart?: boolean
+  copies?: [string, string][]
+}
 
-export type Front = { machine: Machine; agentProc: Proc; proxyProc: Proc; agent: Agent | undefined; proxy: Proxy | undefined; node: string; http: Addr; listen: Addr }
+export type Front = {
+  machine: Machine
+  agentProc: Proc
+  proxyProc: Proc
+  agent: Agent | undefined
+  proxy: Proxy | undefined
+  node: string
+  http: Addr
+  listen: Addr
+}
 export type CoreBox = { machine: Machine; proc: Proc; core: Core | undefined; id: string; http: Addr }
-export type Box = { machine: Machine; proc: Proc; instance: Instance | undefined; name: string; group: string; addr: Addr; records: InstanceRecord[] }
+export type Box = {
+  machine: Machine
+  proc: Proc
+  instance: Instance | undefined
+  name: string
+  group: string
+  addr: Addr
+  records: InstanceRecord[]
+}
 
 export type SimFleet = {
-  sim: Sim; shape: Shape; fronts: Front[]; cores: CoreBox[]; boxes: Box[]; events: Event[]; platform: Machine
+  sim: Sim
+  shape: Shape
+  fronts: Front[]
+  cores: CoreBox[]
+  boxes: Box[]
+  events: Event[]
+  platform: Machine
   // Every decision told to an operator, and when.
   decided: { stream: string; number: number; expect: number; told: Decided; at: number }[]
   // What each lane was by accepted changes, in order.
@@ -24,11 +66,20 @@
   // What watching the proxies all along has found.
   watched: Breach[]
   promotions: { group: string; instance: string; epoch: number; at: number }[]
-  startCoreAt: (k: number) => void; startAgentAt: (k: number) => void; startProxyAt: (k: number) => void; startBoxAt: (k: number) => void; killBox: (k: number) => void
+  startCoreAt: (k: number) => void
+  startAgentAt: (k: number) => void
+  startProxyAt: (k: number) => void
+  startBoxAt: (k: number) => void
+  killBox: (k: number) => void
   addFront: () => number
   // Lines of NDJSON to the operator's edge of one agent; the decisions come back.
   change: (front: number, stream: string, lines: unknown[]) => { done: () => boolean; out: () => Decided[] }
-  ask: (front: number, path: string, method?: string, body?: unknown) => { done: () => boolean; body: () => unknown; status: () => number }
+  ask: (
+    front: number,
+    path: string,
+    method?: string,
+    body?: unknown,
+  ) => { done: () => boolean; body: () => unknown; status: () => number }
   begin: () => Promise<boolean>
   traffic: () => void
   // More requesters, on mixes of their own.
@@ -39,9 +90,19 @@
   leaderOf: (group: string) => Box | undefined
   records: () => InstanceRecord[]
 }
-export type Decided = { number?: number; decision: string; epoch?: number; why?: string; findings?: { place: string; what: string }[] }
+export type Decided = {
+  number?: number
+  decision: string
+  epoch?: number
+  why?: string
+  findings?: { place: string; what: string }[]
+}
 
-export function makeSimFleet(seed: number, shape: Shape, opt: { keepLines?: boolean; agentEdges?: AgentEdges; proxyEdges?: ProxyEdges } = {}): SimFleet {
+export function makeSimFleet(
+  seed: number,
+  shape: Shape,
+  opt: { keepLines?: boolean; agentEdges?: AgentEdges; proxyEdges?: ProxyEdges } = {},
+): SimFleet {
   const sim = makeSim(seed, { ...opt, ...(shape.latency !== undefined ? { latency: shape.latency } : {}) })
   const events: Event[] = []
   const fronts: Front[] = []
@@ -77,7 +138,22 @@
   function startAgentAt(k: number): void {
     const f = fronts[k]
     async function start(world: World): Promise<void> {
-      f.agent = await startAgent(world, { node: f.node, area: shape.areas[k % shape.areas.length], link: '127.0.0.1:7100', peer: `${f.machine.ip}:7200`, http: f.http, seeds, platform: `${platform.ip}:80`, ...(shape.operators ? { operators: shape.operators } : {}), ...(shape.suspect !== undefined ? { suspect: shape.suspect } : {}), build: 'sim' }, opt.agentEdges)
+      f.agent = await startAgent(
+        world,
+        {
+          node: f.node,
+          area: shape.areas[k % shape.areas.length],
+          link: '127.0.0.1:7100',
+          peer: `${f.machine.ip}:7200`,
+          http: f.http,
+          seeds,
+          platform: `${platform.ip}:80`,
+          ...(shape.operators ? { operators: shape.operators } : {}),
+          ...(shape.suspect !== undefined ? { suspect: shape.suspect } : {}),
+          build: 'sim',
+        },
+        opt.agentEdges,
+      )
     }
     f.agent = undefined
     f.agentProc = sim.spawn(f.machine, `${f.node}-agent`, start)
@@ -85,7 +161,11 @@
   function startProxyAt(k: number): void {
     const f = fronts[k]
     async function start(world: World): Promise<void> {
-      f.proxy = await startProxy(world, { listen: f.listen, admin: `${f.machine.ip}:7301`, agent: '127.0.0.1:7100' }, opt.proxyEdges)
+      f.proxy = await startProxy(
+        world,
+        { listen: f.listen, admin: `${f.machine.ip}:7301`, agent: '127.0.0.1:7100' },
+        opt.proxyEdges,
+      )
     }
     f.proxy = undefined
     f.proxyProc = sim.spawn(f.machine, `${f.node}-proxy`, start)
@@ -93,7 +173,16 @@
   function addFront(): number {
     const k = fronts.length
     const machine = sim.machine(`front${k + 1}`, `10.0.2.${k + 1}`)
-    fronts.push({ machine, agentProc: undefined as never, proxyProc: undefined as never, agent: undefined, proxy: undefined, node: `front${k + 1}`, http: `${machine.ip}:7080`, listen: `${machine.ip}:7300` })
+    fronts.push({
+      machine,
+      agentProc: undefined as never,
+      proxyProc: undefined as never,
+      agent: undefined,
+      proxy: undefined,
+      node: `front${k + 1}`,
+      http: `${machine.ip}:7080`,
+      listen: `${machine.ip}:7300`,
+    })
     startAgentAt(k)
     startProxyAt(k)
     return k
@@ -115,7 +204,19 @@
     const sources: Addr[] = []
     for (const o of boxes) if (o.group === from) sources.push(o.addr)
     async function start(world: World): Promise<void> {
-      b.instance = await startInstance(world, { ...(from !== undefined ? { source: { group: from, peers: sources } } : {}), name: b.name, group: b.group, area: shape.areas[k % shape.areas.length], addr: b.addr, peers, agents, leader: first, connections: shape.connections, lag: shape.lag, data: '/data' })
+      b.instance = await startInstance(world, {
+        ...(from !== undefined ? { source: { group: from, peers: sources } } : {}),
+        name: b.name,
+        group: b.group,
+        area: shape.areas[k % shape.areas.length],
+        addr: b.addr,
+        peers,
+        agents,
+        leader: first,
+        connections: shape.connections,
+        lag: shape.lag,
+        data: '/data',
+      })
     }
     b.proc = sim.spawn(b.machine, b.name, start)
   }
@@ -144,7 +245,13 @@
   }
 
   for (let k = 0; k < shape.cores; k++) {
-    cores.push({ machine: sim.machine(`core${k + 1}`, `10.0.1.${k + 1}`), proc: undefined as never, core: undefined, id: `core${k + 1}`, http: `10.0.1.${k + 1}:7001` })
+    cores.push({
+      machine: sim.machine(`core${k + 1}`, `10.0.1.${k + 1}`),
+      proc: undefined as never,
+      core: undefined,
+      id: `core${k + 1}`,
+      http: `10.0.1.${k + 1}:7001`,
+    })
   }
   for (let k = 0; k < cores.length; k++) startCoreAt(k)
   sim.spawn(platform, 'platform', startPlatform)
@@ -155,7 +262,15 @@
       const machine = sim.machine(`${group}${k + 1}`, ip)
       // One clock for all instances, so that the judge can compare their times with those of requesters.
       machine.skew = 0
-      boxes.push({ machine, proc: undefined as never, instance: undefined, name: `${group}${k + 1}`, group, addr: `${ip}:5000`, records: [] })
+      boxes.push({
+        machine,
+        proc: undefined as never,
+        instance: undefined,
+        name: `${group}${k + 1}`,
+        group,
+        addr: `${ip}:5000`,
+        records: [],
+      })
     }
   }
   crowd.skew = 0
@@ -184,7 +299,12 @@
     }
     return { done, out: get }
   }
-  function ask(front: number, path: string, method = 'GET', body?: unknown): { done: () => boolean; body: () => unknown; status: () => number } {
+  function ask(
+    front: number,
+    path: string,
+    method = 'GET',
+    body?: unknown,
+  ): { done: () => boolean; body: () => unknown; status: () => number } {
     let over = false
     let got: unknown
     let status = 0
@@ -233,21 +353,30 @@
   function monitor(): void {
     for (const g of shape.groups) {
       let fence = 0
-      for (const x of fronts) fence = Math.max(fence, (x.agent?.cell(`group/${g}`)?.body as { fence?: number } | undefined)?.fence ?? 0)
+      for (const x of fronts)
+        fence = Math.max(fence, (x.agent?.cell(`group/${g}`)?.body as { fence?: number } | undefined)?.fence ?? 0)
       const old = holders.get(g)
-      if (old && fence > old.fence + 4) watched.push({ rule: 'duty', what: `the record of ${g} changed holders ${fence - old.fence} times in a second` })
+      if (old && fence > old.fence + 4)
+        watched.push({
+          rule: 'duty',
+          what: `the record of ${g} changed holders ${fence - old.fence} times in a second`,
+        })
       if (!old || sim.now() - old.at > 1000 || fence < old.fence) holders.set(g, { at: sim.now(), fence })
     }
     for (const f of fronts) {
       if (!f.proxy || f.proxyProc.state !== 'up') continue
       const epoch = f.proxy.state.rules()?.epoch ?? 0
       const old = lastEpoch.get(f.proxy) ?? 0
-      if (epoch < old) watched.push({ rule: 'slipped back', what: `${f.node} went from configuration ${old} to ${epoch}` })
+      if (epoch < old)
+        watched.push({ rule: 'slipped back', what: `${f.node} went from configuration ${old} to ${epoch}` })
       lastEpoch.set(f.proxy, epoch)
       if (!f.proxy.state.valid()) continue
       for (const d of decided) {
         if (d.told.decision === 'accepted' && (d.told.epoch ?? 0) > epoch && sim.now() - d.at > 3000) {
-          watched.push({ rule: 'unheeded', what: `${f.node} works by configuration ${epoch} though ${d.told.epoch} was accepted ${Math.round(sim.now() - d.at)} ms ago` })
+          watched.push({
+            rule: 'unheeded',
+            what: `${f.node} works by configuration ${epoch} though ${d.told.epoch} was accepted ${Math.round(sim.now() - d.at)} ms ago`,
+          })
           break
         }
       }
@@ -271,7 +400,11 @@
     for (let k = 0; k < count; k++) {
       const id = people++
       function start(world: World): Promise<void> {
-        return runRequester(world, { id, nodes, mixes, think, keys: shape.keys, again: shape.again === true, until: isOver, note }, stop)
+        return runRequester(
+          world,
+          { id, nodes, mixes, think, keys: shape.keys, again: shape.again === true, until: isOver, note },
+          stop,
+        )
       }
       sim.spawn(crowd, `requester${id}`, start)
     }
@@ -298,9 +431,11 @@
       if (d.told.decision !== 'accepted') continue
       const epoch = d.told.epoch ?? 0
       const who = `${d.stream}#${d.number}`
-      if (epoch !== d.expect + 1) got.breaches.push({ rule: 'configuration', what: `${who} expected ${d.expect} and was accepted as ${epoch}` })
+      if (epoch !== d.expect + 1)
+        got.breaches.push({ rule: 'configuration', what: `${who} expected ${d.expect} and was accepted as ${epoch}` })
       const other = winners.get(epoch)
-      if (other !== undefined && other !== who) got.breaches.push({ rule: 'configuration', what: `${who} and ${other} were both accepted as ${epoch}` })
+      if (other !== undefined && other !== who)
+        got.breaches.push({ rule: 'configuration', what: `${who} and ${other} were both accepted as ${epoch}` })
       winners.set(epoch, who)
     }
     return got
@@ -313,13 +448,21 @@
     if (k === fronts.length) return [{ rule: 'configuration', what: 'no agent is left to read by' }]
     const got = ask(k, '/history')
     await sim.until(got.done, 15000)
-    if (got.status() !== 200) return [{ rule: 'configuration', what: `the history could not be read: status ${got.status()}` }]
+    if (got.status() !== 200)
+      return [{ rule: 'configuration', what: `the history could not be read: status ${got.status()}` }]
     const history = new Map<number, string>()
-    for (const h of got.body() as { epoch: number; stream: string; number: number }[]) history.set(h.epoch, `${h.stream}#${h.number}`)
+    for (const h of got.body() as { epoch: number; stream: string; number: number }[])
+      history.set(h.epoch, `${h.stream}#${h.number}`)
     for (const d of decided) {
       const who = `${d.stream}#${d.number}`
-      if (d.told.decision === 'accepted' && history.get(d.told.epoch ?? 0) !== who) out.push({ rule: 'configuration', what: `${who} was accepted as ${d.told.epoch}, and the history has ${history.get(d.told.epoch ?? 0) ?? 'nothing'} there` })
-      if (d.told.decision === 'refused') for (const h of history.values()) if (h === who) out.push({ rule: 'configuration', what: `${who} was refused and took effect` })
+      if (d.told.decision === 'accepted' && history.get(d.told.epoch ?? 0) !== who)
+        out.push({
+          rule: 'configuration',
+          what: `${who} was accepted as ${d.told.epoch}, and the history has ${history.get(d.told.epoch ?? 0) ?? 'nothing'} there`,
+        })
+      if (d.told.decision === 'refused')
+        for (const h of history.values())
+          if (h === who) out.push({ rule: 'configuration', what: `${who} was refused and took effect` })
     }
     return out
   }
@@ -331,12 +474,41 @@
     }
     return best
   }
-  return { sim, shape, decided, laws, watched, fronts, cores, boxes, events, platform, promotions, startCoreAt, startAgentAt, startProxyAt, startBoxAt, killBox, addFront, change, ask, begin, traffic, crowdIn, quiet, judge: judgeNow, readBack, leaderOf, records }
+  return {
+    sim,
+    shape,
+    decided,
+    laws,
+    watched,
+    fronts,
+    cores,
+    boxes,
+    events,
+    platform,
+    promotions,
+    startCoreAt,
+    startAgentAt,
+    startProxyAt,
+    startBoxAt,
+    killBox,
+    addFront,
+    change,
+    ask,
+    begin,
+    traffic,
+    crowdIn,
+    quiet,
+    judge: judgeNow,
+    readBack,
+    leaderOf,
+    records,
+  }
 }
 
 // A lane as the judge holds it; reads from the leader may miss nothing.
 export function lawOf(lane: Config['lanes'][number], from: number): Law {
-  const near = lane.reads === 'leader' ? { within: 0, own: false } : { within: lane.reads.within, own: lane.reads.own === true }
+  const near =
+    lane.reads === 'leader' ? { within: 0, own: false } : { within: lane.reads.within, own: lane.reads.own === true }
   return { lane: lane.name, from, group: lane.group, ...near }
 }
 
@@ -346,7 +518,11 @@
   const lanes: Config['lanes'] = []
   const mixes: Mix[] = []
   for (const g of names) {
-    lanes.push({ name: `book-${g}`, database: 'kiln', group: g, reads: 'leader' }, { name: 'dep-' + g, database: 'kiln', group: g, reads: { within: 2500, own: true } }, { name: `cal-${g}`, database: 'kiln', group: g, reads: { within: 1500 } })
+    lanes.push(
+      { name: `book-${g}`, database: 'kiln', group: g, reads: 'leader' },
+      { name: 'dep-' + g, database: 'kiln', group: g, reads: { within: 2500, own: true } },
+      { name: `cal-${g}`, database: 'kiln', group: g, reads: { within: 1500 } },
+    )
     mixes.push(
       { kind: 'booking', lane: `book-${g}`, group: g, op: 'book', weight: 3, within: 0, own: false },
       { kind: 'post', lane: `book-${g}`, group: g, op: 'post', weight: 2, within: 0, own: false },
@@ -358,5 +534,18 @@
   }
   const groupList: Config['groups'] = []
   for (const g of names) groupList.push({ name: g, connections: 24 })
-  return { fronts: 3, areas: ['a', 'b'], cores: 5, groups: names, instances: 3, connections: 24, lag: 120, requesters: 9, think: 150, keys: 12, mixes, config: { proxies: 4, groups: groupList, lanes } }
+  return {
+    fronts: 3,
+    areas: ['a', 'b'],
+    cores: 5,
+    groups: names,
+    instances: 3,
+    connections: 24,
+    lag: 120,
+    requesters: 9,
+    think: 150,
+    keys: 12,
+    mixes,
+    config: { proxies: 4, groups: groupList, lanes },
+  }
 }
--- a/packages/fleet/src/spent.ts
+++ b/packages/fleet/src/spent.ts
@@ -34,7 +34,8 @@
 ]
 
 function mechanismOf(frame: Profiler.ProfileNode['callFrame']): string | undefined {
-  for (const r of rules) if (frame.url.includes(r.file) && (!r.names || r.names.includes(frame.functionName))) return r.mechanism
+  for (const r of rules)
+    if (frame.url.includes(r.file) && (!r.names || r.names.includes(frame.functionName))) return r.mechanism
   return undefined
 }
 
--- a/packages/fleet/src/steps.ts
+++ b/packages/fleet/src/steps.ts
@@ -18,7 +18,14 @@
   const s = smallShape()
   const groups: Shape['config']['groups'] = []
   for (const g of s.config.groups) groups.push({ ...g, sync: 0 })
-  const f = makeSimFleet(seed, { ...s, fronts: 5, requesters: 15, think: 60, config: { ...s.config, groups }, ...(suspect === undefined ? {} : { suspect }) })
+  const f = makeSimFleet(seed, {
+    ...s,
+    fronts: 5,
+    requesters: 15,
+    think: 60,
+    config: { ...s.config, groups },
+    ...(suspect === undefined ? {} : { suspect }),
+  })
   await f.begin()
   f.traffic()
   await wait(f, 4000 + 1000 * f.sim.random())
@@ -53,14 +60,18 @@
   const steady = await at(isSteady)
   // A write that was begun after the harm, so that none counts that was answered before it.
   function isServed(): boolean {
-    for (let k = f.events.length - 1; k >= 0 && f.events[k].end > from; k--) if (f.events[k].tag !== undefined && f.events[k].outcome === 'done' && f.events[k].end > from + stop) return true
+    for (let k = f.events.length - 1; k >= 0 && f.events[k].end > from; k--)
+      if (f.events[k].tag !== undefined && f.events[k].outcome === 'done' && f.events[k].end > from + stop) return true
     return false
   }
   const served = await at(isServed)
   return { stop, promote, called, steady, served }
 }
 
-const HARMS: [string, (f: SimFleet) => void][] = [['crash', crash], ['dark', dark]]
+const HARMS: [string, (f: SimFleet) => void][] = [
+  ['crash', crash],
+  ['dark', dark],
+]
 function crash(f: SimFleet): void {
   f.killBox(f.boxes.indexOf(f.leaderOf('g1')!))
 }
--- a/packages/fleet/src/tap.ts
+++ b/packages/fleet/src/tap.ts
@@ -44,8 +44,23 @@
 }
 
 const mechanisms = new Map([
-  ['renew', 'terms'], ['leave', 'terms'], ['push', 'pushes'], ['ack', 'acknowledgements'], ['prepare', 'registers'], ['accept', 'registers'], ['learn', 'registers'], ['get', 'registers'],
-  ['members', 'members'], ['handover', 'repair'], ['keys', 'repair'], ['state', 'repair'], ['seeds', 'discovery'], ['hello', 'links'], ['ping', 'links'], ['feed', 'feeds'], ['note', 'notes'],
+  ['renew', 'terms'],
+  ['leave', 'terms'],
+  ['push', 'pushes'],
+  ['ack', 'acknowledgements'],
+  ['prepare', 'registers'],
+  ['accept', 'registers'],
+  ['learn', 'registers'],
+  ['get', 'registers'],
+  ['members', 'members'],
+  ['handover', 'repair'],
+  ['keys', 'repair'],
+  ['state', 'repair'],
+  ['seeds', 'discovery'],
+  ['hello', 'links'],
+  ['ping', 'links'],
+  ['feed', 'feeds'],
+  ['note', 'notes'],
 ])
 // The register of the shares is a mechanism of its own, whatever word speaks of it.
 const KEYED = new Set(['push', 'prepare', 'accept', 'learn', 'get'])
@@ -103,7 +118,8 @@
         continue
       }
       const here = Math.min(left, chunk.length - at)
-      if (front.length < HEAD && here > 0) front = Buffer.concat([front, chunk.subarray(at, at + Math.min(here, HEAD - front.length))])
+      if (front.length < HEAD && here > 0)
+        front = Buffer.concat([front, chunk.subarray(at, at + Math.min(here, HEAD - front.length))])
       at += here
       left -= here
       if (left > 0) return
@@ -157,7 +173,11 @@
 type Counted = Duplex & { bytesRead?: number; bytesWritten?: number }
 
 // The world with every stream, datagram and log line counted. settle() brings streams that are still open up to date.
-export function tapWorld(world: World, tally: Tally, carried: (way: 'dial' | 'listen', addr: Addr) => Carried): World & { settle: () => void } {
+export function tapWorld(
+  world: World,
+  tally: Tally,
+  carried: (way: 'dial' | 'listen', addr: Addr) => Carried,
+): World & { settle: () => void } {
   const open = new Map<Counted, { name: string; read: number; written: number }>()
   function bring(s: Counted): void {
     const one = open.get(s)
@@ -178,7 +198,10 @@
     const write = s.write.bind(s) as (...args: unknown[]) => boolean
     function writeCounted(...args: unknown[]): boolean {
       const [chunk] = args as [string | Uint8Array]
-      const front = typeof chunk === 'string' ? chunk.slice(0, 5) : Buffer.from(chunk.buffer, chunk.byteOffset, Math.min(5, chunk.byteLength)).toString('latin1')
+      const front =
+        typeof chunk === 'string'
+          ? chunk.slice(0, 5)
+          : Buffer.from(chunk.buffer, chunk.byteOffset, Math.min(5, chunk.byteLength)).toString('latin1')
       const first = /^(HTTP\/|GET |POST )/.test(front)
       tally.add(what.name, 'out', s.bytesWritten === undefined ? Buffer.byteLength(chunk) : 0, first ? 1 : 0)
       return write(...args)
--- a/packages/fleet/src/test/changes.test.ts
+++ b/packages/fleet/src/test/changes.test.ts
@@ -1,6 +1,18 @@
 import t, { type Test } from 'tap'
 import { encode, LATE_CALL, NAMED_KEPT } from '@claynotch/base'
-import { allDecisions, decide, emptyBody, findDecision, lendable, readConfig, type Body, type Change, type Config, type Decision, type Edit } from '@claynotch/operator'
+import {
+  allDecisions,
+  decide,
+  emptyBody,
+  findDecision,
+  lendable,
+  readConfig,
+  type Body,
+  type Change,
+  type Config,
+  type Decision,
+  type Edit,
+} from '@claynotch/operator'
 import { compile } from '@claynotch/proxy'
 import { laterSight, type Sight } from '@claynotch/register'
 import { makeRandom } from '../sim.js'
@@ -10,11 +22,19 @@
 function lane(name: string, more: object = {}): Config['lanes'][number] {
   return { name, database: `db-${name}`, group: 'g', reads: 'leader', ...more }
 }
-const base: Config = { proxies: 'live', groups: [{ name: 'g', connections: 92, sync: 0, label: '{"name":"g","odd":[1,{"x":null}]}' }], lanes: [lane('one', { path: '/', label: { any: ['thing', 7] } })], transactionIdle: 3000, label: { limits: { deep: { er: 1 } } } }
+const base: Config = {
+  proxies: 'live',
+  groups: [{ name: 'g', connections: 92, sync: 0, label: '{"name":"g","odd":[1,{"x":null}]}' }],
+  lanes: [lane('one', { path: '/', label: { any: ['thing', 7] } })],
+  transactionIdle: 3000,
+  label: { limits: { deep: { er: 1 } } },
+}
 
 function ruled(body: Body, stream: string, change: Change): { decision: Decision; body: Body; wrote: boolean } {
   const got = decide(body, stream, change)
-  return 'known' in got ? { decision: got.known, body, wrote: false } : { decision: got.decision, body: got.body, wrote: true }
+  return 'known' in got
+    ? { decision: got.known, body, wrote: false }
+    : { decision: got.decision, body: got.body, wrote: true }
 }
 
 // Random changes, as two operators send them who race, repeat themselves, lag behind and err, against a plain model:
@@ -38,8 +58,21 @@
       const to = rnd() < 0.85 ? expect + 1 + Math.floor(rnd() * 5) : Math.max(0, expect - Math.floor(rnd() * 2))
       const whole = epoch === 0 || rnd() < 0.4
       const change: Change = whole
-        ? { number: 1, expect, epoch: to, whole: { ...base, lanes: [lane(`w${k}`), lane(`v${k % 7}`, bad ? { group: 'nowhere' } : {})] } }
-        : { number: 1, expect, epoch: to, edits: [{ op: 'put', what: 'lane', value: lane(`p${k % 5}`, bad ? { limit: 0 } : { limit: 900 }) }, { op: 'drop', what: 'lane', name: `v${k % 7}`, loose: true }] }
+        ? {
+            number: 1,
+            expect,
+            epoch: to,
+            whole: { ...base, lanes: [lane(`w${k}`), lane(`v${k % 7}`, bad ? { group: 'nowhere' } : {})] },
+          }
+        : {
+            number: 1,
+            expect,
+            epoch: to,
+            edits: [
+              { op: 'put', what: 'lane', value: lane(`p${k % 5}`, bad ? { limit: 0 } : { limit: 900 }) },
+              { op: 'drop', what: 'lane', name: `v${k % 7}`, loose: true },
+            ],
+          }
       one = { id: `digest${k}`, change }
       sent.push(one)
     }
@@ -50,12 +83,23 @@
     const lanes = (change.whole as Config | undefined)?.lanes ?? []
     const edits = (change.edits ?? []) as Extract<Edit, { op: 'put' }>[]
     const valid = !lanes.some(leadsNowhere) && !edits.some(endsAtOnce)
-    const wanted = first !== undefined ? 'again' : change.expect !== epoch ? 'raced' : change.epoch! <= epoch ? 'low' : !valid ? 'invalid' : 'accepted'
+    const wanted =
+      first !== undefined
+        ? 'again'
+        : change.expect !== epoch
+          ? 'raced'
+          : change.epoch! <= epoch
+            ? 'low'
+            : !valid
+              ? 'invalid'
+              : 'accepted'
     counts.set(wanted, (counts.get(wanted) ?? 0) + 1)
     if (wanted === 'again') {
       c.equal(got.decision.decision, 'accepted')
-      if (got.decision.epoch !== first) c.fail(`${one.id} was accepted as ${first}, and then told ${got.decision.epoch}`)
-    } else if ((got.decision.decision === 'accepted') !== (wanted === 'accepted')) c.fail(`${one.id} was ${got.decision.decision}, and is ${wanted}: ${got.decision.why}`)
+      if (got.decision.epoch !== first)
+        c.fail(`${one.id} was accepted as ${first}, and then told ${got.decision.epoch}`)
+    } else if ((got.decision.decision === 'accepted') !== (wanted === 'accepted'))
+      c.fail(`${one.id} was ${got.decision.decision}, and is ${wanted}: ${got.decision.why}`)
     if (got.wrote !== (wanted === 'accepted')) c.fail(`${wanted} and ${got.wrote ? 'written' : 'not written'}`)
     if (!got.wrote && got.body !== before) c.fail('a refusal changed the value')
     if (wanted === 'raced' && got.decision.epoch !== epoch) c.fail('a loser is told the present epoch')
@@ -80,7 +124,8 @@
     if (body.epoch !== epoch) c.fail('the epoch is not the last accepted')
     c.strictSame((body.config?.lanes ?? []).map(nameOf), names)
   }
-  for (const kind of ['again', 'raced', 'low', 'invalid', 'accepted']) c.ok((counts.get(kind) ?? 0) > 50, `${kind}: ${counts.get(kind)}`)
+  for (const kind of ['again', 'raced', 'low', 'invalid', 'accepted'])
+    c.ok((counts.get(kind) ?? 0) > 50, `${kind}: ${counts.get(kind)}`)
   c.equal(body.history.length, NAMED_KEPT)
   c.strictSame(body.streams, [], 'no stream is kept for them')
   c.equal(body.history.filter(hasConfig).length, 0)
@@ -106,7 +151,14 @@
   let atThousand = 0
   for (let k = 0; k < 47000; k++) {
     const mine = k % 400 === 0
-    const change: Change = mine ? { number: ++own, expect: body.epoch, whole: base } : { number: 1, expect: body.epoch, epoch: body.epoch + 3, edits: [{ op: 'put', what: 'lane', value: lane('one', { aim: k }) }] }
+    const change: Change = mine
+      ? { number: ++own, expect: body.epoch, whole: base }
+      : {
+          number: 1,
+          expect: body.epoch,
+          epoch: body.epoch + 3,
+          edits: [{ op: 'put', what: 'lane', value: lane('one', { aim: k }) }],
+        }
     const got = ruled(body, mine ? 'ours' : `0123456789abcdef${k.toString(36).padStart(8, '0')}`, change)
     if (got.decision.decision !== 'accepted') c.fail(got.decision.why)
     body = got.body
@@ -128,10 +180,27 @@
 function labels(c: Test): void {
   let { body } = ruled(emptyBody(), 'a', { number: 1, expect: 0, epoch: 5, whole: base })
   c.strictSame(body.config, base, 'kept as they came')
-  body = ruled(body, 'b', { number: 1, expect: 5, epoch: 9, edits: [{ op: 'put', what: 'lane', value: lane('two', { rank: 0, label: 'text' }) }, { op: 'drop', what: 'lane', name: 'none', loose: true }] }).body
+  body = ruled(body, 'b', {
+    number: 1,
+    expect: 5,
+    epoch: 9,
+    edits: [
+      { op: 'put', what: 'lane', value: lane('two', { rank: 0, label: 'text' }) },
+      { op: 'drop', what: 'lane', name: 'none', loose: true },
+    ],
+  }).body
   c.equal(body.epoch, 9)
-  c.strictSame(body.config, { ...base, lanes: [...base.lanes, lane('two', { rank: 0, label: 'text' })], teams: [] }, 'and through edits')
-  const strict = ruled(body, 'c', { number: 1, expect: 9, epoch: 10, edits: [{ op: 'drop', what: 'lane', name: 'none' }] })
+  c.strictSame(
+    body.config,
+    { ...base, lanes: [...base.lanes, lane('two', { rank: 0, label: 'text' })], teams: [] },
+    'and through edits',
+  )
+  const strict = ruled(body, 'c', {
+    number: 1,
+    expect: 9,
+    epoch: 10,
+    edits: [{ op: 'drop', what: 'lane', name: 'none' }],
+  })
   c.strictSame(strict.decision.findings.map(placeOf), ['/edits/0/name'])
   const next = ruled(body, 'c', { number: 1, expect: 9, edits: [{ op: 'drop', what: 'lane', name: 'two' }] })
   c.equal(next.body.epoch, 10, 'without a name of its own the next')
@@ -146,17 +215,47 @@
     return got.err ? [...new Set(got.val.map(placeOf))] : []
   }
   c.strictSame(findings(base), [])
-  c.strictSame(findings({ ...base, lanes: [lane('a', { path: '/' }), lane('b', { database: 'db-a', path: '/' }), lane('d', { database: 'db-a', path: '/x' }), lane('e', { database: 'db-a' }), lane('f', { database: 'db-a' })] }), ['/lanes/1/path'], 'database and path alike; without a path they may share one')
+  c.strictSame(
+    findings({
+      ...base,
+      lanes: [
+        lane('a', { path: '/' }),
+        lane('b', { database: 'db-a', path: '/' }),
+        lane('d', { database: 'db-a', path: '/x' }),
+        lane('e', { database: 'db-a' }),
+        lane('f', { database: 'db-a' }),
+      ],
+    }),
+    ['/lanes/1/path'],
+    'database and path alike; without a path they may share one',
+  )
   c.strictSame(findings({ ...base, lanes: [lane('a', { limit: 0 })] }), ['/lanes/0/limit'])
-  c.strictSame(findings({ ...base, lanes: [lane('a', { limit: -1, aim: 'x', sends: 0, rank: 1.5, path: 3 })] }).sort(), ['/lanes/0/aim', '/lanes/0/limit', '/lanes/0/path', '/lanes/0/rank', '/lanes/0/sends'])
+  c.strictSame(
+    findings({ ...base, lanes: [lane('a', { limit: -1, aim: 'x', sends: 0, rank: 1.5, path: 3 })] }).sort(),
+    ['/lanes/0/aim', '/lanes/0/limit', '/lanes/0/path', '/lanes/0/rank', '/lanes/0/sends'],
+  )
   c.strictSame(findings({ ...base, groups: [{ name: 'g', connections: 9, sync: 2 }] }), ['/groups/0/sync'])
   c.ok(findings({ ...base, proxies: 'many' }).every(isProxies))
   c.strictSame(findings({ ...base, transactionIdle: -3 }), ['/transactionIdle'])
   function isProxies(p: string): boolean {
     return p === '/proxies'
   }
-  c.strictSame([lendable(base, 'g', 9), lendable(base, 'g', 1), lendable(base, 'g', 200), lendable(base, 'g', 0), lendable(base, 'g'), lendable(base, 'none', 3)], [9, 91, 1, 91, 1, 0])
-  c.strictSame([lendable({ ...base, proxies: 9 }, 'g'), lendable({ ...base, proxies: 9 }, 'g', 3)], [8, 8], 'a number is a number')
+  c.strictSame(
+    [
+      lendable(base, 'g', 9),
+      lendable(base, 'g', 1),
+      lendable(base, 'g', 200),
+      lendable(base, 'g', 0),
+      lendable(base, 'g'),
+      lendable(base, 'none', 3),
+    ],
+    [9, 91, 1, 91, 1, 0],
+  )
+  c.strictSame(
+    [lendable({ ...base, proxies: 9 }, 'g'), lendable({ ...base, proxies: 9 }, 'g', 3)],
+    [8, 8],
+    'a number is a number',
+  )
   const rules = compile({ ...base, lanes: [lane('a', { limit: 700, aim: 200, sends: 2 }), lane('b')] }, 4, [], 0)
   const a = rules.lanes.get('a')!
   c.strictSame([a.limit, a.aim, a.sends, rules.transactionIdle], [700, 200, 2, 3000])
@@ -167,14 +266,29 @@
 // --- the order of an instance's words ---
 
 function sight(sequence: number | undefined, more: object = {}): Sight {
-  return { name: 'i', group: 'g', addr: '10.0.0.1:1', area: 'a', role: 'follower', leaving: false, age: 0, gone: 0, ...(sequence === undefined ? {} : { sequence }), ...more }
+  return {
+    name: 'i',
+    group: 'g',
+    addr: '10.0.0.1:1',
+    area: 'a',
+    role: 'follower',
+    leaving: false,
+    age: 0,
+    gone: 0,
+    ...(sequence === undefined ? {} : { sequence }),
+    ...more,
+  }
 }
 function words(c: Test): void {
   const old = { sight: sight(7, { leaving: true }), at: 1000 }
   c.equal(laterSight(old, sight(6), 1500).sight.leaving, true, 'one held up on its way takes nothing back')
   c.equal(laterSight(old, sight(8), 1500).sight.leaving, false, 'ready again after it was leaving')
   c.equal(laterSight(old, sight(8), 900).sight.sequence, 8, 'a later word that was heard earlier elsewhere')
-  c.equal(laterSight(old, sight(1), 1000 + LATE_CALL).sight.sequence, 1, 'one that starts anew, once nothing can be on its way any more')
+  c.equal(
+    laterSight(old, sight(1), 1000 + LATE_CALL).sight.sequence,
+    1,
+    'one that starts anew, once nothing can be on its way any more',
+  )
   c.equal(laterSight(old, sight(1, { addr: '10.0.0.2:1' }), 1500).sight.sequence, 1, 'another life, at another address')
   c.equal(laterSight(old, sight(undefined), 1500).sight.sequence, undefined, 'without a count, by time')
   c.equal(laterSight({ sight: sight(undefined), at: 1000 }, sight(3), 900).sight.sequence, undefined)
@@ -182,12 +296,15 @@
   const rnd = makeRandom(3)
   for (let k = 0; k < 400; k++) {
     const said: { s: Sight; at: number }[] = []
-    for (let n = 0; n < 6; n++) said.push({ s: sight(n, { leaving: n > 3, role: n % 2 ? 'leader' : 'follower' }), at: 1000 + rnd() * (LATE_CALL - 1) })
+    for (let n = 0; n < 6; n++)
+      said.push({
+        s: sight(n, { leaving: n > 3, role: n % 2 ? 'leader' : 'follower' }),
+        at: 1000 + rnd() * (LATE_CALL - 1),
+      })
     let has: { sight: Sight; at: number } | undefined
     for (const one of shuffle(said, rnd)) has = laterSight(has, one.s, one.at)
     if (has?.sight.sequence !== 5) c.fail(`held ${has?.sight.sequence} of 0 to 5`)
   }
-
 }
 function shuffle<T>(list: T[], rnd: () => number): T[] {
   const out = [...list]
@@ -208,4 +325,4 @@
 void t.test('changes that name their epoch: the value keeps its size', sync(bounded))
 void t.test('labels are kept as they came', sync(labels))
 void t.test('new fields of the configuration', sync(fields))
-void t.test('an instance\'s words keep their order', sync(words))
+void t.test("an instance's words keep their order", sync(words))
--- a/packages/fleet/src/test/cores.test.ts
+++ b/packages/fleet/src/test/cores.test.ts
@@ -3,7 +3,19 @@
 import type { Agent } from '@claynotch/agent'
 import { startCoreSetDuty } from '@claynotch/agent/dist/coreset.js'
 import { hello, holdLink, makeFlag, pause, readAs, type Addr, type Held, type World } from '@claynotch/base'
-import { askSeeds, MembersAnswer, makeProposer, quorumOf, votersOf, type CorePlace, type CoreSet, type Proposer, type Quorum, type Value, type Voter } from '@claynotch/register'
+import {
+  askSeeds,
+  MembersAnswer,
+  makeProposer,
+  quorumOf,
+  votersOf,
+  type CorePlace,
+  type CoreSet,
+  type Proposer,
+  type Quorum,
+  type Value,
+  type Voter,
+} from '@claynotch/register'
 import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
 
 t.setTimeout(600000)
@@ -11,9 +23,18 @@
 // The set of voters changes while everything serves: docs/design/coreset.md.
 // A box: a core machine of an address of its own; removed ones come back only where a test says so. ending: it was told to
 // stop, and gives its term up.
-type Box = { machine: Machine; proc: Proc; run: CoreMachine | undefined; up: boolean; ending: boolean; gone: boolean; ip: string }
+type Box = {
+  machine: Machine
+  proc: Proc
+  run: CoreMachine | undefined
+  up: boolean
+  ending: boolean
+  gone: boolean
+  ip: string
+}
 type Fleet = {
-  sim: Sim; boxes: Box[]
+  sim: Sim
+  boxes: Box[]
   // A further machine, with an empty disk.
   add: (seeds: number[], first: boolean) => number
   start: (k: number, seeds: number[]) => void
@@ -48,7 +69,16 @@
     const list: Addr[] = []
     for (const s of seeds) list.push(`${idOf(s)}:8000`)
     async function run(world: World): Promise<void> {
-      b.run = await startCoreMachine(world, { node: `core${k}`, area: 'a', link: `${b.ip}:7000`, peer: `${b.ip}:7002`, http: `${b.ip}:8000`, seeds: list, first, data: '/d' })
+      b.run = await startCoreMachine(world, {
+        node: `core${k}`,
+        area: 'a',
+        link: `${b.ip}:7000`,
+        peer: `${b.ip}:7002`,
+        http: `${b.ip}:8000`,
+        seeds: list,
+        first,
+        data: '/d',
+      })
     }
     b.run = undefined
     b.up = true
@@ -57,7 +87,15 @@
   }
   function add(seeds: number[], first: boolean): number {
     const k = boxes.length
-    boxes.push({ machine: sim.machine(`core${k}`, idOf(k)), proc: undefined as never, run: undefined, up: false, ending: false, gone: false, ip: idOf(k) })
+    boxes.push({
+      machine: sim.machine(`core${k}`, idOf(k)),
+      proc: undefined as never,
+      run: undefined,
+      up: false,
+      ending: false,
+      gone: false,
+      ip: idOf(k),
+    })
     begin(k, seeds, first)
     return k
   }
@@ -107,14 +145,21 @@
   function settled(): boolean {
     const set = latest()
     if (set.epoch < 0 || set.next !== undefined) return false
-    for (const k of voters()) if (!boxes[k].run?.core.serving() || boxes[k].run?.core.coreSet().epoch !== set.epoch) return false
+    for (const k of voters())
+      if (!boxes[k].run?.core.serving() || boxes[k].run?.core.coreSet().epoch !== set.epoch) return false
     return true
   }
   return { sim, boxes, add, start, kill, term, latest, voters, settled, faults }
 }
 
 // Proposes as an agent does. follow: takes later sets as it is told them; else it stays by the first for ever.
-async function makeClient(world: World, name: string, first: CoreSet, seeds: () => Addr[], follow: boolean): Promise<Proposer> {
+async function makeClient(
+  world: World,
+  name: string,
+  first: CoreSet,
+  seeds: () => Addr[],
+  follow: boolean,
+): Promise<Proposer> {
   let set = first
   const links = new Map<string, Held>()
   function adopt(next: CoreSet): void {
@@ -159,11 +204,23 @@
 // A voter is removed for good and an empty machine comes at another address, with seeds that don't vote; then another voter
 // goes: the set still serves, and a front's term never ends.
 async function replaced(c: Test): Promise<void> {
-  for (const [seed, how] of [[1, 'killed'], [2, 'stopped'], [3, 'killed']] as const) {
+  for (const [seed, how] of [
+    [1, 'killed'],
+    [2, 'stopped'],
+    [3, 'killed'],
+  ] as const) {
     const f = makeFleet(seed)
     let front: Agent | undefined
     async function runFront(world: World): Promise<void> {
-      front = await startFrontAgent(world, { node: 'front', area: 'a', link: '127.0.0.1:7001', peer: '10.0.2.1:7002', corePort: 7000, seeds: FIRST.map(httpAt), first: true })
+      front = await startFrontAgent(world, {
+        node: 'front',
+        area: 'a',
+        link: '127.0.0.1:7001',
+        peer: '10.0.2.1:7002',
+        corePort: 7000,
+        seeds: FIRST.map(httpAt),
+        first: true,
+      })
     }
     c.ok(await begin(f), `seed ${seed}: founded`)
     const founders = f.latest()
@@ -227,7 +284,11 @@
     }
     c.ok(await f.sim.until(isVoting, 30000))
     const held = f.boxes[votes()].run?.core.store.cells()
-    c.equal(held?.get('quiet')?.value?.body, 'kept', `seed ${seed}: a newcomer holds every register when it begins to vote`)
+    c.equal(
+      held?.get('quiet')?.value?.body,
+      'kept',
+      `seed ${seed}: a newcomer holds every register when it begins to vote`,
+    )
     function whole(): boolean {
       return f.latest().epoch >= 2 && f.settled()
     }
@@ -250,13 +311,24 @@
       await pause(world, 500)
       const value = { turn: 1, tag: 'x', body: 'x' }
       for (const epoch of [0, 1, 3]) {
-        for (const msg of [{ t: 'prepare', key: 'k', ballot: [1e6, 'old'] }, { t: 'accept', key: 'k', ballot: [1e6, 'old'], value }, { t: 'get', key: 'k' }, { t: 'keys' }, { t: 'members' }]) answers.push((await link.ask({ ...msg, epoch }, 500)) as never)
+        for (const msg of [
+          { t: 'prepare', key: 'k', ballot: [1e6, 'old'] },
+          { t: 'accept', key: 'k', ballot: [1e6, 'old'], value },
+          { t: 'get', key: 'k' },
+          { t: 'keys' },
+          { t: 'members' },
+        ])
+          answers.push((await link.ask({ ...msg, epoch }, 500)) as never)
       }
     }
     f.sim.spawn(f.sim.machine('old', '10.0.3.9'), 'old', askOld)
     await f.sim.run(f.sim.now() + 3000)
     c.equal(answers.length, 15)
-    for (const [k, a] of answers.entries()) c.ok(a.ok === false && (k < 10 ? a.set?.epoch === 2 : a.behind === true), `seed ${seed}: word ${k} of another epoch is refused: ${JSON.stringify(a).slice(0, 60)}`)
+    for (const [k, a] of answers.entries())
+      c.ok(
+        a.ok === false && (k < 10 ? a.set?.epoch === 2 : a.behind === true),
+        `seed ${seed}: word ${k} of another epoch is refused: ${JSON.stringify(a).slice(0, 60)}`,
+      )
     // Another voter, of the first three: the newcomer's vote is needed from here on.
     const next = f.voters().find(isOld)!
     function isOld(k: number): boolean {
@@ -271,7 +343,15 @@
     // And a front that is told seeds alone finds the set, as one does that knows the founders alone.
     let late: Agent | undefined
     async function runLate(world: World): Promise<void> {
-      late = await startFrontAgent(world, { node: 'late', area: 'a', link: '127.0.0.1:7001', peer: '10.0.2.2:7002', corePort: 7000, seeds: [`${idOf(0)}:8000`, `${idOf(1)}:8000`, `${idOf(2)}:8000`], first: true })
+      late = await startFrontAgent(world, {
+        node: 'late',
+        area: 'a',
+        link: '127.0.0.1:7001',
+        peer: '10.0.2.2:7002',
+        corePort: 7000,
+        seeds: [`${idOf(0)}:8000`, `${idOf(1)}:8000`, `${idOf(2)}:8000`],
+        first: true,
+      })
     }
     f.sim.spawn(f.sim.machine('late', '10.0.2.2'), 'late', runLate)
     function lateTermed(): boolean {
@@ -280,7 +360,9 @@
     c.ok(await f.sim.until(lateTermed, 5000), `seed ${seed}: whoever knows the founders alone finds the set`)
     writing = false
     await f.sim.run(f.sim.now() + 6000)
-    for (const [k, tag] of told.entries()) if (list.indexOf(tag) < 0 || list.lastIndexOf(tag) !== list.indexOf(tag)) c.fail(`seed ${seed}: change ${k} is not there once`)
+    for (const [k, tag] of told.entries())
+      if (list.indexOf(tag) < 0 || list.lastIndexOf(tag) !== list.indexOf(tag))
+        c.fail(`seed ${seed}: change ${k} is not there once`)
     c.ok(fresh > 4)
     c.strictSame(f.faults, [])
   }
@@ -425,7 +507,9 @@
             }
             if (!quorumOf(set).met(ids)) continue
             counted++
-            for (const h of holders) if (h.until > sim.now() && h.proc.state !== 'dead' && !nodes.has(h.node)) missed.push(`epoch ${set.epoch}: ${[...ids].join()} are sure, and ${h.node} holds a term`)
+            for (const h of holders)
+              if (h.until > sim.now() && h.proc.state !== 'dead' && !nodes.has(h.node))
+                missed.push(`epoch ${set.epoch}: ${[...ids].join()} are sure, and ${h.node} holds a term`)
           }
         }
         await pause(world, 150)
@@ -511,8 +595,11 @@
       quiet = await sim.until(whole, 90000)
       if (!quiet) {
         const states: string[] = []
-        for (const [o, b] of f.boxes.entries()) states.push(`core${o} ${b.gone ? 'gone' : (b.run?.core.state() ?? 'down')} ${b.run?.core.coreSet().epoch}`)
-        c.fail(`seed ${seed}: not whole again at ${Math.round(sim.now())}: ${JSON.stringify(f.latest())}; ${states.join('; ')}`)
+        for (const [o, b] of f.boxes.entries())
+          states.push(`core${o} ${b.gone ? 'gone' : (b.run?.core.state() ?? 'down')} ${b.run?.core.coreSet().epoch}`)
+        c.fail(
+          `seed ${seed}: not whole again at ${Math.round(sim.now())}: ${JSON.stringify(f.latest())}; ${states.join('; ')}`,
+        )
       }
       // A removed one wakes with its disk, at times.
       const woken = f.boxes.findIndex(sleeps)
@@ -540,7 +627,9 @@
       return final !== undefined
     }
     c.ok(await sim.until(isRead, 25000), `seed ${seed}: read`)
-    for (const [tag, at] of told) if (final?.[at - 1] !== tag || final.indexOf(tag) !== final.lastIndexOf(tag)) missed.push(`final: ${tag} at ${at} is ${final?.[at - 1]}`)
+    for (const [tag, at] of told)
+      if (final?.[at - 1] !== tag || final.indexOf(tag) !== final.lastIndexOf(tag))
+        missed.push(`final: ${tag} at ${at} is ${final?.[at - 1]}`)
     c.strictSame(missed.slice(0, 5), [], `seed ${seed}: nothing lost`)
     c.strictSame(f.faults.slice(0, 3), [], `seed ${seed}: one set of each epoch`)
     c.ok(counted > 100, `seed ${seed}: epoch ${f.latest().epoch}, ${told.size} changes, ${counted} counts of members`)
@@ -554,8 +643,19 @@
     for (const id of list) out.push({ id, addr: `${id}:1` })
     return out
   }
-  for (const [old, next] of [['abc', 'abd'], ['abcde', 'abcdf'], ['abc', 'abcd'], ['abcd', 'abc'], ['abc', 'def'], ['a', 'b']]) {
-    const chain: CoreSet[] = [{ epoch: 0, cores: places(old) }, { epoch: 1, cores: places(old), next: places(next) }, { epoch: 2, cores: places(next) }]
+  for (const [old, next] of [
+    ['abc', 'abd'],
+    ['abcde', 'abcdf'],
+    ['abc', 'abcd'],
+    ['abcd', 'abc'],
+    ['abc', 'def'],
+    ['a', 'b'],
+  ]) {
+    const chain: CoreSet[] = [
+      { epoch: 0, cores: places(old) },
+      { epoch: 1, cores: places(old), next: places(next) },
+      { epoch: 2, cores: places(next) },
+    ]
     const ids = [...new Set(old + next)]
     const quorums: Set<string>[][] = []
     for (const set of chain) {
@@ -567,9 +667,16 @@
       }
       quorums.push(list)
     }
-    for (const [x, y] of [[0, 0], [0, 1], [1, 1], [1, 2], [2, 2]]) {
+    for (const [x, y] of [
+      [0, 0],
+      [0, 1],
+      [1, 1],
+      [1, 2],
+      [2, 2],
+    ]) {
       let apart = 0
-      for (const a of quorums[x]) for (const b of quorums[y]) if (new Set([...a, ...b]).size === a.size + b.size) apart++
+      for (const a of quorums[x])
+        for (const b of quorums[y]) if (new Set([...a, ...b]).size === a.size + b.size) apart++
       c.equal(apart, 0, `${old} to ${next}: epochs ${x} and ${y}`)
     }
   }
@@ -578,7 +685,14 @@
 // A holder of the duty that knows an older set changes nothing.
 async function fenced(c: Test): Promise<void> {
   const sim = makeSim(31)
-  const set: CoreSet = { epoch: 4, cores: [{ id: 'a', addr: 'a:1' }, { id: 'b', addr: 'b:1' }, { id: 'c', addr: 'c:1' }] }
+  const set: CoreSet = {
+    epoch: 4,
+    cores: [
+      { id: 'a', addr: 'a:1' },
+      { id: 'b', addr: 'b:1' },
+      { id: 'c', addr: 'c:1' },
+    ],
+  }
   const edits: ((now: Value | undefined) => { body: unknown } | undefined)[] = []
   async function run(world: World): Promise<void> {
     const from = world.now()
@@ -589,12 +703,18 @@
       return undefined
     }
     function core(id: string) {
-      return { held: { ask: id === 'c' ? silent : ask, tell: nothing, up: yes } as never, heard: id === 'c' ? from : world.now() }
+      return {
+        held: { ask: id === 'c' ? silent : ask, tell: nothing, up: yes } as never,
+        heard: id === 'c' ? from : world.now(),
+      }
     }
     function yes(): boolean {
       return true
     }
-    async function change(_key: string, edit: (now: Value | undefined) => { body: unknown; tag: string } | undefined): Promise<never> {
+    async function change(
+      _key: string,
+      edit: (now: Value | undefined) => { body: unknown; tag: string } | undefined,
+    ): Promise<never> {
       edits.push(edit)
       return { done: false, why: 'test' } as never
     }
@@ -610,7 +730,11 @@
     function spares(): CorePlace[] {
       return [{ id: 'd', addr: 'd:1' }]
     }
-    startCoreSetDuty(world, { node: 'n', proposer: { change } as never, termUntil: until, live, learned: nothing, coreSet, core, spares }, makeFlag())
+    startCoreSetDuty(
+      world,
+      { node: 'n', proposer: { change } as never, termUntil: until, live, learned: nothing, coreSet, core, spares },
+      makeFlag(),
+    )
   }
   sim.spawn(sim.machine('n', '10.0.0.1'), 'n', run)
   await sim.run(sim.now() + 7000)
@@ -620,8 +744,13 @@
   function at(epoch: number): Value {
     return { turn: epoch, tag: 't', body: { ...set, epoch } }
   }
-  c.strictSame(edits[0](at(4))?.body, { epoch: 5, cores: set.cores, next: [set.cores[0], set.cores[1], { id: 'd', addr: 'd:1' }] }, 'one by a joint set')
-  for (const epoch of [3, 5, 6]) c.equal(edits[0](at(epoch)), undefined, `nothing where the last set is of epoch ${epoch}`)
+  c.strictSame(
+    edits[0](at(4))?.body,
+    { epoch: 5, cores: set.cores, next: [set.cores[0], set.cores[1], { id: 'd', addr: 'd:1' }] },
+    'one by a joint set',
+  )
+  for (const epoch of [3, 5, 6])
+    c.equal(edits[0](at(epoch)), undefined, `nothing where the last set is of epoch ${epoch}`)
 }
 
 void t.test('quorums of sets that follow each other', overlap)
--- a/packages/fleet/src/test/coreset.test.ts
+++ b/packages/fleet/src/test/coreset.test.ts
@@ -34,7 +34,13 @@
   const sim = makeSim(seed, { keepLines: true })
   const boxes: Box[] = []
   let fronts = 0
-  for (let k = 0; k < 5; k++) boxes.push({ machine: sim.machine(`core${k}`, `10.0.1.${k + 1}`), proc: undefined as never, run: undefined, http: `10.0.1.${k + 1}:8000` })
+  for (let k = 0; k < 5; k++)
+    boxes.push({
+      machine: sim.machine(`core${k}`, `10.0.1.${k + 1}`),
+      proc: undefined as never,
+      run: undefined,
+      http: `10.0.1.${k + 1}:8000`,
+    })
   function seedsOf(list: number[]): Addr[] {
     const out: Addr[] = []
     for (const k of list) out.push(boxes[k].http)
@@ -44,7 +50,16 @@
     const b = boxes[k]
     const ip = `10.0.1.${k + 1}`
     async function run(world: World): Promise<void> {
-      b.run = await startCoreMachine(world, { node: `core${k}`, area: 'a', link: `${ip}:7000`, peer: `${ip}:7002`, http: b.http, seeds: seedsOf(seeds), first, data: '/d' })
+      b.run = await startCoreMachine(world, {
+        node: `core${k}`,
+        area: 'a',
+        link: `${ip}:7000`,
+        peer: `${ip}:7002`,
+        http: b.http,
+        seeds: seedsOf(seeds),
+        first,
+        data: '/d',
+      })
     }
     b.run = undefined
     b.proc = sim.spawn(b.machine, `core${k}`, run)
@@ -53,7 +68,15 @@
     const ip = `10.0.2.${++fronts}`
     let out: Agent | undefined
     async function run(world: World): Promise<void> {
-      out = await startFrontAgent(world, { node: `front${fronts}`, area: 'a', link: '127.0.0.1:7001', peer: `${ip}:7002`, corePort: 7000, seeds: seedsOf(seeds), first })
+      out = await startFrontAgent(world, {
+        node: `front${fronts}`,
+        area: 'a',
+        link: '127.0.0.1:7001',
+        peer: `${ip}:7002`,
+        corePort: 7000,
+        seeds: seedsOf(seeds),
+        first,
+      })
     }
     sim.spawn(sim.machine(`front${fronts}`, ip), `front${fronts}`, run)
     function get(): Agent | undefined {
@@ -161,7 +184,8 @@
       const ok = await s.sim.until(allVote, 15000)
       if (!ok) c.fail(`killed after ${after} ms, disk ${disk}: ${s.states().join()}`)
       const list = await write(s, 'late')
-      if (!list?.includes('late') || (early() !== undefined && !list.includes('early'))) c.fail(`killed after ${after} ms, disk ${disk}: the list is ${list?.join()}, early told ${early()?.join()}`)
+      if (!list?.includes('late') || (early() !== undefined && !list.includes('early')))
+        c.fail(`killed after ${after} ms, disk ${disk}: the list is ${list?.join()}, early told ${early()?.join()}`)
     }
     c.pass(`disk ${disk}`)
   }
@@ -270,7 +294,10 @@
     }
     c.ok(await s.sim.until(back, 10000), `seed ${seed}: ${s.states().join()}`)
     const list = await write(s, 'c')
-    c.ok(list?.[0] === 'a' && list.includes('c') && (told === undefined || list.includes('b')), `seed ${seed}: ${list?.join()}, told ${told?.join()}`)
+    c.ok(
+      list?.[0] === 'a' && list.includes('c') && (told === undefined || list.includes('b')),
+      `seed ${seed}: ${list?.join()}, told ${told?.join()}`,
+    )
   }
 }
 
--- a/packages/fleet/src/test/drain.test.ts
+++ b/packages/fleet/src/test/drain.test.ts
@@ -44,7 +44,17 @@
     function close(): void {
       up = false
     }
-    return Ok({ statement: done, begin, commit: end, rollback: end, settings: done, shape: done, reset: done, alive, close })
+    return Ok({
+      statement: done,
+      begin,
+      commit: end,
+      rollback: end,
+      settings: done,
+      shape: done,
+      reset: done,
+      alive,
+      close,
+    })
   }
   async function status(): Promise<never> {
     throw new Error('nobody asks')
@@ -52,7 +62,15 @@
   return { exact: false, named: false, idle: 45000, open, status }
 }
 
-type Stage = { world: World; proxy: Proxy; slow: Slow; seen: Seen; feed: (phase: GroupRecord['phase'], turn: number) => void; call: (kind: 'read' | 'write') => Promise<{ session: string; verdict: Verdict }>; commit: (session: string) => Promise<Verdict> }
+type Stage = {
+  world: World
+  proxy: Proxy
+  slow: Slow
+  seen: Seen
+  feed: (phase: GroupRecord['phase'], turn: number) => void
+  call: (kind: 'read' | 'write') => Promise<{ session: string; verdict: Verdict }>
+  commit: (session: string) => Promise<Verdict>
+}
 
 async function onStage(run: (s: Stage) => Promise<void>): Promise<void> {
   const sim = makeSim(5)
@@ -68,23 +86,43 @@
         for (const [k, turn] of got.val.acks) {
           if (k !== key || turn <= seen.acked) continue
           seen.acked = turn
-          if (seen.phase === 'drain' && seen.open > 0) seen.wrong.push(`turn ${turn} acknowledged with ${seen.open} open`)
+          if (seen.phase === 'drain' && seen.open > 0)
+            seen.wrong.push(`turn ${turn} acknowledged with ${seen.open} open`)
         }
         return undefined
       }
       return take
     }
     await world.listen(link, answerLinks(world, hello('agent', 'n1'), serve))
-    const proxy = await startProxy(world, { listen: '10.0.0.1:41', admin: '10.0.0.1:42', agent: link }, { ...ownEdges, instance: modelEdge(slow, seen) })
-    const config: Config = { proxies: 'live', groups: [{ name: 'g', connections: 9 }], lanes: [{ name: 'l', group: 'g', database: 'd', reads: 'leader' }] }
+    const proxy = await startProxy(
+      world,
+      { listen: '10.0.0.1:41', admin: '10.0.0.1:42', agent: link },
+      { ...ownEdges, instance: modelEdge(slow, seen) },
+    )
+    const config: Config = {
+      proxies: 'live',
+      groups: [{ name: 'g', connections: 9 }],
+      lanes: [{ name: 'l', group: 'g', database: 'd', reads: 'leader' }],
+    }
     function feed(phase: GroupRecord['phase'], turn: number): void {
       seen.phase = phase
       const until = world.now() + 60000
       const record: GroupRecord = { epoch: 1, phase, holder: 'n1', fence: 1, leader: 'i1', addr: '10.0.0.9:1' }
       const word: Feed = {
-        t: 'feed', node: 'n1', area: 'x', moving: [], leaving: [], tries: [], live: 1,
-        cells: [{ key: CONFIG_KEY, turn: 1, until, body: { ...emptyBody(), epoch: 1, config } }, { key, turn, until, body: record }],
-        sights: [{ name: 'i1', group: 'g', addr: '10.0.0.9:1', area: 'x', role: 'leader', leaving: false, gone: 0, age: 0 }],
+        t: 'feed',
+        node: 'n1',
+        area: 'x',
+        moving: [],
+        leaving: [],
+        tries: [],
+        live: 1,
+        cells: [
+          { key: CONFIG_KEY, turn: 1, until, body: { ...emptyBody(), epoch: 1, config } },
+          { key, turn, until, body: record },
+        ],
+        sights: [
+          { name: 'i1', group: 'g', addr: '10.0.0.9:1', area: 'x', role: 'leader', leaving: false, gone: 0, age: 0 },
+        ],
       }
       up?.tell(word)
     }
--- a/packages/fleet/src/test/duty.test.ts
+++ b/packages/fleet/src/test/duty.test.ts
@@ -41,8 +41,16 @@
     return { good: g, bad: b }
   }
   c.strictSame(weigh([node(20), node(50), node()], 'x'), { good: 2, hears: 0, bad: 0, since: 0 }, 'all is well')
-  c.strictSame(weigh([node(600, 500), node(550, 520), node(560)], 'x'), { good: 1, hears: 0, bad: 2, since: 500 }, 'a good answer from before the trouble says nothing')
-  c.strictSame(weigh([node(600, 500), node(550, 520), node(30)], 'x'), { good: 1, hears: 1, bad: 2, since: 500 }, 'one from after it does')
+  c.strictSame(
+    weigh([node(600, 500), node(550, 520), node(560)], 'x'),
+    { good: 1, hears: 0, bad: 2, since: 500 },
+    'a good answer from before the trouble says nothing',
+  )
+  c.strictSame(
+    weigh([node(600, 500), node(550, 520), node(30)], 'x'),
+    { good: 1, hears: 1, bad: 2, since: 500 },
+    'one from after it does',
+  )
   c.strictSame(weigh([node(9000, 700), node(10)], 'x'), { good: 1, hears: 1, bad: 1, since: 700 }, 'one against one')
   c.strictSame(weigh([node(2000)], 'x'), { good: 0, hears: 0, bad: 0, since: 0 }, 'an old answer is none')
 }
@@ -162,7 +170,11 @@
   return { ...ownAgentEdges, instance: { ...httpInstance, status, demote }, promotion }
 }
 async function terms(c: Test): Promise<void> {
-  const cases: [string, PromotionEnd['end'][], number][] = [['promised, half a second before it leads', ['done'], 500], ['unclear, and carried out late', ['unclear'], 700], ['refused twice for their number', ['refused', 'refused'], 300]]
+  const cases: [string, PromotionEnd['end'][], number][] = [
+    ['promised, half a second before it leads', ['done'], 500],
+    ['unclear, and carried out late', ['unclear'], 700],
+    ['refused twice for their number', ['refused', 'refused'], 300],
+  ]
   for (const [k, [name, list, after]] of cases.entries()) {
     const odd: Odd = { ends: [...list], after, calls: [], demoted: [] }
     let f: SimFleet | undefined = undefined
@@ -173,7 +185,7 @@
     await f.begin()
     f.traffic()
     await wait(f, 4000)
-    c.equal(recordOf(f)?.term, 1, 'the record tells the leader\'s own number')
+    c.equal(recordOf(f)?.term, 1, "the record tells the leader's own number")
     const at = f.boxes.indexOf(f.leaderOf('g1')!)
     const old = f.boxes[at].name
     const from = f.sim.now()
@@ -182,7 +194,11 @@
     const rec = recordOf(f)!
     const lead = f.leaderOf('g1')!
     c.equal(rec.phase, 'steady', name)
-    c.strictSame([rec.leader, rec.term], [lead.name, lead.instance!.epoch()], 'the record has who leads, in its own number')
+    c.strictSame(
+      [rec.leader, rec.term],
+      [lead.name, lead.instance!.epoch()],
+      'the record has who leads, in its own number',
+    )
     c.ok(rec.epoch >= rec.term!, 'our epoch is no lower')
     c.equal(odd.calls.length, list.length + (list.includes('refused') ? 1 : 0), 'no call more than needed')
     for (const one of odd.calls) c.ok(one.fence >= 1 && one.holder !== '')
--- a/packages/fleet/src/test/edges.test.ts
+++ b/packages/fleet/src/test/edges.test.ts
@@ -6,14 +6,28 @@
 
 t.setTimeout(600000)
 
-type Told = { outcome?: string; class?: string; kept?: string; again?: boolean; findings?: { place: string }[]; session?: string; token?: string; rows?: unknown[]; transaction?: string }
+type Told = {
+  outcome?: string
+  class?: string
+  kept?: string
+  again?: boolean
+  findings?: { place: string }[]
+  session?: string
+  token?: string
+  rows?: unknown[]
+  transaction?: string
+}
 
 async function requesterInput(c: Test): Promise<void> {
   const f = makeSimFleet(1, smallShape())
   await f.begin()
   const at = f.fronts[0].listen
   async function run(world: World): Promise<void> {
-    async function post(path: string, body: unknown, headers: [string, string][] = []): Promise<{ status: number; body: Told; after: number | undefined }> {
+    async function post(
+      path: string,
+      body: unknown,
+      headers: [string, string][] = [],
+    ): Promise<{ status: number; body: Told; after: number | undefined }> {
       const got = (await callOnce(world, at, 'POST', path, body, 20000, headers)).unwrap()
       return { status: got.status, body: got.body as Told, after: got.after }
     }
@@ -31,8 +45,18 @@
       return out
     }
     function ignore(): void {}
-    c.match(await raw('POST /calls HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{"lane"', 11000), /408 Request Timeout[^]*connection: close/i, 'a body that never comes whole')
-    c.match(await raw('POST /sessions HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: 5\r\n\r\n{"a":'), /400 Bad Request[^]*malformed JSON/, 'malformed JSON')
+    c.match(
+      await raw('POST /calls HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{"lane"', 11000),
+      /408 Request Timeout[^]*connection: close/i,
+      'a body that never comes whole',
+    )
+    c.match(
+      await raw(
+        'POST /sessions HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: 5\r\n\r\n{"a":',
+      ),
+      /400 Bad Request[^]*malformed JSON/,
+      'malformed JSON',
+    )
     c.match(await raw('GARBAGE\r\n\r\n'), /400 Bad Request/, 'not HTTP at all')
     const big = await post('/calls', { lane: 'book-g1', kind: 'write', text: 'append', args: ['x'.repeat(300 * 1024)] })
     c.equal(big.status, 413, 'an oversized body')
@@ -45,13 +69,22 @@
     c.equal((await post('/calls', { lane: 'nowhere', kind: 'read', text: 'list' })).status, 404, 'an unknown lane')
     c.equal((await post('/sessions/none/commit', {})).status, 404, 'an unknown session')
     c.equal((await post('/nothing', {})).status, 404, 'an unknown path')
-    c.equal((await post('/calls', { lane: 'book-g1', kind: 'read', text: 'list', args: ['k'] }, [['x-deadline-ms', 'soon']])).status, 400, 'a deadline that is no number')
+    c.equal(
+      (await post('/calls', { lane: 'book-g1', kind: 'read', text: 'list', args: ['k'] }, [['x-deadline-ms', 'soon']]))
+        .status,
+      400,
+      'a deadline that is no number',
+    )
     c.equal((await post('/sessions', { lane: 'book-g1', token: 'other:1:2' })).status, 400, 'a token of another group')
     // What the instance answers finally is told at once, classified, and promises what holds.
     const type = await post('/calls', { lane: 'book-g1', kind: 'read', text: 'wrongtype' })
     c.strictSame([type.status, type.body.class, type.body.kept], [400, 'INVALID_ARGUMENT', 'nothing'])
     const disguise = await post('/calls', { lane: 'book-g1', kind: 'read', text: 'append', args: ['k', 'disguise'] })
-    c.strictSame([disguise.status, disguise.body.class], [403, 'PERMISSION_DENIED'], 'a write in a read\'s clothes is refused by the instance')
+    c.strictSame(
+      [disguise.status, disguise.body.class],
+      [403, 'PERMISSION_DENIED'],
+      "a write in a read's clothes is refused by the instance",
+    )
     const box = f.leaderOf('g1')!
     box.instance!.faults.full = true
     const from = world.now()
@@ -62,23 +95,61 @@
     // A session: shapes, transactions, their rules.
     const s = (await post('/sessions', { lane: 'book-g1', settings: [{ name: 'who', value: 'me' }] })).body.session!
     c.equal((await post(`/sessions/${s}/commit`, {})).status, 400, 'no transaction to commit')
-    c.equal((await post(`/sessions/${s}/statement`, { kind: 'read', text: 'list', shape: 'x' })).status, 400, 'text and shape together')
-    c.equal((await post(`/sessions/${s}/statement`, { kind: 'read', shape: 'x' })).status, 404, 'a shape that was not prepared')
+    c.equal(
+      (await post(`/sessions/${s}/statement`, { kind: 'read', text: 'list', shape: 'x' })).status,
+      400,
+      'text and shape together',
+    )
+    c.equal(
+      (await post(`/sessions/${s}/statement`, { kind: 'read', shape: 'x' })).status,
+      404,
+      'a shape that was not prepared',
+    )
     await post(`/sessions/${s}/shapes`, { name: 'x', text: 'setting' })
-    c.strictSame((await post(`/sessions/${s}/statement`, { kind: 'read', shape: 'x', args: ['who'] })).body.rows, ['who', 'me'], 'settings and shapes are in force')
+    c.strictSame(
+      (await post(`/sessions/${s}/statement`, { kind: 'read', shape: 'x', args: ['who'] })).body.rows,
+      ['who', 'me'],
+      'settings and shapes are in force',
+    )
     await post(`/sessions/${s}/begin`, { kind: 'write' })
     c.equal((await post(`/sessions/${s}/begin`, {})).status, 400, 'a transaction within one')
     await post(`/sessions/${s}/statement`, { kind: 'write', text: 'append', args: ['tx', 'a'] })
     const bad = await post(`/sessions/${s}/statement`, { kind: 'read', text: 'wrongtype' })
-    c.strictSame([bad.status, bad.body.class, bad.body.kept, bad.body.transaction], [409, 'INVALID_ARGUMENT', 'unknown', 'over'], 'an error ends the transaction, classified, promising nothing')
+    c.strictSame(
+      [bad.status, bad.body.class, bad.body.kept, bad.body.transaction],
+      [409, 'INVALID_ARGUMENT', 'unknown', 'over'],
+      'an error ends the transaction, classified, promising nothing',
+    )
     c.equal((await post(`/sessions/${s}/commit`, {})).status, 400)
-    c.strictSame(((await post('/calls', { lane: 'book-g1', kind: 'read', text: 'list', args: ['tx'] })).body.rows ?? [])[1], [], 'and nothing of it was kept')
+    c.strictSame(
+      ((await post('/calls', { lane: 'book-g1', kind: 'read', text: 'list', args: ['tx'] })).body.rows ?? [])[1],
+      [],
+      'and nothing of it was kept',
+    )
     // The token carries the session's last write to another node.
     const wrote = await post('/calls', { lane: 'dep-g1', kind: 'write', text: 'append', args: ['tok', 'w'] })
     c.match(wrote.body.token, /^g1:1:\d+$/)
-    const there = (await callOnce(world, f.fronts[1].listen, 'POST', '/calls', { lane: 'dep-g1', kind: 'read', text: 'list', args: ['tok'], token: wrote.body.token }, 5000)).unwrap()
-    c.strictSame(((there.body as Told).rows ?? [])[1], ['w'], 'read one\'s write on another node')
-    const future = (await callOnce(world, f.fronts[1].listen, 'POST', '/calls', { lane: 'dep-g1', kind: 'read', text: 'list', args: ['tok'], token: 'g1:1:999999' }, 5000)).unwrap()
+    const there = (
+      await callOnce(
+        world,
+        f.fronts[1].listen,
+        'POST',
+        '/calls',
+        { lane: 'dep-g1', kind: 'read', text: 'list', args: ['tok'], token: wrote.body.token },
+        5000,
+      )
+    ).unwrap()
+    c.strictSame(((there.body as Told).rows ?? [])[1], ['w'], "read one's write on another node")
+    const future = (
+      await callOnce(
+        world,
+        f.fronts[1].listen,
+        'POST',
+        '/calls',
+        { lane: 'dep-g1', kind: 'read', text: 'list', args: ['tok'], token: 'g1:1:999999' },
+        5000,
+      )
+    ).unwrap()
     c.equal(future.status, 200, 'a token ahead of every follower goes to the leader')
     // A requester that goes away in the middle of its transaction is rolled back.
     const gone = (await post('/sessions', { lane: 'book-g1' })).body.session!
@@ -91,7 +162,10 @@
     box.instance!.faults.dark = false
     await pause(world, 8000)
     c.equal((await post(`/sessions/${gone}/commit`, {})).status, 400, 'its transaction is over')
-    c.strictSame(((await post('/calls', { lane: 'book-g1', kind: 'read', text: 'list', args: ['gone'] })).body.rows ?? [])[1], [])
+    c.strictSame(
+      ((await post('/calls', { lane: 'book-g1', kind: 'read', text: 'list', args: ['gone'] })).body.rows ?? [])[1],
+      [],
+    )
   }
   await beside(f, run)
   c.strictSame(f.sim.lines, [], 'no fault in any process')
@@ -102,7 +176,9 @@
   await f.begin()
   async function run(world: World): Promise<void> {
     const at = f.fronts[1].http
-    async function stream(lines: string): Promise<{ decision: string; why: string; epoch?: number; findings?: { place: string }[] }[]> {
+    async function stream(
+      lines: string,
+    ): Promise<{ decision: string; why: string; epoch?: number; findings?: { place: string }[] }[]> {
       const s = await world.dial(at, 1000)
       let out = ''
       function take(b: Buffer): void {
@@ -111,7 +187,9 @@
       function ignore(): void {}
       s.on('data', take)
       s.on('error', ignore)
-      s.write(`POST /streams/ops HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: ${Buffer.byteLength(lines)}\r\n\r\n${lines}`)
+      s.write(
+        `POST /streams/ops HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: ${Buffer.byteLength(lines)}\r\n\r\n${lines}`,
+      )
       await pause(world, 1500)
       s.destroy()
       const told: { decision: string; why: string }[] = []
@@ -120,17 +198,42 @@
     }
     const lane = { name: 'more', database: 'kiln', group: 'g1', reads: 'leader' }
     const put = { number: 1, expect: 1, edits: [{ op: 'put', what: 'lane', value: lane }] }
-    const got = await stream([JSON.stringify(put), 'no json', JSON.stringify({ number: 'x', expect: 2, colour: 1 }), JSON.stringify({ ...put, number: 2 }), JSON.stringify(put), JSON.stringify({ number: 3, expect: 2, edits: [{ op: 'drop', what: 'group', name: 'g1' }] })].join('\n') + '\n')
+    const got = await stream(
+      [
+        JSON.stringify(put),
+        'no json',
+        JSON.stringify({ number: 'x', expect: 2, colour: 1 }),
+        JSON.stringify({ ...put, number: 2 }),
+        JSON.stringify(put),
+        JSON.stringify({ number: 3, expect: 2, edits: [{ op: 'drop', what: 'group', name: 'g1' }] }),
+      ].join('\n') + '\n',
+    )
     c.equal(got.length, 6, 'one decision a line')
     c.strictSame(got.map(decisionOf), ['accepted', 'refused', 'refused', 'refused', 'accepted', 'refused'])
     c.equal(got[0].epoch, 2)
     c.strictSame(got[4], got[0], 'a repeat gets the first decision')
     c.equal(got[3].epoch, 2, 'a loser is told the present epoch')
     c.ok((got[5].findings ?? []).length >= 3, 'lanes that would lead nowhere are each named')
-    const config = (await callOnce(world, at, 'GET', '/configuration', undefined, 5000)).unwrap().body as { epoch: number; config: { lanes: unknown[] } }
+    const config = (await callOnce(world, at, 'GET', '/configuration', undefined, 5000)).unwrap().body as {
+      epoch: number
+      config: { lanes: unknown[] }
+    }
     c.equal(config.epoch, 2)
     c.equal(config.config.lanes.length, 4)
-    c.equal((await callOnce(world, at, 'POST', '/announcement', { name: 'x', group: 'g1', addr: 'nowhere', area: 'a', role: 'boss' }, 5000)).unwrap().status, 400, 'an announcement that makes no sense')
+    c.equal(
+      (
+        await callOnce(
+          world,
+          at,
+          'POST',
+          '/announcement',
+          { name: 'x', group: 'g1', addr: 'nowhere', area: 'a', role: 'boss' },
+          5000,
+        )
+      ).unwrap().status,
+      400,
+      'an announcement that makes no sense',
+    )
     c.equal((await callOnce(world, at, 'POST', '/groups/none/replacement', {}, 5000)).unwrap().status, 409)
     // The stream of decisions: what is kept, then each as it is taken.
     const s = await world.dial(f.fronts[2].http, 1000)
@@ -148,7 +251,10 @@
     s.destroy()
     // Members and their acknowledgements.
     await pause(world, 2000)
-    const members = (await callOnce(world, at, 'GET', '/members', undefined, 5000)).unwrap().body as { node: string; behind: unknown[] }[]
+    const members = (await callOnce(world, at, 'GET', '/members', undefined, 5000)).unwrap().body as {
+      node: string
+      behind: unknown[]
+    }[]
     c.equal(members.length, 3)
     for (const m of members) c.strictSame(m.behind, [], `${m.node} has acknowledged all`)
     // An agent that is told to stop ends, though someone follows its decisions.
@@ -204,10 +310,17 @@
     const hello = frame([0, 1, { t: 'hello', kind: 'agent', node: 'x', epoch: 1, least: 1 }])
     c.ok(await closes(Buffer.concat([hello, frame([0, 2, { t: 'prepare', key: 7 }])])), 'a word that is none')
     // Mixed versions: a newer program that can still speak ours is heard, one that can't is not.
-    c.notOk(await closes(frame([0, 1, { t: 'hello', kind: 'agent', node: 'x', epoch: 7, least: 1 }])), 'a newer program that still speaks our epoch')
-    c.ok(await closes(frame([0, 1, { t: 'hello', kind: 'agent', node: 'x', epoch: 7, least: 5 }])), 'a newer program that does not')
+    c.notOk(
+      await closes(frame([0, 1, { t: 'hello', kind: 'agent', node: 'x', epoch: 7, least: 1 }])),
+      'a newer program that still speaks our epoch',
+    )
+    c.ok(
+      await closes(frame([0, 1, { t: 'hello', kind: 'agent', node: 'x', epoch: 7, least: 5 }])),
+      'a newer program that does not',
+    )
     const wire = await world.wire('10.0.6.1:9', ignore)
-    for (const body of [Buffer.from('junk'), encode({ v: 99, node: 'later' }), encode({ v: 1, node: 5 })]) wire.cast('10.0.2.1:7200', body)
+    for (const body of [Buffer.from('junk'), encode({ v: 99, node: 'later' }), encode({ v: 1, node: 5 })])
+      wire.cast('10.0.2.1:7200', body)
     await pause(world, 500)
     const numbers = f.fronts[0].agent!.numbers
     c.equal(numbers.get('claynotch_summary_garbage_total'), 2, 'garbage is counted')
@@ -225,12 +338,20 @@
   const other = f.sim.machine('twin', '10.0.5.1')
   let twin: Agent | undefined
   async function start(world: World): Promise<void> {
-    twin = await startAgent(world, { node: 'front1', area: 'a', link: '127.0.0.1:7100', peer: '10.0.5.1:7200', http: '10.0.5.1:7080', seeds: ['10.0.1.1:7001'], build: 'sim' })
+    twin = await startAgent(world, {
+      node: 'front1',
+      area: 'a',
+      link: '127.0.0.1:7100',
+      peer: '10.0.5.1:7200',
+      http: '10.0.5.1:7080',
+      seeds: ['10.0.1.1:7001'],
+      build: 'sim',
+    })
   }
   f.sim.spawn(other, 'twin', start)
   await f.sim.run(f.sim.now() + 6000)
   c.ok((twin?.termUntil() ?? 0) > 0, 'the newer holds the term')
-  c.equal(f.fronts[0].proxy!.state.valid(), false, 'the older one\'s proxy takes no work')
+  c.equal(f.fronts[0].proxy!.state.valid(), false, "the older one's proxy takes no work")
   c.ok(f.fronts[0].agent!.numbers.get('claynotch_renewals_total', [['end', 'replaced']]) > 0)
   c.ok(f.sim.lines.some(isReplaced), 'and the log says why')
 }
--- a/packages/fleet/src/test/lanes.test.ts
+++ b/packages/fleet/src/test/lanes.test.ts
@@ -18,13 +18,17 @@
 function sender(world: World, f: SimFleet): (edits: unknown[], more?: object) => Promise<Told> {
   let number = 0
   async function send(edits: unknown[], more: object = {}): Promise<Told> {
-    const now = (await callOnce(world, f.fronts[0].http, 'GET', '/configuration', undefined, 5000)).unwrap().body as { epoch: number }
+    const now = (await callOnce(world, f.fronts[0].http, 'GET', '/configuration', undefined, 5000)).unwrap().body as {
+      epoch: number
+    }
     return await post(world, f, 'desk', { number: ++number, expect: now.epoch, edits, ...more })
   }
   return send
 }
 async function moves(world: World, f: SimFleet): Promise<{ phase: string }[]> {
-  return (await callOnce(world, f.fronts[1].http, 'GET', '/moves', undefined, 5000)).unwrap().body as { phase: string }[]
+  return (await callOnce(world, f.fronts[1].http, 'GET', '/moves', undefined, 5000)).unwrap().body as {
+    phase: string
+  }[]
 }
 const ALL = ['book-g1', 'dep-g1', 'cal-g1']
 
@@ -50,24 +54,50 @@
     await bad([{ op: 'move', lanes: ['dep-g1'], to: 'g2' }], '/edits/0/lanes', /to the same database kiln-g1/)
     await bad([{ op: 'move', lanes: [...ALL, 'cal-g2'], to: 'g2' }], '/edits/0/lanes', /one group to come from/)
     await bad([{ op: 'move', group: 'g2', to: 'g1' }], '/edits/0/to', /doesn't report that it holds anything of g2/)
-    await bad([{ op: 'put', what: 'group', value: { name: 'g3', connections: 24 } }, { op: 'move', group: 'g1', to: 'g3' }], '/edits/1/to', /has no leader/)
+    await bad(
+      [
+        { op: 'put', what: 'group', value: { name: 'g3', connections: 24 } },
+        { op: 'move', group: 'g1', to: 'g3' },
+      ],
+      '/edits/1/to',
+      /has no leader/,
+    )
     await bad([{ op: 'move', group: 'g1', to: 'g2' }], '/edits/0', /a move is for all areas/, { stage: ['b'] })
     await bad([{ op: 'calloff', lane: 'dep-g1' }], '/edits/0/lane', /no move of the lane dep-g1/)
     // A stage that would have a lane served by two groups beside each other.
-    await bad([{ op: 'put', what: 'lane', value: { name: 'dep-g1', database: 'kiln-g1', group: 'g2', reads: 'leader' } }], '/lanes/1/group', /where the stage isn't open yet/, { stage: ['b'] })
-    c.equal((await send([{ op: 'put', what: 'lane', value: { name: 'x', database: 'x', group: 'g1', reads: 'leader' } }], { stage: ['b'] })).decision, 'accepted')
+    await bad(
+      [{ op: 'put', what: 'lane', value: { name: 'dep-g1', database: 'kiln-g1', group: 'g2', reads: 'leader' } }],
+      '/lanes/1/group',
+      /where the stage isn't open yet/,
+      { stage: ['b'] },
+    )
+    c.equal(
+      (
+        await send([{ op: 'put', what: 'lane', value: { name: 'x', database: 'x', group: 'g1', reads: 'leader' } }], {
+          stage: ['b'],
+        })
+      ).decision,
+      'accepted',
+    )
     const staged = await send([{ op: 'move', group: 'g1', to: 'g2' }], { stage: ['a'] })
     c.match(staged.why, /stage is open/, 'no move beside an open stage')
     const back = await post(world, f, 'desk', { number: 90, expect: 2, stage: 'all' })
     c.equal(back.decision, 'accepted')
     // One that opens holds its lanes and groups until it has ended.
-    const opened = await post(world, f, 'desk', { number: 91, expect: 3, edits: [{ op: 'move', group: 'g1', to: 'g2', proof: 'confirmed' }] })
+    const opened = await post(world, f, 'desk', {
+      number: 91,
+      expect: 3,
+      edits: [{ op: 'move', group: 'g1', to: 'g2', proof: 'confirmed' }],
+    })
     c.equal(opened.decision, 'accepted')
     async function next(number: number, edits: unknown[]): Promise<Told> {
       return await post(world, f, 'desk', { number, expect: 4, edits })
     }
     c.match((await next(92, [{ op: 'move', group: 'g1', to: 'g2' }])).findings[0].what, /is being moved already/)
-    c.match((await next(93, [{ op: 'drop', what: 'lane', name: 'x' }])).findings[0].what, /is being moved from g1 to g2/)
+    c.match(
+      (await next(93, [{ op: 'drop', what: 'lane', name: 'x' }])).findings[0].what,
+      /is being moved from g1 to g2/,
+    )
     c.match((await next(94, [{ op: 'calloff', lane: 'x' }])).decision, /accepted/)
     c.strictSame(await moves(world, f), [])
     const own = await post(world, f, 'system', { number: 1, expect: 5, edits: [{ op: 'proxies', value: 5 }] })
@@ -90,7 +120,11 @@
       return false
     }
     c.equal((await send([{ op: 'move', lanes: ALL, to: 'g2', proof: 'confirmed' }])).decision, 'accepted')
-    c.match((await send([{ op: 'confirm', lane: 'dep-g1' }])).findings[0].what, /phase (copy|ease|drain)/, 'not before writes have stopped')
+    c.match(
+      (await send([{ op: 'confirm', lane: 'dep-g1' }])).findings[0].what,
+      /phase (copy|ease|drain)/,
+      'not before writes have stopped',
+    )
     c.ok(await reach('quiet'))
     const from = world.now()
     c.ok(await reach(undefined), 'called off by itself')
@@ -98,7 +132,8 @@
     async function decisions(): Promise<Told[]> {
       const text = (await callOnce(world, f.fronts[0].http, 'GET', '/decisions/system', undefined, 5000)).unwrap().body
       const out: Told[] = []
-      if (typeof text === 'string') for (const line of text.split('\n')) if (line !== '') out.push(JSON.parse(line) as Told)
+      if (typeof text === 'string')
+        for (const line of text.split('\n')) if (line !== '') out.push(JSON.parse(line) as Told)
       return typeof text === 'string' ? out : [text as Told]
     }
     c.match((await decisions())[0].why, /called off: nobody confirmed in time/)
@@ -109,7 +144,10 @@
     const last = (await decisions())[1]
     c.equal(last.decision, 'accepted')
     c.match(last.why, /moved from g1 to g2/)
-    const now = (await callOnce(world, f.fronts[2].http, 'GET', '/configuration', undefined, 5000)).unwrap().body as { epoch: number; config: { lanes: { name: string; group: string }[] } }
+    const now = (await callOnce(world, f.fronts[2].http, 'GET', '/configuration', undefined, 5000)).unwrap().body as {
+      epoch: number
+      config: { lanes: { name: string; group: string }[] }
+    }
     c.equal(now.epoch, last.epoch)
     for (const lane of now.config.lanes) c.equal(lane.group, 'g2', lane.name)
   }
@@ -121,7 +159,9 @@
   const f = twoGroups(false)
   c.ok(await f.begin())
   async function run(world: World): Promise<void> {
-    async function call(body: object): Promise<{ status: number; body: { outcome: string; class?: string; token?: string; rows?: unknown[] } }> {
+    async function call(
+      body: object,
+    ): Promise<{ status: number; body: { outcome: string; class?: string; token?: string; rows?: unknown[] } }> {
       const got = (await callOnce(world, f.fronts[0].listen, 'POST', '/calls', body, 12000)).unwrap()
       return got as never
     }
@@ -150,8 +190,12 @@
   async function run(world: World): Promise<void> {
     await pause(world, 1500)
     const at = f.fronts[0].listen
-    const opened = (await callOnce(world, at, 'POST', '/sessions', { lane: 'cal-g1' }, 5000)).unwrap().body as { session: string }
-    const begun = (await callOnce(world, at, 'POST', `/sessions/${opened.session}/begin`, { kind: 'read' }, 5000)).unwrap()
+    const opened = (await callOnce(world, at, 'POST', '/sessions', { lane: 'cal-g1' }, 5000)).unwrap().body as {
+      session: string
+    }
+    const begun = (
+      await callOnce(world, at, 'POST', `/sessions/${opened.session}/begin`, { kind: 'read' }, 5000)
+    ).unwrap()
     c.equal(begun.status, 200)
     const from = world.now()
     c.equal((await callOnce(world, f.fronts[0].http, 'POST', '/groups/g1/replacement', {}, 5000)).unwrap().status, 202)
--- a/packages/fleet/src/test/lend.test.ts
+++ b/packages/fleet/src/test/lend.test.ts
@@ -15,7 +15,12 @@
 function modelEdge(lines: Line[], slow: number): InstanceEdge {
   async function open(world: World, _who: Who, ms: number): Promise<Result<Port, Trouble>> {
     await pause(world, Math.min(ms, slow))
-    if (ms < slow) return { ok: false, err: true, val: { reach: 'none', class: 'UNAVAILABLE', transient: true, why: 'dial timeout' } } as never
+    if (ms < slow)
+      return {
+        ok: false,
+        err: true,
+        val: { reach: 'none', class: 'UNAVAILABLE', transient: true, why: 'dial timeout' },
+      } as never
     const line: Line = { values: new Map(), shapes: new Map(), open: true, lent: false }
     lines.push(line)
     async function done(): Promise<Result<Done, Trouble>> {
@@ -41,7 +46,17 @@
     function close(): void {
       line.open = false
     }
-    const port: Port = { statement: done, begin: done, commit: done, rollback: done, settings, shape, reset, alive, close }
+    const port: Port = {
+      statement: done,
+      begin: done,
+      commit: done,
+      rollback: done,
+      settings,
+      shape,
+      reset,
+      alive,
+      close,
+    }
     ports.set(port, line)
     return Ok(port)
   }
@@ -112,12 +127,19 @@
     const got = await pool.borrow(who, 4, need, { free: 1, dial: 100 }, makeFlag())
     c.ok(got.ok, 'a call that has waited long for its leader still has time to open a connection')
     if (got.ok) got.val.end(true)
-    const full = await Promise.all([pool.borrow(who, 1, need, { free: 5, dial: 100 }, makeFlag()), pool.borrow(who, 1, need, { free: 5, dial: 100 }, makeFlag())])
+    const full = await Promise.all([
+      pool.borrow(who, 1, need, { free: 5, dial: 100 }, makeFlag()),
+      pool.borrow(who, 1, need, { free: 5, dial: 100 }, makeFlag()),
+    ])
     const refused = full.find(isErr)
     function isErr(r: { err: boolean }): boolean {
       return r.err
     }
-    c.equal(refused?.err === true ? refused.val.class : '', 'RESOURCE_EXHAUSTED', 'where all are lent it is told so after the wait for a free one')
+    c.equal(
+      refused?.err === true ? refused.val.class : '',
+      'RESOURCE_EXHAUSTED',
+      'where all are lent it is told so after the wait for a free one',
+    )
   }
   await inWorld(run)
 }
@@ -134,7 +156,9 @@
       return config
     }
     function sights(): Map<string, unknown> {
-      return new Map([['i1', { name: 'i1', group: 'g', addr: who.addr, area: 'x', role: 'leader', leaving: false, age: 0 }]])
+      return new Map([
+        ['i1', { name: 'i1', group: 'g', addr: who.addr, area: 'x', role: 'leader', leaving: false, age: 0 }],
+      ])
     }
     function group(): undefined {
       return undefined
@@ -178,7 +202,8 @@
   c.equal(lendable(config, 'g', 9), 9, 'a ninth, less the one that is kept back')
   c.equal(lendable(config, 'g', 1), 91)
   c.ok(lendable(config, 'g', 200) >= 1, 'never none')
-  for (let live = 1; live <= 40; live++) c.ok(live * lendable(config, 'g', live) <= 92, `${live} live proxies together stay under the limit`)
+  for (let live = 1; live <= 40; live++)
+    c.ok(live * lendable(config, 'g', live) <= 92, `${live} live proxies together stay under the limit`)
   c.end()
 }
 t.test('shares by live proxies', shares)
--- a/packages/fleet/src/test/parts.test.ts
+++ b/packages/fleet/src/test/parts.test.ts
@@ -48,7 +48,8 @@
     if (need === undefined || !isFresh(follower, need, true)) continue
     allowed++
     // The plain model: every commit owed must lie at or under what the follower holds.
-    for (const m of commits) if ((m.at < now - within || m.session) && m.position > follower.position && !(m.epoch < epoch)) wrong++
+    for (const m of commits)
+      if ((m.at < now - within || m.session) && m.position > follower.position && !(m.epoch < epoch)) wrong++
   }
   c.equal(wrong, 0, 'no read is let through that misses what it is owed')
   c.ok(allowed > 20, `${allowed} reads were let through`)
@@ -70,7 +71,8 @@
       const cut = Math.floor(rnd() * whole.length)
       const got = readRecords(whole.subarray(0, cut))
       c.notOk(got.damaged)
-      for (const [n, r] of got.records.entries()) if (JSON.stringify(r) !== JSON.stringify(record(n))) c.fail('a wrong record')
+      for (const [n, r] of got.records.entries())
+        if (JSON.stringify(r) !== JSON.stringify(record(n))) c.fail('a wrong record')
     }
     // One byte changed anywhere but in the last record is seen as damage.
     let seen = 0
@@ -91,20 +93,40 @@
 }
 
 // --- configuration and decisions ---
-const good: Config = { proxies: 4, groups: [{ name: 'g', connections: 40 }], lanes: [{ name: 'l', database: 'd', group: 'g', reads: { within: 1500 } }] }
+const good: Config = {
+  proxies: 4,
+  groups: [{ name: 'g', connections: 40 }],
+  lanes: [{ name: 'l', database: 'd', group: 'g', reads: { within: 1500 } }],
+}
 async function configuration(c: Test): Promise<void> {
   c.ok(readConfig(good).ok)
-  const bad = readConfig({ proxies: 0, groups: [{ name: 'g', connections: 'x' }, { name: 'g/h', connections: 1 }], lanes: [{ name: 'l', database: 'd', group: 'g', reads: 'sometimes', colour: 1 }], extra: true })
+  const bad = readConfig({
+    proxies: 0,
+    groups: [
+      { name: 'g', connections: 'x' },
+      { name: 'g/h', connections: 1 },
+    ],
+    lanes: [{ name: 'l', database: 'd', group: 'g', reads: 'sometimes', colour: 1 }],
+    extra: true,
+  })
   c.ok(bad.err)
   const places: string[] = []
   if (bad.err) for (const f of bad.val) places.push(f.place)
-  for (const place of ['/proxies', '/groups/0/connections', '/groups/1/name', '/lanes/0/reads', '/lanes/0/colour', '/extra']) c.ok(places.includes(place), `a finding at ${place}`)
+  for (const place of [
+    '/proxies',
+    '/groups/0/connections',
+    '/groups/1/name',
+    '/lanes/0/reads',
+    '/lanes/0/colour',
+    '/extra',
+  ])
+    c.ok(places.includes(place), `a finding at ${place}`)
   const links = readConfig({ ...good, lanes: [{ ...good.lanes[0], group: 'h', team: 'nobody' }, good.lanes[0]] })
   if (links.err) c.strictSame(links.val.map(placeOf), ['/lanes/1/name', '/lanes/0/group', '/lanes/0/team'])
   else c.fail('links that lead nowhere were let through')
   const short = readConfig({ ...good, proxies: 20 })
   if (short.err) c.strictSame(short.val.map(placeOf), ['/groups/0/connections'])
-  else c.fail('connections that can\'t be shared were let through')
+  else c.fail("connections that can't be shared were let through")
 }
 function placeOf(f: { place: string }): string {
   return f.place
@@ -120,7 +142,11 @@
     const stream = `s${Math.floor(rnd() * 3)}`
     const repeat = rnd() < 0.2 && last.has(stream)
     const number = repeat ? last.get(stream)! : (last.get(stream) ?? 0) + 1
-    const change: Change = { number, expect: rnd() < 0.7 ? epoch : epoch - 1, whole: rnd() < 0.8 ? good : { ...good, proxies: 0 } }
+    const change: Change = {
+      number,
+      expect: rnd() < 0.7 ? epoch : epoch - 1,
+      whole: rnd() < 0.8 ? good : { ...good, proxies: 0 },
+    }
     const got = decide(body, stream, change)
     const decision = 'known' in got ? got.known : got.decision
     const id = `${stream}#${number}`
--- a/packages/fleet/src/test/pictures.test.ts
+++ b/packages/fleet/src/test/pictures.test.ts
@@ -1,5 +1,13 @@
 import t, { type Test } from 'tap'
-import { makePicture, makeTable, type KeyLine, type MemberLine, type Picture, type RenewAnswer, type Sight } from '@claynotch/register'
+import {
+  makePicture,
+  makeTable,
+  type KeyLine,
+  type MemberLine,
+  type Picture,
+  type RenewAnswer,
+  type Sight,
+} from '@claynotch/register'
 import type { World } from '@claynotch/base'
 import { makeSimFleet, smallShape } from '../simfleet.js'
 import { makeRandom, makeSim } from '../sim.js'
@@ -8,7 +16,11 @@
 
 // The slow plain model of a picture is a copy of all that the core held when it wrote the answer.
 type Plain = { keys: Map<string, KeyLine>; members: Map<string, MemberLine>; sights: Map<string, Sight> }
-type Model = { answer: (core: string, count: number) => { got: RenewAnswer; plain: Plain }; change: () => void; restart: () => void }
+type Model = {
+  answer: (core: string, count: number) => { got: RenewAnswer; plain: Plain }
+  change: () => void
+  restart: () => void
+}
 
 function makeModel(random: () => number): Model {
   let lives = 0
@@ -20,7 +32,11 @@
   let tables = makeTables()
   function makeTables() {
     count = { at: 0 }
-    return { keys: makeTable<KeyLine>(count, JSON.stringify), members: makeTable<MemberLine>(count, JSON.stringify), sights: makeTable<Sight>(count, signSight) }
+    return {
+      keys: makeTable<KeyLine>(count, JSON.stringify),
+      members: makeTable<MemberLine>(count, JSON.stringify),
+      sights: makeTable<Sight>(count, signSight),
+    }
   }
   function signSight(s: Sight): string {
     return `${s.role} ${s.leaving}`
@@ -39,10 +55,34 @@
   function change(): void {
     const r = random()
     const name = pick(names)
-    if (r < 0.3) keys.set(name, { key: name, ballot: [(keys.get(name)?.ballot[0] ?? 0) + 1, 'p'], turn: 1, chosen: random() < 0.5 })
-    else if (r < 0.45) members.set(name, { node: name, life: `${Math.floor(random() * 3)}`, area: 'z', addr: 'x', operator: '', build: '1', proxy: random() < 0.5 })
+    if (r < 0.3)
+      keys.set(name, {
+        key: name,
+        ballot: [(keys.get(name)?.ballot[0] ?? 0) + 1, 'p'],
+        turn: 1,
+        chosen: random() < 0.5,
+      })
+    else if (r < 0.45)
+      members.set(name, {
+        node: name,
+        life: `${Math.floor(random() * 3)}`,
+        area: 'z',
+        addr: 'x',
+        operator: '',
+        build: '1',
+        proxy: random() < 0.5,
+      })
     else if (r < 0.6) members.delete(name)
-    else if (r < 0.85) sights.set(name, { name, group: 'g', addr: 'x', area: 'z', role: random() < 0.5 ? 'leader' : 'follower', leaving: random() < 0.2, age: 0 })
+    else if (r < 0.85)
+      sights.set(name, {
+        name,
+        group: 'g',
+        addr: 'x',
+        area: 'z',
+        role: random() < 0.5 ? 'leader' : 'follower',
+        leaving: random() < 0.2,
+        age: 0,
+      })
     else sights.delete(name)
   }
   function answer(core: string, from: number): { got: RenewAnswer; plain: Plain } {
@@ -52,7 +92,17 @@
     const since = core === life && from >= Math.max(tables.members.least(), tables.sights.least()) ? from : 0
     const m = tables.members.since(since)
     const s = tables.sights.since(since)
-    const got = { ok: true, core: life, since, count: count.at, keys: tables.keys.since(since).lines, members: m.lines, left: m.gone, sights: s.lines, lost: s.gone }
+    const got = {
+      ok: true,
+      core: life,
+      since,
+      count: count.at,
+      keys: tables.keys.since(since).lines,
+      members: m.lines,
+      left: m.gone,
+      sights: s.lines,
+      lost: s.gone,
+    }
     return { got, plain: { keys: new Map(keys), members: new Map(members), sights: new Map(sights) } }
   }
   restart()
@@ -120,7 +170,8 @@
   const got = f.ask(front, '/groups')
   await f.sim.until(got.done, 5000)
   const out: string[] = []
-  for (const g of (got.body() as Listed | undefined) ?? []) for (const one of g.instances) out.push(`${one.name}${one.leaving ? ' leaving' : ''}`)
+  for (const g of (got.body() as Listed | undefined) ?? [])
+    for (const one of g.instances) out.push(`${one.name}${one.leaving ? ' leaving' : ''}`)
   return out.sort()
 }
 // An instance that went dark is forgotten by every agent, not before its time; cores that restart are told all again.
@@ -134,7 +185,8 @@
     f.startCoreAt(k)
     await f.sim.run(f.sim.now() + 3500)
   }
-  for (const k of f.fronts.keys()) c.strictSame(await listed(f, k), ['g11', 'g12', 'g13'], `all at front ${k} after the cores restarted in turn`)
+  for (const k of f.fronts.keys())
+    c.strictSame(await listed(f, k), ['g11', 'g12', 'g13'], `all at front ${k} after the cores restarted in turn`)
   const from = f.sim.now()
   f.killBox(2)
   await f.sim.run(from + 1500)
--- a/packages/fleet/src/test/processes.test.ts
+++ b/packages/fleet/src/test/processes.test.ts
@@ -41,7 +41,8 @@
 async function settings(c: Test): Promise<void> {
   const bad = await run(['agent', '--node', 'a b', '--link', 'localhost:1', '--seeds', '10.0.0.1:1,nowhere'])
   c.equal(bad.code, 2)
-  for (const place of ['--node', '--area', '--link', '--peer', '--http', '--seeds']) c.match(bad.err, new RegExp(`^${place}`, 'm'), `a finding at ${place}`)
+  for (const place of ['--node', '--area', '--link', '--peer', '--http', '--seeds'])
+    c.match(bad.err, new RegExp(`^${place}`, 'm'), `a finding at ${place}`)
   const dir = mkdtempSync(join(tmpdir(), 'claynotch-test-'))
   const path = join(dir, 'proxy.json')
   writeFileSync(path, '{"listen": "127.0.0.1:70000", "colour": 1}')
@@ -61,18 +62,34 @@
 async function reread(c: Test): Promise<void> {
   const dir = mkdtempSync(join(tmpdir(), 'claynotch-test-'))
   const path = join(dir, 'agent.json')
-  const good = { node: 'n1', area: 'a', link: await freeAddr(), peer: await freeAddr(), http: await freeAddr(), seeds: [await freeAddr()] }
+  const good = {
+    node: 'n1',
+    area: 'a',
+    link: await freeAddr(),
+    peer: await freeAddr(),
+    http: await freeAddr(),
+    seeds: [await freeAddr()],
+  }
   writeFileSync(path, JSON.stringify(good))
   let step = 0
   function see(err: string, kill: (signal: NodeJS.Signals) => void): void {
     if (step === 0 && err.includes('event=settings-watched')) {
       step = 1
       writeFileSync(path, '{"node": 5, "seeds": "x"}')
-    } else if (step === 1 && err.includes('event=settings-refused') && err.includes('/node') && err.includes('/seeds')) {
+    } else if (
+      step === 1 &&
+      err.includes('event=settings-refused') &&
+      err.includes('/node') &&
+      err.includes('/seeds')
+    ) {
       step = 2
       writeFileSync(path, JSON.stringify({ ...good, area: 'b', seeds: [] }))
       kill('SIGHUP')
-    } else if (step === 2 && err.includes('event=settings-read') && /event=settings-need-restart .*field=area/.test(err)) {
+    } else if (
+      step === 2 &&
+      err.includes('event=settings-read') &&
+      /event=settings-need-restart .*field=area/.test(err)
+    ) {
       step = 3
       kill('SIGTERM')
     }
@@ -119,7 +136,11 @@
 async function realFleet(c: Test): Promise<void> {
   const profile = { ...kamini(), fronts: 2, cores: 3, groups: ['north', 'south'], sessions: 12, rate: 60 }
   profile.mixes = profile.mixes.filter(isThere)
-  profile.config = { ...profile.config, groups: profile.config.groups.slice(0, 2), lanes: profile.config.lanes.filter(isThere) }
+  profile.config = {
+    ...profile.config,
+    groups: profile.config.groups.slice(0, 2),
+    lanes: profile.config.lanes.filter(isThere),
+  }
   function isThere(m: { group: string }): boolean {
     return m.group !== 'east'
   }
--- a/packages/fleet/src/test/register.test.ts
+++ b/packages/fleet/src/test/register.test.ts
@@ -1,6 +1,20 @@
 import t, { type Test } from 'tap'
 import { hello, holdLink, makeFlag, pause, type Held, type World } from '@claynotch/base'
-import { makeProposer, makeStore, NO_SET, quorumOf, startCore, type Ballot, type Cell, type Core, type CorePlace, type Proposer, type Quorum, type Value, type Voter } from '@claynotch/register'
+import {
+  makeProposer,
+  makeStore,
+  NO_SET,
+  quorumOf,
+  startCore,
+  type Ballot,
+  type Cell,
+  type Core,
+  type CorePlace,
+  type Proposer,
+  type Quorum,
+  type Value,
+  type Voter,
+} from '@claynotch/register'
 import { makeSimFleet, smallShape } from '../simfleet.js'
 import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
 
@@ -14,7 +28,13 @@
   const places: CorePlace[] = []
   const boxes: Box[] = []
   for (let k = 1; k <= 5; k++) places.push({ id: `c${k}`, addr: `10.0.1.${k}:7000` })
-  for (const p of places) boxes.push({ id: p.id, machine: sim.machine(p.id, p.addr.split(':')[0]), proc: undefined as never, core: undefined })
+  for (const p of places)
+    boxes.push({
+      id: p.id,
+      machine: sim.machine(p.id, p.addr.split(':')[0]),
+      proc: undefined as never,
+      core: undefined,
+    })
   function start(k: number): void {
     const b = boxes[k]
     async function run(world: World): Promise<void> {
@@ -74,7 +94,7 @@
             return list.includes(tag) ? undefined : { body: [...list, tag], tag }
           }
           const got = await proposer.change('list', edit)
-          if (got.done && got.value) told.set(tag, ((got.value.body as string[]).indexOf(tag)) + 1)
+          if (got.done && got.value) told.set(tag, (got.value.body as string[]).indexOf(tag) + 1)
           await pause(world, 300 * world.random())
         }
         over++
@@ -92,7 +112,8 @@
           const before = [...told]
           const got = await proposer[how]('list', 2000)
           const list = (got.done ? got.value?.body : undefined) as string[] | undefined
-          if (got.done) for (const [tag, turn] of before) if (list?.[turn - 1] !== tag) missed.push(`${how}: ${tag} at ${turn}`)
+          if (got.done)
+            for (const [tag, turn] of before) if (list?.[turn - 1] !== tag) missed.push(`${how}: ${tag} at ${turn}`)
           if (got.done) looks++
           await pause(world, (how === 'look' ? 40 : 900) * world.random())
         }
@@ -182,7 +203,10 @@
   }
   c.ok(await s.sim.until(isOver, 300000))
   times.sort(byNumber)
-  c.ok(times[times.length - 1] < 500, `the slowest change took ${Math.round(times[times.length - 1])} ms, the middle one ${Math.round(times[20])} ms`)
+  c.ok(
+    times[times.length - 1] < 500,
+    `the slowest change took ${Math.round(times[times.length - 1])} ms, the middle one ${Math.round(times[20])} ms`,
+  )
 }
 function byNumber(a: number, b: number): number {
   return a - b
@@ -227,7 +251,11 @@
   }
   sim.spawn(sim.machine('m', '10.0.0.1'), 'stores', run)
   await sim.run(5000)
-  c.strictSame(out, ['not seen', 'first told done', 'second told done'], 'plain copying: two rival changes are told done')
+  c.strictSame(
+    out,
+    ['not seen', 'first told done', 'second told done'],
+    'plain copying: two rival changes are told done',
+  )
 }
 
 // The same with the real core: after its refill, the older round can't finish.
@@ -245,7 +273,8 @@
       const one: Ballot = [1, 'p']
       for (const id of ['c1', 'c2', 'c5']) await byId.get(id)!.ask({ t: 'prepare', key: 'k', ballot: one }, 1000)
       async function accept(id: string): Promise<void> {
-        const got = (await byId.get(id)!.ask({ t: 'accept', key: 'k', ballot: one, value: value('first') }, 1000)) as { ok?: boolean } | undefined
+        const got = (await byId.get(id)!.ask({ t: 'accept', key: 'k', ballot: one, value: value('first') }, 1000)) as
+          { ok?: boolean } | undefined
         if (got?.ok) acks.push(id)
       }
       await accept('c1')
@@ -287,7 +316,7 @@
     await pause(world, 300)
     for (let k = 1; k <= 40; k++) {
       function edit(now: Value | undefined): { body: unknown; tag: string } {
-        return { body: (now?.body as number | undefined ?? 0) + 1, tag: `t${k}` }
+        return { body: ((now?.body as number | undefined) ?? 0) + 1, tag: `t${k}` }
       }
       const got = await proposer.change('n', edit, 20000)
       if (got.done && got.value) told = got.value.turn
--- a/packages/fleet/src/test/scenarios.ts
+++ b/packages/fleet/src/test/scenarios.ts
@@ -16,7 +16,10 @@
         c.ok(o.began, `seed ${seed}: the fleet began`)
         c.strictSame(o.judgement.breaches, [], `seed ${seed}: no never-rule broken`)
         c.strictSame(o.faults, [], `seed ${seed}: no fault in a task`)
-        c.ok(o.judgement.checked.done > 50 && (s.reads === false || o.judgement.checked.reads > 50), `seed ${seed}: there was traffic to check`)
+        c.ok(
+          o.judgement.checked.done > 50 && (s.reads === false || o.judgement.checked.reads > 50),
+          `seed ${seed}: there was traffic to check`,
+        )
       }
     }
     void t.test(`${s.name}: ${s.rule}`, { timeout: 600000 }, test)
--- a/packages/fleet/src/test/teams.test.ts
+++ b/packages/fleet/src/test/teams.test.ts
@@ -1,6 +1,16 @@
 import t, { type Test } from 'tap'
 import { callOnce, pause, type World } from '@claynotch/base'
-import { checkAgainst, checkCredentials, compilePolicy, differences, makeCredential, readConfig, type Config, type Credential, type Fleet } from '@claynotch/operator'
+import {
+  checkAgainst,
+  checkCredentials,
+  compilePolicy,
+  differences,
+  makeCredential,
+  readConfig,
+  type Config,
+  type Credential,
+  type Fleet,
+} from '@claynotch/operator'
 import { makeSimFleet, smallShape, type SimFleet } from '../simfleet.js'
 import { beside } from './beside.js'
 
@@ -12,13 +22,37 @@
 
 function teamFleet(seed: number, operators?: Credential[]): SimFleet {
   const s = smallShape()
-  const config: Config = { ...s.config, teams: [{ name: 'desks', sessions: 2, pending: 1 }, { name: 'potters' }], lanes: [...s.config.lanes, { name: 'desk-lane', database: 'kiln', group: 'g1', reads: 'leader', team: 'desks' }, { name: 'potter-lane', database: 'kiln', group: 'g1', reads: 'leader', team: 'potters' }] }
+  const config: Config = {
+    ...s.config,
+    teams: [{ name: 'desks', sessions: 2, pending: 1 }, { name: 'potters' }],
+    lanes: [
+      ...s.config.lanes,
+      { name: 'desk-lane', database: 'kiln', group: 'g1', reads: 'leader', team: 'desks' },
+      { name: 'potter-lane', database: 'kiln', group: 'g1', reads: 'leader', team: 'potters' },
+    ],
+  }
   return makeSimFleet(seed, { ...s, config, ...(operators ? { operators } : {}) })
 }
 
 type Told = { decision: string; why: string; epoch?: number; findings?: { place: string }[] }
-async function send(world: World, f: SimFleet, who: string | undefined, stream: string, change: unknown): Promise<{ status: number; body: Told }> {
-  const got = (await callOnce(world, f.fronts[1].http, 'POST', `/streams/${stream}`, change, 12000, who !== undefined ? [['authorization', `Bearer ${who}`]] : [])).unwrap()
+async function send(
+  world: World,
+  f: SimFleet,
+  who: string | undefined,
+  stream: string,
+  change: unknown,
+): Promise<{ status: number; body: Told }> {
+  const got = (
+    await callOnce(
+      world,
+      f.fronts[1].http,
+      'POST',
+      `/streams/${stream}`,
+      change,
+      12000,
+      who !== undefined ? [['authorization', `Bearer ${who}`]] : [],
+    )
+  ).unwrap()
   return { status: got.status, body: (typeof got.body === 'string' ? JSON.parse(got.body) : got.body) as Told }
 }
 
@@ -39,17 +73,45 @@
     c.equal((await send(world, f, desk, 's', first)).status, 403, 'a team writes in streams of its own name')
     c.equal((await send(world, f, chief, 's', first)).body.decision, 'accepted', 'an admin may')
     const lane = { name: 'desk-lane', database: 'kiln', group: 'g1', reads: { within: 900 }, team: 'desks' }
-    c.equal((await send(world, f, desk, 'desks', { number: 1, expect: 1, edits: [{ op: 'put', what: 'lane', value: lane }] })).body.decision, 'accepted', 'its own lane')
-    const beyond = await send(world, f, desk, 'desks.two', { number: 1, expect: 2, edits: [{ op: 'drop', what: 'lane', name: 'potter-lane' }, { op: 'proxies', value: 2 }, { op: 'put', what: 'lane', value: { ...lane, name: 'mine', team: 'potters' } }] })
+    c.equal(
+      (await send(world, f, desk, 'desks', { number: 1, expect: 1, edits: [{ op: 'put', what: 'lane', value: lane }] }))
+        .body.decision,
+      'accepted',
+      'its own lane',
+    )
+    const beyond = await send(world, f, desk, 'desks.two', {
+      number: 1,
+      expect: 2,
+      edits: [
+        { op: 'drop', what: 'lane', name: 'potter-lane' },
+        { op: 'proxies', value: 2 },
+        { op: 'put', what: 'lane', value: { ...lane, name: 'mine', team: 'potters' } },
+      ],
+    })
     c.equal(beyond.body.decision, 'refused')
-    c.strictSame((beyond.body.findings ?? []).map(placeOf), ['/edits/0', '/edits/1', '/edits/2/value/team'], 'each step beyond its own is named')
-    const got = (await callOnce(world, f.fronts[0].http, 'GET', '/configuration', undefined, 5000, [['authorization', `Bearer watch:${reader.token}`]])).unwrap()
+    c.strictSame(
+      (beyond.body.findings ?? []).map(placeOf),
+      ['/edits/0', '/edits/1', '/edits/2/value/team'],
+      'each step beyond its own is named',
+    )
+    const got = (
+      await callOnce(world, f.fronts[0].http, 'GET', '/configuration', undefined, 5000, [
+        ['authorization', `Bearer watch:${reader.token}`],
+      ])
+    ).unwrap()
     c.equal((got.body as { epoch: number }).epoch, 2)
-    c.equal((await callOnce(world, f.fronts[0].http, 'GET', '/decisions', undefined, 5000)).unwrap().status, 401, 'reading asks for a name too')
+    c.equal(
+      (await callOnce(world, f.fronts[0].http, 'GET', '/decisions', undefined, 5000)).unwrap().status,
+      401,
+      'reading asks for a name too',
+    )
   }
   await beside(f, run)
   c.notMatch(JSON.stringify(admin.entry), admin.token, 'settings hold no secret')
-  c.strictSame(checkCredentials([desks.entry, { ...desks.entry, role: 'reader' }]).map(placeOf), ['/operators/1/name', '/operators/1/team'])
+  c.strictSame(checkCredentials([desks.entry, { ...desks.entry, role: 'reader' }]).map(placeOf), [
+    '/operators/1/name',
+    '/operators/1/team',
+  ])
 }
 function placeOf(x: { place: string }): string {
   return x.place
@@ -60,7 +122,10 @@
   c.ok(await f.begin())
   async function run(world: World): Promise<void> {
     const at = f.fronts[0].listen
-    async function post(path: string, body: unknown): Promise<{ status: number; after: number | undefined; body: { session?: string; why?: string } }> {
+    async function post(
+      path: string,
+      body: unknown,
+    ): Promise<{ status: number; after: number | undefined; body: { session?: string; why?: string } }> {
       const got = (await callOnce(world, at, 'POST', path, body, 20000)).unwrap()
       return { status: got.status, after: got.after, body: got.body as { session?: string } }
     }
@@ -95,29 +160,63 @@
   const lane = { name: 'staged', database: 'kiln', group: 'g1', reads: 'leader' }
   async function run(world: World): Promise<void> {
     // Fronts 1 and 3 are in area a, front 2 in b.
-    const one = await send(world, f, undefined, 'roll', { number: 1, expect: 1, edits: [{ op: 'put', what: 'lane', value: lane }], stage: ['b'] })
+    const one = await send(world, f, undefined, 'roll', {
+      number: 1,
+      expect: 1,
+      edits: [{ op: 'put', what: 'lane', value: lane }],
+      stage: ['b'],
+    })
     c.equal(one.body.decision, 'accepted', one.body.why)
     await pause(world, 1500)
     c.strictSame(epochs(), [1, 2, 1], 'only area b works by the new one')
     const bad = await send(world, f, undefined, 'roll', { number: 2, expect: 2, edits: [{ op: 'proxies', value: 3 }] })
     c.equal(bad.body.decision, 'refused', 'nothing else while a stage is open')
     c.match(bad.body.why, /stage is open/)
-    c.equal((await send(world, f, undefined, 'roll', { number: 3, expect: 2, stage: ['b', 'a'] })).body.decision, 'accepted')
+    c.equal(
+      (await send(world, f, undefined, 'roll', { number: 3, expect: 2, stage: ['b', 'a'] })).body.decision,
+      'accepted',
+    )
     await pause(world, 1500)
     c.strictSame(epochs(), [3, 3, 3], 'opened to area a as well')
     c.equal((await send(world, f, undefined, 'roll', { number: 4, expect: 3, stage: 'all' })).body.decision, 'accepted')
     // One machine is cut off and named as behind by another.
     for (const k of f.cores) f.sim.cut(f.fronts[2].machine, k.machine)
-    c.equal((await send(world, f, undefined, 'roll', { number: 5, expect: 4, edits: [{ op: 'drop', what: 'lane', name: 'staged' }] })).body.decision, 'accepted')
+    c.equal(
+      (
+        await send(world, f, undefined, 'roll', {
+          number: 5,
+          expect: 4,
+          edits: [{ op: 'drop', what: 'lane', name: 'staged' }],
+        })
+      ).body.decision,
+      'accepted',
+    )
     await pause(world, 900)
-    const members = (await callOnce(world, f.fronts[1].http, 'GET', '/members', undefined, 5000)).unwrap().body as { node: string; behind: { key: string }[] }[]
+    const members = (await callOnce(world, f.fronts[1].http, 'GET', '/members', undefined, 5000)).unwrap().body as {
+      node: string
+      behind: { key: string }[]
+    }[]
     const late = members.filter(isLate).map(nodeOf)
     c.strictSame(late, ['front3'], 'the one that has not acknowledged is named')
     f.sim.heal()
     // A stage that went wrong is taken back by a whole configuration to all.
     await pause(world, 3000)
-    c.equal((await send(world, f, undefined, 'roll', { number: 6, expect: 5, edits: [{ op: 'put', what: 'lane', value: lane }], stage: ['b'] })).body.decision, 'accepted')
-    c.equal((await send(world, f, undefined, 'roll', { number: 7, expect: 6, whole: f.shape.config, stage: 'all' })).body.decision, 'accepted')
+    c.equal(
+      (
+        await send(world, f, undefined, 'roll', {
+          number: 6,
+          expect: 5,
+          edits: [{ op: 'put', what: 'lane', value: lane }],
+          stage: ['b'],
+        })
+      ).body.decision,
+      'accepted',
+    )
+    c.equal(
+      (await send(world, f, undefined, 'roll', { number: 7, expect: 6, whole: f.shape.config, stage: 'all' })).body
+        .decision,
+      'accepted',
+    )
     await pause(world, 1500)
     c.strictSame(epochs(), [7, 7, 7])
   }
@@ -144,15 +243,25 @@
     const now = (await get('/configuration')) as { epoch: number; config: Config }
     const fleet = { ...now, members: await get('/members'), groups: await get('/groups') } as Fleet
     const next: Config = {
-      proxies: 2, groups: [...now.config.groups, { name: 'ghost', connections: 60 }], teams: [{ name: 'desks', pending: 500 }, { name: 'potters' }],
+      proxies: 2,
+      groups: [...now.config.groups, { name: 'ghost', connections: 60 }],
+      teams: [{ name: 'desks', pending: 500 }, { name: 'potters' }],
       lanes: [...now.config.lanes.slice(1), { name: 'new', database: 'd', group: 'ghost', reads: 'leader' }],
     }
     c.ok(readConfig(next).ok, 'valid in itself')
     const found = checkAgainst(next, fleet)
     const text = found.map(showOf)
-    for (const want of [/^\/proxies: 3 members are up/, /^\/groups\/1\/name: no instance/, /^\/lanes\/\d+\/reads\/within: no follower of g1 is proved within 1500/, /^\/teams\/0\/pending: 500 calls/, /^present \/lanes\/0: the lane book-g1 would be dropped/]) c.ok(text.some(matches(want)), `${want}`)
+    for (const want of [
+      /^\/proxies: 3 members are up/,
+      /^\/groups\/1\/name: no instance/,
+      /^\/lanes\/\d+\/reads\/within: no follower of g1 is proved within 1500/,
+      /^\/teams\/0\/pending: 500 calls/,
+      /^present \/lanes\/0: the lane book-g1 would be dropped/,
+    ])
+      c.ok(text.some(matches(want)), `${want}`)
     const changes = differences(now.config, next)
-    for (const want of [/^proxies: 4 -> 2/, /^group ghost: new/, /^lane book-g1: dropped/, /^team desks: changed/]) c.ok(changes.some(matches(want)), `${want}`)
+    for (const want of [/^proxies: 4 -> 2/, /^group ghost: new/, /^lane book-g1: dropped/, /^team desks: changed/])
+      c.ok(changes.some(matches(want)), `${want}`)
     c.strictSame(differences(now.config, now.config), [], 'the same again changes nothing')
   }
   await beside(f, run)
@@ -178,7 +287,14 @@
   return "book-g1"
 end`
 async function policies(c: Test): Promise<void> {
-  for (const [bad, why] of [['function match(', /'<name>' expected|unexpected|expected/], ['x = 1', /no function match/], ['while true do end', /over 10000 steps/], ['os.exit()', /nil value/], ['dofile("x")', /nil value/], ['pcall(f)', /nil value/]] as [string, RegExp][]) {
+  for (const [bad, why] of [
+    ['function match(', /'<name>' expected|unexpected|expected/],
+    ['x = 1', /no function match/],
+    ['while true do end', /over 10000 steps/],
+    ['os.exit()', /nil value/],
+    ['dofile("x")', /nil value/],
+    ['pcall(f)', /nil value/],
+  ] as [string, RegExp][]) {
     const got = compilePolicy(bad)
     c.ok(got.err && why.test(got.val), `${bad}: ${got.val as string}`)
   }
@@ -197,15 +313,48 @@
   c.ok(await f.begin())
   async function run(world: World): Promise<void> {
     for (const mode of ['', 'spin', 'break', 'odd', 'number']) {
-      const got = (await callOnce(world, f.fronts[0].listen, 'POST', '/calls', { lane: 'auto', database: 'kiln', kind: 'read', text: 'list', args: ['k'], settings: [{ name: 'mode', value: mode }] }, 5000)).unwrap()
+      const got = (
+        await callOnce(
+          world,
+          f.fronts[0].listen,
+          'POST',
+          '/calls',
+          {
+            lane: 'auto',
+            database: 'kiln',
+            kind: 'read',
+            text: 'list',
+            args: ['k'],
+            settings: [{ name: 'mode', value: mode }],
+          },
+          5000,
+        )
+      ).unwrap()
       c.equal(got.status, 200, `mode ${mode}`)
     }
   }
   await beside(f, run)
   const numbers = f.fronts[0].proxy!.numbers
   c.equal(numbers.get('claynotch_policy_failures_total'), 4, 'four failed, each counted')
-  c.equal(numbers.get('claynotch_calls_total', [['lane', 'dep-g1'], ['kind', 'read'], ['outcome', 'done'], ['class', '']]), 4, 'and went to the fallback')
-  c.equal(numbers.get('claynotch_calls_total', [['lane', 'cal-g1'], ['kind', 'read'], ['outcome', 'done'], ['class', '']]), 1)
+  c.equal(
+    numbers.get('claynotch_calls_total', [
+      ['lane', 'dep-g1'],
+      ['kind', 'read'],
+      ['outcome', 'done'],
+      ['class', ''],
+    ]),
+    4,
+    'and went to the fallback',
+  )
+  c.equal(
+    numbers.get('claynotch_calls_total', [
+      ['lane', 'cal-g1'],
+      ['kind', 'read'],
+      ['outcome', 'done'],
+      ['class', ''],
+    ]),
+    1,
+  )
 }
 
 void t.test('operators: names, roles, teams', credentials)
--- a/packages/fleet/src/whole.ts
+++ b/packages/fleet/src/whole.ts
@@ -6,7 +6,20 @@
 // start, and a day in small: a leader dies, another is replaced, a lane is tightened, an area goes dark and comes back, and all
 // stops at once and starts again. One run takes minutes, so it is no part of the tests.
 export function shapeOf(p: Profile): Shape {
-  return { fronts: p.fronts, areas: p.areas, cores: p.cores, groups: p.groups, instances: p.instances, connections: p.connections, lag: 50, requesters: p.sessions, think: (p.sessions / p.rate) * 1000, keys: 400, mixes: p.mixes, config: p.config }
+  return {
+    fronts: p.fronts,
+    areas: p.areas,
+    cores: p.cores,
+    groups: p.groups,
+    instances: p.instances,
+    connections: p.connections,
+    lag: 50,
+    requesters: p.sessions,
+    think: (p.sessions / p.rate) * 1000,
+    keys: 400,
+    mixes: p.mixes,
+    config: p.config,
+  }
 }
 
 export async function runWhole(p: Profile, seed: number, out: (line: string) => void): Promise<number> {
@@ -23,7 +36,8 @@
   function curve(from: number, to: number): string {
     const list: number[] = []
     for (let k = 0; k < Math.ceil((to - from) / 1000); k++) list.push(0)
-    for (const e of f.events) if (e.outcome === 'done' && e.end >= from && e.end < to) list[Math.floor((e.end - from) / 1000)]++
+    for (const e of f.events)
+      if (e.outcome === 'done' && e.end >= from && e.end < to) list[Math.floor((e.end - from) / 1000)]++
     return list.join(' ')
   }
   async function phase(name: string, ms: number, harm: () => Promise<void> | void): Promise<void> {
@@ -46,13 +60,16 @@
     function isNear(l: { reads: unknown }): boolean {
       return l.reads !== 'leader'
     }
-    const sent = f.change(1, 'desk', [{ number: 1, expect: 1, edits: [{ op: 'put', what: 'lane', value: { ...lane, reads: 'leader' } }] }])
+    const sent = f.change(1, 'desk', [
+      { number: 1, expect: 1, edits: [{ op: 'put', what: 'lane', value: { ...lane, reads: 'leader' } }] },
+    ])
     await f.sim.until(sent.done, 5000)
     if (sent.out()[0]?.decision === 'accepted') f.laws.push(lawOf({ ...lane, reads: 'leader' }, f.sim.now()))
   }
   await phase(`leader of ${b} replaced, a lane tightened`, 4000, change)
   const gone = [f.cores[0].machine]
-  for (const list of [f.fronts, f.boxes]) for (const [k, x] of list.entries()) if (k % p.areas.length === 0) gone.push(x.machine)
+  for (const list of [f.fronts, f.boxes])
+    for (const [k, x] of list.entries()) if (k % p.areas.length === 0) gone.push(x.machine)
   function lose(): void {
     for (const m of gone) m.dark = true
   }
@@ -65,9 +82,12 @@
   const got = f.judge()
   got.breaches.push(...(await f.readBack()))
   const counts = new Map<string, number>()
-  for (const e of f.events) counts.set(`${e.outcome} ${e.class}`.trim(), (counts.get(`${e.outcome} ${e.class}`.trim()) ?? 0) + 1)
+  for (const e of f.events)
+    counts.set(`${e.outcome} ${e.class}`.trim(), (counts.get(`${e.outcome} ${e.class}`.trim()) ?? 0) + 1)
   for (const [k, n] of [...counts].sort()) out(`  ${k}: ${n}`)
-  out(`checked ${got.checked.writes} writes, ${got.checked.reads} reads; ${got.lost.length} commits lost with a dead leader's tail; ${got.breaches.length} breaches`)
+  out(
+    `checked ${got.checked.writes} writes, ${got.checked.reads} reads; ${got.lost.length} commits lost with a dead leader's tail; ${got.breaches.length} breaches`,
+  )
   for (const x of got.breaches.slice(0, 10)) out(`  ${x.rule}: ${x.what}`)
   return got.breaches.length
 }
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -16,7 +16,9 @@
   if (ask.path === '/live') return { status: 200, body: { live: true } }
   if (ask.path === '/ready') {
     const why = probes.ready()
-    return why === undefined ? { status: 200, body: { ready: true } } : { status: 503, body: { ready: false, why }, after: 1 }
+    return why === undefined
+      ? { status: 200, body: { ready: true } }
+      : { status: 503, body: { ready: false, why }, after: 1 }
   }
   if (ask.path === '/metrics') return { status: 200, body: probes.numbers.text(), type: 'text/plain; version=0.0.4' }
   return undefined
--- a/packages/instance/src/announcement.ts
+++ b/packages/instance/src/announcement.ts
@@ -5,7 +5,13 @@
 // sequence: grows with each announcement of one life of an instance, so that one held up on its way takes nothing back.
 // gone: it has ended, and its name doesn't come back.
 export const Announcement = t.intersection([
-  t.type({ name: Name, group: Name, addr: Address, area: Name, role: t.union([t.literal('leader'), t.literal('follower')]) }),
+  t.type({
+    name: Name,
+    group: Name,
+    addr: Address,
+    area: Name,
+    role: t.union([t.literal('leader'), t.literal('follower')]),
+  }),
   t.partial({ leaving: t.boolean, sequence: Whole, gone: t.boolean }),
 ])
 export type Announcement = t.TypeOf<typeof Announcement>
--- a/packages/instance/src/edge.ts
+++ b/packages/instance/src/edge.ts
@@ -1,5 +1,18 @@
 import * as t from 'io-ts'
-import { openLine, POOL_IDLE, readAs, SAMPLE_LIMIT, callOnce, type Addr, type Answer, type Fail, type World, Ok, Err, type Result } from '@claynotch/base'
+import {
+  openLine,
+  POOL_IDLE,
+  readAs,
+  SAMPLE_LIMIT,
+  callOnce,
+  type Addr,
+  type Answer,
+  type Fail,
+  type World,
+  Ok,
+  Err,
+  type Result,
+} from '@claynotch/base'
 import type { Class, Done, InstanceEdge, Port, Sampler, Status, Trouble, Who } from './seam.js'
 
 // The instance's wire (docs/wire.md) and how its words are classified. Wire names stay in this file.
@@ -37,7 +50,12 @@
   // A failure that is no error of the protocol (from something in between, say) proves nothing about what ran.
   if (got.err) return Err({ reach: 'maybe', class: 'UNAVAILABLE', transient: true, why: `status ${status}` })
   const judged = classify(got.val.code)
-  return Err({ reach: judged.class === 'INTERNAL' ? 'maybe' : 'answered', ...judged, why: got.val.message ?? got.val.code, code: got.val.code })
+  return Err({
+    reach: judged.class === 'INTERNAL' ? 'maybe' : 'answered',
+    ...judged,
+    why: got.val.message ?? got.val.code,
+    code: got.val.code,
+  })
 }
 
 async function openPort(world: World, { addr }: Who, ms: number): Promise<Result<Port, Trouble>> {
@@ -83,10 +101,20 @@
   const role = rows.get('role')
   const epoch = Number(rows.get('epoch'))
   const position = Number(rows.get('position'))
-  if ((role !== 'leader' && role !== 'follower') || !Number.isFinite(epoch) || !Number.isFinite(position)) return Err('status rows missing')
-  const source = { group: String(rows.get('source')), mark: { epoch: Number(rows.get('source_epoch')), position: Number(rows.get('source_position')) } }
+  if ((role !== 'leader' && role !== 'follower') || !Number.isFinite(epoch) || !Number.isFinite(position))
+    return Err('status rows missing')
+  const source = {
+    group: String(rows.get('source')),
+    mark: { epoch: Number(rows.get('source_epoch')), position: Number(rows.get('source_position')) },
+  }
   const has = rows.has('source') && Number.isFinite(source.mark.epoch) && Number.isFinite(source.mark.position)
-  return Ok({ ...(has ? { source } : {}), role, mark: { epoch, position }, name: String(rows.get('name')), group: String(rows.get('group')) })
+  return Ok({
+    ...(has ? { source } : {}),
+    role,
+    mark: { epoch, position },
+    name: String(rows.get('name')),
+    group: String(rows.get('group')),
+  })
 }
 
 export async function askStatus(world: World, addr: Addr, ms: number = SAMPLE_LIMIT): Promise<Result<Status, string>> {
@@ -107,4 +135,11 @@
 }
 
 // Our own wire. A follower's place is known by samples only; a promotion is refused for an epoch that was passed.
-export const httpInstance: InstanceEdge = { sampler: openSampler, exact: true, named: true, idle: POOL_IDLE, open: openPort, status: statusOf }
+export const httpInstance: InstanceEdge = {
+  sampler: openSampler,
+  exact: true,
+  named: true,
+  idle: POOL_IDLE,
+  open: openPort,
+  status: statusOf,
+}
--- a/packages/instance/src/seam.ts
+++ b/packages/instance/src/seam.ts
@@ -2,14 +2,32 @@
 
 // What the product needs of an instance, whatever wire it speaks. edge.ts fills it with our own HTTP.
 
-export type Class = 'UNAVAILABLE' | 'RESOURCE_EXHAUSTED' | 'INVALID_ARGUMENT' | 'PERMISSION_DENIED' | 'NOT_FOUND' | 'DEADLINE_EXCEEDED' | 'ABORTED' | 'UNKNOWN' | 'INTERNAL'
+export type Class =
+  | 'UNAVAILABLE'
+  | 'RESOURCE_EXHAUSTED'
+  | 'INVALID_ARGUMENT'
+  | 'PERMISSION_DENIED'
+  | 'NOT_FOUND'
+  | 'DEADLINE_EXCEEDED'
+  | 'ABORTED'
+  | 'UNKNOWN'
+  | 'INTERNAL'
 
 // What became of one send that failed.
 // reach: none, nothing was handed over; maybe, it may have reached and run; answered, the instance says that it did not run.
 // lags: the instance says that its history lacks the place asked for.
 // lead: the instance says that it does not lead.
 // full: it takes no more connections now.
-export type Trouble = { reach: 'none' | 'maybe' | 'answered'; class: Class; transient: boolean; why: string; code?: string; lags?: boolean; lead?: boolean; full?: boolean }
+export type Trouble = {
+  reach: 'none' | 'maybe' | 'answered'
+  class: Class
+  transient: boolean
+  why: string
+  code?: string
+  lags?: boolean
+  lead?: boolean
+  full?: boolean
+}
 
 // A place in a group's history. Positions of different epochs are never compared as of one line.
 export type Mark = { epoch: number; position: number }
@@ -18,7 +36,14 @@
 // answer told none.
 export type Done = { rows: unknown[]; mark: Mark; stamp?: string }
 // source: of another group's history, the place up to which this instance says that it holds everything.
-export type Status = { role: 'leader' | 'follower'; mark: Mark; name: string; group: string; source?: { group: string; mark: Mark }; epoch?: number }
+export type Status = {
+  role: 'leader' | 'follower'
+  mark: Mark
+  name: string
+  group: string
+  source?: { group: string; mark: Mark }
+  epoch?: number
+}
 
 // id: the requester's own mark of the statement, handed on unchanged where the wire carries one.
 // after: a place that the instance must hold, or refuse (lags); only where the edge proves.
@@ -26,7 +51,10 @@
 
 export type Port = {
   // shape: the name of a shape put in force on this connection before.
-  statement: (body: { text?: string; shape?: string; args: unknown[]; mode: 'read' | 'write' } & Sent, ms: number) => Promise<Result<Done, Trouble>>
+  statement: (
+    body: { text?: string; shape?: string; args: unknown[]; mode: 'read' | 'write' } & Sent,
+    ms: number,
+  ) => Promise<Result<Done, Trouble>>
   begin: (mode: 'read' | 'write', ms: number, sent?: Sent) => Promise<Result<Done, Trouble>>
   commit: (ms: number, sent?: Sent) => Promise<Result<Done, Trouble>>
   rollback: (ms: number, sent?: Sent) => Promise<Result<Done, Trouble>>
--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -11,13 +11,25 @@
 // label, here and below: the operator's own words on it, kept as they are, given back and read by nobody.
 const Lane = t.intersection([
   t.type({ name: Name, database: Name, group: Name, reads: Reads }),
-  t.partial({ team: Name, pending: Count, path: t.string, limit: Ms, aim: Ms, sends: Count, rank: Whole, label: t.unknown }),
+  t.partial({
+    team: Name,
+    pending: Count,
+    path: t.string,
+    limit: Ms,
+    aim: Ms,
+    sends: Count,
+    rank: Whole,
+    label: t.unknown,
+  }),
 ])
 // connections: the instance's own limit, shared by all proxies. guard: writes wait while no follower is proved to
 // hold what the leader had this many ms ago, so that no more than that can be lost with the leader. home: areas that its
 // leader should live in, where an instance there is as far as any. sync: how many followers hold a commit before the
 // instance acknowledges it.
-const Group = t.intersection([t.type({ name: Name, connections: Count }), t.partial({ guard: Ms, home: t.array(Name), sync: t.union([t.literal(0), t.literal(1)]), label: t.unknown })])
+const Group = t.intersection([
+  t.type({ name: Name, connections: Count }),
+  t.partial({ guard: Ms, home: t.array(Name), sync: t.union([t.literal(0), t.literal(1)]), label: t.unknown }),
+])
 // share: weight of the team when connections are short. sessions, pending: most open sessions, and most calls
 // waiting or running, on one proxy.
 const Team = t.intersection([t.type({ name: Name }), t.partial({ share: Count, sessions: Count, pending: Count })])
@@ -74,7 +86,11 @@
   const got = readStrict(Config, value)
   if (got.err) return got
   const config = got.val
-  const out: Finding[] = [...twins(config.groups, '/groups'), ...twins(config.lanes, '/lanes'), ...twins(config.teams ?? [], '/teams')]
+  const out: Finding[] = [
+    ...twins(config.groups, '/groups'),
+    ...twins(config.lanes, '/lanes'),
+    ...twins(config.teams ?? [], '/teams'),
+  ]
   const groups = new Set<string>()
   for (const g of config.groups) groups.add(g.name)
   const teams = new Set<string>()
@@ -85,16 +101,23 @@
     if (!groups.has(lane.group)) out.push({ place: `/lanes/${k}/group`, what: `no group is named ${lane.group}` })
     if (lane.limit === 0) out.push({ place: `/lanes/${k}/limit`, what: 'no statement ends within 0 ms' })
     const other = places.get(`${lane.database} ${lane.path}`)
-    if (lane.path !== undefined && other !== undefined) out.push({ place: `/lanes/${k}/path`, what: `the lane ${other} has database ${lane.database} and path ${lane.path} too` })
+    if (lane.path !== undefined && other !== undefined)
+      out.push({
+        place: `/lanes/${k}/path`,
+        what: `the lane ${other} has database ${lane.database} and path ${lane.path} too`,
+      })
     if (lane.path !== undefined) places.set(`${lane.database} ${lane.path}`, lane.name)
-    if (lane.team !== undefined && !teams.has(lane.team)) out.push({ place: `/lanes/${k}/team`, what: `no team is named ${lane.team}` })
+    if (lane.team !== undefined && !teams.has(lane.team))
+      out.push({ place: `/lanes/${k}/team`, what: `no team is named ${lane.team}` })
   }
   if (config.policy) {
     const { lua, fallback } = config.policy
     let known = false
     for (const lane of config.lanes) if (lane.name === fallback) known = true
     if (!known) out.push({ place: '/policy/fallback', what: `no lane is named ${fallback}` })
-    for (const [k, lane] of config.lanes.entries()) if (lane.name === AUTO) out.push({ place: `/lanes/${k}/name`, what: `${AUTO} stands for the policy and can't name a lane` })
+    for (const [k, lane] of config.lanes.entries())
+      if (lane.name === AUTO)
+        out.push({ place: `/lanes/${k}/name`, what: `${AUTO} stands for the policy and can't name a lane` })
     if (lua.length > POLICY_LIMIT) out.push({ place: '/policy/lua', what: `over ${POLICY_LIMIT} bytes` })
     else {
       const got = compilePolicy(lua)
@@ -102,7 +125,11 @@
     }
   }
   for (const [k, g] of config.groups.entries()) {
-    if (lendable(config, g.name) < 1) out.push({ place: `/groups/${k}/connections`, what: `${g.connections} connections over ${config.proxies} proxies leave none to lend (each proxy keeps ${KEPT_BACK} back)` })
+    if (lendable(config, g.name) < 1)
+      out.push({
+        place: `/groups/${k}/connections`,
+        what: `${g.connections} connections over ${config.proxies} proxies leave none to lend (each proxy keeps ${KEPT_BACK} back)`,
+      })
   }
   return out.length > 0 ? Err(out) : Ok(config)
 }
@@ -119,7 +146,10 @@
   t.type({ op: t.literal('policy'), value: t.union([t.null, t.type({ lua: t.string, fallback: Name })]) }),
   // Lanes, or all lanes of a group, go to another group under a fence (docs/design/moves.md). proof: how it is known that
   // the target holds everything: by what its leader reports (the default), or by the operator's word.
-  t.intersection([t.type({ op: t.literal('move'), to: Name }), t.partial({ lanes: t.array(Name), group: Name, proof: t.union([t.literal('reported'), t.literal('confirmed')]) })]),
+  t.intersection([
+    t.type({ op: t.literal('move'), to: Name }),
+    t.partial({ lanes: t.array(Name), group: Name, proof: t.union([t.literal('reported'), t.literal('confirmed')]) }),
+  ]),
   t.type({ op: t.literal('confirm'), lane: Name }),
   t.type({ op: t.literal('calloff'), lane: Name }),
 ])
@@ -146,7 +176,11 @@
 
 export function applyEdits(from: Config, edits: Edit[]): Result<unknown, Finding[]> {
   let { proxies, policy } = from
-  const lists = new Map<string, { name: string }[]>([['lane', from.lanes], ['group', from.groups], ['team', from.teams ?? []]])
+  const lists = new Map<string, { name: string }[]>([
+    ['lane', from.lanes],
+    ['group', from.groups],
+    ['team', from.teams ?? []],
+  ])
   const out: Finding[] = []
   for (const [k, e] of edits.entries()) {
     if (e.op === 'proxies') {
@@ -161,31 +195,56 @@
     const list = lists.get(e.what) ?? []
     if (e.op === 'put') {
       const value = e.value as { name?: unknown } | null
-      if (value === null || typeof value !== 'object' || typeof value.name !== 'string') out.push({ place: `/edits/${k}/value/name`, what: 'expected a name' })
+      if (value === null || typeof value !== 'object' || typeof value.name !== 'string')
+        out.push({ place: `/edits/${k}/value/name`, what: 'expected a name' })
       else lists.set(e.what, putIn(list, value as { name: string }))
     } else {
       const left: { name: string }[] = []
       for (const one of list) if (one.name !== e.name) left.push(one)
-      if (left.length === list.length && e.loose !== true) out.push({ place: `/edits/${k}/name`, what: `no ${e.what} is named ${e.name}` })
+      if (left.length === list.length && e.loose !== true)
+        out.push({ place: `/edits/${k}/name`, what: `no ${e.what} is named ${e.name}` })
       lists.set(e.what, left)
     }
   }
   if (out.length > 0) return Err(out)
   const { policy: _was, ...rest } = from
-  return Ok({ ...rest, proxies, groups: lists.get('group'), lanes: lists.get('lane'), teams: lists.get('team'), ...(policy ? { policy } : {}) })
+  return Ok({
+    ...rest,
+    proxies,
+    groups: lists.get('group'),
+    lanes: lists.get('lane'),
+    teams: lists.get('team'),
+    ...(policy ? { policy } : {}),
+  })
 }
 
 // --- the register's value ---
 
 // One decision of the system on one numbered change.
-export type Decision = { stream: string; number: number; decision: 'accepted' | 'refused'; epoch: number; why: string; findings: Finding[] }
+export type Decision = {
+  stream: string
+  number: number
+  decision: 'accepted' | 'refused'
+  epoch: number
+  why: string
+  findings: Finding[]
+}
 
 // A move of lanes from one group to another, under way. id: the epoch that opened it.
 // Phases: copy, the target draws near; ease, no new reading transactions, open ones get their time; drain, no new writes and transactions, open ones get their time; quiet, no write
 // of these lanes counts any more, reads go on; held, reads wait as well; then the lanes' group is the other.
 // Invariants: a lane stands in at most one move, and its group is from until the move ends; phases only go forward;
 // mark is set in held, and every acknowledged write of these lanes lies at or under it in from's history.
-export type Move = { id: number; lanes: string[]; from: string; to: string; proof: 'reported' | 'confirmed'; phase: 'copy' | 'ease' | 'drain' | 'quiet' | 'held'; mark?: { epoch: number; position: number }; confirmed?: boolean }
+export type Move = {
+  id: number
+  lanes: string[]
+  from: string
+  to: string
+  proof: 'reported' | 'confirmed'
+  phase: 'copy' | 'ease' | 'drain' | 'quiet' | 'held'
+  mark?: { epoch: number; position: number }
+  confirmed?: boolean
+}
 
 // Body of the register 'configuration'.
 // Invariants: epoch grows with each accepted change and with nothing else (a move's end is one of the system's own): to the
@@ -197,11 +256,19 @@
 // (named), without a configuration beside the present one, the last NAMED_KEPT of them, and push out nobody else's.
 // What is kept is so bounded by HISTORY_KEPT, CONFIGS_KEPT, NAMED_KEPT, STREAMS_KEPT times DECISIONS_KEPT, and one configuration.
 // stage: set while only some areas work by config; the others work by prior, that of epoch priorEpoch.
-export type Body = { epoch: number; config: Config | null; stage?: { areas: string[]; prior: Config; priorEpoch: number }; moves?: Move[]; streams: { name: string; used: number; decisions: Decision[] }[]; history: { epoch: number; stream: string; number: number; config?: Config; named?: true }[] }
+export type Body = {
+  epoch: number
+  config: Config | null
+  stage?: { areas: string[]; prior: Config; priorEpoch: number }
+  moves?: Move[]
+  streams: { name: string; used: number; decisions: Decision[] }[]
+  history: { epoch: number; stream: string; number: number; config?: Config; named?: true }[]
+}
 
 // The configuration that an area works by, its epoch, and the moves under way (never beside a stage).
 export function configFor(body: Body, area: string): { config: Config | null; epoch: number; moves: Move[] } {
-  if (body.stage && !body.stage.areas.includes(area)) return { config: body.stage.prior, epoch: body.stage.priorEpoch, moves: [] }
+  if (body.stage && !body.stage.areas.includes(area))
+    return { config: body.stage.prior, epoch: body.stage.priorEpoch, moves: [] }
   return { config: body.config, epoch: body.epoch, moves: body.moves ?? [] }
 }
 
--- a/packages/operator/src/credentials.ts
+++ b/packages/operator/src/credentials.ts
@@ -10,7 +10,12 @@
 function isHash(x: unknown): x is string {
   return typeof x === 'string' && /^[0-9a-f]{64}$/.test(x)
 }
-const Hash = new t.Type<string, string, unknown>('a SHA-256 in hex (see claynotch credential)', isHash, checkHash, t.identity)
+const Hash = new t.Type<string, string, unknown>(
+  'a SHA-256 in hex (see claynotch credential)',
+  isHash,
+  checkHash,
+  t.identity,
+)
 function checkHash(x: unknown, c: t.Context): t.Validation<string> {
   return isHash(x) ? t.success(x) : t.failure(x === undefined ? x : 'hidden', c)
 }
@@ -24,7 +29,11 @@
   return createHash('sha256').update(token).digest('hex')
 }
 
-export function makeCredential(name: string, role: Credential['role'], team: string | undefined): { token: string; entry: Credential } {
+export function makeCredential(
+  name: string,
+  role: Credential['role'],
+  team: string | undefined,
+): { token: string; entry: Credential } {
   const token = randomBytes(32).toString('hex')
   return { token, entry: { name, role, hash: hashOf(token), ...(team !== undefined ? { team } : {}) } }
 }
@@ -35,7 +44,8 @@
   for (const [k, c] of list.entries()) {
     if (seen.has(c.name)) out.push({ place: `/operators/${k}/name`, what: `the name ${c.name} stands twice` })
     seen.add(c.name)
-    if ((c.role === 'team') !== (c.team !== undefined)) out.push({ place: `/operators/${k}/team`, what: 'role team needs a team, the other roles have none' })
+    if ((c.role === 'team') !== (c.team !== undefined))
+      out.push({ place: `/operators/${k}/team`, what: 'role team needs a team, the other roles have none' })
   }
   return out
 }
@@ -53,7 +63,17 @@
 
 // Why this caller may not make this request; undefined if it may. What a change touches is looked at in decide().
 export function stopCaller(who: Credential | undefined, ask: Ask): Reply | undefined {
-  if (!who) return { status: 401, body: { outcome: 'refused', class: 'PERMISSION_DENIED', kept: 'nothing', again: false, why: 'name and token are needed: authorization: Bearer NAME:TOKEN' } }
+  if (!who)
+    return {
+      status: 401,
+      body: {
+        outcome: 'refused',
+        class: 'PERMISSION_DENIED',
+        kept: 'nothing',
+        again: false,
+        why: 'name and token are needed: authorization: Bearer NAME:TOKEN',
+      },
+    }
   function forbid(why: string): Reply {
     return { status: 403, body: { outcome: 'refused', class: 'PERMISSION_DENIED', kept: 'nothing', again: false, why } }
   }
@@ -61,14 +81,16 @@
   if (who.role === 'reader') return forbid('a reader changes nothing')
   const stream = /^\/streams\/([^/]+)$/.exec(ask.path)?.[1]
   if (stream === undefined) return forbid('a team changes its lanes only')
-  return stream === who.team || stream.startsWith(`${who.team}.`) ? undefined : forbid(`streams of team ${who.team} are named ${who.team} or ${who.team}.*`)
+  return stream === who.team || stream.startsWith(`${who.team}.`)
+    ? undefined
+    : forbid(`streams of team ${who.team} are named ${who.team} or ${who.team}.*`)
 }
 
 // What in a change goes beyond the team's own lanes.
 export function beyondTeam(team: string, change: Change, now: Config | null): Finding[] {
   const out: Finding[] = []
   if (change.whole !== undefined) out.push({ place: '/whole', what: `team ${team} changes its own lanes by edits` })
-  if (change.stage !== undefined) out.push({ place: '/stage', what: 'stages are an admin\'s' })
+  if (change.stage !== undefined) out.push({ place: '/stage', what: "stages are an admin's" })
   const teams = new Map<string, string | undefined>()
   for (const lane of now?.lanes ?? []) teams.set(lane.name, lane.team)
   for (const [k, e] of (change.edits ?? []).entries()) {
@@ -77,8 +99,10 @@
       continue
     }
     const name = e.op === 'drop' ? e.name : (e.value as { name?: string } | null)?.name
-    if (name !== undefined && teams.has(name) && teams.get(name) !== team) out.push({ place: `/edits/${k}`, what: `the lane ${name} is not of team ${team}` })
-    if (e.op === 'put' && (e.value as { team?: string } | null)?.team !== team) out.push({ place: `/edits/${k}/value/team`, what: `expected ${team}` })
+    if (name !== undefined && teams.has(name) && teams.get(name) !== team)
+      out.push({ place: `/edits/${k}`, what: `the lane ${name} is not of team ${team}` })
+    if (e.op === 'put' && (e.value as { team?: string } | null)?.team !== team)
+      out.push({ place: `/edits/${k}/value/team`, what: `expected ${team}` })
   }
   return out
 }
--- a/packages/operator/src/edge.ts
+++ b/packages/operator/src/edge.ts
@@ -1,5 +1,18 @@
 import { createInterface } from 'node:readline'
-import { badInput, FOLLOW_BEAT, Name, OPERATOR_BODY_LIMIT, readStrict, sendReply, type Ask, type Bell, type Finding, type Numbers, type Reply, type World } from '@claynotch/base'
+import {
+  badInput,
+  FOLLOW_BEAT,
+  Name,
+  OPERATOR_BODY_LIMIT,
+  readStrict,
+  sendReply,
+  type Ask,
+  type Bell,
+  type Finding,
+  type Numbers,
+  type Reply,
+  type World,
+} from '@claynotch/base'
 import type { Proposer, Value } from '@claynotch/register'
 import { Change, CONFIG_KEY, emptyBody, type Body, type Decision, type Edit } from './config.js'
 import { identify, stopCaller, type Credential } from './credentials.js'
@@ -19,7 +32,14 @@
   news: Bell
 }
 
-export async function makeDecision(proposer: Proposer, stream: string, change: Change, team?: string, hindered: Finding[] = [], limit?: number): Promise<Decision | undefined> {
+export async function makeDecision(
+  proposer: Proposer,
+  stream: string,
+  change: Change,
+  team?: string,
+  hindered: Finding[] = [],
+  limit?: number,
+): Promise<Decision | undefined> {
   const tag = `${stream}#${change.number}`
   let out: Decision | undefined
   function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
@@ -38,7 +58,13 @@
   return kept ?? out
 }
 
-export function makeOperatorEdge(world: World, proposer: Proposer, reading: Reading, numbers: Numbers, credentials: () => Credential[] | undefined): { take: (ask: Ask) => Promise<Reply | undefined>; raw: (path: string) => boolean } {
+export function makeOperatorEdge(
+  world: World,
+  proposer: Proposer,
+  reading: Reading,
+  numbers: Numbers,
+  credentials: () => Credential[] | undefined,
+): { take: (ask: Ask) => Promise<Reply | undefined>; raw: (path: string) => boolean } {
   function raw(path: string): boolean {
     return path.startsWith('/streams/')
   }
@@ -50,10 +76,25 @@
       return { stream, decision: 'refused', why: `malformed JSON: ${(e as Error).message}`, findings: [] as Finding[] }
     }
     const got = readStrict(Change, value)
-    if (got.err) return { stream, number: (value as { number?: unknown } | null)?.number, decision: 'refused', why: 'not a change', findings: got.val }
+    if (got.err)
+      return {
+        stream,
+        number: (value as { number?: unknown } | null)?.number,
+        decision: 'refused',
+        why: 'not a change',
+        findings: got.val,
+      }
     const made = await makeDecision(proposer, stream, got.val, team, await reading.hinders(got.val.edits ?? []))
     numbers.add('claynotch_decisions_total', [['decision', made?.decision ?? 'unclear']])
-    return made ?? { stream, number: got.val.number, decision: 'unclear', why: 'no majority of cores settled it in time; send the same number again', findings: [] }
+    return (
+      made ?? {
+        stream,
+        number: got.val.number,
+        decision: 'unclear',
+        why: 'no majority of cores settled it in time; send the same number again',
+        findings: [],
+      }
+    )
   }
   async function changes(ask: Ask, stream: string, team: string | undefined): Promise<undefined> {
     const { req, res } = ask.raw
@@ -62,7 +103,9 @@
     for await (const text of createInterface({ input: req, crlfDelay: Infinity })) {
       size += text.length
       if (size > OPERATOR_BODY_LIMIT) {
-        res.end(`${JSON.stringify({ stream, decision: 'refused', why: `body over ${OPERATOR_BODY_LIMIT} bytes`, findings: [] })}\n`)
+        res.end(
+          `${JSON.stringify({ stream, decision: 'refused', why: `body over ${OPERATOR_BODY_LIMIT} bytes`, findings: [] })}\n`,
+        )
         return undefined
       }
       if (text.trim() === '') continue
@@ -115,7 +158,8 @@
     }
     if (ask.method === 'POST' && parts[0] === 'groups' && parts.length === 3 && parts[2] === 'replacement') {
       const to = (ask.body as { to?: unknown } | undefined)?.to
-      if (to !== undefined && !Name.is(to)) return badInput(400, 'not understood', [{ place: '/to', what: 'expected a name' }])
+      if (to !== undefined && !Name.is(to))
+        return badInput(400, 'not understood', [{ place: '/to', what: 'expected a name' }])
       const got = await reading.replace(parts[1], to as string | undefined)
       return { status: got.ok ? 202 : 409, body: got }
     }
@@ -123,7 +167,16 @@
     switch (parts[0]) {
       case 'configuration': {
         const now = await body()
-        return now ? { status: 200, body: { epoch: now.epoch, config: now.config, ...(now.stage ? { stage: { areas: now.stage.areas, prior: now.stage.priorEpoch } } : {}) } } : noMajority()
+        return now
+          ? {
+              status: 200,
+              body: {
+                epoch: now.epoch,
+                config: now.config,
+                ...(now.stage ? { stage: { areas: now.stage.areas, prior: now.stage.priorEpoch } } : {}),
+              },
+            }
+          : noMajority()
       }
       case 'history': {
         const now = await body()
@@ -151,7 +204,17 @@
     return badInput(404, `no such path: ${ask.method} ${ask.path}`)
   }
   function noMajority(): Reply {
-    return { status: 503, body: { outcome: 'refused', class: 'UNAVAILABLE', kept: 'nothing', again: true, why: 'no majority of cores answered' }, after: 2 }
+    return {
+      status: 503,
+      body: {
+        outcome: 'refused',
+        class: 'UNAVAILABLE',
+        kept: 'nothing',
+        again: true,
+        why: 'no majority of cores answered',
+      },
+      after: 2,
+    }
   }
   return { take, raw }
 }
--- a/packages/operator/src/fengari.d.ts
+++ b/packages/operator/src/fengari.d.ts
@@ -3,7 +3,8 @@
   type State = { readonly opaque: unique symbol }
   type Debug = { readonly opaque: unique symbol }
   export const lua: {
-    LUA_OK: number; LUA_MASKCOUNT: number
+    LUA_OK: number
+    LUA_MASKCOUNT: number
     lua_gettop: (s: State) => number
     lua_settop: (s: State, at: number) => void
     lua_getglobal: (s: State, name: Uint8Array) => number
--- a/packages/operator/src/moves.ts
+++ b/packages/operator/src/moves.ts
@@ -16,12 +16,19 @@
 // The lanes that an edit means to move, as far as they are there.
 export function meantBy(e: Extract<Edit, { op: 'move' }>, config: Config | null | undefined): Config['lanes'] {
   const out: Config['lanes'] = []
-  for (const lane of config?.lanes ?? []) if (e.lanes ? e.lanes.includes(lane.name) : lane.group === e.group) out.push(lane)
+  for (const lane of config?.lanes ?? [])
+    if (e.lanes ? e.lanes.includes(lane.name) : lane.group === e.group) out.push(lane)
   return out
 }
 
 // Moves after a change's edits; config is what the change's other edits make of it, epoch the one that it makes.
-export function editMoves(body: Body, config: Config, edits: Edit[], staged: boolean, epoch = body.epoch + 1): Result<Move[], Finding[]> {
+export function editMoves(
+  body: Body,
+  config: Config,
+  edits: Edit[],
+  staged: boolean,
+  epoch = body.epoch + 1,
+): Result<Move[], Finding[]> {
   const out: Finding[] = []
   let moves = body.moves ?? []
   for (const [k, e] of edits.entries()) {
@@ -29,13 +36,19 @@
       const lanes: string[] = []
       for (const lane of meantBy(e, config)) lanes.push(lane.name)
       const bad: Finding[] = []
-      if ((e.lanes === undefined) === (e.group === undefined)) bad.push({ place: `/edits/${k}`, what: 'exactly one of lanes and group is needed' })
+      if ((e.lanes === undefined) === (e.group === undefined))
+        bad.push({ place: `/edits/${k}`, what: 'exactly one of lanes and group is needed' })
       if (staged) bad.push({ place: `/edits/${k}`, what: 'a stage is open, and a move is for all areas' })
-      for (const [n, name] of (e.lanes ?? []).entries()) if (!lanes.includes(name)) bad.push({ place: `/edits/${k}/lanes/${n}`, what: `no lane is named ${name}` })
+      for (const [n, name] of (e.lanes ?? []).entries())
+        if (!lanes.includes(name)) bad.push({ place: `/edits/${k}/lanes/${n}`, what: `no lane is named ${name}` })
       const froms = new Set<string>()
       for (const lane of config.lanes) if (lanes.includes(lane.name)) froms.add(lane.group)
       if (bad.length === 0 && lanes.length === 0) bad.push({ place: `/edits/${k}`, what: 'no lane is to be moved' })
-      if (froms.size > 1) bad.push({ place: `/edits/${k}/lanes`, what: `the lanes are in groups ${[...froms].sort().join(', ')}; a move has one group to come from` })
+      if (froms.size > 1)
+        bad.push({
+          place: `/edits/${k}/lanes`,
+          what: `the lanes are in groups ${[...froms].sort().join(', ')}; a move has one group to come from`,
+        })
       if (froms.has(e.to)) bad.push({ place: `/edits/${k}/to`, what: `${e.to} is the group that the lanes are in` })
       let known = false
       for (const g of config.groups) if (g.name === e.to) known = true
@@ -43,16 +56,31 @@
       // Lanes to one database share its rows: one of them left behind would make two groups write it.
       const databases = new Set<string>()
       for (const lane of config.lanes) if (lanes.includes(lane.name)) databases.add(lane.database)
-      for (const lane of config.lanes) if (froms.has(lane.group) && databases.has(lane.database) && !lanes.includes(lane.name)) bad.push({ place: `/edits/${k}/lanes`, what: `the lane ${lane.name} is to the same database ${lane.database} and has to go along` })
-      for (const name of lanes) if (moveOf(moves, name)) bad.push({ place: `/edits/${k}`, what: `the lane ${name} is being moved already` })
+      for (const lane of config.lanes)
+        if (froms.has(lane.group) && databases.has(lane.database) && !lanes.includes(lane.name))
+          bad.push({
+            place: `/edits/${k}/lanes`,
+            what: `the lane ${lane.name} is to the same database ${lane.database} and has to go along`,
+          })
+      for (const name of lanes)
+        if (moveOf(moves, name)) bad.push({ place: `/edits/${k}`, what: `the lane ${name} is being moved already` })
       out.push(...bad)
-      if (bad.length === 0) moves = [...moves, { id: epoch, lanes, from: [...froms][0], to: e.to, proof: e.proof ?? 'reported', phase: 'copy' }]
+      if (bad.length === 0)
+        moves = [
+          ...moves,
+          { id: epoch, lanes, from: [...froms][0], to: e.to, proof: e.proof ?? 'reported', phase: 'copy' },
+        ]
     } else if (e.op === 'confirm' || e.op === 'calloff') {
       const mine = moveOf(moves, e.lane)
       if (!mine) out.push({ place: `/edits/${k}/lane`, what: `no move of the lane ${e.lane} is under way` })
       else if (e.op === 'calloff') moves = without(moves, mine)
-      else if (mine.proof !== 'confirmed') out.push({ place: `/edits/${k}`, what: 'the target reports what it holds; nothing is to be confirmed' })
-      else if (mine.phase !== 'quiet') out.push({ place: `/edits/${k}`, what: `the move is in phase ${mine.phase}; only once writes have stopped (phase quiet) can it be known that the target holds everything` })
+      else if (mine.proof !== 'confirmed')
+        out.push({ place: `/edits/${k}`, what: 'the target reports what it holds; nothing is to be confirmed' })
+      else if (mine.phase !== 'quiet')
+        out.push({
+          place: `/edits/${k}`,
+          what: `the move is in phase ${mine.phase}; only once writes have stopped (phase quiet) can it be known that the target holds everything`,
+        })
       else moves = put(moves, { ...mine, confirmed: true })
     }
   }
@@ -67,8 +95,14 @@
   const lanes = new Map<string, string>()
   for (const lane of config.lanes) lanes.set(lane.name, lane.group)
   for (const m of moves) {
-    for (const name of m.lanes) if (lanes.get(name) !== m.from) out.push({ place: '/lanes', what: `the lane ${name} is being moved from ${m.from} to ${m.to}: call the move off, or leave the lane in ${m.from}` })
-    for (const g of [m.from, m.to]) if (!groups.has(g)) out.push({ place: '/groups', what: `the group ${g} takes part in a move` })
+    for (const name of m.lanes)
+      if (lanes.get(name) !== m.from)
+        out.push({
+          place: '/lanes',
+          what: `the lane ${name} is being moved from ${m.from} to ${m.to}: call the move off, or leave the lane in ${m.from}`,
+        })
+    for (const g of [m.from, m.to])
+      if (!groups.has(g)) out.push({ place: '/groups', what: `the group ${g} takes part in a move` })
   }
   return out
 }
@@ -89,7 +123,12 @@
 }
 
 // One step forward; undefined where the move isn't in that phase any more.
-export function stepMove(body: Body, id: number, phase: Move['phase'], next: Pick<Move, 'phase' | 'mark'>): Body | undefined {
+export function stepMove(
+  body: Body,
+  id: number,
+  phase: Move['phase'],
+  next: Pick<Move, 'phase' | 'mark'>,
+): Body | undefined {
   const mine = find(body, id, phase)
   return mine ? { ...body, moves: put(body.moves ?? [], { ...mine, ...next }) } : undefined
 }
@@ -99,11 +138,21 @@
   if (!mine || !body.config) return undefined
   const lanes: Config['lanes'] = []
   for (const lane of body.config.lanes) lanes.push(mine.lanes.includes(lane.name) ? { ...lane, group: mine.to } : lane)
-  return ended(body, mine, 'accepted', `lanes ${mine.lanes.join(', ')} moved from ${mine.from} to ${mine.to}`, { ...body.config, lanes })
+  return ended(body, mine, 'accepted', `lanes ${mine.lanes.join(', ')} moved from ${mine.from} to ${mine.to}`, {
+    ...body.config,
+    lanes,
+  })
 }
 export function callOff(body: Body, id: number, phase: Move['phase'], why: string): Body | undefined {
   const mine = find(body, id, phase)
-  return mine ? ended(body, mine, 'refused', `the move of ${mine.lanes.join(', ')} from ${mine.from} to ${mine.to} was called off: ${why}`) : undefined
+  return mine
+    ? ended(
+        body,
+        mine,
+        'refused',
+        `the move of ${mine.lanes.join(', ')} from ${mine.from} to ${mine.to} was called off: ${why}`,
+      )
+    : undefined
 }
 function ended(body: Body, mine: Move, decision: 'accepted' | 'refused', why: string, config?: Config): Body {
   const moves = without(body.moves ?? [], mine)
--- a/packages/operator/src/policy.ts
+++ b/packages/operator/src/policy.ts
@@ -56,7 +56,8 @@
   }
   lib().lua.lua_settop(state, 0)
   const bytes = text(source)
-  if (lib().lauxlib.luaL_loadbuffer(state, bytes, bytes.length, text('=policy')) !== lib().lua.LUA_OK) return Err(takeError(state))
+  if (lib().lauxlib.luaL_loadbuffer(state, bytes, bytes.length, text('=policy')) !== lib().lua.LUA_OK)
+    return Err(takeError(state))
   limit(state)
   if (lib().lua.lua_pcall(state, 0, 0, 0) !== lib().lua.LUA_OK) return Err(takeError(state))
   lib().lua.lua_getglobal(state, text('match'))
@@ -80,7 +81,11 @@
     const s = state
     lib().lua.lua_getglobal(s, text('match'))
     lib().lua.lua_createtable(s, 0, 4)
-    for (const [name, value] of [['kind', call.kind], ['database', call.database], ['area', call.area]]) {
+    for (const [name, value] of [
+      ['kind', call.kind],
+      ['database', call.database],
+      ['area', call.area],
+    ]) {
       lib().lua.lua_pushstring(s, text(value))
       lib().lua.lua_setfield(s, -2, text(name))
     }
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,17 +1,42 @@
 import * as t from 'io-ts'
 import { LRUCache } from 'lru-cache'
-import { decode, encode, loop, makeBell, readAs, SEEN_LIFE, SUMMARY_AGAIN, SUMMARY_BEAT, SUMMARY_EPOCH, SUMMARY_LIFE, SUMMARY_LIMIT, SUMMARY_SLOW, type Addr, type Flag, type Numbers, type World } from '@claynotch/base'
+import {
+  decode,
+  encode,
+  loop,
+  makeBell,
+  readAs,
+  SEEN_LIFE,
+  SUMMARY_AGAIN,
+  SUMMARY_BEAT,
+  SUMMARY_EPOCH,
+  SUMMARY_LIFE,
+  SUMMARY_LIMIT,
+  SUMMARY_SLOW,
+  type Addr,
+  type Flag,
+  type Numbers,
+  type World,
+} from '@claynotch/base'
 
 // Summaries between nodes, by datagrams. Hints only: nothing that must hold rests on them, so a lost, late, doubled or
 // foreign one does no harm. What matters to whoever has a proxy (moving, leaving, tries) goes to them when it changes, on
 // each beat while a promotion or retries are under way, else slowly; seen goes on each beat, to those who need it.
 // seen: [instance, ms since its last good reply to this node]. moving: [group, epoch] this node knows to be
 // under promotion. bad: [instance, ms since the first send that failed there or waits, with no sign of life after it]. firsts and retries: sends by group over the last beat's window.
-export const Summary = t.intersection([t.type({
-  v: t.number, node: t.string, area: t.string, num: t.number,
-  seen: t.array(t.tuple([t.string, t.number])), moving: t.array(t.tuple([t.string, t.number])),
-  leaving: t.array(t.string), tries: t.array(t.tuple([t.string, t.number, t.number])),
-}), t.partial({ bad: t.array(t.tuple([t.string, t.number])) })])
+export const Summary = t.intersection([
+  t.type({
+    v: t.number,
+    node: t.string,
+    area: t.string,
+    num: t.number,
+    seen: t.array(t.tuple([t.string, t.number])),
+    moving: t.array(t.tuple([t.string, t.number])),
+    leaving: t.array(t.string),
+    tries: t.array(t.tuple([t.string, t.number, t.number])),
+  }),
+  t.partial({ bad: t.array(t.tuple([t.string, t.number])) }),
+])
 export type Summary = t.TypeOf<typeof Summary>
 
 // hints: the newest of each node, its times as of now. ring: a summary goes out at once.
@@ -20,9 +45,20 @@
 // proxy: it feeds a proxy.
 export type Peer = { node: string; addr: Addr; proxy: boolean }
 // What a node says to all; and what of its seen it says to one node.
-export type Saying = { all: () => Omit<Summary, 'seen' | 'bad'>; seenFor: (node: string) => { seen: [string, number][]; bad: [string, number][] } }
+export type Saying = {
+  all: () => Omit<Summary, 'seen' | 'bad'>
+  seenFor: (node: string) => { seen: [string, number][]; bad: [string, number][] }
+}
 
-export async function startPeers(world: World, addr: Addr, stop: Flag, members: () => Peer[], mine: Saying, numbers: Numbers, heard: (sum: Summary) => void): Promise<Peers> {
+export async function startPeers(
+  world: World,
+  addr: Addr,
+  stop: Flag,
+  members: () => Peer[],
+  mine: Saying,
+  numbers: Numbers,
+  heard: (sum: Summary) => void,
+): Promise<Peers> {
   // last: the newest summary of each node and when it came; bounded, as names come from the network.
   const last = new LRUCache<string, { at: number; sum: Summary }>({ max: 256 })
 
@@ -92,7 +128,11 @@
     for (const [, one] of last.entries()) {
       const age = now - one.at
       if (age >= SUMMARY_LIFE) continue
-      out.push({ ...one.sum, seen: age < SEEN_LIFE ? older(one.sum.seen, age) : [], bad: older(one.sum.bad ?? [], age) })
+      out.push({
+        ...one.sum,
+        seen: age < SEEN_LIFE ? older(one.sum.seen, age) : [],
+        bad: older(one.sum.bad ?? [], age),
+      })
     }
     return out
   }
--- a/packages/proxy/src/freshness.ts
+++ b/packages/proxy/src/freshness.ts
@@ -57,6 +57,7 @@
 // ms within which a follower's position is proved: the age of the youngest sample that lies at or under it.
 export function provedWithin(samples: Sample[], epoch: number, mark: Mark, now: number): number | undefined {
   let best: number | undefined
-  for (const s of samples) if (s.reign === epoch && compareMarks(s.mark, mark) <= 0) best = Math.min(best ?? Infinity, now - s.asked)
+  for (const s of samples)
+    if (s.reign === epoch && compareMarks(s.mark, mark) <= 0) best = Math.min(best ?? Infinity, now - s.asked)
   return best
 }
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -1,5 +1,28 @@
 import {
-  BACKOFF, BACKOFF_SHARE, HOLD_SHARE, MOVE_HOLD_SHARE, SEND_SHARE, AFTER_BREAKER, AFTER_LOAD, AREA_COST, AFTER_MOVE, BORROW_LIMIT, BUDGET, DIAL_LEAST, DIAL_LIMIT, LEAVING_WORK, makeBell, makeFlag, pause, SEND_LIMIT, SENDS, WAKE_SPREAD, type Flag, type Numbers, type World, type Result,
+  BACKOFF,
+  BACKOFF_SHARE,
+  HOLD_SHARE,
+  MOVE_HOLD_SHARE,
+  SEND_SHARE,
+  AFTER_BREAKER,
+  AFTER_LOAD,
+  AREA_COST,
+  AFTER_MOVE,
+  BORROW_LIMIT,
+  BUDGET,
+  DIAL_LEAST,
+  DIAL_LIMIT,
+  LEAVING_WORK,
+  makeBell,
+  makeFlag,
+  pause,
+  SEND_LIMIT,
+  SENDS,
+  WAKE_SPREAD,
+  type Flag,
+  type Numbers,
+  type World,
+  type Result,
 } from '@claynotch/base'
 import type { Done, InstanceEdge, Mark, Trouble } from '@claynotch/instance'
 import { guardOf, lendable } from '@claynotch/operator'
@@ -70,7 +93,15 @@
   quiet: ReturnType<typeof makeBell>
 }
 
-export function makeRunner(world: World, state: State, watch: Watch, pool: Pool, edge: InstanceEdge, numbers: Numbers, stopping: () => boolean): Runner {
+export function makeRunner(
+  world: World,
+  state: State,
+  watch: Watch,
+  pool: Pool,
+  edge: InstanceEdge,
+  numbers: Numbers,
+  stopping: () => boolean,
+): Runner {
   const tools = new Map<string, Tools>()
   const pending = new Map<string, number>()
   const byTeam = new Map<string, number>()
@@ -85,7 +116,11 @@
       function others(): { firsts: number; retries: number } {
         return state.others(group)
       }
-      got = { breaker: makeBreaker(world, group, numbers), tokens: makeTokens(world, others), alert: makeAlert(world, group, numbers) }
+      got = {
+        breaker: makeBreaker(world, group, numbers),
+        tokens: makeTokens(world, others),
+        alert: makeAlert(world, group, numbers),
+      }
       tools.set(group, got)
     }
     return got
@@ -107,7 +142,8 @@
   }
   function opening(group: string, lane: string | undefined, kind: 'begin read' | 'begin write'): number {
     let out = 0
-    for (const call of begun) if (call.kind === kind && call.lane.group === group && (lane === undefined || call.lane.name === lane)) out++
+    for (const call of begun)
+      if (call.kind === kind && call.lane.group === group && (lane === undefined || call.lane.name === lane)) out++
     return out
   }
   function kept(call: Call): void {
@@ -115,7 +151,8 @@
   }
   function sawWrite(group: string, mark: Mark): void {
     const old = highs.get(group)
-    if (!old || mark.epoch > old.epoch || (mark.epoch === old.epoch && mark.position > old.position)) highs.set(group, mark)
+    if (!old || mark.epoch > old.epoch || (mark.epoch === old.epoch && mark.position > old.position))
+      highs.set(group, mark)
   }
 
   // --- ends of a call ---
@@ -200,7 +237,8 @@
   function breakerStep(call: Call): Turn {
     if (call.probe) return undefined
     const { breaker } = toolsOf(call.lane.group)
-    if (!breaker.pass()) return refusal('UNAVAILABLE', `the breaker of group ${call.lane.group} is open`, true, AFTER_BREAKER)
+    if (!breaker.pass())
+      return refusal('UNAVAILABLE', `the breaker of group ${call.lane.group} is open`, true, AFTER_BREAKER)
     call.probe = breaker.probing()
     return undefined
   }
@@ -254,7 +292,11 @@
     numbers.add('claynotch_guard_waits_total', [['group', group]])
     return false
   }
-  function followerNow(call: Call, known: Known, step: { within: number; own: boolean }): { instance: Instance; epoch: number; floor: Mark } | undefined {
+  function followerNow(
+    call: Call,
+    known: Known,
+    step: { within: number; own: boolean },
+  ): { instance: Instance; epoch: number; floor: Mark } | undefined {
     const rec = known.record
     if (rec.leader === undefined || world.now() >= known.until || stopsHere(call)) return undefined
     // A transaction begun now would be cut when the drain ends; it waits for the next leader.
@@ -264,9 +306,17 @@
     let best: Instance | undefined
     let least = Infinity
     for (const one of watch.all().values()) {
-      if (one.group !== call.lane.group || one.name === rec.leader || !watch.usable(one, false) || state.gone(one.name) || call.behind.has(one.name)) continue
+      if (
+        one.group !== call.lane.group ||
+        one.name === rec.leader ||
+        !watch.usable(one, false) ||
+        state.gone(one.name) ||
+        call.behind.has(one.name)
+      )
+        continue
       // Where followers are sampled, what they hold is known; else each proves it itself, on the send.
-      if (edge.sampler && (!one.mark || one.status?.role !== 'follower' || !isFresh(one.mark, need, edge.exact))) continue
+      if (edge.sampler && (!one.mark || one.status?.role !== 'follower' || !isFresh(one.mark, need, edge.exact)))
+        continue
       // The own area first, then the least usage.
       const cost = one.usage + (one.area === state.area() ? 0 : AREA_COST)
       if (cost < least) {
@@ -277,7 +327,8 @@
     if (!best) return undefined
     // A leader in the own area is nearer than any follower elsewhere, as long as it has no more to do.
     const head = watch.get(rec.leader)
-    if (head && rec.phase === 'steady' && head.area === state.area() && head.usage < least && watch.usable(head, false)) return undefined
+    if (head && rec.phase === 'steady' && head.area === state.area() && head.usage < least && watch.usable(head, false))
+      return undefined
     watch.usable(best, true)
     return { instance: best, epoch: rec.epoch, floor: need }
   }
@@ -304,14 +355,23 @@
       if (!state.valid() || !state.share()) return unavailable(call, 'this node lost its term', AFTER_MOVE)
       // A call that only waits is told now, so that its requester can go elsewhere.
       if (stopping()) return unavailable(call, 'this node is stopping', AFTER_LOAD)
-      if (world.now() >= holdOf(call)) return unavailable(call, call.last?.why ?? `the group ${call.lane.group} has no leader to send to`, AFTER_MOVE)
+      if (world.now() >= holdOf(call))
+        return unavailable(call, call.last?.why ?? `the group ${call.lane.group} has no leader to send to`, AFTER_MOVE)
       // No leader to send to: a promotion is under way, or the leader is in doubt. Waiting is no send.
       waited = true
       await waitNews(call)
     }
     if (waited) {
       // All who waited wake at once; they spread out, so that the leader isn't hit by all together.
-      await pause(world, Math.min(world.random() * WAKE_SPREAD, Math.max(0, call.deadline - world.now()), Math.max(0, call.hold - world.now())), call.gone)
+      await pause(
+        world,
+        Math.min(
+          world.random() * WAKE_SPREAD,
+          Math.max(0, call.deadline - world.now()),
+          Math.max(0, call.hold - world.now()),
+        ),
+        call.gone,
+      )
       if (call.target && call.target.floor === undefined && !stands(call.lane.group, call.target.epoch)) return 'aim'
     }
     return undefined
@@ -322,7 +382,10 @@
     const left = Math.max(1, call.deadline - world.now())
     const { aim } = call.lane
     if (aim === undefined) return { free: Math.min(BORROW_LIMIT, left), dial: Math.min(DIAL_LIMIT, left) }
-    return { free: Math.min(left, aim * HOLD_SHARE), dial: Math.min(DIAL_LIMIT, left, Math.max(DIAL_LEAST, aim * SEND_SHARE)) }
+    return {
+      free: Math.min(left, aim * HOLD_SHARE),
+      dial: Math.min(DIAL_LIMIT, left, Math.max(DIAL_LEAST, aim * SEND_SHARE)),
+    }
   }
   async function borrow(call: Call): Promise<Turn> {
     const { instance } = call.target!
@@ -352,7 +415,11 @@
     const begins = call.kind === 'begin read' || call.kind === 'begin write'
     const old = isOld(call)
     // Aimed before a drain began, and since then waiting: a transaction too would be open after this node told that none is.
-    if (old || (floor === undefined && !stands(call.lane.group, epoch)) || ((writes || begins) && state.group(call.lane.group)?.record.phase !== 'steady')) {
+    if (
+      old ||
+      (floor === undefined && !stands(call.lane.group, epoch)) ||
+      ((writes || begins) && state.group(call.lane.group)?.record.phase !== 'steady')
+    ) {
       loan.end(true)
       delete call.loan
       return old ? heed(call) : 'aim'
@@ -360,19 +427,37 @@
     const { tokens } = toolsOf(call.lane.group)
     if (call.sends === 0) tokens.first()
     call.sends++
-    numbers.add('claynotch_retry_attempt_total', [['group', call.lane.group], ['send', String(call.sends)]])
+    numbers.add('claynotch_retry_attempt_total', [
+      ['group', call.lane.group],
+      ['send', String(call.sends)],
+    ])
     const left = Math.max(1, Math.min(SEND_LIMIT, call.deadline - world.now()))
-    const limit = call.lane.aim !== undefined && !isWrite(call) && call.sends < sendsOf(call) ? Math.min(left, call.lane.aim * SEND_SHARE) : left
+    const limit =
+      call.lane.aim !== undefined && !isWrite(call) && call.sends < sendsOf(call)
+        ? Math.min(left, call.lane.aim * SEND_SHARE)
+        : left
     call.asked = world.now()
     instance.usage++
     const { group, name } = call.lane
     if (writes) holdWrite(group, name, 1)
     if (begins) begun.add(call)
-    const sent = { ...(call.body.id !== undefined ? { id: call.body.id } : {}), ...(floor !== undefined && !edge.sampler ? { after: floor } : {}) }
-    if (call.kind === 'begin read' || call.kind === 'begin write') call.got = await loan.port.begin(call.kind === 'begin read' ? 'read' : 'write', limit, sent)
+    const sent = {
+      ...(call.body.id !== undefined ? { id: call.body.id } : {}),
+      ...(floor !== undefined && !edge.sampler ? { after: floor } : {}),
+    }
+    if (call.kind === 'begin read' || call.kind === 'begin write')
+      call.got = await loan.port.begin(call.kind === 'begin read' ? 'read' : 'write', limit, sent)
     else {
       const text = call.body.text
-      call.got = await loan.port.statement({ ...(text !== undefined ? { text } : { shape: loan.shapeId(call.need.shapes.get(call.body.shape!)!) }), args: call.body.args, mode: call.kind === 'write' ? 'write' : 'read', ...sent }, limit)
+      call.got = await loan.port.statement(
+        {
+          ...(text !== undefined ? { text } : { shape: loan.shapeId(call.need.shapes.get(call.body.shape!)!) }),
+          args: call.body.args,
+          mode: call.kind === 'write' ? 'write' : 'read',
+          ...sent,
+        },
+        limit,
+      )
     }
     if (writes) holdWrite(group, name, -1)
     instance.usage--
@@ -389,7 +474,9 @@
       const { mark, rows, stamp } = got.val
       watch.saw(instance.name, call.asked, mark, lead ? epoch : undefined)
       const counted = !isWrite(call) || state.counts(call.lane.name, group, call.asked)
-      const good = lead ? stands(group, epoch) && (!edge.exact || mark.epoch === epoch) && counted : isFresh(mark, floor, edge.exact)
+      const good = lead
+        ? stands(group, epoch) && (!edge.exact || mark.epoch === epoch) && counted
+        : isFresh(mark, floor, edge.exact)
       if (good) {
         breaker.note(true, call.probe)
         if (call.sends > 1 || call.waited) {
@@ -397,7 +484,12 @@
           alert.note(false)
         }
         if (isWrite(call)) sawWrite(group, mark)
-        if (call.kind === 'read') numbers.add('claynotch_reads_total', [['instance', instance.name], ['area', instance.area === state.area() ? 'own' : 'other'], ['role', lead ? 'leader' : 'follower']])
+        if (call.kind === 'read')
+          numbers.add('claynotch_reads_total', [
+            ['instance', instance.name],
+            ['area', instance.area === state.area() ? 'own' : 'other'],
+            ['role', lead ? 'leader' : 'follower'],
+          ])
         if (call.kind === 'read' || call.kind === 'write') {
           loan.end(true)
           delete call.loan
@@ -408,20 +500,34 @@
       loan.end(call.kind === 'read' || call.kind === 'write')
       delete call.loan
       call.ran = 'maybe'
-      if (isWrite(call)) return unknown('the answer came after the leader had been replaced, the lane moved, or the term had ended')
-      call.last = { reach: 'maybe', class: 'UNAVAILABLE', transient: true, why: 'the answer came under a record that no longer stands' }
+      if (isWrite(call))
+        return unknown('the answer came after the leader had been replaced, the lane moved, or the term had ended')
+      call.last = {
+        reach: 'maybe',
+        class: 'UNAVAILABLE',
+        transient: true,
+        why: 'the answer came under a record that no longer stands',
+      }
       return await again(call)
     }
     const trouble = got.val
     call.last = trouble
-    numbers.add('claynotch_error_classification_total', [['class', trouble.class], ['retryable', trouble.transient ? 'yes' : 'no']])
+    numbers.add('claynotch_error_classification_total', [
+      ['class', trouble.class],
+      ['retryable', trouble.transient ? 'yes' : 'no'],
+    ])
     if (trouble.reach === 'maybe') call.ran = 'maybe'
     else if (trouble.lags && floor !== undefined) return behind(call, instance, loan)
     loan.end(trouble.reach === 'answered' && (call.kind === 'read' || call.kind === 'write'))
     delete call.loan
     if (trouble.transient) {
       // One that says it doesn't lead lives, and yet fails as a leader.
-      watch.failed(instance.name, call.asked, trouble.reach === 'answered' && trouble.lead !== false, trouble.lead === false)
+      watch.failed(
+        instance.name,
+        call.asked,
+        trouble.reach === 'answered' && trouble.lead !== false,
+        trouble.lead === false,
+      )
       // A known promotion is no reason to open the breaker: it has its own end.
       if (!state.moving(group)) breaker.note(false, call.probe)
       if (trouble.reach === 'maybe' && isWrite(call)) return unknown(trouble.why)
@@ -454,7 +560,11 @@
       numbers.add('claynotch_retry_tokens_out_total', [['group', call.lane.group]])
       return unavailable(call, `the group's retries are used up: ${call.last?.why ?? ''}`, AFTER_LOAD)
     }
-    const wait = backoff(world, Math.max(0, call.sends - 1), call.lane.aim === undefined ? BACKOFF : Math.min(BACKOFF, call.lane.aim * BACKOFF_SHARE))
+    const wait = backoff(
+      world,
+      Math.max(0, call.sends - 1),
+      call.lane.aim === undefined ? BACKOFF : Math.min(BACKOFF, call.lane.aim * BACKOFF_SHARE),
+    )
     // A sleep that would outlast the deadline is not slept: the final answer goes out at once.
     if (world.now() + wait >= call.deadline) return exhausted(call)
     await pause(world, wait, call.gone)
@@ -501,7 +611,12 @@
     turn = honest(call, turn)
     give(call)
     if (call.probe && turn.outcome !== 'done') toolsOf(call.lane.group).breaker.note(false, true)
-    numbers.add('claynotch_calls_total', [['lane', call.lane.name], ['kind', call.kind], ['outcome', turn.outcome], ['class', turn.class ?? '']])
+    numbers.add('claynotch_calls_total', [
+      ['lane', call.lane.name],
+      ['kind', call.kind],
+      ['outcome', turn.outcome],
+      ['class', turn.class ?? ''],
+    ])
     numbers.add('claynotch_call_ms_total', [['lane', call.lane.name]], Math.round(world.now() - from))
     const out: Settled = { verdict: turn }
     if (turn.outcome === 'done' && call.got?.ok) {
@@ -522,7 +637,11 @@
     const rec = state.group(group)?.record
     const head = rec?.leader !== undefined ? watch.get(rec.leader) : undefined
     if (!rec || !head) return undefined
-    return needOf(floorOf(head.samples, rec.epoch, fresh.within, world.now()), rec.epoch, fresh.own && token?.group === group ? token.mark : undefined)
+    return needOf(
+      floorOf(head.samples, rec.epoch, fresh.within, world.now()),
+      rec.epoch,
+      fresh.own && token?.group === group ? token.mark : undefined,
+    )
   }
   function groups(): Map<string, Tools> {
     return tools
@@ -530,22 +649,76 @@
   function highsNow(): Map<string, Mark> {
     return highs
   }
-  return { run, tools: toolsOf, groups, stands, writing, holdWrite, opening, kept, needNow, highs: highsNow, sawWrite, quiet }
+  return {
+    run,
+    tools: toolsOf,
+    groups,
+    stands,
+    writing,
+    holdWrite,
+    opening,
+    kept,
+    needNow,
+    highs: highsNow,
+    sawWrite,
+    quiet,
+  }
 }
 
 // What a call of the lane needs in force on its connection.
-function needFor(lane: LaneRules, rules: Rules, has: { settings: [string, string][]; shapes: Map<string, string> }): Need {
-  return { database: lane.database, settings: has.settings, shapes: has.shapes, team: lane.team, share: rules.shares.get(lane.team) ?? 1 }
+function needFor(
+  lane: LaneRules,
+  rules: Rules,
+  has: { settings: [string, string][]; shapes: Map<string, string> },
+): Need {
+  return {
+    database: lane.database,
+    settings: has.settings,
+    shapes: has.shapes,
+    team: lane.team,
+    share: rules.shares.get(lane.team) ?? 1,
+  }
 }
 
-export function makeCall(world: World, kind: Kind, lane: LaneRules, rules: Rules, parts: { settings: [string, string][]; shapes: Map<string, string>; token: Token | undefined; mustLead: boolean; body: Call['body']; find: Call['find']; ms: number | undefined; gone: Flag }): Call {
+export function makeCall(
+  world: World,
+  kind: Kind,
+  lane: LaneRules,
+  rules: Rules,
+  parts: {
+    settings: [string, string][]
+    shapes: Map<string, string>
+    token: Token | undefined
+    mustLead: boolean
+    body: Call['body']
+    find: Call['find']
+    ms: number | undefined
+    gone: Flag
+  },
+): Call {
   const now = world.now()
   const byCaller = parts.ms !== undefined && parts.ms < BUDGET
   const budget = Math.min(BUDGET, parts.ms ?? BUDGET, lane.limit ?? BUDGET)
   return {
-    kind, rules, lane, token: parts.token, mustLead: parts.mustLead, body: parts.body, gone: parts.gone, byCaller,
+    kind,
+    rules,
+    lane,
+    token: parts.token,
+    mustLead: parts.mustLead,
+    body: parts.body,
+    gone: parts.gone,
+    byCaller,
     need: needFor(lane, rules, parts),
-    find: parts.find, hold: now + (lane.aim === undefined ? budget : lane.aim * HOLD_SHARE), moveHold: now + (lane.aim === undefined ? budget : budget * MOVE_HOLD_SHARE), behind: new Set(),
-    deadline: now + budget, sends: 0, waited: false, ran: 'no', last: undefined, probe: false, asked: now,
+    find: parts.find,
+    hold: now + (lane.aim === undefined ? budget : lane.aim * HOLD_SHARE),
+    moveHold: now + (lane.aim === undefined ? budget : budget * MOVE_HOLD_SHARE),
+    behind: new Set(),
+    deadline: now + budget,
+    sends: 0,
+    waited: false,
+    ran: 'no',
+    last: undefined,
+    probe: false,
+    asked: now,
   }
 }
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -3,7 +3,13 @@
 import type { InstanceEdge, Port, Trouble, Who } from '@claynotch/instance'
 
 // What a borrower needs in force on its connection.
-export type Need = { database: string; settings: [string, string][]; shapes: Map<string, string>; team: string; share: number }
+export type Need = {
+  database: string
+  settings: [string, string][]
+  shapes: Map<string, string>
+  team: string
+  share: number
+}
 
 // Invariants:
 // - a connection has at most one borrower, from lend() to back() or drop();
@@ -24,10 +30,24 @@
 }
 
 type Waiter = { need: Need; wake: Flag }
-type Place = { addr: string; limit: number; idle: Conn[]; lent: number; opening: number; waiters: Waiter[]; usage: Map<string, number> }
+type Place = {
+  addr: string
+  limit: number
+  idle: Conn[]
+  lent: number
+  opening: number
+  waiters: Waiter[]
+  usage: Map<string, number>
+}
 
 export type Pool = {
-  borrow: (who: Who, limit: number, need: Need, waits: { free: number; dial: number }, gone: Flag) => Promise<Result<Loan, Trouble>>
+  borrow: (
+    who: Who,
+    limit: number,
+    need: Need,
+    waits: { free: number; dial: number },
+    gone: Flag,
+  ) => Promise<Result<Loan, Trouble>>
   open: (instance: string) => number
   // Closes what is idle over the limit; true once no more than that are open.
   shrink: (instance: string, limit: number) => boolean
@@ -149,7 +169,13 @@
     p.usage.set(team, (p.usage.get(team) ?? 0) + by)
   }
 
-  async function borrow(who: Who, limit: number, need: Need, waits: { free: number; dial: number }, gone: Flag): Promise<Result<Loan, Trouble>> {
+  async function borrow(
+    who: Who,
+    limit: number,
+    need: Need,
+    waits: { free: number; dial: number },
+    gone: Flag,
+  ): Promise<Result<Loan, Trouble>> {
     const { name: instance, addr } = who
     const p = place(instance, addr)
     const want = wantedOf(need, edge.named)
@@ -181,7 +207,12 @@
       if (left <= 0 || gone.fired() || limit < 1) {
         // A wake that this one can't use any more goes on to the next.
         if (p.idle.length > 0) wakeNext(p)
-        return Err({ reach: 'none', class: 'RESOURCE_EXHAUSTED', transient: false, why: 'every connection to the instance is lent' })
+        return Err({
+          reach: 'none',
+          class: 'RESOURCE_EXHAUSTED',
+          transient: false,
+          why: 'every connection to the instance is lent',
+        })
       }
       const wake = makeFlag()
       const mine: Waiter = { need, wake }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,5 +1,25 @@
 import {
-  DRAIN, DRAIN_TAIL, hello, holdLink, loop, LINE_GRACE, makeFlag, makeNumbers, NOTE_BEAT, NOTICE, pause, readAs, SEND_LIMIT, serve, STALL, STALL_BEAT, type Addr, type Ask, type Numbers, type Reply, type World,
+  DRAIN,
+  DRAIN_TAIL,
+  hello,
+  holdLink,
+  loop,
+  LINE_GRACE,
+  makeFlag,
+  makeNumbers,
+  NOTE_BEAT,
+  NOTICE,
+  pause,
+  readAs,
+  SEND_LIMIT,
+  serve,
+  STALL,
+  STALL_BEAT,
+  type Addr,
+  type Ask,
+  type Numbers,
+  type Reply,
+  type World,
 } from '@claynotch/base'
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
 import { Feed, groupOf, type Note } from '@claynotch/register'
@@ -15,7 +35,15 @@
 // grace: ms that it is given from being told to stop, open transactions half of them.
 export type ProxySettings = { listen: Addr; admin: Addr; agent: Addr; grace?: number }
 
-export type Proxy = { stop: () => Promise<void>; numbers: Numbers; state: State; watch: Watch; runner: Runner; sessions: Sessions; pool: Pool }
+export type Proxy = {
+  stop: () => Promise<void>
+  numbers: Numbers
+  state: State
+  watch: Watch
+  runner: Runner
+  sessions: Sessions
+  pool: Pool
+}
 
 export async function startProxy(world: World, set: ProxySettings, edges: ProxyEdges = ownEdges): Promise<Proxy> {
   const stop = makeFlag()
@@ -51,7 +79,11 @@
 
   // Open transactions, and those whose begin has gone out.
   function transactions(group: string, lane?: string): number {
-    return runner.opening(group, lane, 'begin read') + runner.opening(group, lane, 'begin write') + sessions.transactions(group, lane)
+    return (
+      runner.opening(group, lane, 'begin read') +
+      runner.opening(group, lane, 'begin write') +
+      sessions.transactions(group, lane)
+    )
   }
   function applied(key: string, turn: number): boolean {
     const group = groupOf(key)
@@ -59,11 +91,21 @@
       // A configuration with smaller shares is applied once no more is open than it allows.
       const config = state.config()
       let whole = true
-      if (config && config.proxies !== 'live') for (const [name, one] of watch.all()) if (!pool.shrink(name, lendable(config, one.group))) whole = false
+      if (config && config.proxies !== 'live')
+        for (const [name, one] of watch.all()) if (!pool.shrink(name, lendable(config, one.group))) whole = false
       // A lane whose move eases or drains has done so once what was to end has ended.
       for (const lane of state.rules()?.lanes.values() ?? []) {
-        if (lane.move === 'ease' && (runner.opening(lane.group, lane.name, 'begin read') > 0 || sessions.transactions(lane.group, lane.name, 'read') > 0)) whole = false
-        if (lane.move === 'drain' && (runner.writing(lane.group, lane.name) > 0 || transactions(lane.group, lane.name) > 0)) whole = false
+        if (
+          lane.move === 'ease' &&
+          (runner.opening(lane.group, lane.name, 'begin read') > 0 ||
+            sessions.transactions(lane.group, lane.name, 'read') > 0)
+        )
+          whole = false
+        if (
+          lane.move === 'drain' &&
+          (runner.writing(lane.group, lane.name) > 0 || transactions(lane.group, lane.name) > 0)
+        )
+          whole = false
       }
       return whole
     }
@@ -79,14 +121,18 @@
     for (const [name, one] of watch.all()) {
       if (one.usage === 0) waits.delete(name)
       else waits.set(name, Math.max(waits.get(name) ?? now, one.lastOk))
-      const from = Math.min(one.failing ?? now, now - (waits.get(name) ?? now) > STALL ? (waits.get(name) as number) : now)
+      const from = Math.min(
+        one.failing ?? now,
+        now - (waits.get(name) ?? now) > STALL ? (waits.get(name) as number) : now,
+      )
       if (from < now || one.failing !== undefined) out.push([name, now - from])
     }
     for (const name of waits.keys()) if (!watch.get(name)) waits.delete(name)
     return out
   }
   function note(): void {
-    for (const [key, turn] of state.turns()) if ((acked.get(key) ?? 0) < turn && applied(key, turn)) acked.set(key, turn)
+    for (const [key, turn] of state.turns())
+      if ((acked.get(key) ?? 0) < turn && applied(key, turn)) acked.set(key, turn)
     const highs: [string, number, number][] = []
     for (const [g, m] of runner.highs()) highs.push([g, m.epoch, m.position])
     const seen: [string, number][] = []
@@ -95,7 +141,10 @@
     for (const [name, one] of watch.all()) {
       if (one.lastOk > 0) seen.push([name, now - one.lastOk])
       const rec = state.group(one.group)?.record
-      const lag = rec?.leader !== undefined && rec.leader !== name && one.mark ? provedWithin(watch.get(rec.leader)?.samples ?? [], rec.epoch, one.mark, now) : undefined
+      const lag =
+        rec?.leader !== undefined && rec.leader !== name && one.mark
+          ? provedWithin(watch.get(rec.leader)?.samples ?? [], rec.epoch, one.mark, now)
+          : undefined
       if (lag !== undefined) lags.push([name, lag])
     }
     const moving: [string, number][] = []
@@ -108,7 +157,19 @@
     }
     numbers.set('claynotch_ready', [], ready() === undefined ? 1 : 0)
     for (const [g] of runner.groups()) numbers.set('claynotch_transactions', [['group', g]], sessions.transactions(g))
-    const word: Note = { t: 'note', life, acks: [...acked], highs, seen, moving, tries, open: sessions.open(), leaving, lags, bad: badNow(now) }
+    const word: Note = {
+      t: 'note',
+      life,
+      acks: [...acked],
+      highs,
+      seen,
+      moving,
+      tries,
+      open: sessions.open(),
+      leaving,
+      lags,
+      bad: badNow(now),
+    }
     agent.tell(word)
   }
   function take(msg: unknown): undefined {
@@ -147,7 +208,8 @@
     const half = set.grace === undefined ? DRAIN : set.grace / 2
     const until = from + half
     // Connections leave as they are answered; one that says nothing for all of DRAIN is idle and may be ended.
-    while (world.now() < until && (world.now() < from + NOTICE || sessions.transactions() > 0 || http.lines() > 0)) await runner.quiet.wait(world, Math.min(100, until - world.now()))
+    while (world.now() < until && (world.now() < from + NOTICE || sessions.transactions() > 0 || http.lines() > 0))
+      await runner.quiet.wait(world, Math.min(100, until - world.now()))
     draining = true
     sessions.cut('the node stops')
     // No new connections from here on; those that are left are answered to the end.
--- a/packages/proxy/src/retry.ts
+++ b/packages/proxy/src/retry.ts
@@ -1,6 +1,17 @@
 import {
-  BACKOFF, BREAKER_LEAST, BREAKER_PAUSE, BREAKER_PROBES, BREAKER_RATE, BREAKER_WINDOW, EXHAUST_ALERT, EXHAUST_LEAST, EXHAUST_WINDOW,
-  RETRY_GAIN, RETRY_TOKENS, type Numbers, type World,
+  BACKOFF,
+  BREAKER_LEAST,
+  BREAKER_PAUSE,
+  BREAKER_PROBES,
+  BREAKER_RATE,
+  BREAKER_WINDOW,
+  EXHAUST_ALERT,
+  EXHAUST_LEAST,
+  EXHAUST_WINDOW,
+  RETRY_GAIN,
+  RETRY_TOKENS,
+  type Numbers,
+  type World,
 } from '@claynotch/base'
 
 // The retry policy of one node, by group: pauses, tokens, breaker, alert. docs/retry.md tells where each comes from.
@@ -54,7 +65,12 @@
 // --- breaker ---
 // closed -> open when the failure rate over a window is sustained; open -> half after a pause with jitter;
 // half lets one probe through at a time: enough good ones in a row close it, a bad one opens it again.
-export type Breaker = { pass: () => boolean; note: (good: boolean, probe: boolean) => void; probing: () => boolean; state: () => 'closed' | 'open' | 'half' }
+export type Breaker = {
+  pass: () => boolean
+  note: (good: boolean, probe: boolean) => void
+  probing: () => boolean
+  state: () => 'closed' | 'open' | 'half'
+}
 
 export function makeBreaker(world: World, group: string, numbers: Numbers): Breaker {
   let state: 'closed' | 'open' | 'half' = 'closed'
--- a/packages/proxy/src/rules.ts
+++ b/packages/proxy/src/rules.ts
@@ -16,11 +16,32 @@
 export type Kind = 'read' | 'write' | 'begin read' | 'begin write'
 // limit: ms that one statement may take. aim: ms that a call should be answered within. sends: most sends of a call.
 // move: the phase of the move that the lane is in, from where it stops anything.
-export type LaneRules = { name: string; group: string; team: string; database: string; pending: number; limit: number | undefined; aim: number | undefined; sends: number | undefined; programs: Map<Kind, Step[]>; move: Exclude<Move['phase'], 'copy'> | undefined }
+export type LaneRules = {
+  name: string
+  group: string
+  team: string
+  database: string
+  pending: number
+  limit: number | undefined
+  aim: number | undefined
+  sends: number | undefined
+  programs: Map<Kind, Step[]>
+  move: Exclude<Move['phase'], 'copy'> | undefined
+}
 // share, sessions and pending by team; a lane without a team belongs to the team ''.
 // transactionIdle: ms; a transaction that rests for longer may be ended.
 // since: when this node began to work by them. bases: the first lane of each database.
-export type Rules = { epoch: number; since: number; lanes: Map<string, LaneRules>; bases: Map<string, LaneRules>; shares: Map<string, number>; sessions: Map<string, number>; pending: Map<string, number>; transactionIdle: number | undefined; policy: { policy: Policy; fallback: string } | undefined }
+export type Rules = {
+  epoch: number
+  since: number
+  lanes: Map<string, LaneRules>
+  bases: Map<string, LaneRules>
+  shares: Map<string, number>
+  sessions: Map<string, number>
+  pending: Map<string, number>
+  transactionIdle: number | undefined
+  policy: { policy: Policy; fallback: string } | undefined
+}
 
 export function compile(config: Config, epoch: number, moves: Move[], since: number): Rules {
   const lanes = new Map<string, LaneRules>()
@@ -29,12 +50,39 @@
     const pending = lane.pending ?? PENDING
     const phase = moveOf(moves, lane.name)?.phase
     const lead: Step = { op: 'aim', at: 'leader' }
-    const near: Step = lane.reads === 'leader' ? lead : { op: 'aim', at: 'fresh', within: lane.reads.within, own: lane.reads.own === true }
+    const near: Step =
+      lane.reads === 'leader'
+        ? lead
+        : { op: 'aim', at: 'fresh', within: lane.reads.within, own: lane.reads.own === true }
     const programs = new Map<Kind, Step[]>()
-    for (const [kind, aim] of [['read', near], ['write', lead], ['begin read', near], ['begin write', lead]] as [Kind, Step][]) {
-      programs.set(kind, [{ op: 'gate' }, { op: 'take', pending }, { op: 'breaker' }, aim, { op: 'borrow' }, { op: 'send' }, { op: 'judge' }])
+    for (const [kind, aim] of [
+      ['read', near],
+      ['write', lead],
+      ['begin read', near],
+      ['begin write', lead],
+    ] as [Kind, Step][]) {
+      programs.set(kind, [
+        { op: 'gate' },
+        { op: 'take', pending },
+        { op: 'breaker' },
+        aim,
+        { op: 'borrow' },
+        { op: 'send' },
+        { op: 'judge' },
+      ])
+    }
+    const one: LaneRules = {
+      name: lane.name,
+      group: lane.group,
+      team: lane.team ?? '',
+      database: lane.database,
+      pending,
+      limit: lane.limit,
+      aim: lane.aim,
+      sends: lane.sends,
+      programs,
+      move: phase === 'copy' ? undefined : phase,
     }
-    const one: LaneRules = { name: lane.name, group: lane.group, team: lane.team ?? '', database: lane.database, pending, limit: lane.limit, aim: lane.aim, sends: lane.sends, programs, move: phase === 'copy' ? undefined : phase }
     lanes.set(lane.name, one)
     if (!bases.has(lane.database)) bases.set(lane.database, one)
   }
@@ -48,5 +96,15 @@
   }
   // It compiled when the configuration was taken; if it doesn't here, every call goes to the fallback.
   const policy = config.policy ? compilePolicy(config.policy.lua) : undefined
-  return { epoch, since, lanes, bases, shares, sessions, pending, transactionIdle: config.transactionIdle, policy: config.policy && policy?.ok ? { policy: policy.val, fallback: config.policy.fallback } : undefined }
+  return {
+    epoch,
+    since,
+    lanes,
+    bases,
+    shares,
+    sessions,
+    pending,
+    transactionIdle: config.transactionIdle,
+    policy: config.policy && policy?.ok ? { policy: policy.val, fallback: config.policy.fallback } : undefined,
+  }
 }
