--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -1,5 +1,18 @@
 import {
-  AFTER_LOAD, AFTER_MOVE, DRAIN, LEAVING_WORK, loop, SEND_LIMIT, SESSION_IDLE, SESSIONS, STATEMENT_SHARE, TRANSACTION_IDLE, Err, type Flag, type Numbers, type World,
+  AFTER_LOAD,
+  AFTER_MOVE,
+  DRAIN,
+  LEAVING_WORK,
+  loop,
+  SEND_LIMIT,
+  SESSION_IDLE,
+  SESSIONS,
+  STATEMENT_SHARE,
+  TRANSACTION_IDLE,
+  Err,
+  type Flag,
+  type Numbers,
+  type World,
 } from '@claynotch/base'
 import type { Done, InstanceEdge, Trouble } from '@claynotch/instance'
 import { AUTO } from '@claynotch/operator'
@@ -14,8 +27,18 @@
 // ran turns true with the first statement handed over and never back; fresh is set on a follower, where each
 // statement is held to the lane's bound anew; stray is since when the lane as configured no longer allows it.
 type Transaction = {
-  loan: Loan; kind: 'read' | 'write'; lane: string; database: string; group: string; epoch: number; lead: boolean; ran: boolean; begun: number; last: number
-  fresh: { within: number; own: boolean } | undefined; stray: number | undefined
+  loan: Loan
+  kind: 'read' | 'write'
+  lane: string
+  database: string
+  group: string
+  epoch: number
+  lead: boolean
+  ran: boolean
+  begun: number
+  last: number
+  fresh: { within: number; own: boolean } | undefined
+  stray: number | undefined
 }
 
 // kind undefined: each statement by the shape says its own.
@@ -27,8 +50,19 @@
 // ended is what became of a transaction that this node ended by itself, until the requester was told: till then nothing
 // that it sends runs, as it was meant for that transaction.
 type Session = {
-  id: string; lane: string | undefined; database: string; team: string; settings: [string, string][]; shapes: Map<string, Shape>
-  token: Token | undefined; mustLead: boolean; busy: boolean; last: number; transaction: Transaction | undefined; ended: Verdict | undefined; dead: boolean
+  id: string
+  lane: string | undefined
+  database: string
+  team: string
+  settings: [string, string][]
+  shapes: Map<string, Shape>
+  token: Token | undefined
+  mustLead: boolean
+  busy: boolean
+  last: number
+  transaction: Transaction | undefined
+  ended: Verdict | undefined
+  dead: boolean
 }
 
 export type Sessions = {
@@ -45,7 +79,15 @@
   return name === undefined ? rules.bases.get(database) : rules.lanes.get(name)
 }
 
-export function makeSessions(world: World, state: State, runner: Runner, edge: InstanceEdge, numbers: Numbers, stop: Flag, stopping: () => boolean): Sessions {
+export function makeSessions(
+  world: World,
+  state: State,
+  runner: Runner,
+  edge: InstanceEdge,
+  numbers: Numbers,
+  stop: Flag,
+  stopping: () => boolean,
+): Sessions {
   const all = new Map<string, Session>()
   // counts: open sessions by team.
   const counts = new Map<string, number>()
@@ -74,7 +116,9 @@
     return out
   }
   function noLane(name: string): Verdict {
-    return state.rules() ? { ...refusal('NOT_FOUND', `no lane is named ${name}`, false), lacks: 'lane' } : refusal('UNAVAILABLE', 'no configuration is known here yet', true, AFTER_MOVE)
+    return state.rules()
+      ? { ...refusal('NOT_FOUND', `no lane is named ${name}`, false), lacks: 'lane' }
+      : refusal('UNAVAILABLE', 'no configuration is known here yet', true, AFTER_MOVE)
   }
   function teamCount(team: string, by: number): void {
     counts.set(team, (counts.get(team) ?? 0) + by)
@@ -148,16 +192,38 @@
     const token = tokenOf(body.token)
     if (token === 'bad') return badToken()
     const most = rules.sessions.get(lane.team)
-    if (all.size >= SESSIONS) return refusal('RESOURCE_EXHAUSTED', `this node holds ${all.size} sessions`, true, AFTER_LOAD)
-    if (most !== undefined && (counts.get(lane.team) ?? 0) >= most) return refusal('RESOURCE_EXHAUSTED', `the team ${lane.team} has its ${most} sessions on this node`, true, AFTER_LOAD)
+    if (all.size >= SESSIONS)
+      return refusal('RESOURCE_EXHAUSTED', `this node holds ${all.size} sessions`, true, AFTER_LOAD)
+    if (most !== undefined && (counts.get(lane.team) ?? 0) >= most)
+      return refusal(
+        'RESOURCE_EXHAUSTED',
+        `the team ${lane.team} has its ${most} sessions on this node`,
+        true,
+        AFTER_LOAD,
+      )
     const id = `${prefix}-${++next}-${Math.floor(world.random() * 2 ** 40).toString(36)}`
-    all.set(id, { id, lane: name, database, team: lane.team, settings, shapes: new Map(), token, mustLead: false, busy: false, last: world.now(), transaction: undefined, ended: undefined, dead: false })
+    all.set(id, {
+      id,
+      lane: name,
+      database,
+      team: lane.team,
+      settings,
+      shapes: new Map(),
+      token,
+      mustLead: false,
+      busy: false,
+      last: world.now(),
+      transaction: undefined,
+      ended: undefined,
+      dead: false,
+    })
     teamCount(lane.team, 1)
     return { outcome: 'done', session: id, token: writeToken(token) }
   }
 
   function freshOf(lane: LaneRules): { within: number; own: boolean } | undefined {
-    for (const step of lane.programs.get('begin read') ?? []) if (step.op === 'aim' && step.at === 'fresh') return { within: step.within, own: step.own }
+    for (const step of lane.programs.get('begin read') ?? [])
+      if (step.op === 'aim' && step.at === 'fresh') return { within: step.within, own: step.own }
     return undefined
   }
 
@@ -169,7 +235,15 @@
   }
   function verdictOver(tx: Transaction, cls: string, why: string): Verdict {
     const kept = tx.ran ? 'unknown' : 'nothing'
-    return { outcome: tx.ran ? 'failed' : 'refused', class: cls, kept, again: cls === 'UNAVAILABLE', why, transaction: 'over', ...(cls === 'UNAVAILABLE' ? { after: AFTER_MOVE } : {}) }
+    return {
+      outcome: tx.ran ? 'failed' : 'refused',
+      class: cls,
+      kept,
+      again: cls === 'UNAVAILABLE',
+      why,
+      transaction: 'over',
+      ...(cls === 'UNAVAILABLE' ? { after: AFTER_MOVE } : {}),
+    }
   }
   function endTx(s: Session, tx: Transaction): void {
     s.transaction = undefined
@@ -198,21 +272,32 @@
     if (!known || world.now() >= known.until) return 'this node lost its term'
     if (tx.lead && !runner.stands(tx.group, tx.epoch)) return 'the leader is being replaced'
     if (known.record.epoch !== tx.epoch) return 'the leader was replaced'
-    if (known.record.phase === 'drain' && world.now() - known.since > DRAIN) return 'the leader is being replaced; open transactions had their time'
+    if (known.record.phase === 'drain' && world.now() - known.since > DRAIN)
+      return 'the leader is being replaced; open transactions had their time'
     if (!tx.loan.port.alive()) return 'the connection to the instance broke'
     return undefined
   }
   function troubled(s: Session, tx: Transaction, t: Trouble): Verdict {
-    numbers.add('claynotch_error_classification_total', [['class', t.class], ['retryable', 'no']])
+    numbers.add('claynotch_error_classification_total', [
+      ['class', t.class],
+      ['retryable', 'no'],
+    ])
     return over(s, tx, t.class, t.why)
   }
-  async function inTransaction(s: Session, tx: Transaction, word: Extract<Word, { w: 'statement' }>, ms: number, gone: Flag): Promise<Verdict> {
+  async function inTransaction(
+    s: Session,
+    tx: Transaction,
+    word: Extract<Word, { w: 'statement' }>,
+    ms: number,
+    gone: Flag,
+  ): Promise<Verdict> {
     const why = lapsed(tx)
     if (why) return over(s, tx, 'UNAVAILABLE', why)
     const shape = word.body.shape !== undefined ? s.shapes.get(word.body.shape) : undefined
     if (word.body.shape !== undefined && !shape) return noShape(word.body.shape)
     const kind = word.body.kind ?? shape?.kind ?? 'write'
-    if (kind === 'write' && tx.kind === 'read') return refusal('INVALID_ARGUMENT', 'a write in a transaction that was begun to read', false)
+    if (kind === 'write' && tx.kind === 'read')
+      return refusal('INVALID_ARGUMENT', 'a write in a transaction that was begun to read', false)
     // A follower that was fresh when the transaction began may have stopped receiving since.
     // A bound that was changed meanwhile holds from now on.
     const lane = state.rules()?.lanes.get(tx.lane)
@@ -224,17 +309,30 @@
     const bad = shape ? await tx.loan.shape(shape.text) : undefined
     const sent = { args: word.body.args ?? [], mode: kind, ...(word.id !== undefined ? { id: word.id } : {}) }
     const most = lane?.aim !== undefined ? Math.min(ms, lane.aim * STATEMENT_SHARE) : ms
-    const got = bad ? Err(bad) : await tx.loan.port.statement({ ...(shape ? { shape: tx.loan.shapeId(shape.text) } : { text: word.body.text ?? '' }), ...sent }, Math.min(most, SEND_LIMIT))
+    const got = bad
+      ? Err(bad)
+      : await tx.loan.port.statement(
+          { ...(shape ? { shape: tx.loan.shapeId(shape.text) } : { text: word.body.text ?? '' }), ...sent },
+          Math.min(most, SEND_LIMIT),
+        )
     if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, -1)
     tx.last = world.now()
     if (s.transaction !== tx) {
       s.ended = undefined
-      return { outcome: 'failed', class: 'ABORTED', kept: 'unknown', again: true, why: 'the transaction was ended meanwhile', transaction: 'over' }
+      return {
+        outcome: 'failed',
+        class: 'ABORTED',
+        kept: 'unknown',
+        again: true,
+        why: 'the transaction was ended meanwhile',
+        transaction: 'over',
+      }
     }
     if (got.err) return troubled(s, tx, got.val)
     const late = lapsed(tx)
     if (late) return over(s, tx, 'UNAVAILABLE', late)
-    if (need !== undefined && !isFresh(got.val.mark, need, edge.exact)) return over(s, tx, 'UNAVAILABLE', 'the follower fell behind the lane\'s bound')
+    if (need !== undefined && !isFresh(got.val.mark, need, edge.exact))
+      return over(s, tx, 'UNAVAILABLE', "the follower fell behind the lane's bound")
     if (gone.fired()) return over(s, tx, 'ABORTED', 'the requester went away')
     return { outcome: 'done', rows: got.val.rows, ...proofOf(got.val) }
   }
@@ -252,12 +350,34 @@
     runner.quiet.ring()
     if (got.err) {
       // COMMIT that may have reached is never sent again. An instance that answers that it did not commit says so.
-      if (got.val.reach === 'answered') return { outcome: 'failed', class: got.val.class, kept: 'unknown', again: got.val.transient, why: got.val.why, transaction: 'over' }
-      if (tx.kind === 'read') return { outcome: 'failed', class: 'UNAVAILABLE', kept: 'unknown', again: true, why: got.val.why, transaction: 'over', after: AFTER_LOAD }
+      if (got.val.reach === 'answered')
+        return {
+          outcome: 'failed',
+          class: got.val.class,
+          kept: 'unknown',
+          again: got.val.transient,
+          why: got.val.why,
+          transaction: 'over',
+        }
+      if (tx.kind === 'read')
+        return {
+          outcome: 'failed',
+          class: 'UNAVAILABLE',
+          kept: 'unknown',
+          again: true,
+          why: got.val.why,
+          transaction: 'over',
+          after: AFTER_LOAD,
+        }
       return lost(s, got.val.why)
     }
     if (tx.kind === 'write') {
-      if (!runner.stands(tx.group, tx.epoch) || (edge.exact && got.val.mark.epoch !== tx.epoch) || !state.counts(tx.lane, tx.group, tx.begun)) return lost(s, 'the answer came after the leader had been replaced, the lane moved, or the term had ended')
+      if (
+        !runner.stands(tx.group, tx.epoch) ||
+        (edge.exact && got.val.mark.epoch !== tx.epoch) ||
+        !state.counts(tx.lane, tx.group, tx.begun)
+      )
+        return lost(s, 'the answer came after the leader had been replaced, the lane moved, or the term had ended')
       runner.sawWrite(tx.group, got.val.mark)
       s.token = { group: tx.group, mark: got.val.mark }
     }
@@ -322,14 +442,30 @@
     if (word.w === 'statement' && word.body.shape !== undefined && !shape) return noShape(word.body.shape)
     const kind = word.body.kind ?? shape?.kind ?? 'write'
     const { id } = word
-    const body: { text?: string; shape?: string; args: unknown[]; id?: string } = word.w === 'statement' ? { ...(id !== undefined ? { id } : {}), ...(word.body.text !== undefined ? { text: word.body.text } : { shape: word.body.shape! }), args: word.body.args ?? [] } : { args: [], ...(id !== undefined ? { id } : {}) }
+    const body: { text?: string; shape?: string; args: unknown[]; id?: string } =
+      word.w === 'statement'
+        ? {
+            ...(id !== undefined ? { id } : {}),
+            ...(word.body.text !== undefined ? { text: word.body.text } : { shape: word.body.shape! }),
+            args: word.body.args ?? [],
+          }
+        : { args: [], ...(id !== undefined ? { id } : {}) }
     // Only the shapes that a call uses are put in force for it; a transaction's statements carry their texts.
     const shapes = new Map<string, string>()
     if (body.shape !== undefined && shape) shapes.set(body.shape, shape.text)
     function find(rules: Rules): LaneRules | undefined {
       return findLane(rules, s.lane, s.database)
     }
-    const call = makeCall(world, word.w === 'begin' ? `begin ${kind}` : kind, found.lane, found.rules, { settings: s.settings, shapes, token: s.token, mustLead: s.mustLead, body, find, ms, gone })
+    const call = makeCall(world, word.w === 'begin' ? `begin ${kind}` : kind, found.lane, found.rules, {
+      settings: s.settings,
+      shapes,
+      token: s.token,
+      mustLead: s.mustLead,
+      body,
+      find,
+      ms,
+      gone,
+    })
     const got = await runner.run(call)
     if (got.verdict.outcome === 'done' && got.mark) {
       const lead = call.target?.floor === undefined
@@ -339,7 +475,20 @@
           runner.kept(call)
           return refusal('ABORTED', 'the session was closed', false)
         }
-        s.transaction = { loan: got.loan!, kind, lane: call.lane.name, database: call.lane.database, stray: undefined, group: call.lane.group, epoch: got.epoch!, lead, ran: false, begun: call.asked, last: world.now(), fresh: lead || !edge.sampler ? undefined : freshOf(call.lane) }
+        s.transaction = {
+          loan: got.loan!,
+          kind,
+          lane: call.lane.name,
+          database: call.lane.database,
+          stray: undefined,
+          group: call.lane.group,
+          epoch: got.epoch!,
+          lead,
+          ran: false,
+          begun: call.asked,
+          last: world.now(),
+          fresh: lead || !edge.sampler ? undefined : freshOf(call.lane),
+        }
       } else if (kind === 'write') s.token = { group: call.lane.group, mark: got.mark }
       else if (lead && (s.mustLead || isForeign(s.token, call.lane.group))) {
         // What the leader answered stands for all that this session may be owed.
@@ -360,7 +509,16 @@
     }
     const token = tokenOf(word.body.token)
     if (token === 'bad') return badToken()
-    const call = makeCall(world, word.body.kind, found.lane, found.rules, { settings, shapes: new Map(), token, mustLead: false, body: { text: word.body.text, args: word.body.args ?? [] }, find, ms, gone })
+    const call = makeCall(world, word.body.kind, found.lane, found.rules, {
+      settings,
+      shapes: new Map(),
+      token,
+      mustLead: false,
+      body: { text: word.body.text, args: word.body.args ?? [] },
+      find,
+      ms,
+      gone,
+    })
     const got = await runner.run(call)
     if (got.verdict.outcome !== 'done') return got.verdict
     const fresh = word.body.kind === 'write' || isForeign(token, call.lane.group)
@@ -394,7 +552,14 @@
   }
   function transactions(group?: string, lane?: string, kind?: 'read' | 'write'): number {
     let out = 0
-    for (const s of all.values()) if (s.transaction && (group === undefined || s.transaction.group === group) && (lane === undefined || s.transaction.lane === lane) && (kind === undefined || s.transaction.kind === kind)) out++
+    for (const s of all.values())
+      if (
+        s.transaction &&
+        (group === undefined || s.transaction.group === group) &&
+        (lane === undefined || s.transaction.lane === lane) &&
+        (kind === undefined || s.transaction.kind === kind)
+      )
+        out++
     return out
   }
   function cut(why: string): void {
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -1,6 +1,15 @@
 import { makeBell, type Bell, type World } from '@claynotch/base'
 import { CONFIG_KEY, configFor, type Body, type Config } from '@claynotch/operator'
-import { groupKey, groupOf, slotOf, SLOTS_KEY, type Feed, type GroupRecord, type Sight, type Slots } from '@claynotch/register'
+import {
+  groupKey,
+  groupOf,
+  slotOf,
+  SLOTS_KEY,
+  type Feed,
+  type GroupRecord,
+  type Sight,
+  type Slots,
+} from '@claynotch/register'
 import { compile, type Rules } from './rules.js'
 
 // Invariants: a turn never goes back; work under a cell is done only while now < until;
@@ -82,11 +91,17 @@
         const next = `${mine.epoch} ${JSON.stringify(mine.moves)}`
         if (next !== made) rules = mine.config ? compile(mine.config, mine.epoch, mine.moves, world.now()) : undefined
         made = next
-        for (const m of mine.moves) if (m.phase === 'quiet' || m.phase === 'held') for (const lane of m.lanes) shut.set(lane, world.now())
+        for (const m of mine.moves)
+          if (m.phase === 'quiet' || m.phase === 'held') for (const lane of m.lanes) shut.set(lane, world.now())
         world.log.info('configuration-applied', { epoch: mine.epoch, turn: c.turn })
       } else if (groupOf(c.key) !== undefined) {
         const rec = c.body as GroupRecord
-        world.log.info('group-applied', { group: groupOf(c.key), phase: rec.phase, epoch: rec.epoch, leader: rec.leader })
+        world.log.info('group-applied', {
+          group: groupOf(c.key),
+          phase: rec.phase,
+          epoch: rec.epoch,
+          leader: rec.leader,
+        })
       }
     }
     sights = new Map()
@@ -97,7 +112,9 @@
     for (const [g, firsts, retries] of f.tries) tries.set(g, { firsts, retries })
     const now = world.now()
     // Since when any of us knew, by the notice's own age; by a hint alone, since now.
-    for (const [name, one] of sights) if (gone(name)) goneSince.set(name, Math.min(goneSince.get(name) ?? now, one.leaving ? now - one.age - (one.gone ?? 0) : now))
+    for (const [name, one] of sights)
+      if (gone(name))
+        goneSince.set(name, Math.min(goneSince.get(name) ?? now, one.leaving ? now - one.age - (one.gone ?? 0) : now))
     for (const name of goneSince.keys()) if (!gone(name)) goneSince.delete(name)
     bell.ring()
   }
@@ -175,5 +192,25 @@
     for (const [key, c] of cells) out.set(key, c.turn)
     return out
   }
-  return { take, halt, rules: rulesNow, config, valid, share, live: liveNow, group, counts, knows, sights: sightsNow, gone, goneFor, moving: movingNow, others, node: nodeNow, area: areaNow, turns, bell }
+  return {
+    take,
+    halt,
+    rules: rulesNow,
+    config,
+    valid,
+    share,
+    live: liveNow,
+    group,
+    counts,
+    knows,
+    sights: sightsNow,
+    gone,
+    goneFor,
+    moving: movingNow,
+    others,
+    node: nodeNow,
+    area: areaNow,
+    turns,
+    bell,
+  }
 }
--- a/packages/proxy/src/watch.ts
+++ b/packages/proxy/src/watch.ts
@@ -1,4 +1,17 @@
-import { loop, makeBell, makeFlag, pause, SAMPLE_BEAT, FAILED_ROW, SAMPLE_LIMIT, TRY_PAUSE, TRY_PAUSE_MOST, type Flag, type Numbers, type World } from '@claynotch/base'
+import {
+  loop,
+  makeBell,
+  makeFlag,
+  pause,
+  SAMPLE_BEAT,
+  FAILED_ROW,
+  SAMPLE_LIMIT,
+  TRY_PAUSE,
+  TRY_PAUSE_MOST,
+  type Flag,
+  type Numbers,
+  type World,
+} from '@claynotch/base'
 import type { InstanceEdge, Mark, Sampler, Status } from '@claynotch/instance'
 import type { Sample } from './freshness.js'
 import type { State } from './state.js'
@@ -11,9 +24,19 @@
 // doubt: something failed there after it was last seen to lead as it should. again: where no samples clear a doubt, one
 // call may try from then on, with pauses that grow until one succeeds.
 export type Instance = {
-  name: string; group: string; addr: string; area: string
-  lastOk: number; status: Status | undefined; mark: Mark | undefined; samples: Sample[]
-  doubt: boolean; row: number; again: number; pause: number; usage: number
+  name: string
+  group: string
+  addr: string
+  area: string
+  lastOk: number
+  status: Status | undefined
+  mark: Mark | undefined
+  samples: Sample[]
+  doubt: boolean
+  row: number
+  again: number
+  pause: number
+  usage: number
   // failing: when the first send was made that failed with no sign of life after it.
   failing: number | undefined
 }
@@ -46,11 +69,13 @@
     if (!state.share()) return out
     const groups = new Set<string>()
     for (const g of state.config()?.groups ?? []) groups.add(g.name)
-    for (const s of state.sights().values()) if (groups.has(s.group)) out.set(s.name, { group: s.group, addr: s.addr, area: s.area })
+    for (const s of state.sights().values())
+      if (groups.has(s.group)) out.set(s.name, { group: s.group, addr: s.addr, area: s.area })
     // A leader by record is watched even while its announcements are not heard.
     for (const g of groups) {
       const rec = state.group(g)?.record
-      if (rec?.leader !== undefined && rec.addr !== undefined && !out.has(rec.leader)) out.set(rec.leader, { group: g, addr: rec.addr, area: all.get(rec.leader)?.area ?? '' })
+      if (rec?.leader !== undefined && rec.addr !== undefined && !out.has(rec.leader))
+        out.set(rec.leader, { group: g, addr: rec.addr, area: all.get(rec.leader)?.area ?? '' })
     }
     return out
   }
@@ -63,7 +88,20 @@
         continue
       }
       ends.get(name)?.fire()
-      const one: Instance = { name, ...w, lastOk: 0, status: undefined, mark: undefined, samples: [], doubt: false, row: 0, again: 0, pause: 0, usage: 0, failing: undefined }
+      const one: Instance = {
+        name,
+        ...w,
+        lastOk: 0,
+        status: undefined,
+        mark: undefined,
+        samples: [],
+        doubt: false,
+        row: 0,
+        again: 0,
+        pause: 0,
+        usage: 0,
+        failing: undefined,
+      }
       const end = makeFlag()
       stop.watch(end.fire)
       all.set(name, one)
--- a/packages/register/src/changes.ts
+++ b/packages/register/src/changes.ts
@@ -9,7 +9,11 @@
 
 // The lines of one table, each with the count at which it last changed, and the names that went.
 // count is shared by the tables of a core, and grows with each change.
-export type Table<T> = { update: (now: Map<string, T>) => void; since: (count: number) => { lines: T[]; gone: string[] }; least: () => number }
+export type Table<T> = {
+  update: (now: Map<string, T>) => void
+  since: (count: number) => { lines: T[]; gone: string[] }
+  least: () => number
+}
 
 export function makeTable<T>(count: { at: number }, sign: (line: T) => string): Table<T> {
   const lines = new Map<string, { line: T; sign: string; at: number }>()
@@ -120,5 +124,14 @@
   function heardNow(): number {
     return heard
   }
-  return { core: coreNow, count: countNow, take, reset, keys: keysNow, members: membersNow, sights: sightsNow, heard: heardNow }
+  return {
+    core: coreNow,
+    count: countNow,
+    take,
+    reset,
+    keys: keysNow,
+    members: membersNow,
+    sights: sightsNow,
+    heard: heardNow,
+  }
 }
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -1,4 +1,25 @@
-import { answerLinks, FOUND_WAIT, HANDOVER_BEAT, hello, holdLink, loop, makeFlag, makeNumbers, MISSED_KEPT, pause, readAs, ROUND_LIFE, SEEDS_BEAT, type Addr, type Held, type Hello, type Link, type Listener, type Numbers, type World } from '@claynotch/base'
+import {
+  answerLinks,
+  FOUND_WAIT,
+  HANDOVER_BEAT,
+  hello,
+  holdLink,
+  loop,
+  makeFlag,
+  makeNumbers,
+  MISSED_KEPT,
+  pause,
+  readAs,
+  ROUND_LIFE,
+  SEEDS_BEAT,
+  type Addr,
+  type Held,
+  type Hello,
+  type Link,
+  type Listener,
+  type Numbers,
+  type World,
+} from '@claynotch/base'
 import { compareBallots, type Ballot } from './ballot.js'
 import { makeTable } from './changes.js'
 import { askSeeds, NO_SET, quorumOf, votersOf, type CorePlace, type CoreSet, type Quorum } from './coreset.js'
@@ -11,14 +32,33 @@
 // tell; only founders are founded. founders: given at the very first start of the whole system, with empty disks, to all
 // alike. addr: where this machine takes links. seeds: http addresses of others, asked again until one tells.
 // foundAnew: an operator's word that all cores lost their disks and everything is to begin again.
-export type CoreSettings = { id: string; data: string; foundAnew?: boolean } & ({ cores: CorePlace[] } | { addr: Addr; seeds: () => Addr[]; founders?: CorePlace[] })
+export type CoreSettings = { id: string; data: string; foundAnew?: boolean } & (
+  { cores: CorePlace[] } | { addr: Addr; seeds: () => Addr[]; founders?: CorePlace[] }
+)
 
 // coreSet: NO_SET until it is known. adopt: takes a set that was chosen; an older one, or another than an operator gave, changes
 // nothing.
-export type Core = { stop: () => Promise<void>; serving: () => boolean; store: Store; numbers: Numbers; state: () => string; agents: () => string[]; coreSet: () => CoreSet; adopt: (next: CoreSet) => Promise<void> }
+export type Core = {
+  stop: () => Promise<void>
+  serving: () => boolean
+  store: Store
+  numbers: Numbers
+  state: () => string
+  agents: () => string[]
+  coreSet: () => CoreSet
+  adopt: (next: CoreSet) => Promise<void>
+}
 
 // hears: the other voters that this core holds a link to.
-export type State = { t: 'state'; id: string; phase: Phase; serving: boolean; cores: string[]; set: CoreSet; hears: string[] }
+export type State = {
+  t: 'state'
+  id: string
+  phase: Phase
+  serving: boolean
+  cores: string[]
+  set: CoreSet
+  hears: string[]
+}
 
 // One core machine: it votes on registers, holds terms, and pushes settled changes to its agents.
 export async function startCore(world: World, set: CoreSettings): Promise<Core> {
@@ -100,7 +140,8 @@
   // Takes the first set known in this life. A machine that isn't of it keeps it on disk only to tell it.
   async function join(known: CoreSet): Promise<void> {
     const names = idsOf(known.cores)
-    if (store.phase() !== 'none' && store.cores().join() !== names.join()) throw new Error(`the data folder belongs to the core set ${store.cores().join()}, not ${names.join()}`)
+    if (store.phase() !== 'none' && store.cores().join() !== names.join())
+      throw new Error(`the data folder belongs to the core set ${store.cores().join()}, not ${names.join()}`)
     voter = votersOf(known).some(isMe)
     if (!voter && given) throw new Error(`core ${set.id} is not among its own set`)
     if (!voter && store.set().cores.length === 0) await store.mark('none', known)
@@ -129,16 +170,29 @@
       // Said by the store, which answers nothing any more.
     }
     if (coreSet === next) moving = false
-    world.log.info('core-set-changed', { core: set.id, epoch: next.epoch, set: ids.join(), next: idsOf(next.next ?? []).join(), voter })
+    world.log.info('core-set-changed', {
+      core: set.id,
+      epoch: next.epoch,
+      set: ids.join(),
+      next: idsOf(next.next ?? []).join(),
+      voter,
+    })
   }
   // begins: whether this core may begin a founding.
   const begins = 'cores' in set || (set.founders?.length ?? 0) > 0
-  const first = given ? { epoch: 0, cores: given } : store.set().cores.length > 0 ? store.set() : 'founders' in set && set.founders ? { epoch: 0, cores: set.founders } : undefined
+  const first = given
+    ? { epoch: 0, cores: given }
+    : store.set().cores.length > 0
+      ? store.set()
+      : 'founders' in set && set.founders
+        ? { epoch: 0, cores: set.founders }
+        : undefined
   if (first) await join(first)
 
   function keyLines(): KeyLine[] {
     const out: KeyLine[] = []
-    for (const [key, c] of store.cells()) if (c.value) out.push({ key, ballot: c.ballot, turn: c.value.turn, chosen: isSettled(key, c) })
+    for (const [key, c] of store.cells())
+      if (c.value) out.push({ key, ballot: c.ballot, turn: c.value.turn, chosen: isSettled(key, c) })
     return out
   }
   function isSettled(key: string, c: Cell): boolean {
@@ -176,8 +230,11 @@
       const list = missed.get(o.id)
       if (!list || !o.held.up()) continue
       const cells: { key: string; ballot: Ballot; value: Value }[] = []
-      for (const [key, c] of store.cells()) if (c.value && isSettled(key, c) && (list === 'all' || list.has(key))) cells.push({ key, ballot: c.ballot, value: c.value })
-      const got = (await o.held.ask({ t: 'handover', cells }, ROUND_LIFE)) as { ok?: boolean; took?: number } | undefined
+      for (const [key, c] of store.cells())
+        if (c.value && isSettled(key, c) && (list === 'all' || list.has(key)))
+          cells.push({ key, ballot: c.ballot, value: c.value })
+      const got = (await o.held.ask({ t: 'handover', cells }, ROUND_LIFE)) as
+        { ok?: boolean; took?: number } | undefined
       if (!got?.ok) continue
       // What was settled while we handed over is in the list still.
       if (missed.get(o.id) === list) missed.delete(o.id)
@@ -203,7 +260,15 @@
   function state(): State {
     const hears: string[] = []
     for (const o of others) if (o.held.up()) hears.push(o.id)
-    return { t: 'state', id: set.id, phase: lost ? 'none' : store.phase(), serving: servingNow() && !moving, cores: ids, set: coreSet, hears }
+    return {
+      t: 'state',
+      id: set.id,
+      phase: lost ? 'none' : store.phase(),
+      serving: servingNow() && !moving,
+      cores: ids,
+      set: coreSet,
+      hears,
+    }
   }
   async function answer(msg: CoreWord, peer: Hello, link: Link): Promise<unknown> {
     numbers.add('claynotch_core_words_total', [['word', msg.t]])
@@ -216,9 +281,20 @@
         await adopt(msg.set)
         return { ok: true }
     }
-    if (msg.t === 'renew' && msg.remembers && !serving && set.foundAnew !== true && store.phase() !== 'founded' && !remembered) {
+    if (
+      msg.t === 'renew' &&
+      msg.remembers &&
+      !serving &&
+      set.foundAnew !== true &&
+      store.phase() !== 'founded' &&
+      !remembered
+    ) {
       remembered = true
-      world.log.error('set-was-founded', { core: set.id, node: msg.node, why: 'an agent remembers settled registers: this set is not founded a second time unless foundAnew is set' })
+      world.log.error('set-was-founded', {
+        core: set.id,
+        node: msg.node,
+        why: 'an agent remembers settled registers: this set is not founded a second time unless foundAnew is set',
+      })
     }
     // A round or a count under one set never ends under another.
     if (msg.t !== 'learn' && msg.t !== 'handover' && msg.t !== 'leave' && msg.t !== 'ack') {
@@ -240,7 +316,9 @@
       case 'get': {
         // After what is being written now: one that isn't on disk yet might be lost, and was then never there.
         const c = await store.accepted(msg.key)
-        return store.failed() !== undefined ? { ok: false, absent: true } : { ok: true, ballot: c.ballot, value: c.value ?? null }
+        return store.failed() !== undefined
+          ? { ok: false, absent: true }
+          : { ok: true, ballot: c.ballot, value: c.value ?? null }
       }
       case 'keys': {
         const keys: string[] = [...store.cells().keys()]
@@ -282,7 +360,8 @@
     const keys = new Map<string, KeyLine>()
     for (const k of keyLines()) keys.set(k.key, k)
     const members = new Map<string, MemberLine>()
-    for (const { node, life: its, area, addr, operator, build, proxy, core } of terms.members()) members.set(node, { node, life: its, area, addr, operator, build, proxy, ...(core ? { core } : {}) })
+    for (const { node, life: its, area, addr, operator, build, proxy, core } of terms.members())
+      members.set(node, { node, life: its, area, addr, operator, build, proxy, ...(core ? { core } : {}) })
     const sights = new Map<string, Sight>()
     for (const s of terms.sights()) sights.set(s.name, s)
     keyTable.update(keys)
@@ -299,8 +378,16 @@
     const members = memberTable.since(since)
     const sights = sightTable.since(since)
     return {
-      ok: true, sure: terms.sure(), core: life, since, count: count.at, ...(keys.length > 0 ? { keys } : {}), ...(members.lines.length > 0 ? { members: members.lines } : {}),
-      ...(sights.lines.length > 0 ? { sights: sights.lines } : {}), ...(members.gone.length > 0 ? { left: members.gone } : {}), ...(sights.gone.length > 0 ? { lost: sights.gone } : {}),
+      ok: true,
+      sure: terms.sure(),
+      core: life,
+      since,
+      count: count.at,
+      ...(keys.length > 0 ? { keys } : {}),
+      ...(members.lines.length > 0 ? { members: members.lines } : {}),
+      ...(sights.lines.length > 0 ? { sights: sights.lines } : {}),
+      ...(members.gone.length > 0 ? { left: members.gone } : {}),
+      ...(sights.gone.length > 0 ? { lost: sights.gone } : {}),
     }
   }
   function serveLink(peer: Hello, link: Link) {
@@ -373,7 +460,12 @@
     if (given && world.now() - born < FOUND_WAIT) return false
     // Without that word a core with nothing on disk never begins. It may only end a founding that all the others hold
     // intent for: none of them has served yet, and what its own lost life promised is void after this wait.
-    if (store.phase() === 'none' && !begins && (others.length === 0 || intent < others.length || asked - born < 2 * ROUND_LIFE)) return false
+    if (
+      store.phase() === 'none' &&
+      !begins &&
+      (others.length === 0 || intent < others.length || asked - born < 2 * ROUND_LIFE)
+    )
+      return false
     if (store.phase() === 'none') await store.mark('intent', coreSet)
     if (intent === others.length) {
       await store.mark('founded', coreSet)
@@ -397,7 +489,8 @@
     }
     async function askKeys(): Promise<Keys[] | undefined> {
       const asks: { id: string; got: Promise<Keys> }[] = []
-      for (const o of others) asks.push({ id: o.id, got: o.held.ask({ t: 'keys', epoch: under.epoch }, ROUND_LIFE) as Promise<Keys> })
+      for (const o of others)
+        asks.push({ id: o.id, got: o.held.ask({ t: 'keys', epoch: under.epoch }, ROUND_LIFE) as Promise<Keys> })
       const good = new Set<string>()
       const out: Keys[] = []
       for (const { id, val } of await gather(world, asks, all, isOk, ROUND_LIFE)) {
@@ -480,7 +573,17 @@
     return serving && store.failed() === undefined
   }
   function stateNow(): string {
-    return store.failed() !== undefined ? 'disk failed' : serving ? 'serving' : coreSet.cores.length === 0 ? 'looking' : !voter ? 'aside' : lost || remembered ? 'lost' : store.phase()
+    return store.failed() !== undefined
+      ? 'disk failed'
+      : serving
+        ? 'serving'
+        : coreSet.cores.length === 0
+          ? 'looking'
+          : !voter
+            ? 'aside'
+            : lost || remembered
+              ? 'lost'
+              : store.phase()
   }
   function agentsNow(): string[] {
     const out: string[] = []
@@ -491,5 +594,14 @@
   function coreSetNow(): CoreSet {
     return coreSet
   }
-  return { stop: end, serving: servingNow, store, numbers, state: stateNow, agents: agentsNow, coreSet: coreSetNow, adopt }
+  return {
+    stop: end,
+    serving: servingNow,
+    store,
+    numbers,
+    state: stateNow,
+    agents: agentsNow,
+    coreSet: coreSetNow,
+    adopt,
+  }
 }
--- a/packages/register/src/coreset.ts
+++ b/packages/register/src/coreset.ts
@@ -6,11 +6,13 @@
 export const CorePlace = t.type({ id: t.string, addr: t.string })
 export type CorePlace = t.TypeOf<typeof CorePlace>
 
-
 // One configuration of the voters. Invariants: of each epoch there is one set, chosen in the register CORESET_KEY by a round
 // under the epoch before it; whoever says a set has learnt that it was chosen; cores is empty only while no set is known.
 // next: joint configuration; every majority is one of cores and one of next as well.
-export const CoreSet = t.intersection([t.type({ epoch: t.number, cores: t.array(CorePlace) }), t.partial({ next: t.array(CorePlace) })])
+export const CoreSet = t.intersection([
+  t.type({ epoch: t.number, cores: t.array(CorePlace) }),
+  t.partial({ next: t.array(CorePlace) }),
+])
 export type CoreSet = t.TypeOf<typeof CoreSet>
 export const CORESET_KEY = 'coreset'
 export const NO_SET: CoreSet = { epoch: 0, cores: [] }
@@ -36,7 +38,10 @@
   return [...out.values()]
 }
 
-const SeedsAnswer = t.intersection([t.type({ cores: t.array(CorePlace) }), t.partial({ epoch: t.number, next: t.array(CorePlace) })])
+const SeedsAnswer = t.intersection([
+  t.type({ cores: t.array(CorePlace) }),
+  t.partial({ epoch: t.number, next: t.array(CorePlace) }),
+])
 
 function byId(a: CorePlace, b: CorePlace): number {
   return a.id < b.id ? -1 : a.id > b.id ? 1 : 0
--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -3,7 +3,20 @@
 export * from './store.js'
 export * from './proposer.js'
 export * from './terms.js'
-export { Value as ValueShape, CoreWord, Push, Renew, RenewAnswer, MembersAnswer, Member, MemberLine, Self, Sight, KeyLine, laterSight } from './words.js'
+export {
+  Value as ValueShape,
+  CoreWord,
+  Push,
+  Renew,
+  RenewAnswer,
+  MembersAnswer,
+  Member,
+  MemberLine,
+  Self,
+  Sight,
+  KeyLine,
+  laterSight,
+} from './words.js'
 export * from './changes.js'
 export * from './core.js'
 export * from './record.js'
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -25,7 +25,13 @@
 export type Answer<T> = { id: string; val: T }
 
 // Asks all; ends once those who said ok are a quorum, once that has become impossible, or at the limit.
-export function gather<T>(world: World, asks: { id: string; got: Promise<T> }[], quorum: Quorum, isOk: (v: T) => boolean, ms: number): Promise<Answer<T>[]> {
+export function gather<T>(
+  world: World,
+  asks: { id: string; got: Promise<T> }[],
+  quorum: Quorum,
+  isOk: (v: T) => boolean,
+  ms: number,
+): Promise<Answer<T>[]> {
   function start(done: (got: Answer<T>[]) => void): void {
     const got: Answer<T>[] = []
     const good = new Set<string>()
@@ -55,7 +61,13 @@
 
 // voters and quorum are of one set at any time; a round keeps those that it began with. heard: a core refused for the sake of
 // a later set.
-export function makeProposer(world: World, name: string, voters: () => Voter[], quorum: () => Quorum, heard?: (set: CoreSet) => void): Proposer {
+export function makeProposer(
+  world: World,
+  name: string,
+  voters: () => Voter[],
+  quorum: () => Quorum,
+  heard?: (set: CoreSet) => void,
+): Proposer {
   // who is fresh for each life of a process, so that a restarted proposer can't repeat a ballot.
   const who = `${name}~${Math.floor(world.random() * 2 ** 40).toString(36)}`
   let top = 0
@@ -88,7 +100,8 @@
     const ballot: Ballot = [++top, who]
     const from = world.now()
     const asks: { id: string; got: Promise<Vote> }[] = []
-    for (const v of all) asks.push({ id: v.id, got: v.ask({ t: 'prepare', epoch, key, ballot }, ROUND_LIFE) as Promise<Vote> })
+    for (const v of all)
+      asks.push({ id: v.id, got: v.ask({ t: 'prepare', epoch, key, ballot }, ROUND_LIFE) as Promise<Vote> })
     const votes = await gather(world, asks, enough, isOk, ROUND_LIFE)
     for (const v of votes) saw(v.val)
     const yes = yesOf(votes)
@@ -110,7 +123,8 @@
     }
     const value: Value = next ? { turn: (now?.turn ?? 0) + 1, tag: next.tag, body: next.body } : (now as Value)
     const puts: { id: string; got: Promise<Vote> }[] = []
-    for (const v of all) puts.push({ id: v.id, got: v.ask({ t: 'accept', epoch, key, ballot, value }, ROUND_LIFE) as Promise<Vote> })
+    for (const v of all)
+      puts.push({ id: v.id, got: v.ask({ t: 'accept', epoch, key, ballot, value }, ROUND_LIFE) as Promise<Vote> })
     const took = await gather(world, puts, enough, isOk, ROUND_LIFE)
     const accepted = new Set<string>()
     for (const v of took) {
--- a/packages/register/src/record.ts
+++ b/packages/register/src/record.ts
@@ -9,15 +9,22 @@
 // Phases: steady -> (drain ->) stop -> promote -> steady.
 export const GroupRecord = t.intersection([
   t.type({
-    epoch: t.number, phase: t.union([t.literal('steady'), t.literal('drain'), t.literal('stop'), t.literal('promote')]),
-    holder: t.string, fence: t.number,
+    epoch: t.number,
+    phase: t.union([t.literal('steady'), t.literal('drain'), t.literal('stop'), t.literal('promote')]),
+    holder: t.string,
+    fence: t.number,
   }),
   t.partial({
-    leader: t.string, addr: t.string,
+    leader: t.string,
+    addr: t.string,
     // candidate: whom this epoch belongs to, from stop on. planned: the old leader was well when this began.
-    candidate: t.string, candidateAddr: t.string, planned: t.boolean, old: t.string,
+    candidate: t.string,
+    candidateAddr: t.string,
+    planned: t.boolean,
+    old: t.string,
     // wish: an operator wants another leader. note: how the last move ended.
-    wish: t.type({ to: t.string }), note: t.string,
+    wish: t.type({ to: t.string }),
+    note: t.string,
     // term: where instances number their leaders by themselves, the number in which the leader, or the old one, leads.
     // Never above epoch, which only we count.
     term: t.number,
--- a/packages/register/src/store.ts
+++ b/packages/register/src/store.ts
@@ -77,7 +77,10 @@
     const got = await file.open()
     const findings: Finding[] = []
     if (got.damaged) {
-      findings.push({ place: path, what: 'a bad record stands before good ones: this core has lost its memory and must be refilled' })
+      findings.push({
+        place: path,
+        what: 'a bad record stands before good ones: this core has lost its memory and must be refilled',
+      })
       return findings
     }
     if (got.cut > 0) findings.push({ place: path, what: `torn last record cut off (${got.cut} bytes)` })
@@ -182,5 +185,18 @@
   function cellsNow(): Map<string, Cell> {
     return cells
   }
-  return { open, phase: phaseNow, cores: coresNow, set: setNow, mark, prepare, accept, accepted, cells: cellsNow, top, failed, refill }
+  return {
+    open,
+    phase: phaseNow,
+    cores: coresNow,
+    set: setNow,
+    mark,
+    prepare,
+    accept,
+    accepted,
+    cells: cellsNow,
+    top,
+    failed,
+    refill,
+  }
 }
--- a/packages/register/src/terms.ts
+++ b/packages/register/src/terms.ts
@@ -6,7 +6,15 @@
 // for one whole term after the start of this core, members may exist that it does not know (sure() is false).
 // A restarted agent takes its node's term over at once; the life that was replaced is refused from then on.
 // self, acks and highs are of this life; a renewal brings what is new of them.
-type Term = { until: number; life: string; self: Self; open: number; acks: Map<string, number>; highs: Map<string, [number, number]>; past: Set<string> }
+type Term = {
+  until: number
+  life: string
+  self: Self
+  open: number
+  acks: Map<string, number>
+  highs: Map<string, [number, number]>
+  past: Set<string>
+}
 
 export type Terms = {
   renew: (r: Renew) => 'held' | 'replaced' | 'unknown'
--- a/packages/register/src/words.ts
+++ b/packages/register/src/words.ts
@@ -8,21 +8,41 @@
 
 // What a node saw of an instance. age: ms since the announcement was heard; leaving: it said that it goes, and first
 // did so gone ms before that announcement. sequence: the instance's own count of its announcements.
-export const Sight = t.intersection([t.type({ name: t.string, group: t.string, addr: t.string, area: t.string, role: t.string, leaving: t.boolean, age: t.number }), t.partial({ gone: t.number, sequence: t.number })])
+export const Sight = t.intersection([
+  t.type({
+    name: t.string,
+    group: t.string,
+    addr: t.string,
+    area: t.string,
+    role: t.string,
+    leaving: t.boolean,
+    age: t.number,
+  }),
+  t.partial({ gone: t.number, sequence: t.number }),
+])
 export type Sight = t.TypeOf<typeof Sight>
 
 // What a member is, told to each core once in its life. addr: where it takes summaries; operator: where it serves operators,
 // '' if it doesn't; proxy: whether it feeds a proxy.
 // core: the core machine that it runs on, which votes or could.
-export const Self = t.intersection([t.type({ area: t.string, addr: t.string, operator: t.string, build: t.string, proxy: t.boolean }), t.partial({ core: CorePlace })])
+export const Self = t.intersection([
+  t.type({ area: t.string, addr: t.string, operator: t.string, build: t.string, proxy: t.boolean }),
+  t.partial({ core: CorePlace }),
+])
 export type Self = t.TypeOf<typeof Self>
 
 // A renewal: what changed since the last one that this core answered. core, count: which life of the core the agent has
 // a picture of, and up to which count. acks: [key, turn] that its proxy applied.
 export const Renew = t.intersection([
   t.type({
-    t: t.literal('renew'), node: t.string, life: t.string, core: t.string, count: t.number,
-    acks: t.array(t.tuple([t.string, t.number])), sights: t.array(Sight), open: t.number,
+    t: t.literal('renew'),
+    node: t.string,
+    life: t.string,
+    core: t.string,
+    count: t.number,
+    acks: t.array(t.tuple([t.string, t.number])),
+    sights: t.array(Sight),
+    open: t.number,
     // highs: [group, epoch, position], the highest acknowledged commit that its proxy saw.
     highs: t.array(t.tuple([t.string, t.number, t.number])),
     // remembers: this node knows settled registers, so the set was founded once.
@@ -59,7 +79,14 @@
 // A member as every agent knows it, and as whoever needs more asks for it.
 export const MemberLine = t.intersection([t.type({ node: t.string, life: t.string }), Self])
 export type MemberLine = t.TypeOf<typeof MemberLine>
-export const Member = t.intersection([MemberLine, t.type({ acks: t.array(t.tuple([t.string, t.number])), open: t.number, highs: t.array(t.tuple([t.string, t.number, t.number])) })])
+export const Member = t.intersection([
+  MemberLine,
+  t.type({
+    acks: t.array(t.tuple([t.string, t.number])),
+    open: t.number,
+    highs: t.array(t.tuple([t.string, t.number, t.number])),
+  }),
+])
 export type Member = t.TypeOf<typeof Member>
 
 export const KeyLine = t.type({ key: t.string, ballot: Ballot, turn: t.number, chosen: t.boolean })
@@ -72,9 +99,19 @@
 export const RenewAnswer = t.intersection([
   t.type({ ok: t.boolean }),
   t.partial({
-    unknown: t.boolean, replaced: t.boolean, sure: t.boolean, core: t.string, since: t.number, count: t.number,
-    keys: t.array(KeyLine), members: t.array(MemberLine), sights: t.array(Sight), left: t.array(t.string), lost: t.array(t.string),
-    set: CoreSet, behind: t.boolean,
+    unknown: t.boolean,
+    replaced: t.boolean,
+    sure: t.boolean,
+    core: t.string,
+    since: t.number,
+    count: t.number,
+    keys: t.array(KeyLine),
+    members: t.array(MemberLine),
+    sights: t.array(Sight),
+    left: t.array(t.string),
+    lost: t.array(t.string),
+    set: CoreSet,
+    behind: t.boolean,
   }),
 ])
 export type RenewAnswer = t.TypeOf<typeof RenewAnswer>
@@ -89,9 +126,16 @@
   return a.addr === b.addr && Math.abs(bAt - aAt) < LATE_CALL ? b.sequence > a.sequence : bAt > aAt
 }
 // Of two sights of one instance the later, with the earliest notice of either.
-export function laterSight(old: { sight: Sight; at: number } | undefined, next: Sight, at: number): { sight: Sight; at: number } {
+export function laterSight(
+  old: { sight: Sight; at: number } | undefined,
+  next: Sight,
+  at: number,
+): { sight: Sight; at: number } {
   if (!old) return { sight: next, at }
   const late = isLater(next, at, old.sight, old.at) ? { sight: next, at } : old
   if (!next.leaving || !old.sight.leaving) return late
-  return { sight: { ...late.sight, gone: late.at - Math.min(at - (next.gone ?? 0), old.at - (old.sight.gone ?? 0)) }, at: late.at }
+  return {
+    sight: { ...late.sight, gone: late.at - Math.min(at - (next.gone ?? 0), old.at - (old.sight.gone ?? 0)) },
+    at: late.at,
+  }
 }
--- a/packages/requester/src/index.ts
+++ b/packages/requester/src/index.ts
@@ -5,11 +5,20 @@
 
 const Pair = t.type({ name: Name, value: t.string })
 const KindShape = t.union([t.literal('read'), t.literal('write')])
-export const OpenBody = t.intersection([t.type({ lane: Name }), t.partial({ settings: t.array(Pair), token: t.string, database: Name })])
+export const OpenBody = t.intersection([
+  t.type({ lane: Name }),
+  t.partial({ settings: t.array(Pair), token: t.string, database: Name }),
+])
 export const ShapeBody = t.type({ name: Name, text: t.string })
 export const BeginBody = t.partial({ kind: KindShape })
-export const StatementBody = t.intersection([t.type({ kind: KindShape }), t.partial({ text: t.string, shape: Name, args: t.array(t.unknown) })])
-export const CallBody = t.intersection([t.type({ lane: Name, kind: KindShape, text: t.string }), t.partial({ args: t.array(t.unknown), settings: t.array(Pair), token: t.string, database: Name })])
+export const StatementBody = t.intersection([
+  t.type({ kind: KindShape }),
+  t.partial({ text: t.string, shape: Name, args: t.array(t.unknown) }),
+])
+export const CallBody = t.intersection([
+  t.type({ lane: Name, kind: KindShape, text: t.string }),
+  t.partial({ args: t.array(t.unknown), settings: t.array(Pair), token: t.string, database: Name }),
+])
 const Empty = t.partial({})
 
 // lane undefined: the lane is matched by the database, anew for each call. id: the requester's own mark of a statement,
@@ -22,7 +31,12 @@
   | { w: 'unshape'; session: string; name: string }
   | { w: 'set'; session: string; name: string; value: string }
   | { w: 'begin'; session: string; body: t.TypeOf<typeof BeginBody>; id?: string }
-  | { w: 'statement'; session: string; body: { kind?: Kind; text?: string; shape?: string; args?: unknown[] }; id?: string }
+  | {
+      w: 'statement'
+      session: string
+      body: { kind?: Kind; text?: string; shape?: string; args?: unknown[] }
+      id?: string
+    }
   | { w: 'commit'; session: string; id?: string }
   | { w: 'rollback'; session: string; id?: string }
   | { w: 'call'; body: t.TypeOf<typeof CallBody> }
@@ -50,8 +64,13 @@
 }
 
 const statuses = new Map<string, number>([
-  ['UNAVAILABLE', 503], ['RESOURCE_EXHAUSTED', 429], ['INVALID_ARGUMENT', 400], ['PERMISSION_DENIED', 403],
-  ['NOT_FOUND', 404], ['DEADLINE_EXCEEDED', 503], ['ABORTED', 409],
+  ['UNAVAILABLE', 503],
+  ['RESOURCE_EXHAUSTED', 429],
+  ['INVALID_ARGUMENT', 400],
+  ['PERMISSION_DENIED', 403],
+  ['NOT_FOUND', 404],
+  ['DEADLINE_EXCEEDED', 503],
+  ['ABORTED', 409],
 ])
 
 // 503 and 429 promise that nothing was kept, so they are used only where that holds; 502 and 504 promise nothing.
@@ -74,7 +93,8 @@
   const text = ask.header('x-deadline-ms')
   if (text === undefined) return Ok(undefined)
   const ms = Number(text)
-  if (!Number.isFinite(ms) || ms < 0) return Err([{ place: 'header x-deadline-ms', what: `expected milliseconds, got ${text.slice(0, 40)}` }])
+  if (!Number.isFinite(ms) || ms < 0)
+    return Err([{ place: 'header x-deadline-ms', what: `expected milliseconds, got ${text.slice(0, 40)}` }])
   return Ok(ms)
 }
 
@@ -112,7 +132,8 @@
       case 'statement': {
         const got = body(StatementBody, plain)
         if (got.err) return bad(got.val)
-        if ((got.val.text === undefined) === (got.val.shape === undefined)) return bad([{ place: '/text', what: 'exactly one of text and shape is needed' }])
+        if ((got.val.text === undefined) === (got.val.shape === undefined))
+          return bad([{ place: '/text', what: 'exactly one of text and shape is needed' }])
         return Ok({ w: 'statement', session, body: got.val })
       }
       case 'commit':
--- a/tools/mutants.js
+++ b/tools/mutants.js
@@ -1,6 +1,6 @@
 // Shows that the checks are not empty: takes one guard out of a copy of the build, runs the scenario that
 // is meant to catch it, or the test named instead (its seeds are those of random histories), and expects findings. A mutant that no seed catches is reported as MISSED, exit 1.
-//   node tools/mutants.js [name, or on:platform]
+//   node tools/mutants.js [name, or on:platform, or --check: only whether each guard stands in the build]
 import { spawn } from 'node:child_process'
 import { cpSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -27,21 +27,57 @@
   return dir
 }
 
+// The pattern of a guard, in which any run of white space stands for any other: the compiler breaks lines as the source does.
+function patternOf(guard) {
+  return new RegExp(guard.replace(/[.*+?^${}()|[\]\\]/g, '\\$&').replace(/\s+/g, '\\s+'), 'g')
+}
+
 function patch(dir, m) {
   for (const [file, from, to] of m.edits) {
     const path = join(dir, 'packages', file)
     const text = readFileSync(path, 'utf8')
-    if (text.split(from).length !== 2) throw new Error(`${m.name}: the guard stands ${text.split(from).length - 1} times in ${file}`)
-    writeFileSync(path, text.replace(from, to))
+    const pattern = patternOf(from)
+    const count = [...text.matchAll(pattern)].length
+    if (count !== 1) throw new Error(`${m.name}: the guard stands ${count} times in ${file}`)
+    function replacement() {
+      return to
+    }
+    writeFileSync(path, text.replace(pattern, replacement))
+  }
+}
+
+// Every guard must stand once in the build, or its mutant shows nothing.
+function checkPatterns() {
+  let faults = 0
+  for (const m of mutants) {
+    for (const [file, from] of m.edits) {
+      const count = [...readFileSync(join(root, 'packages', file), 'utf8').matchAll(patternOf(from))].length
+      if (count === 1) continue
+      faults++
+      process.stdout.write(`${m.name}: the guard stands ${count} times in ${file}\n`)
+    }
   }
+  return faults
 }
 
 function sweep(dir, m, seed) {
-  const own = [join(dir, 'packages/fleet/dist/main.js'), 'sweep', '--only', m.scenario, '--from', String(seed), '--to', String(seed)]
+  const own = [
+    join(dir, 'packages/fleet/dist/main.js'),
+    'sweep',
+    '--only',
+    m.scenario,
+    '--from',
+    String(seed),
+    '--to',
+    String(seed),
+  ]
   const platform = [join(dir, 'platform/dist/test/sweep.js'), m.scenario, String(seed), String(seed)]
   const args = m.test ? [join(dir, 'packages/fleet/dist/test', m.test)] : m.on === 'platform' ? platform : own
   function start(done) {
-    const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, UV_USE_IO_URING: '0', HISTORIES: '1', HISTORIES_FROM: String(seed) } })
+    const child = spawn(process.execPath, args, {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, UV_USE_IO_URING: '0', HISTORIES: '1', HISTORIES_FROM: String(seed) },
+    })
     let out = ''
     function take(b) {
       out += b
@@ -83,6 +119,8 @@
   return line.startsWith('    not ok')
 }
 
+if (only === '--check') process.exit(checkPatterns() === 0 ? 0 : 1)
+
 const list = mutants.filter(isWanted)
 function isWanted(m) {
   return only === undefined || m.name === only || (only === 'on:platform' && m.on === 'platform')
--- a/tools/verdict.js
+++ b/tools/verdict.js
@@ -25,7 +25,10 @@
 function runFile(file) {
   function start(done) {
     const from = Date.now()
-    const child = spawn(process.execPath, [file], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, TAP: '1', TAP_TIMEOUT: '600', UV_USE_IO_URING: '0' } })
+    const child = spawn(process.execPath, [file], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, TAP: '1', TAP_TIMEOUT: '600', UV_USE_IO_URING: '0' },
+    })
     let out = ''
     let err = ''
     function takeOut(b) {
@@ -65,7 +68,9 @@
     if (file === undefined) return
     const got = await runFile(file)
     results.push(got)
-    process.stdout.write(`${got.failed === 0 ? 'ok' : 'FAILED'} ${got.file}: ${got.passed} passed, ${got.failed} failed (${Math.round(got.ms / 1000)} s)\n`)
+    process.stdout.write(
+      `${got.failed === 0 ? 'ok' : 'FAILED'} ${got.file}: ${got.passed} passed, ${got.failed} failed (${Math.round(got.ms / 1000)} s)\n`,
+    )
     if (got.failed > 0) process.stdout.write(`${got.out.slice(-20000)}\n${got.err.slice(-5000)}\n`)
   }
 }
