--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,4 +1,5 @@
 import {
+  DELTA_EPOCH,
   LEAVE_LIMIT,
   NOTE_BEAT,
   answerLinks,
@@ -38,6 +39,7 @@
 import {
   CONFIG_KEY,
   emptyBody,
+  inForce,
   makeDecision,
   makeOperatorEdge,
   meantBy,
@@ -50,7 +52,6 @@
 import { startPeers, type Peer, type Summary } from '@claynotch/peer'
 import {
   askSeeds,
-  compareBallots,
   CoreSet,
   CORESET_KEY,
   gather,
@@ -67,8 +68,6 @@
   RenewAnswer,
   slotOf,
   SLOTS_KEY,
-  ValueShape,
-  type Ballot,
   type Answer,
   type CorePlace,
   type FedCell,
@@ -77,14 +76,19 @@
   type Member,
   type MemberLine,
   type Picture,
+  type HeldValue,
+  type KeyLine,
   type Quorum,
+  type Settled,
   type Sight,
   type Slots,
   type Value,
   type Voter,
 } from '@claynotch/register'
 import { startCoreSetDuty } from './coreset.js'
+import { makeRegisters } from './registers.js'
 import { ownEdges, type AgentEdges, type Desk } from './seam.js'
+import { makeSubscription, type Source } from './subscription.js'
 
 // link: where the proxy of this machine finds its agent; none: it has no proxy. peer: UDP, for summaries. http: operators,
 // instances, the platform, and nodes that look for the cores; none: it serves none of them and holds no duties. seeds: http
@@ -117,14 +121,16 @@
   apply: (next: { seeds: Addr[]; platform: Addr | undefined; operators: Credential[] | undefined }) => void
 }
 
-// What is known of one register.
-// Invariants: value was chosen at ballot; turn never goes back; until only grows, and stays where it is
-// while a majority knows of something newer than value.
-type Known = { value: Value; ballot: Ballot; until: number }
-
 // What a life of a core has of this agent. sights: all own sights heard before this time.
 type Told = { core: string; self: boolean; acks: Map<string, number>; highs: Map<string, string>; sights: number }
 
+function speaksDeltas(held: Held): () => boolean {
+  function speaks(): boolean {
+    return (held.peer()?.epoch ?? 0) >= DELTA_EPOCH
+  }
+  return speaks
+}
+
 export async function startAgent(world: World, set: AgentSettings, edges: AgentEdges = ownEdges): Promise<Agent> {
   const stop = makeFlag()
   const numbers = makeNumbers()
@@ -135,9 +141,6 @@
   const cores = new Map<string, { held: Held; addr: Addr; end: () => void }>()
   let coreSet: CoreSet = NO_SET
   let coreSetSince = 0
-  const known = new Map<string, Known>()
-  // wanted: newest ballot that a majority's answers showed, by key, with the time of that round; gone once known has it.
-  const wanted = new Map<string, { ballot: Ballot; from: number; chosenAt: string | undefined }>()
   const news = makeBell()
   const lag = makeBell()
   const linked = makeBell()
@@ -162,42 +165,42 @@
 
   function voters(): Voter[] {
     const out: Voter[] = []
-    for (const [id, { held }] of cores) out.push({ id, ask: held.ask, tell: held.tell })
+    for (const [id, { held }] of cores) out.push({ id, ask: held.ask, tell: held.tell, deltas: speaksDeltas(held) })
     return out
   }
   function quorum(): Quorum {
     return quorumOf(coreSet)
   }
-  const proposer = makeProposer(world, set.node, voters, quorum, adopt)
+  const proposer = makeProposer(world, set.node, voters, quorum, adopt, heldValue)
+  function heldValue(key: string): HeldValue | undefined {
+    return registers.held(key)
+  }
 
   // --- what is known ---
 
-  function learned(key: string, value: Value, ballot: Ballot, from?: number): void {
-    const old = known.get(key)
-    if (old && value.turn < old.value.turn) return
-    const newer = !old || value.turn > old.value.turn
-    const top = old && compareBallots(old.ballot, ballot) > 0 ? old.ballot : ballot
-    // A round that showed this very value proves it current as of its start.
-    let until = Math.max(old?.until ?? 0, from === undefined ? 0 : from + TERM)
-    const w = wanted.get(key)
-    if (w && compareBallots(w.ballot, top) <= 0) {
-      wanted.delete(key)
-      until = Math.max(until, w.from + TERM)
-    }
-    known.set(key, { value: newer ? value : old.value, ballot: top, until })
-    if (newer) {
-      world.log.info('epoch-learnt', { key, turn: value.turn })
-      if (key === CORESET_KEY) {
-        const next = readAs(CoreSet, value.body)
-        if (next.ok) adopt(next.val)
-      }
-      duty.ring()
-      mover.ring()
-      news.ring()
-    }
+  const registers = makeRegisters(world, { epoch: epochNow, link: linkTo, settle, news: newValue, behind: lag.ring })
+  const { learned, cell } = registers
+  const known = registers.all()
+  const subscription = makeSubscription(world, set.node, set.area, registers.ballots)
+  function epochNow(): number {
+    return coreSet.epoch
   }
-  function cell(key: string): Value | undefined {
-    return known.get(key)?.value
+  function linkTo(id: string): Held | undefined {
+    return cores.get(id)?.held
+  }
+  function settle(key: string): Promise<Settled> {
+    return proposer.read(key, 0)
+  }
+
+  function newValue(key: string, value: Value): void {
+    world.log.info('epoch-learnt', { key, turn: value.turn })
+    if (key === CORESET_KEY) {
+      const next = readAs(CoreSet, value.body)
+      if (next.ok) adopt(next.val)
+    }
+    duty.ring()
+    mover.ring()
+    news.ring()
   }
   function config(): Body | undefined {
     return cell(CONFIG_KEY)?.body as Body | undefined
@@ -241,7 +244,7 @@
         flag.fire()
       }
       pictures.set(id, makePicture(world))
-      cores.set(id, { held: holdLink(world, addr, mine, makeTake(id), flag, onCore), addr, end })
+      cores.set(id, { held: holdLink(world, addr, mine, makeTake(id), flag, makeOnCore(id)), addr, end })
     }
     void set.core?.adopt(next)
     if (first) return
@@ -263,8 +266,12 @@
     if (got) adopt(got.set)
   }
   // The first term isn't waited for longer than it takes to reach the cores.
-  function onCore(): void {
-    if (termUntil === 0) linked.ring()
+  function makeOnCore(id: string) {
+    function onCore(): void {
+      subscription.linkedAnew(id)
+      if (termUntil === 0) linked.ring()
+    }
+    return onCore
   }
   function makeTake(id: string) {
     function take(msg: unknown): undefined {
@@ -276,12 +283,15 @@
       const p = got.val
       pushNums.set(`${id} ${p.key}`, p.num)
       numbers.add('claynotch_agent_pushes_total')
-      learned(p.key, p.value as Value, p.ballot)
-      tellAck(id, p.key)
+      void takePush(id, p)
       return undefined
     }
     return take
   }
+  async function takePush(id: string, push: Push): Promise<void> {
+    await registers.pushed(id, push)
+    tellAck(id, push.key)
+  }
   // Tells one core that the proxy has applied what it has.
   function tellAck(id: string, key: string): void {
     const turn = acked.get(key)
@@ -446,57 +456,33 @@
   // good: a majority that answered since from; their pictures are as new as those answers.
   function merge(good: Set<string>, from: number): void {
     const byNode = new Map<string, { line: MemberLine; at: number }>()
-    // high: for each key, the newest ballot that any of the majority holds, and who holds just that.
-    const enough = quorum()
-    const high = new Map<string, { ballot: Ballot; by: Set<string>; chosenAt: string | undefined }>()
+    const tables = new Map<string, Map<string, KeyLine>>()
     for (const id of good) {
       const picture = pictures.get(id)!
       for (const [node, one] of picture.members())
         if (one.at > (byNode.get(node)?.at ?? -Infinity)) byNode.set(node, one)
-      for (const k of picture.keys().values()) {
-        const old = high.get(k.key)
-        const by = old ? compareBallots(k.ballot, old.ballot) : 1
-        if (by > 0) high.set(k.key, { ballot: k.ballot, by: new Set([id]), chosenAt: k.chosen ? id : undefined })
-        else if (by === 0 && old) {
-          old.by.add(id)
-          if (k.chosen) old.chosenAt = id
-          else if (enough.met(old.by)) old.chosenAt ??= id
-        }
-      }
+      tables.set(id, picture.keys())
     }
     members = []
     for (const one of byNode.values()) members.push(one.line)
     mergeSights()
-    for (const [key, h] of high) {
-      const k = known.get(key)
-      if (k && compareBallots(h.ballot, k.ballot) <= 0) {
-        k.until = Math.max(k.until, from + TERM)
-        continue
-      }
-      wanted.set(key, { ballot: h.ballot, from, chosenAt: h.chosenAt })
-      lag.ring()
+    registers.shown(tables, quorum(), from)
+    void subscription.choose(sources(), coreSet.epoch)
+  }
+  // The cores as places to take pushes from.
+  function sources(): Source[] {
+    const areas = new Map<string, string>()
+    for (const m of members) if (m.core) areas.set(m.core.id, m.area)
+    const out: Source[] = []
+    for (const [id, { held }] of cores) {
+      const picture = pictures.get(id)!
+      out.push({ id, held, heard: picture.heard(), area: areas.get(id), lines: picture.keys() })
     }
-    // Registers that no core of a majority holds a value of were never settled; nothing to keep for them.
+    return out
   }
 
-  // The difference between wanted and known, worked off key by key.
   async function catchUp(): Promise<void> {
-    for (const [key, w] of [...wanted]) {
-      if (w.chosenAt !== undefined) {
-        const got = (await cores.get(w.chosenAt)?.held.ask({ t: 'get', epoch: coreSet.epoch, key }, ROUND_LIFE)) as
-          { ballot?: Ballot; value?: unknown } | undefined
-        const value = readAs(ValueShape, got?.value)
-        if (got?.ballot && value.ok && compareBallots(got.ballot, w.ballot) === 0) {
-          learned(key, value.val as Value, got.ballot)
-          continue
-        }
-      }
-      // Accepted somewhere, chosen or not: a round of our own settles it either way.
-      const from = world.now()
-      const got = await proposer.read(key, 0)
-      if (got.done && got.value) learned(key, got.value, got.ballot, from)
-      else if (got.done) wanted.delete(key)
-    }
+    await registers.catchUp()
     await feed()
   }
 
@@ -579,13 +565,17 @@
       if (now > given) for (const [key, k] of known) ackAll(key, k.value.turn)
       return
     }
+    // Past changes and decisions are no matter of the proxy's.
+    function fedBody(key: string, value: Value): unknown {
+      return key === CONFIG_KEY ? inForce(value.body as Body) : value.body
+    }
     const list: FedCell[] = []
     for (const [key, k] of known) {
       // The voters are the agent's matter alone.
       if (key === CORESET_KEY) continue
       const until = Math.min(k.until, termUntil)
       const sent = proxy.sent.get(key) ?? 0
-      list.push({ key, turn: k.value.turn, until, ...(sent < k.value.turn ? { body: k.value.body } : {}) })
+      list.push({ key, turn: k.value.turn, until, ...(sent < k.value.turn ? { body: fedBody(key, k.value) } : {}) })
       proxy.sent.set(key, k.value.turn)
       given = Math.max(given, until)
     }
@@ -1056,7 +1046,7 @@
   // A ring of the bell between two beats must not be lost: the loop looks at what is wanted, not at the ring.
   void loop(world, 'catch-up', TERM_BEAT / 4, stop, catchUpIfNeeded, lag)
   async function catchUpIfNeeded(): Promise<void> {
-    if (wanted.size > 0) await catchUp()
+    if (registers.wants()) await catchUp()
   }
   void loop(world, 'feed', TERM_BEAT, stop, feed, news)
   void loop(world, 'slot', TERM_BEAT, stop, holdSlot, news)
--- /dev/null
+++ b/packages/agent/src/registers.ts
@@ -0,0 +1,156 @@
+import { readAs, ROUND_LIFE, TERM, type Held, type World } from '@claynotch/base'
+import {
+  compareBallots,
+  GetAnswer,
+  valueOf,
+  type Ballot,
+  type HeldValue,
+  type KeyLine,
+  type Push,
+  type Quorum,
+  type Settled,
+  type Value,
+} from '@claynotch/register'
+
+/**
+ * What this node knows of the registers: by its own rounds, by pushes, and by what a majority's renewals show.
+ *
+ * Invariants of each: value was chosen at ballot; turn never goes back; until only grows, and stays where it is while a
+ * majority knows of something newer than value. A push alone proves nothing of time: until rests on renewals and rounds.
+ */
+export type Known = { value: Value; ballot: Ballot; until: number }
+
+/** The newest ballot that a majority's answers showed, with the time of that renewal and a core that holds it as chosen. */
+type Wanted = { ballot: Ballot; from: number; chosenAt: string | undefined }
+
+/** What registers need of the agent. link: the link to one core, while it is of the set. settle: a whole round. */
+export type RegistersView = {
+  epoch: () => number
+  link: (id: string) => Held | undefined
+  settle: (key: string) => Promise<Settled>
+  /** A value is newer than what was known. */
+  news: (key: string, value: Value) => void
+  /** Something is wanted now. */
+  behind: () => void
+}
+
+export type Registers = {
+  all: () => Map<string, Known>
+  cell: (key: string) => Value | undefined
+  held: (key: string) => HeldValue | undefined
+  ballots: () => [string, Ballot][]
+  /** from: when a round that showed this very value began. */
+  learned: (key: string, value: Value, ballot: Ballot, from?: number) => void
+  /** What a majority that answered since from holds of each key, by core. */
+  shown: (tables: Map<string, Map<string, KeyLine>>, enough: Quorum, from: number) => void
+  /** A push of one core. */
+  pushed: (id: string, push: Push) => Promise<void>
+  wants: () => boolean
+  /** Works off what is wanted, register by register. */
+  catchUp: () => Promise<void>
+}
+
+export function makeRegisters(world: World, view: RegistersView): Registers {
+  const known = new Map<string, Known>()
+  // wanted: gone once known has it.
+  const wanted = new Map<string, Wanted>()
+
+  function learned(key: string, value: Value, ballot: Ballot, from?: number): void {
+    const old = known.get(key)
+    if (old && value.turn < old.value.turn) return
+    const newer = !old || value.turn > old.value.turn
+    const top = old && compareBallots(old.ballot, ballot) > 0 ? old.ballot : ballot
+    // A round that showed this very value proves it current as of its start.
+    let until = Math.max(old?.until ?? 0, from === undefined ? 0 : from + TERM)
+    const w = wanted.get(key)
+    if (w && compareBallots(w.ballot, top) <= 0) {
+      wanted.delete(key)
+      until = Math.max(until, w.from + TERM)
+    }
+    known.set(key, { value: newer ? value : old.value, ballot: top, until })
+    if (newer) view.news(key, value)
+  }
+  function cell(key: string): Value | undefined {
+    return known.get(key)?.value
+  }
+  function held(key: string): HeldValue | undefined {
+    const k = known.get(key)
+    return k && { ballot: k.ballot, value: k.value }
+  }
+  function ballots(): [string, Ballot][] {
+    const out: [string, Ballot][] = []
+    for (const [key, k] of known) out.push([key, k.ballot])
+    return out
+  }
+
+  // For each key the newest ballot that any of the majority holds, who holds just that, and one who knows it as chosen.
+  type High = { ballot: Ballot; by: Set<string>; chosenAt: string | undefined }
+  function highest(tables: Map<string, Map<string, KeyLine>>, enough: Quorum): Map<string, High> {
+    const high = new Map<string, High>()
+    for (const [id, lines] of tables) {
+      for (const k of lines.values()) {
+        const old = high.get(k.key)
+        const by = old ? compareBallots(k.ballot, old.ballot) : 1
+        if (by > 0) high.set(k.key, { ballot: k.ballot, by: new Set([id]), chosenAt: k.chosen ? id : undefined })
+        else if (by === 0 && old) {
+          old.by.add(id)
+          if (k.chosen) old.chosenAt = id
+          else if (enough.met(old.by)) old.chosenAt ??= id
+        }
+      }
+    }
+    return high
+  }
+  function shown(tables: Map<string, Map<string, KeyLine>>, enough: Quorum, from: number): void {
+    for (const [key, h] of highest(tables, enough)) {
+      const k = known.get(key)
+      if (k && compareBallots(h.ballot, k.ballot) <= 0) {
+        k.until = Math.max(k.until, from + TERM)
+        continue
+      }
+      wanted.set(key, { ballot: h.ballot, from, chosenAt: h.chosenAt })
+      view.behind()
+    }
+    // Registers that no core of a majority holds a value of were never settled; nothing to keep for them.
+  }
+
+  // The value chosen at that ballot, from one core; false: it doesn't have it, or not any more.
+  async function fetch(id: string, key: string, ballot: Ballot): Promise<boolean> {
+    const mine = held(key)
+    const have = mine ? { have: mine.ballot } : {}
+    const said = await view.link(id)?.ask({ t: 'get', epoch: view.epoch(), key, ...have }, ROUND_LIFE)
+    const got = readAs(GetAnswer, said)
+    if (got.err || compareBallots(got.val.ballot, ballot) !== 0) return false
+    const value = valueOf(got.val, mine)
+    if (value) learned(key, value, ballot)
+    return value !== undefined
+  }
+  async function pushed(id: string, push: Push): Promise<void> {
+    const mine = held(push.key)
+    // What was learnt otherwise before this came is the same, or later.
+    if (mine && compareBallots(mine.ballot, push.ballot) >= 0) return
+    const value = valueOf(push, mine)
+    if (value) learned(push.key, value, push.ballot)
+    // It builds on what isn't here.
+    else await fetch(id, push.key, push.ballot)
+  }
+  function wants(): boolean {
+    return wanted.size > 0
+  }
+  async function catchUp(): Promise<void> {
+    for (const [key, w] of [...wanted]) {
+      // A push may have brought it meanwhile.
+      if (wanted.get(key) !== w) continue
+      if (w.chosenAt !== undefined && (await fetch(w.chosenAt, key, w.ballot))) continue
+      // Accepted somewhere, chosen or not: a round of our own settles it either way.
+      const from = world.now()
+      const got = await view.settle(key)
+      if (got.done && got.value) learned(key, got.value, got.ballot, from)
+      else if (got.done) wanted.delete(key)
+    }
+  }
+  function all(): Map<string, Known> {
+    return known
+  }
+  return { all, cell, held, ballots, learned, shown, pushed, wants, catchUp }
+}
--- /dev/null
+++ b/packages/agent/src/subscription.ts
@@ -0,0 +1,139 @@
+import {
+  DELTA_EPOCH,
+  RENEW_WAIT,
+  SUBSCRIBE_PAUSE,
+  SUBSCRIBED_BEHIND,
+  SUBSCRIBED_LAG,
+  SUBSCRIBED_QUIET,
+  type Held,
+  type World,
+} from '@claynotch/base'
+import { compareBallots, type Ballot, type KeyLine } from '@claynotch/register'
+
+/**
+ * The one core whose pushes this node takes: of its own area where one votes there, else any that answers.
+ *
+ * Nothing rests on it but how soon and how cheaply news come: what it doesn't tell is found by the next renewal at a
+ * majority. It is left when its link goes, when it is silent, when it goes on to know less than a majority, or when it is
+ * of the set no more. Programs of before subscriptions push to everyone, and need none.
+ */
+
+/** A core as this node sees it now. heard: when it last answered, with these lines of the registers. */
+export type Source = {
+  id: string
+  held: Held
+  heard: number
+  area: string | undefined
+  lines: Map<string, KeyLine>
+}
+
+export type Subscription = {
+  /** Looks, after a renewal, whether another core should be subscribed at. */
+  choose: (sources: Source[], epoch: number) => Promise<void>
+  /** The link to this core was dialled anew: it knows of no subscription. */
+  linkedAnew: (id: string) => void
+  at: () => string | undefined
+}
+
+/** The order in which a node would take cores of the same worth: another for each node, so that the load is spread. */
+function spread(node: string, id: string): number {
+  let sum = 2166136261
+  for (const c of `${node} ${id}`) sum = Math.imul(sum ^ c.charCodeAt(0), 16777619)
+  return sum >>> 0
+}
+
+export function makeSubscription(
+  world: World,
+  node: string,
+  area: string,
+  ballots: () => [string, Ballot][],
+): Subscription {
+  let current: string | undefined
+  // behind: looks in a row at which the current core lacked what this node had known for a whole beat.
+  let behind = 0
+  // before: what this node knew at an earlier look.
+  let before: { at: number; ballots: [string, Ballot][] } | undefined
+  // shunned: cores that were left or refused, with the time up to which they aren't asked again.
+  const shunned = new Map<string, number>()
+  let asking = false
+
+  function isFit(s: Source): boolean {
+    const now = world.now()
+    return (
+      s.held.up() &&
+      (s.held.peer()?.epoch ?? 0) >= DELTA_EPOCH &&
+      now - s.heard <= SUBSCRIBED_QUIET &&
+      now >= (shunned.get(s.id) ?? 0)
+    )
+  }
+  // Fewer is better.
+  function compare(a: Source, b: Source): number {
+    const near = Number(b.area === area) - Number(a.area === area)
+    return near !== 0 ? near : spread(node, a.id) - spread(node, b.id)
+  }
+  function best(sources: Source[]): Source | undefined {
+    const fit = sources.filter(isFit)
+    fit.sort(compare)
+    return fit[0]
+  }
+  function shun(id: string): void {
+    shunned.set(id, world.now() + SUBSCRIBE_PAUSE)
+    if (current === id) current = undefined
+  }
+  // Asked at one moment, cores differ by what is on its way; so what it told later is held against what was known earlier.
+  function lacks(s: Source, known: [string, Ballot][]): boolean {
+    for (const [key, ballot] of known) {
+      const line = s.lines.get(key)
+      if (!line || compareBallots(line.ballot, ballot) < 0) return true
+    }
+    return false
+  }
+  function look(now: Source): void {
+    const at = world.now()
+    if (before && at - before.at < SUBSCRIBED_LAG) return
+    if (before && now.heard > before.at) behind = lacks(now, before.ballots) ? behind + 1 : 0
+    before = { at, ballots: ballots() }
+  }
+  function judgeCurrent(sources: Source[]): void {
+    const now = sources.find(isCurrent)
+    function isCurrent(s: Source): boolean {
+      return s.id === current
+    }
+    if (!now?.held.up()) {
+      current = undefined
+      return
+    }
+    look(now)
+    if (behind < SUBSCRIBED_BEHIND && world.now() - now.heard <= SUBSCRIBED_QUIET) return
+    leave(now)
+    shun(now.id)
+  }
+  function leave(s: Source): void {
+    s.held.tell({ t: 'subscribe', on: false, have: [] })
+  }
+  async function choose(sources: Source[], epoch: number): Promise<void> {
+    judgeCurrent(sources)
+    const next = best(sources)
+    if (asking || !next || next.id === current) return
+    asking = true
+    const word = { t: 'subscribe', epoch, on: true, have: ballots() }
+    const got = (await next.held.ask(word, RENEW_WAIT)) as { ok?: boolean } | undefined
+    asking = false
+    if (got?.ok !== true) {
+      // One that refuses stands in another set, and will soon stand in this one; one that is silent is left alone.
+      if (!got) shun(next.id)
+      return
+    }
+    for (const s of sources) if (s.id === current && s.id !== next.id) leave(s)
+    current = next.id
+    behind = 0
+    before = undefined
+  }
+  function linkedAnew(id: string): void {
+    if (current === id) current = undefined
+  }
+  function at(): string | undefined {
+    return current
+  }
+  return { choose, linkedAnew, at }
+}
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -37,6 +37,23 @@
 // bytes. Largest value of the configuration's register that a change may make; of one that names its epoch, the
 // configuration alone is measured, so that two such parts and the names of the last changes fit a frame.
 export const VALUE_LIMIT = 3.5 * 1024 * 1024
+// count. Nested parts of a value that a delta goes into; deeper ones are told whole. Configurations have under ten.
+export const DELTA_DEPTH = 32
+// count. Items that one delta may put together in all its arrays: many times the longest history (HISTORY_KEPT), and a
+// short delta can't make a process build endless ones.
+export const DELTA_ITEMS = 100000
+// count. Latest deltas that a core keeps of each register, as long as they are smaller than its value: at ten changes a
+// second a node that was away for half a minute is brought on by them.
+export const DELTAS_KEPT = 256
+// ms. A core that was subscribed at and said nothing for this long, two renewals and a half, is left for another.
+export const SUBSCRIBED_QUIET = 1500
+// ms. What this node knew is told by the core subscribed at after no longer than this, if it isn't behind: changes reach the
+// cores within milliseconds of each other.
+export const SUBSCRIBED_LAG = 500
+// count. Looks in a row, SUBSCRIBED_LAG apart, at which that core was behind, after which it is left for another.
+export const SUBSCRIBED_BEHIND = 2
+// ms. A core that was left, or refused, isn't subscribed at again for this long, so that nobody goes to and fro.
+export const SUBSCRIBE_PAUSE = 5000
 // bytes. A data file is rewritten when longer than this and than REWRITE_RATIO times what lives in it.
 export const REWRITE_FLOOR = 1024 * 1024
 // ratio. See REWRITE_FLOOR; 4 keeps the mean cost of rewriting under a third of appending.
@@ -71,9 +88,11 @@
 // ms. A held link that heard nothing for this long is closed and dialled anew.
 export const LINK_QUIET = 3000
 // number. Version of the internal links; see docs/wire.md for the rule on mixed versions.
-// 2: renewals tell what changed; no program of epoch 1 can read them.
-export const LINK_EPOCH = 2
+// 2: renewals tell what changed; no program of epoch 1 can read them. 3: values as deltas, pushes to subscribers alone.
+export const LINK_EPOCH = 3
 export const LINK_EPOCH_LEAST = 2
+// number. The least epoch of a link on which values may be told as deltas.
+export const DELTA_EPOCH = 3
 
 // --- agent and proxy ---
 // ms. Beat on which a proxy tells its agent what it sees.
--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -272,6 +272,11 @@
   return { config: body.config, epoch: body.epoch, moves: body.moves ?? [] }
 }
 
+/** The body without past changes and decisions, for those who only work by it. */
+export function inForce(body: Body): Body {
+  return { ...body, streams: [], history: [] }
+}
+
 export const CONFIG_KEY = 'configuration'
 export function emptyBody(): Body {
   return { epoch: 0, config: null, streams: [], history: [] }
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -22,11 +22,21 @@
 } from '@claynotch/base'
 import { compareBallots, type Ballot } from './ballot.js'
 import { makeTable } from './changes.js'
+import type { Delta } from './delta.js'
 import { askSeeds, NO_SET, quorumOf, votersOf, type CorePlace, type CoreSet, type Quorum } from './coreset.js'
 import { gather, makeProposer, type Voter } from './proposer.js'
-import { makeStore, type Cell, type Phase, type Store, type Value } from './store.js'
+import { makeChains, makePushes } from './pushes.js'
+import { makeStore, type Cell, type DeltaAnswer, type Phase, type Store, type Value } from './store.js'
 import { makeTerms } from './terms.js'
-import { CoreWord, type KeyLine, type MemberLine, type Renew, type RenewAnswer, type Sight } from './words.js'
+import {
+  CoreWord,
+  type GetAnswer,
+  type KeyLine,
+  type MemberLine,
+  type Renew,
+  type RenewAnswer,
+  type Sight,
+} from './words.js'
 
 // cores: the set as an operator gives it, this core among it. Else the disk's set holds, else founders, else what the seeds
 // tell; only founders are founded. founders: given at the very first start of the whole system, with empty disks, to all
@@ -64,7 +74,8 @@
 export async function startCore(world: World, set: CoreSettings): Promise<Core> {
   const stop = makeFlag()
   const numbers = makeNumbers()
-  const store = makeStore(world, `${set.data}/register`)
+  const chains = makeChains()
+  const store = makeStore(world, `${set.data}/register`, taken)
   const terms = makeTerms(world)
   const born = world.now()
   const given = 'cores' in set ? set.cores : undefined
@@ -80,8 +91,7 @@
   let remembered = false
   // settled: highest ballot known to be chosen, by key; forgotten at restart and learnt anew.
   const settled = new Map<string, Ballot>()
-  // agents: held links to push on, with the count of pushes sent and of those acknowledged.
-  const agents = new Map<Link, { node: string; num: number; acked: number }>()
+  const pushes = makePushes(store, chains, isSettled, numbers)
 
   // missed: for each other core, the registers settled while it couldn't be reached; 'all' where more were
   // than are kept, or where we can't know (we were away ourselves).
@@ -199,14 +209,10 @@
     const at = settled.get(key)
     return at !== undefined && compareBallots(at, c.ballot) === 0
   }
-  function push(key: string): void {
-    const c = store.cells().get(key)
-    if (!c?.value) return
-    for (const [link, a] of agents) {
-      a.num++
-      link.tell({ t: 'push', num: a.num, key, ballot: c.ballot, value: c.value })
-      numbers.add('claynotch_core_pushes_total')
-    }
+  // A value is on disk. Word that it is settled may have come before that.
+  function taken(key: string, before: Cell, after: Cell, delta: Delta | undefined): void {
+    chains.taken(key, before, after, delta)
+    if (isSettled(key, after)) pushes.push(key)
   }
   function learn(key: string, ballot: Ballot): void {
     const c = store.cells().get(key)
@@ -214,7 +220,7 @@
     if (old && compareBallots(ballot, old) <= 0) return
     settled.set(key, ballot)
     for (const o of others) if (!o.held.up()) keepFor(o.id, key)
-    if (c && compareBallots(c.ballot, ballot) === 0) push(key)
+    if (c && compareBallots(c.ballot, ballot) === 0) pushes.push(key)
   }
   // --- repair: what a core that is away should have had is kept for it, and handed over at its return ---
   function keepFor(id: string, key: string): void {
@@ -305,9 +311,11 @@
     if (!serving || moving || store.failed() !== undefined) return { ok: false, absent: true }
     switch (msg.t) {
       case 'prepare':
-        return await store.prepare(msg.key, msg.ballot)
+        return await promised(msg.key, msg.ballot, msg.have)
       case 'accept':
-        return await store.accept(msg.key, msg.ballot, msg.value as never)
+        return 'delta' in msg
+          ? await acceptedDelta(msg.key, msg.ballot, msg.base, msg.delta)
+          : await store.accept(msg.key, msg.ballot, msg.value as Value)
       case 'learn':
         learn(msg.key, msg.ballot)
         return { ok: true }
@@ -316,10 +324,12 @@
       case 'get': {
         // After what is being written now: one that isn't on disk yet might be lost, and was then never there.
         const c = await store.accepted(msg.key)
-        return store.failed() !== undefined
-          ? { ok: false, absent: true }
-          : { ok: true, ballot: c.ballot, value: c.value ?? null }
+        return store.failed() !== undefined ? { ok: false, absent: true } : gotten(msg.key, c.ballot, c.value, msg.have)
       }
+      case 'subscribe':
+        if (msg.on) pushes.subscribe(link, msg.have)
+        else pushes.unsubscribe(link)
+        return { ok: true }
       case 'keys': {
         const keys: string[] = [...store.cells().keys()]
         return { ok: true, keys, top: store.top() }
@@ -332,14 +342,30 @@
       case 'members':
         return { ok: true, members: terms.members(), sure: terms.sure() }
       case 'ack': {
-        const a = agents.get(link)
-        if (a) a.acked = Math.max(a.acked, msg.num)
+        pushes.acked(link, msg.num)
         numbers.add('claynotch_core_acks_total')
         terms.ack(peer.node, msg.key, msg.turn)
         return { ok: true }
       }
     }
   }
+  // --- values, told only as far as the asker lacks them ---
+  async function promised(key: string, ballot: Ballot, have: Ballot | undefined): Promise<unknown> {
+    const got = await store.prepare(key, ballot)
+    if (!got.ok || !have || !got.value || compareBallots(got.ballot, have) !== 0) return got
+    return { ok: true, ballot: got.ballot, same: true }
+  }
+  async function acceptedDelta(key: string, ballot: Ballot, base: Ballot, delta: Delta): Promise<DeltaAnswer> {
+    const got = await store.acceptDelta(key, ballot, base, delta)
+    if ('lacksBase' in got) numbers.add('claynotch_core_bases_lacking_total')
+    return got
+  }
+  function gotten(key: string, ballot: Ballot, value: Value | undefined, have: Ballot | undefined): GetAnswer {
+    if (!value || !have) return { ok: true, ballot, value: value ?? null }
+    if (compareBallots(ballot, have) === 0) return { ok: true, ballot, same: true }
+    const deltas = chains.path(key, have, ballot)
+    return deltas ? { ok: true, ballot, base: have, deltas } : { ok: true, ballot, value }
+  }
   // --- renewals: what changed since what the agent has ---
   const life = Math.floor(world.random() * 2 ** 40).toString(36)
   const count = { at: 0 }
@@ -391,7 +417,7 @@
     }
   }
   function serveLink(peer: Hello, link: Link) {
-    if (peer.kind === 'agent') agents.set(link, { node: peer.node, num: 0, acked: 0 })
+    if (peer.kind === 'agent') pushes.linked(link, peer)
     async function take(msg: unknown): Promise<unknown> {
       const got = readAs(CoreWord, msg)
       if (got.err) {
@@ -409,7 +435,7 @@
     return take
   }
   function lostLink(_peer: Hello, link: Link): void {
-    agents.delete(link)
+    pushes.lost(link)
   }
   const here = 'cores' in set ? set.cores.find(isMe)!.addr : set.addr
   const listener: Listener = await world.listen(here, answerLinks(world, mine, serveLink, lostLink))
@@ -566,7 +592,7 @@
 
   async function end(): Promise<void> {
     stop.fire()
-    for (const link of agents.keys()) link.close()
+    pushes.closeAll()
     await listener.close()
   }
   function servingNow(): boolean {
@@ -585,11 +611,6 @@
               ? 'lost'
               : store.phase()
   }
-  function agentsNow(): string[] {
-    const out: string[] = []
-    for (const a of agents.values()) out.push(a.node)
-    return out
-  }
   world.log.info('core-started', { core: set.id, addr: here, state: stateNow() })
   function coreSetNow(): CoreSet {
     return coreSet
@@ -600,7 +621,7 @@
     store,
     numbers,
     state: stateNow,
-    agents: agentsNow,
+    agents: pushes.nodes,
     coreSet: coreSetNow,
     adopt,
   }
--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -1,12 +1,16 @@
 export * from './coreset.js'
 export * from './ballot.js'
+export * from './delta.js'
 export * from './store.js'
+export * from './values.js'
+export * from './pushes.js'
 export * from './proposer.js'
 export * from './terms.js'
 export {
   Value as ValueShape,
   CoreWord,
   Push,
+  GetAnswer,
   Renew,
   RenewAnswer,
   MembersAnswer,
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -1,9 +1,18 @@
 import { CHANGE_LIMIT, ROUND_LIFE, ROUND_PAUSE, pause, readAs, type World } from '@claynotch/base'
 import { ZERO, compareBallots, type Ballot } from './ballot.js'
 import { CoreSet, type Quorum } from './coreset.js'
+import { makeDelta } from './delta.js'
 import type { Value } from './store.js'
+import { valueOf, type HeldValue } from './values.js'
+import type { GetAnswer } from './words.js'
 
-export type Voter = { id: string; ask: (msg: unknown, ms: number) => Promise<unknown>; tell: (msg: unknown) => void }
+// deltas: whether its link speaks of values by what changed in them (DELTA_EPOCH); where it isn't given, values are told whole.
+export type Voter = {
+  id: string
+  ask: (msg: unknown, ms: number) => Promise<unknown>
+  tell: (msg: unknown) => void
+  deltas?: () => boolean
+}
 
 export type Settled = { done: true; value: Value | undefined; ballot: Ballot } | { done: false; why: string }
 
@@ -20,7 +29,18 @@
   look: (key: string, limit?: number) => Promise<Settled>
 }
 
-type Vote = { ok?: boolean; promise?: Ballot; ballot?: Ballot; value?: Value | null; set?: unknown } | null | undefined
+type Vote =
+  | {
+      ok?: boolean
+      promise?: Ballot
+      ballot?: Ballot
+      value?: Value | null
+      same?: boolean
+      lacksBase?: boolean
+      set?: unknown
+    }
+  | null
+  | undefined
 
 export type Answer<T> = { id: string; val: T }
 
@@ -60,13 +80,14 @@
 }
 
 // voters and quorum are of one set at any time; a round keeps those that it began with. heard: a core refused for the sake of
-// a later set.
+// a later set. held: what is known here of a register, so that it isn't told again.
 export function makeProposer(
   world: World,
   name: string,
   voters: () => Voter[],
   quorum: () => Quorum,
   heard?: (set: CoreSet) => void,
+  held?: (key: string) => HeldValue | undefined,
 ): Proposer {
   // who is fresh for each life of a process, so that a restarted proposer can't repeat a ballot.
   const who = `${name}~${Math.floor(world.random() * 2 ** 40).toString(36)}`
@@ -83,11 +104,26 @@
     return v?.ok === true
   }
   type Yes = { id: string; ballot: Ballot; value?: Value | null }
-  function yesOf(votes: Answer<Vote>[]): Yes[] {
+  // have: the value that was named in the question; same stands for it and for no other.
+  function yesOf(votes: Answer<Vote>[], have: HeldValue | undefined): Yes[] {
     const out: Yes[] = []
-    for (const { id, val } of votes) if (val?.ok) out.push({ id, ballot: val.ballot ?? ZERO, value: val.value })
+    for (const { id, val } of votes) {
+      if (!val?.ok) continue
+      const ballot = val.ballot ?? ZERO
+      if (val.same !== true) out.push({ id, ballot, value: val.value })
+      else if (have && compareBallots(ballot, have.ballot) === 0) out.push({ id, ballot, value: have.value })
+    }
     return out
   }
+  function haveFor(v: Voter, have: HeldValue | undefined): { have?: Ballot } {
+    return have && v.deltas?.() === true ? { have: have.ballot } : {}
+  }
+  // The value to one voter: as a delta where it may hold the base, and whole where it then says that it doesn't.
+  async function put(v: Voter, whole: unknown, asDelta: unknown): Promise<Vote> {
+    if (asDelta === undefined || v.deltas?.() !== true) return (await v.ask(whole, ROUND_LIFE)) as Vote
+    const got = (await v.ask(asDelta, ROUND_LIFE)) as Vote
+    return got?.lacksBase === true ? ((await v.ask(whole, ROUND_LIFE)) as Vote) : got
+  }
   function idsOf(yes: Yes[]): Set<string> {
     const out = new Set<string>()
     for (const v of yes) out.add(v.id)
@@ -99,12 +135,15 @@
     const { epoch } = enough
     const ballot: Ballot = [++top, who]
     const from = world.now()
+    const have = held?.(key)
     const asks: { id: string; got: Promise<Vote> }[] = []
-    for (const v of all)
-      asks.push({ id: v.id, got: v.ask({ t: 'prepare', epoch, key, ballot }, ROUND_LIFE) as Promise<Vote> })
+    for (const v of all) {
+      const word = { t: 'prepare', epoch, key, ballot, ...haveFor(v, have) }
+      asks.push({ id: v.id, got: v.ask(word, ROUND_LIFE) as Promise<Vote> })
+    }
     const votes = await gather(world, asks, enough, isOk, ROUND_LIFE)
     for (const v of votes) saw(v.val)
-    const yes = yesOf(votes)
+    const yes = yesOf(votes, have)
     if (!enough.met(idsOf(yes))) return { done: false, why: 'no majority promised' }
     // A prepare that took too long is void: a core emptied meanwhile may have lost its promise.
     if (world.now() - from > ROUND_LIFE) return { done: false, why: 'prepare took too long' }
@@ -123,8 +162,13 @@
     }
     const value: Value = next ? { turn: (now?.turn ?? 0) + 1, tag: next.tag, body: next.body } : (now as Value)
     const puts: { id: string; got: Promise<Vote> }[] = []
-    for (const v of all)
-      puts.push({ id: v.id, got: v.ask({ t: 'accept', epoch, key, ballot, value }, ROUND_LIFE) as Promise<Vote> })
+    const whole = { t: 'accept', epoch, key, ballot, value }
+    const delta = now ? makeDelta(now, value) : undefined
+    const asDelta = delta && { t: 'accept', epoch, key, ballot, base: high.ballot, delta }
+    // Who told that it holds something else is sent the whole at once; who hasn't answered yet most likely holds the base.
+    const others = new Set<string>()
+    for (const v of yes) if (compareBallots(v.ballot, high.ballot) !== 0) others.add(v.id)
+    for (const v of all) puts.push({ id: v.id, got: put(v, whole, others.has(v.id) ? undefined : asDelta) })
     const took = await gather(world, puts, enough, isOk, ROUND_LIFE)
     const accepted = new Set<string>()
     for (const v of took) {
@@ -154,17 +198,28 @@
   function read(key: string, limit?: number): Promise<Settled> {
     return change(key, same, limit)
   }
+  // An answer by deltas is brought to the value that it stands for.
+  async function askValue(v: Voter, word: unknown, have: HeldValue | undefined): Promise<Vote> {
+    const got = (await v.ask(word, ROUND_LIFE)) as Vote | GetAnswer
+    if (!got || !('deltas' in got)) return got as Vote
+    const value = have && valueOf(got, have)
+    return value ? { ok: true, ballot: got.ballot, value } : undefined
+  }
   // What a majority accepted at one ballot is chosen; and a later one chosen before we asked would be told by one of them.
   async function look(key: string, limit = CHANGE_LIMIT): Promise<Settled> {
     const all = voters()
     const enough = quorum()
     const { epoch } = enough
     const from = world.now()
+    const have = held?.(key)
     const asks: { id: string; got: Promise<Vote> }[] = []
-    for (const v of all) asks.push({ id: v.id, got: v.ask({ t: 'get', epoch, key }, ROUND_LIFE) as Promise<Vote> })
+    for (const v of all) {
+      const word = { t: 'get', epoch, key, ...haveFor(v, have) }
+      asks.push({ id: v.id, got: askValue(v, word, have) })
+    }
     const votes = await gather(world, asks, enough, isOk, ROUND_LIFE)
     for (const v of votes) saw(v.val)
-    const yes = yesOf(votes)
+    const yes = yesOf(votes, have)
     let alike = enough.met(idsOf(yes))
     for (const v of yes) if (compareBallots(v.ballot, yes[0].ballot) !== 0) alike = false
     if (!alike) return await read(key, Math.max(0, limit - (world.now() - from)))
--- /dev/null
+++ b/packages/register/src/pushes.ts
@@ -0,0 +1,138 @@
+import { DELTA_EPOCH, DELTAS_KEPT, type Hello, type Link, type Numbers } from '@claynotch/base'
+import { compareBallots, type Ballot } from './ballot.js'
+import { bytesOf, makeDelta, type Delta } from './delta.js'
+import type { Accepted, Cell, Store, Value } from './store.js'
+import type { Deltas } from './words.js'
+
+/**
+ * What a core tells its agents of settled registers: to those that subscribed, and to programs of before subscriptions.
+ *
+ * Invariants: only what is settled and on this core's disk is pushed; a push by deltas builds on exactly what this link was
+ * told last, or said that it has.
+ */
+
+type Step = { base: Ballot; ballot: Ballot; delta: Delta; bytes: number }
+
+/** The last changes of each register that this core took, as deltas from one ballot to the next. */
+export type Chains = {
+  taken: Accepted
+  /** What makes the value at the second ballot of the one at the first; undefined: not kept, or no shorter than the value. */
+  path: (key: string, from: Ballot, to: Ballot) => Delta[] | undefined
+}
+
+export function makeChains(): Chains {
+  // bytes: of all steps of one register together; they are kept while that is less than its value, so that a path always is.
+  const chains = new Map<string, { steps: Step[]; bytes: number }>()
+
+  function taken(key: string, before: Cell, after: Cell, told: Delta | undefined): void {
+    // The same value at a later ballot, or another: either way what was accepted before is what this one follows here.
+    const delta = before.value === undefined ? undefined : (told ?? makeDelta(before.value, after.value))
+    if (!delta) {
+      chains.delete(key)
+      return
+    }
+    const chain = chains.get(key) ?? { steps: [], bytes: 0 }
+    const bytes = bytesOf(delta)
+    chain.steps.push({ base: before.ballot, ballot: after.ballot, delta, bytes })
+    chain.bytes += bytes
+    const whole = bytesOf(after.value)
+    while (chain.steps.length > DELTAS_KEPT || chain.bytes >= whole) chain.bytes -= chain.steps.shift()!.bytes
+    chains.set(key, chain)
+  }
+  function path(key: string, from: Ballot, to: Ballot): Delta[] | undefined {
+    const out: Delta[] = []
+    let at: Ballot | undefined
+    for (const step of chains.get(key)?.steps ?? []) {
+      if (at === undefined && compareBallots(step.base, from) !== 0) continue
+      if (at !== undefined && compareBallots(step.base, at) !== 0) return undefined
+      out.push(step.delta)
+      at = step.ballot
+      if (compareBallots(at, to) === 0) return out
+    }
+    return undefined
+  }
+  return { taken, path }
+}
+
+/** One agent's link. has: the ballot of each register that it was told last, or said that it has; undefined: not subscribed. */
+type Listening = { node: string; num: number; acked: number; old: boolean; has: Map<string, Ballot> | undefined }
+
+export type Pushes = {
+  linked: (link: Link, peer: Hello) => void
+  lost: (link: Link) => void
+  subscribe: (link: Link, have: [string, Ballot][]) => void
+  unsubscribe: (link: Link) => void
+  acked: (link: Link, num: number) => void
+  /** The register is settled at what this core holds of it. */
+  push: (key: string) => void
+  nodes: () => string[]
+  closeAll: () => void
+}
+
+export function makePushes(
+  store: Store,
+  chains: Chains,
+  isSettled: (key: string, c: Cell) => boolean,
+  numbers: Numbers,
+): Pushes {
+  const agents = new Map<Link, Listening>()
+
+  function linked(link: Link, peer: Hello): void {
+    agents.set(link, { node: peer.node, num: 0, acked: 0, old: peer.epoch < DELTA_EPOCH, has: undefined })
+  }
+  function lost(link: Link): void {
+    agents.delete(link)
+  }
+  function wordFor(a: Listening, key: string, c: Cell): { value: Value } | Deltas | undefined {
+    const value = c.value as Value
+    if (a.old) return { value }
+    const base = a.has?.get(key)
+    if (!base) return { value }
+    if (compareBallots(base, c.ballot) >= 0) return undefined
+    const deltas = chains.path(key, base, c.ballot)
+    return deltas ? { base, deltas } : { value }
+  }
+  function tell(link: Link, a: Listening, key: string, c: Cell): void {
+    if (!a.old && !a.has) return
+    const word = wordFor(a, key, c)
+    if (!word) return
+    a.num++
+    a.has?.set(key, c.ballot)
+    link.tell({ t: 'push', num: a.num, key, ballot: c.ballot, ...word })
+    numbers.add('claynotch_core_pushes_total', [['as', 'value' in word ? 'value' : 'deltas']])
+  }
+  function pushable(key: string): Cell | undefined {
+    const c = store.cells().get(key)
+    return c?.value && isSettled(key, c) && store.isWritten(key) ? c : undefined
+  }
+  function push(key: string): void {
+    const c = pushable(key)
+    if (c) for (const [link, a] of agents) tell(link, a, key, c)
+  }
+  function subscribe(link: Link, have: [string, Ballot][]): void {
+    const a = agents.get(link)
+    if (!a || a.old) return
+    a.has = new Map(have)
+    for (const key of store.cells().keys()) {
+      const c = pushable(key)
+      if (c) tell(link, a, key, c)
+    }
+  }
+  function unsubscribe(link: Link): void {
+    const a = agents.get(link)
+    if (a) a.has = undefined
+  }
+  function acked(link: Link, num: number): void {
+    const a = agents.get(link)
+    if (a) a.acked = Math.max(a.acked, num)
+  }
+  function nodes(): string[] {
+    const out: string[] = []
+    for (const a of agents.values()) out.push(a.node)
+    return out
+  }
+  function closeAll(): void {
+    for (const link of agents.keys()) link.close()
+  }
+  return { linked, lost, subscribe, unsubscribe, acked, push, nodes, closeAll }
+}
--- a/packages/register/src/store.ts
+++ b/packages/register/src/store.ts
@@ -1,6 +1,7 @@
 import { makeFile, makeTurnstile, type World, type Finding } from '@claynotch/base'
 import { ZERO, compareBallots, type Ballot } from './ballot.js'
 import { NO_SET, type CorePlace, type CoreSet } from './coreset.js'
+import { applyDelta, type Delta } from './delta.js'
 
 // What a core knows of one register.
 // Invariants: promise >= ballot; both only grow; value is the one accepted at ballot;
@@ -20,10 +21,17 @@
 type FloorRecord = { k: 'floor'; floor: number }
 type PromiseRecord = { k: 'promise'; key: string; promise: Ballot }
 type CellRecord = { k: 'cell'; key: string; promise: Ballot; ballot: Ballot; value: Value | undefined }
-type Rec = SetRecord | FloorRecord | PromiseRecord | CellRecord
+// A value as what changed since the one accepted at base, which an earlier record of the file holds.
+type DeltaRecord = { k: 'delta'; key: string; promise: Ballot; ballot: Ballot; base: Ballot; delta: Delta }
+type Rec = SetRecord | FloorRecord | PromiseRecord | CellRecord | DeltaRecord
 
 export type PrepareAnswer = { ok: true; ballot: Ballot; value: Value | undefined } | { ok: false; promise: Ballot }
 export type AcceptAnswer = { ok: true } | { ok: false; promise: Ballot }
+// lacksBase: the value accepted here isn't the one that the delta builds on; nothing was taken.
+export type DeltaAnswer = AcceptAnswer | { ok: false; lacksBase: true }
+
+// Told of each value taken, once it is on disk. delta: what it came as, where it did.
+export type Accepted = (key: string, before: Cell, after: Cell, delta: Delta | undefined) => void
 
 export type Store = {
   open: () => Promise<Finding[]>
@@ -34,6 +42,10 @@
   mark: (phase: Phase, set: CoreSet) => Promise<void>
   prepare: (key: string, ballot: Ballot) => Promise<PrepareAnswer>
   accept: (key: string, ballot: Ballot, value: Value) => Promise<AcceptAnswer>
+  // The same for a value told as what changed since the one accepted at base.
+  acceptDelta: (key: string, ballot: Ballot, base: Ballot, delta: Delta) => Promise<DeltaAnswer>
+  // Whether what cells() has of the register is on disk.
+  isWritten: (key: string) => boolean
   // What was accepted last and is on disk.
   accepted: (key: string) => Promise<{ ballot: Ballot; value: Value | undefined }>
   cells: () => Map<string, Cell>
@@ -44,7 +56,7 @@
   refill: (cells: Map<string, Cell>, floor: number, set: CoreSet) => Promise<void>
 }
 
-export function makeStore(world: World, path: string): Store {
+export function makeStore(world: World, path: string, accepted?: Accepted): Store {
   const file = makeFile(world, path)
   const cells = new Map<string, Cell>()
   const enter = makeTurnstile()
@@ -57,14 +69,31 @@
   function cell(key: string): Cell {
     return cells.get(key) ?? { promise: floor > 0 ? [floor, ''] : ZERO, ballot: ZERO, value: undefined }
   }
-  function replay(rec: Rec): void {
+  // false: a delta without its base, so that a record before it is missing.
+  function replay(rec: Rec): boolean {
     if (rec.k === 'set') {
       phase = rec.phase
       cores = rec.cores
       set = { epoch: rec.epoch ?? 0, cores: rec.places ?? [], ...(rec.next ? { next: rec.next } : {}) }
     } else if (rec.k === 'floor') floor = rec.floor
     else if (rec.k === 'promise') cells.set(rec.key, { ...cell(rec.key), promise: rec.promise })
+    else if (rec.k === 'delta') return replayDelta(rec)
     else cells.set(rec.key, { promise: rec.promise, ballot: rec.ballot, value: rec.value ?? undefined })
+    return true
+  }
+  function replayDelta(rec: DeltaRecord): boolean {
+    const c = cell(rec.key)
+    if (compareBallots(c.ballot, rec.base) !== 0) return false
+    const got = applyDelta(c.value, rec.delta)
+    if (got.err) return false
+    cells.set(rec.key, { promise: rec.promise, ballot: rec.ballot, value: got.val as Value })
+    return true
+  }
+  // Nothing that was read counts: what is missing may have been a promise of any register.
+  function forget(): void {
+    cells.clear()
+    keep('none', NO_SET)
+    floor = 0
   }
   function live(): Rec[] {
     const out: Rec[] = [{ k: 'floor', floor }]
@@ -84,10 +113,21 @@
       return findings
     }
     if (got.cut > 0) findings.push({ place: path, what: `torn last record cut off (${got.cut} bytes)` })
-    for (const rec of got.records) replay(rec as Rec)
+    for (const rec of got.records) {
+      if (replay(rec as Rec)) continue
+      forget()
+      return [
+        {
+          place: path,
+          what: 'a delta stands without the value that it builds on: this core has lost its memory and must be refilled',
+        },
+      ]
+    }
     return findings
   }
   let failure: string | undefined
+  // writing: the register whose value is on its way to the disk.
+  let writing: string | undefined
   // One failed write ends the store's life: a later success would not say what became of the first.
   async function write(run: () => Promise<unknown>): Promise<void> {
     if (failure !== undefined) throw new Error(failure)
@@ -146,12 +186,36 @@
       const next: Cell = { promise: ballot, ballot, value }
       // The cell changes first: a rewrite inside save() must hold the new state, not the old.
       cells.set(key, next)
+      writing = key
       await save({ k: 'cell', key, promise: ballot, ballot, value })
+      writing = undefined
+      accepted?.(key, c, next, undefined)
+      return { ok: true }
+    }
+    return enter(run)
+  }
+  function acceptDelta(key: string, ballot: Ballot, base: Ballot, delta: Delta): Promise<DeltaAnswer> {
+    async function run(): Promise<DeltaAnswer> {
+      const c = cell(key)
+      if (compareBallots(ballot, c.promise) < 0) return { ok: false, promise: c.promise }
+      // A ballot names one value of a register, so the same base makes the same value at each core.
+      if (compareBallots(c.ballot, base) !== 0) return { ok: false, lacksBase: true }
+      const got = applyDelta(c.value, delta)
+      if (got.err) return { ok: false, lacksBase: true }
+      const next: Cell = { promise: ballot, ballot, value: got.val as Value }
+      cells.set(key, next)
+      writing = key
+      await save({ k: 'delta', key, promise: ballot, ballot, base, delta })
+      writing = undefined
+      accepted?.(key, c, next, delta)
       return { ok: true }
     }
     return enter(run)
   }
-  function accepted(key: string): Promise<{ ballot: Ballot; value: Value | undefined }> {
+  function isWritten(key: string): boolean {
+    return writing !== key
+  }
+  function lastAccepted(key: string): Promise<{ ballot: Ballot; value: Value | undefined }> {
     async function run(): Promise<{ ballot: Ballot; value: Value | undefined }> {
       const { ballot, value } = cell(key)
       return { ballot, value }
@@ -193,7 +257,9 @@
     mark,
     prepare,
     accept,
-    accepted,
+    acceptDelta,
+    isWritten,
+    accepted: lastAccepted,
     cells: cellsNow,
     top,
     failed,
--- a/packages/register/src/words.ts
+++ b/packages/register/src/words.ts
@@ -2,6 +2,7 @@
 import * as t from 'io-ts'
 import { Ballot } from './ballot.js'
 import { CorePlace, CoreSet } from './coreset.js'
+import { Delta } from './delta.js'
 
 // What is said to a core on a link. Answers are written beside each in docs/wire.md.
 export const Value = t.type({ turn: t.number, tag: t.string, body: t.unknown })
@@ -55,11 +56,24 @@
 // epoch: of the set whose quorum the asker counts, 0 where it isn't said. A core of another epoch refuses: with its set where
 // that is later, else with behind, and is then told the set.
 const At = t.partial({ epoch: t.number })
+// have: ballot of the value that the asker holds of the register; the same one is then not told again.
+const Have = t.partial({ have: Ballot })
+
+/** Asks for the pushes of one core, or for no more of them (on: false). have: what the asker holds, by register. */
+export const Subscribe = t.intersection([
+  t.type({ t: t.literal('subscribe'), on: t.boolean, have: t.array(t.tuple([t.string, Ballot])) }),
+  At,
+])
+export type Subscribe = t.TypeOf<typeof Subscribe>
+
 export const CoreWord = t.union([
-  t.intersection([t.type({ t: t.literal('prepare'), key: t.string, ballot: Ballot }), At]),
+  t.intersection([t.type({ t: t.literal('prepare'), key: t.string, ballot: Ballot }), Have, At]),
+  // The value, or what changed since the one accepted at base.
   t.intersection([t.type({ t: t.literal('accept'), key: t.string, ballot: Ballot, value: Value }), At]),
+  t.intersection([t.type({ t: t.literal('accept'), key: t.string, ballot: Ballot, base: Ballot, delta: Delta }), At]),
   t.type({ t: t.literal('learn'), key: t.string, ballot: Ballot }),
-  t.intersection([t.type({ t: t.literal('get'), key: t.string }), At]),
+  t.intersection([t.type({ t: t.literal('get'), key: t.string }), Have, At]),
+  Subscribe,
   t.type({ t: t.literal('handover'), cells: t.array(t.type({ key: t.string, ballot: Ballot, value: Value })) }),
   t.type({ t: t.literal('state') }),
   t.intersection([t.type({ t: t.literal('keys') }), At]),
@@ -72,10 +86,25 @@
 ])
 export type CoreWord = t.TypeOf<typeof CoreWord>
 
-// Said by a core to an agent.
-export const Push = t.type({ t: t.literal('push'), num: t.number, key: t.string, ballot: Ballot, value: Value })
+/** A value as one who holds the value at base is told it: what changed, one delta on the other. */
+export const Deltas = t.type({ base: Ballot, deltas: t.array(Delta) })
+export type Deltas = t.TypeOf<typeof Deltas>
+
+// Said by a core to an agent: the value, or what changed since the one that the agent holds.
+export const Push = t.intersection([
+  t.type({ t: t.literal('push'), num: t.number, key: t.string, ballot: Ballot }),
+  t.union([t.type({ value: Value }), Deltas]),
+])
 export type Push = t.TypeOf<typeof Push>
 
+/** The answer to get. same: the asker holds it. */
+export const GetAnswer = t.union([
+  t.type({ ok: t.literal(true), ballot: Ballot, same: t.literal(true) }),
+  t.intersection([t.type({ ok: t.literal(true), ballot: Ballot }), Deltas]),
+  t.type({ ok: t.literal(true), ballot: Ballot, value: t.union([Value, t.null]) }),
+])
+export type GetAnswer = t.TypeOf<typeof GetAnswer>
+
 // A member as every agent knows it, and as whoever needs more asks for it.
 export const MemberLine = t.intersection([t.type({ node: t.string, life: t.string }), Self])
 export type MemberLine = t.TypeOf<typeof MemberLine>
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -135,6 +135,11 @@
         "await save({ k: 'cell', key, promise: ballot, ballot, value });",
         "void save({ k: 'cell', key, promise: ballot, ballot, value });",
       ],
+      [
+        'register/dist/store.js',
+        "await save({ k: 'delta', key, promise: ballot, ballot, base, delta });",
+        "void save({ k: 'delta', key, promise: ballot, ballot, base, delta });",
+      ],
     ],
   },
   {
@@ -157,9 +162,9 @@
     seeds: [1, 8],
     edits: [
       ['proxy/dist/state.js', 'if (old && c.turn < old.turn)\n                continue;', ''],
-      ['agent/dist/agent.js', 'if (old && value.turn < old.value.turn)\n            return;', ''],
+      ['agent/dist/registers.js', 'if (old && value.turn < old.value.turn)\n            return;', ''],
       [
-        'agent/dist/agent.js',
+        'agent/dist/registers.js',
         'const newer = !old || value.turn > old.value.turn;',
         'const newer = !old || value.turn !== old.value.turn;',
       ],
@@ -171,7 +176,7 @@
     rule: 'an acknowledged configuration goes unheeded after 3 s',
     scenario: 'news-cut-off',
     seeds: [1, 6],
-    edits: [['agent/dist/agent.js', 'if (k && compareBallots(h.ballot, k.ballot) <= 0) {', 'if (k) {']],
+    edits: [['agent/dist/registers.js', 'if (k && compareBallots(h.ballot, k.ballot) <= 0) {', 'if (k) {']],
   },
   {
     name: 'leaving-used',
@@ -515,6 +520,11 @@
         "await save({ k: 'cell', key, promise: ballot, ballot, value });",
         "void save({ k: 'cell', key, promise: ballot, ballot, value });",
       ],
+      [
+        'register/dist/store.js',
+        "await save({ k: 'delta', key, promise: ballot, ballot, base, delta });",
+        "void save({ k: 'delta', key, promise: ballot, ballot, base, delta });",
+      ],
     ],
   },
 ]
