Hold no duty before current; mark data files that hold deltas for programs that can't read them

A node that was frozen for longer than a term, or began anew, takes duties only once it knows all that a majority showed. A core program of before deltas would take a delta record for a register without a value: the set record now names the format among the ids, which those programs refuse to start on.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -153,6 +153,9 @@
   const told = new Map<string, Told>()
   let members: MemberLine[] = []
   let termUntil = 0
+  // current: all that a majority showed since this life, or its last long silence, began is known here; no duty is held before.
+  let current = false
+  let renewed = -Infinity
   // proxy: the one linked now. given: the latest time up to which any proxy of this machine may hold a term;
   // an agent that has just started may have a predecessor's word out for one whole term.
   // at: when the note came.
@@ -449,6 +452,8 @@
     }
     numbers.add('claynotch_renewals_total', [['end', 'good']])
     termUntil = Math.max(termUntil, from + TERM)
+    if (from - renewed > TERM) setCurrent(false)
+    renewed = from
     // A later set came while these answered: the term stands, what they tell is merged with the next answers.
     if (coreSet === under) merge(good, from)
     await feed()
@@ -467,6 +472,7 @@
     for (const one of byNode.values()) members.push(one.line)
     mergeSights()
     registers.shown(tables, quorum(), from)
+    judgeCurrent()
     void subscription.choose(sources(), coreSet.epoch)
   }
   // The cores as places to take pushes from.
@@ -481,8 +487,19 @@
     return out
   }
 
+  function setCurrent(to: boolean): void {
+    current = to
+    numbers.set('claynotch_agent_current', [], to ? 1 : 0)
+  }
+  function judgeCurrent(): void {
+    if (current || registers.wants()) return
+    setCurrent(true)
+    duty.ring()
+    mover.ring()
+  }
   async function catchUp(): Promise<void> {
     await registers.catchUp()
+    judgeCurrent()
     await feed()
   }
 
@@ -839,6 +856,10 @@
   function termNow(): number {
     return termUntil
   }
+  // Up to when this node may hold duties: not before it knows what was settled while it was away.
+  function dutyUntil(): number {
+    return current ? termUntil : 0
+  }
   function platformNow(): Addr | undefined {
     return platform
   }
@@ -849,7 +870,7 @@
     promotion: edges.promotion,
     platform: platformNow,
     proposer,
-    termUntil: termNow,
+    termUntil: dutyUntil,
     live,
     groups,
     cell,
@@ -876,7 +897,7 @@
   }
   startCoreSetDuty(
     world,
-    { node: set.node, proposer, termUntil: termNow, live, learned, coreSet: coreSetOf, core: coreNow, spares },
+    { node: set.node, proposer, termUntil: dutyUntil, live, learned, coreSet: coreSetOf, core: coreNow, spares },
     stop,
   )
   const peers = await startPeers(world, set.peer, stop, peerList, { all: sayAll, seenFor }, numbers, heardPeer)
--- a/packages/fleet/src/test/deltas.test.ts
+++ b/packages/fleet/src/test/deltas.test.ts
@@ -164,6 +164,20 @@
     c.same(await again.open(), [], 'the file is read without a finding')
     c.same(again.cells().get('k'), { promise: [50, 'p'], ballot: [50, 'p'], value: wide(50, 49) })
 
+    // A program that can't read deltas refuses to start on the file, as on that of another set; one of before is marked.
+    function setOf(path: string): { cores: string[] } | undefined {
+      const records = readRecords(machine.files.get(path)!).records as { k: string; cores: string[] }[]
+      for (const r of records) if (r.k === 'set') return r
+      return undefined
+    }
+    c.same(setOf('/d')?.cores, ['a', 'format-2'])
+    c.same(again.cores(), ['a'], 'the set itself is as it was')
+    await makeFile(world, '/f').reset([{ k: 'set', phase: 'founded', cores: ['a'] }])
+    const older = makeStore(world, '/f')
+    c.same(await older.open(), [])
+    c.equal(older.phase(), 'founded')
+    c.same(setOf('/f')?.cores, ['a', 'format-2'])
+
     // Another base than the one accepted: refused, nothing is taken, and the disk has nothing of it.
     const before = machine.files.get('/d')!.length
     await again.prepare('k', [60, 'p'])
@@ -780,6 +794,39 @@
   c.same(f.watched, [])
 }
 
+// A node that was frozen, or began anew, holds no duty before it knows all that was settled meanwhile.
+async function dutyAfterAbsence(c: Test): Promise<void> {
+  const f = makeSimFleet(15, { ...smallShape(), requesters: 0 })
+  c.ok(await f.begin(), 'begun')
+  let epoch = epochNow(f)
+  const one = f.fronts[1]
+  for (const how of ['frozen', 'killed'] as const) {
+    if (how === 'frozen') f.sim.freeze(one.agentProc)
+    else f.sim.kill(one.agentProc)
+    epoch = await storm(f, epoch, 100, 40)
+    if (how === 'frozen') f.sim.thaw(one.agentProc)
+    else f.startAgentAt(1)
+    const at = f.sim.now()
+    let early = 0
+    let held = 0
+    function look(): void {
+      const agent = one.agent
+      const may =
+        agent !== undefined &&
+        agent.termUntil() > f.sim.now() + one.machine.skew &&
+        agent.numbers.get('claynotch_agent_current') === 1
+      const body = agent?.cell('configuration')?.body as { epoch?: number } | undefined
+      if (may && body?.epoch !== epoch) early++
+      if (may) held++
+      if (f.sim.now() < at + 3000) f.sim.at(0.1, look)
+    }
+    look()
+    await f.sim.run(at + 3100)
+    c.equal(early, 0, `${how}: no duty before it is current`)
+    c.ok(held > 0, `${how}: and then it may`)
+  }
+}
+
 // --- what an agent makes of what it is told ---
 
 async function stalePushes(c: Test): Promise<void> {
@@ -965,5 +1012,6 @@
   ['a storm with a core off, one emptied, an agent frozen, and everything killed', hardStorm],
   ['the core that pushes is frozen, cut off or slow', sourceGone],
   ['restarts after 2,000 changes', restarts],
+  ['no duty before a node is current', dutyAfterAbsence],
 ]
 for (const [name, run] of tests) void t.test(name, run)
--- a/packages/register/src/store.ts
+++ b/packages/register/src/store.ts
@@ -3,6 +3,8 @@
 import { NO_SET, type CorePlace, type CoreSet } from './coreset.js'
 import { applyDelta, type Delta } from './delta.js'
 
+const FILE_FORMAT = 'format-2'
+
 // What a core knows of one register.
 // Invariants: promise >= ballot; both only grow; value is the one accepted at ballot;
 // nothing is answered from here before it is synced to the file.
@@ -17,6 +19,8 @@
 // places: the set with its addresses; files of before this field have the ids alone. epoch, next: see CoreSet; files of
 // before these fields are of epoch 0. A set with phase none is kept by a
 // machine that isn't of it, so that it can tell others.
+// format: a program that can't read deltas takes FILE_FORMAT, among the ids, for a core of another set and refuses to start on
+// this file; it would lose what they hold.
 type SetRecord = { k: 'set'; phase: Phase; cores: string[]; places?: CorePlace[]; epoch?: number; next?: CorePlace[] }
 type FloorRecord = { k: 'floor'; floor: number }
 type PromiseRecord = { k: 'promise'; key: string; promise: Ballot }
@@ -63,17 +67,23 @@
   let phase: Phase = 'none'
   let cores: string[] = []
   let set: CoreSet = NO_SET
+  // marked: the file says that it may hold deltas.
+  let marked = false
   // floor: prepares and accepts under this number are refused for every key (set by a refill).
   let floor = 0
 
   function cell(key: string): Cell {
     return cells.get(key) ?? { promise: floor > 0 ? [floor, ''] : ZERO, ballot: ZERO, value: undefined }
   }
+  function isCore(id: string): boolean {
+    return id !== FILE_FORMAT
+  }
   // false: a delta without its base, so that a record before it is missing.
   function replay(rec: Rec): boolean {
     if (rec.k === 'set') {
       phase = rec.phase
-      cores = rec.cores
+      cores = rec.cores.filter(isCore)
+      marked = cores.length < rec.cores.length
       set = { epoch: rec.epoch ?? 0, cores: rec.places ?? [], ...(rec.next ? { next: rec.next } : {}) }
     } else if (rec.k === 'floor') floor = rec.floor
     else if (rec.k === 'promise') cells.set(rec.key, { ...cell(rec.key), promise: rec.promise })
@@ -99,7 +109,14 @@
     const out: Rec[] = [{ k: 'floor', floor }]
     for (const [key, c] of cells) out.push({ k: 'cell', key, promise: c.promise, ballot: c.ballot, value: c.value })
     // The phase comes last: a file that lost its tail must not look founded.
-    out.push({ k: 'set', phase, cores, places: set.cores, epoch: set.epoch, ...(set.next ? { next: set.next } : {}) })
+    out.push({
+      k: 'set',
+      phase,
+      cores: [...cores, FILE_FORMAT],
+      places: set.cores,
+      epoch: set.epoch,
+      ...(set.next ? { next: set.next } : {}),
+    })
     return out
   }
   async function open(): Promise<Finding[]> {
@@ -123,8 +140,17 @@
         },
       ]
     }
+    // Before the first delta is written; a file of before this format is rewritten once.
+    if (phase !== 'none' && !marked) await remark()
     return findings
   }
+  async function remark(): Promise<void> {
+    try {
+      await rewrite()
+    } catch {
+      // Said by the store, which answers nothing any more.
+    }
+  }
   let failure: string | undefined
   // writing: the register whose value is on its way to the disk.
   let writing: string | undefined
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -558,4 +558,11 @@
       ['register/dist/proposer.js', 'else if (have && compareBallots(ballot, have.ballot) === 0)', 'else if (have)'],
     ],
   },
+  {
+    name: 'duty-before-current',
+    rule: 'a node holds duties before it knows what was settled while it was away',
+    test: 'deltas.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/agent.js', 'if (current || registers.wants())', 'if (current)']],
+  },
 ]
