--- a/packages/register/src/store.ts
+++ b/packages/register/src/store.ts
@@ -3,6 +3,8 @@
 import { NO_SET, type CorePlace, type CoreSet } from './coreset.js'
 import { applyDelta, type Delta } from './delta.js'
 
+const FILE_FORMAT = 'format-2'
+
 // What a core knows of one register.
 // Invariants: promise >= ballot; both only grow; value is the one accepted at ballot;
 // nothing is answered from here before it is synced to the file.
@@ -17,6 +19,8 @@
 // places: the set with its addresses; files of before this field have the ids alone. epoch, next: see CoreSet; files of
 // before these fields are of epoch 0. A set with phase none is kept by a
 // machine that isn't of it, so that it can tell others.
+// format: a program that can't read deltas takes FILE_FORMAT, among the ids, for a core of another set and refuses to start on
+// this file; it would lose what they hold.
 type SetRecord = {
   k: 'set'
   phase: Phase
@@ -85,17 +89,23 @@
   let cores: string[] = []
   let set: CoreSet = NO_SET
   let token: string | undefined
+  // marked: the file says that it may hold deltas.
+  let marked = false
   // floor: prepares and accepts under this number are refused for every key (set by a refill).
   let floor = 0
 
   function cell(key: string): Cell {
     return cells.get(key) ?? { promise: floor > 0 ? [floor, ''] : ZERO, ballot: ZERO, value: undefined }
   }
+  function isCore(id: string): boolean {
+    return id !== FILE_FORMAT
+  }
   // false: a delta without its base, so that a record before it is missing.
   function replay(rec: Rec): boolean {
     if (rec.k === 'set') {
       phase = rec.phase
-      cores = rec.cores
+      cores = rec.cores.filter(isCore)
+      marked = cores.length < rec.cores.length
       set = { epoch: rec.epoch ?? 0, cores: rec.places ?? [], ...(rec.next ? { next: rec.next } : {}) }
       token = rec.token
     } else if (rec.k === 'floor') floor = rec.floor
@@ -125,7 +135,7 @@
     out.push({
       k: 'set',
       phase,
-      cores,
+      cores: [...cores, FILE_FORMAT],
       places: set.cores,
       epoch: set.epoch,
       ...(set.next ? { next: set.next } : {}),
@@ -154,8 +164,17 @@
         },
       ]
     }
+    // Before the first delta is written; a file of before this format is rewritten once.
+    if (phase !== 'none' && !marked) await remark()
     return findings
   }
+  async function remark(): Promise<void> {
+    try {
+      await rewrite()
+    } catch {
+      // Said by the store, which answers nothing any more.
+    }
+  }
   let failure: string | undefined
   // writing: the register whose value is on its way to the disk.
   let writing: string | undefined
