Close connections whose order is in doubt; let the duty decide which promotion call goes out

Cause: an answer on the platform's wire or on HTTP bears no name of its question; the order alone tells whose it is. HTTP connections kept standing after bytes that nobody asked for, and took a second request while one was under way. The promotion call was written once its dial had ended, up to a second (or a freeze) after the term was checked.

Not to be told by this wire: a whole answer or row said again after the next question went out.

--- a/packages/base/src/http.ts
+++ b/packages/base/src/http.ts
@@ -310,9 +310,16 @@
   }
   const closed = makeFlag()
   let given = false
+  // asked: a request whose answer hasn't ended. Whatever comes at another time answers nothing that was asked, and what
+  // comes after it would be taken for the answer to the next request.
+  let asked = false
   function gone(): void {
     closed.fire()
   }
+  function stray(): void {
+    if (!asked) close()
+  }
+  stream.on('data', stray)
   stream.on('error', gone)
   stream.on('close', gone)
   stream.on('end', gone)
@@ -344,15 +351,17 @@
     headers: [string, string][] = [],
   ): Promise<Result<Answer, Fail>> {
     function start(ok: (r: Result<Answer, Fail>) => void): void {
-      if (closed.fired()) {
-        ok(Err({ reach: 'none', why: 'connection closed' }))
+      if (closed.fired() || asked) {
+        ok(Err({ reach: 'none', why: closed.fired() ? 'connection closed' : 'another request is under way' }))
         return
       }
+      asked = true
       let over = false
       let unwatch = nothing
       function end(r: Result<Answer, Fail>): void {
         if (over) return
         over = true
+        asked = false
         cancel()
         unwatch()
         // Whatever did not end with a whole answer leaves the connection in an unclear state.
@@ -431,7 +440,8 @@
   return Ok({ ask, close, alive, closed })
 }
 
-// One call on a connection of its own.
+// One call on a connection of its own. may: asked once the connection stands, with no wait between it and the write: a
+// dial takes up to a second, or as long as the process was frozen, and what allowed the call may have ended meanwhile.
 export async function callOnce(
   world: World,
   addr: Addr,
@@ -440,9 +450,14 @@
   body: unknown,
   ms: number,
   headers: [string, string][] = [],
+  may?: () => boolean,
 ): Promise<Result<Answer, Fail>> {
   const line = await openLine(world, addr, Math.min(ms, DIAL_LIMIT))
   if (line.err) return line
+  if (may && !may()) {
+    line.val.close()
+    return Err({ reach: 'none', why: 'no longer allowed once the connection stood' })
+  }
   const got = await line.val.ask(method, path, body, ms, headers)
   line.val.close()
   return got
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -32,6 +32,7 @@
 import { BUSY, type InstanceEdge, type Mark, type Status } from '@claynotch/instance'
 import type { Body } from '@claynotch/operator'
 import type { PromotionEdge } from '@claynotch/host'
+import { onePerGroup } from './calls.js'
 import { groupKey, type GroupRecord, type Member, type Proposer, type Sight, type Value } from '@claynotch/register'
 
 // good: ms since each instance last answered this node. bad: ms since the first send that failed there, or still waits,
@@ -142,6 +143,7 @@
 export function startDuty(world: World, view: DutyView, stop: Flag): { ring: () => void } {
   const bells = new Map<string, Bell>()
   const ends = new Map<string, Flag>()
+  const promote = onePerGroup(view.promotion)
 
   // Wanted: one task for each configured group. The loop starts and ends tasks accordingly.
   function tend(): void {
@@ -153,7 +155,7 @@
       ends.set(name, end)
       bells.set(name, bell)
       stop.watch(end.fire)
-      tendGroup(world, view, name, end, bell)
+      tendGroup(world, view, promote, name, end, bell)
     }
     for (const [name, end] of ends) {
       if (wanted.has(name)) continue
@@ -193,7 +195,7 @@
   return recorded
 }
 
-function tendGroup(world: World, view: DutyView, group: string, stop: Flag, bell: Bell): void {
+function tendGroup(world: World, view: DutyView, promote: PromotionEdge, group: string, stop: Flag, bell: Bell): void {
   const key = groupKey(group)
   let mem: Memory | undefined
   let count = 0
@@ -582,22 +584,26 @@
       const fits = status.epoch === undefined ? status.mark.epoch === rec.epoch : status.epoch >= (rec.term ?? 0)
       return { leads: status.role === 'leader' && fits, term: status.epoch }
     }
+    function mayCall(): boolean {
+      return world.now() < view.termUntil()
+    }
     let is = await confirmed()
     if (is?.leads === false && (!m.called || world.now() - m.called.at >= m.called.pause)) {
       // The fence, right before the call: the record is still the one read, and our term still runs.
       const now = await view.proposer.read(key)
       if (!now.done || now.value?.turn !== turn || (now.value.body as GroupRecord).holder !== view.node) return false
-      if (world.now() >= view.termUntil()) return false
+      if (!mayCall()) return false
       // The old leader, if it lives, is told as well; nobody waits for its answer.
       if (rec.old !== undefined && rec.old !== who.name && sightOf(rec.old))
         void demote({ name: rec.old, addr: sightOf(rec.old)!.addr }, (rec.term ?? rec.epoch - 1) + 1)
-      const got = await view.promotion(world, view.platform(), {
+      const got = await promote(world, view.platform(), {
         group,
         instance: who.name,
         addr: who.addr,
         epoch: rec.epoch,
         holder: view.node,
         fence: rec.fence,
+        may: mayCall,
       })
       m.called = {
         at: world.now(),
--- a/packages/duty/src/index.ts
+++ b/packages/duty/src/index.ts
@@ -1,2 +1,3 @@
+export * from './calls.js'
 export * from './duty.js'
 export * from './move.js'
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -2,7 +2,16 @@
 
 // The call that makes an instance the leader. at: where the machines' keeper takes it; undefined: straight to the instance.
 // epoch: the one that it is to lead. holder, fence: the node that holds the group's duty; the fence rises with each holder.
-export type Promotion = { group: string; instance: string; addr: Addr; epoch: number; holder: string; fence: number }
+// may: asked once the connection stands, right before the call is written; false: it is not made any more.
+export type Promotion = {
+  group: string
+  instance: string
+  addr: Addr
+  epoch: number
+  holder: string
+  fence: number
+  may?: () => boolean
+}
 // done: it was carried out, or will be. refused: it was not. unclear: the instance's status must tell.
 export type PromotionEnd = { end: 'done' | 'refused' | 'unclear'; why: string }
 export type PromotionEdge = (world: World, at: Addr | undefined, what: Promotion) => Promise<PromotionEnd>
@@ -27,7 +36,8 @@
 // Our own promotion call: an instance refuses an epoch that is not above its own.
 export async function promote(world: World, at: Addr | undefined, what: Promotion): Promise<PromotionEnd> {
   const { group, instance, epoch } = what
-  const got = await callOnce(world, at ?? what.addr, 'POST', '/promotion', { group, instance, epoch }, PROMOTION_LIMIT)
+  const body = { group, instance, epoch }
+  const got = await callOnce(world, at ?? what.addr, 'POST', '/promotion', body, PROMOTION_LIMIT, [], what.may)
   if (got.err) return { end: got.val.reach === 'none' ? 'refused' : 'unclear', why: got.val.why }
   if (got.val.status === 200) return { end: 'done', why: '' }
   return { end: got.val.status >= 500 ? 'unclear' : 'refused', why: `status ${got.val.status}` }
