Refuse an order only for good: by its content, and by what is still remembered

Now decisions carry a digest of the change's content (what it expects left out), a rival under a taken number is refused, and what can't be told ends as a typed verdict, unclear (503 at the platform's edge, with when to come back). History of either kind is whole from its oldest entry on once as many stand as the smallest limit of any program; so bodies written by earlier programs are read as they are, and these trim ours as before. NAMED_KEPT goes from 256 to 1024: 58,279 bytes encoded where it was 14,503 (56.9 each with a stream of 22 letters).

Ruled out: a refusal told from a value that isn't chosen. The proposer tells an edit's "nothing" only where a majority is alike or its accept was chosen, and each round judges anew.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -41,11 +41,12 @@
   makeDecision,
   makeOperatorEdge,
   meantBy,
+  unclear,
   type Body,
   type Change,
   type Credential,
-  type Decision,
   type Edit,
+  type Verdict,
 } from '@claynotch/operator'
 import { startPeers, type Peer, type Summary } from '@claynotch/peer'
 import {
@@ -1013,10 +1014,12 @@
     return coreSet
   }
   // Both answer in time for a caller that goes elsewhere after a second; what is under way ends by itself.
-  async function change(stream: string, one: Change): Promise<Decision | undefined> {
-    const got = await within(world, CHANGE_ANSWER, makeDecision(proposer, stream, one, undefined, [], CHANGE_ANSWER))
-    numbers.add('claynotch_decisions_total', [['decision', got === LATE ? 'unclear' : (got?.decision ?? 'unclear')]])
-    return got === LATE ? undefined : got
+  async function change(stream: string, one: Change): Promise<Verdict> {
+    const order = { stream, change: one }
+    const got = await within(world, CHANGE_ANSWER, makeDecision(proposer, order, CHANGE_ANSWER))
+    const verdict = got === LATE ? unclear(order, 'no majority of cores settled it in time') : got
+    numbers.add('claynotch_decisions_total', [['decision', verdict.decision]])
+    return verdict
   }
   // Whoever asks while a look runs shares the next, which starts after all of them asked, so that a crowd of readers
   // makes no more than one at a time.
--- a/packages/agent/src/seam.ts
+++ b/packages/agent/src/seam.ts
@@ -10,7 +10,7 @@
 } from '@claynotch/base'
 import { promote, takeProbe, type PromotionEdge } from '@claynotch/host'
 import { httpInstance, takeAnnouncement, type Announcement, type InstanceEdge } from '@claynotch/instance'
-import type { Body, Change, Decision } from '@claynotch/operator'
+import type { Body, Change, Verdict } from '@claynotch/operator'
 import type { CoreSet } from '@claynotch/register'
 
 // What operators, instances and probes may have of an agent, whatever they speak.
@@ -20,8 +20,9 @@
   heard: (a: Announcement) => void
   // An instance's last word, where it tells its name alone; false: not known here.
   left: (name: string) => boolean
-  // One numbered change, decided at the cores; undefined after CHANGE_ANSWER at most: unclear, the same may be asked again.
-  change: (stream: string, change: Change) => Promise<Decision | undefined>
+  // One numbered change, decided at the cores, or unclear, after CHANGE_ANSWER at most. stream: a digest of all that it is, so
+  // that under one number there is one change alone.
+  change: (stream: string, change: Change) => Promise<Verdict>
   // The configuration, read at a majority; undefined after CHANGE_ANSWER at most: no majority. body: as known here.
   read: () => Promise<Body | undefined>
   body: () => Body | undefined
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -31,9 +31,13 @@
 export const HISTORY_KEPT = 2048
 // count. The latest of them that are kept with their whole configuration.
 export const CONFIGS_KEPT = 8
-// count. Accepted changes that named their epoch, kept so that the same one sent again is told that it was taken: at
-// 47,000 changes a day (one in 1.8 s) these are the last 8 minutes, and about 15 KiB; a caller asks again within seconds.
-export const NAMED_KEPT = 256
+// count. Accepted changes that named their epoch, kept so that the same one sent again is told that it was taken. A storm
+// of three changes a second fills them in 5 minutes, 47,000 changes a day in half an hour; a caller asks again within seconds.
+// 57 bytes each with a stream of 22 letters: 58 KB of the value.
+export const NAMED_KEPT = 1024
+// count. The fewest of them that any program which may share a register with this one keeps: where so many stand, older
+// ones may be gone.
+export const NAMED_KEPT_LEAST = 256
 // bytes. Largest value of the configuration's register that a change may make; of one that names its epoch, the
 // configuration alone is measured, so that two such parts and the names of the last changes fit a frame.
 export const VALUE_LIMIT = 3.5 * 1024 * 1024
--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -220,7 +220,9 @@
 
 // --- the register's value ---
 
-// One decision of the system on one numbered change.
+// One decision of the system on one numbered change. epoch: the one that it made; where it was refused, the present one.
+// digest: of the change's content (digestOf), so that a number is of one change alone; none where the stream is a digest
+// itself, and on decisions of programs that told none.
 export type Decision = {
   stream: string
   number: number
@@ -228,7 +230,17 @@
   epoch: number
   why: string
   findings: Finding[]
+  digest?: string
 }
+// No decision: it may have been taken or not, and may yet be; the very same one may be sent again.
+export type Unclear = { stream: string; number: number; decision: 'unclear'; why: string; findings: Finding[] }
+// What the sender of a change is told. Invariants: an accepted change is never refused afterwards, a refused one that
+// names its epoch never accepted; each rests on a chosen value.
+export type Verdict = Decision | Unclear
+
+// A change as it was sent. digest: see Decision. team: set where the caller may change that team's lanes only.
+// hindered: what the fleet as it is has against the change.
+export type Order = { stream: string; change: Change; digest?: string; team?: string; hindered?: Finding[] }
 
 // A move of lanes from one group to another, under way. id: the epoch that opened it.
 // Phases: copy, the target draws near; ease, no new reading transactions, open ones get their time; drain, no new writes and transactions, open ones get their time; quiet, no write
@@ -254,6 +266,8 @@
 // which epoch, the latest few with their configuration; neither other streams nor refused changes push an accepted one out.
 // Changes that name their epoch come by the ten thousand a day, each in a stream of its own: they stand in history alone
 // (named), without a configuration beside the present one, the last NAMED_KEPT of them, and push out nobody else's.
+// Of each of the two kinds history is whole from the oldest entry kept on, and from the start where nothing of that kind
+// was dropped yet (mayBeForgotten in kept.ts).
 // What is kept is so bounded by HISTORY_KEPT, CONFIGS_KEPT, NAMED_KEPT, STREAMS_KEPT times DECISIONS_KEPT, and one configuration.
 // stage: set while only some areas work by config; the others work by prior, that of epoch priorEpoch.
 export type Body = {
@@ -262,8 +276,10 @@
   stage?: { areas: string[]; prior: Config; priorEpoch: number }
   moves?: Move[]
   streams: { name: string; used: number; decisions: Decision[] }[]
-  history: { epoch: number; stream: string; number: number; config?: Config; named?: true }[]
+  history: Made[]
 }
+// An accepted change, by the epoch that it made.
+export type Made = { epoch: number; stream: string; number: number; digest?: string; config?: Config; named?: true }
 
 // The configuration that an area works by, its epoch, and the moves under way (never beside a stage).
 export function configFor(body: Body, area: string): { config: Config | null; epoch: number; moves: Move[] } {
--- a/packages/operator/src/edge.ts
+++ b/packages/operator/src/edge.ts
@@ -14,12 +14,23 @@
   type World,
 } from '@claynotch/base'
 import type { Proposer, Value } from '@claynotch/register'
-import { Change, CONFIG_KEY, emptyBody, type Body, type Decision, type Edit } from './config.js'
+import {
+  Change,
+  CONFIG_KEY,
+  emptyBody,
+  type Body,
+  type Edit,
+  type Order,
+  type Unclear,
+  type Verdict,
+} from './config.js'
 import { identify, stopCaller, type Credential } from './credentials.js'
-import { allDecisions, decide, findDecision } from './decide.js'
+import { decide } from './decide.js'
+import { allDecisions, digestOf } from './kept.js'
 
 // The operator's edge: numbered changes in, decisions out, and what there is to read.
-// 'unclear' is said where no majority settled the change in time: the same number may be sent again.
+// 'unclear' is said where no majority settled the change in time, and where what is remembered can't tell: the same number
+// may be sent again.
 export type Reading = {
   // undefined: no majority.
   members: () => Promise<unknown>
@@ -32,18 +43,23 @@
   news: Bell
 }
 
-export async function makeDecision(
-  proposer: Proposer,
-  stream: string,
-  change: Change,
-  team?: string,
-  hindered: Finding[] = [],
-  limit?: number,
-): Promise<Decision | undefined> {
-  const tag = `${stream}#${change.number}`
-  let out: Decision | undefined
+const NO_MAJORITY = 'no majority of cores settled it in time; send the same number again'
+
+export function unclear(order: Order, why: string): Unclear {
+  return { stream: order.stream, number: order.change.number, decision: 'unclear', why, findings: [] }
+}
+
+// Decides one change at the cores. What is told rests on the chosen value: a ruling counts only if the very round that it was
+// made in ended with the value it was made on, or made, chosen; each round judges anew.
+export async function makeDecision(proposer: Proposer, order: Order, limit?: number): Promise<Verdict> {
+  const tag = `${order.stream}#${order.change.number}`
+  let out: Verdict = unclear(order, NO_MAJORITY)
   function edit(now: Value | undefined): { body: unknown; tag: string } | undefined {
-    const ruling = decide((now?.body as Body | undefined) ?? emptyBody(), stream, change, team, hindered)
+    const ruling = decide((now?.body as Body | undefined) ?? emptyBody(), order)
+    if ('unclear' in ruling) {
+      out = unclear(order, ruling.unclear)
+      return undefined
+    }
     if ('known' in ruling) {
       out = ruling.known
       return undefined
@@ -52,10 +68,7 @@
     return { body: ruling.body, tag }
   }
   const got = await proposer.change(CONFIG_KEY, edit, limit)
-  if (!got.done) return undefined
-  // What is chosen is read back: it must hold the decision that is about to be told.
-  const kept = got.value ? findDecision(got.value.body as Body, stream, change.number) : undefined
-  return kept ?? out
+  return got.done ? out : unclear(order, NO_MAJORITY)
 }
 
 export function makeOperatorEdge(
@@ -84,17 +97,11 @@
         why: 'not a change',
         findings: got.val,
       }
-    const made = await makeDecision(proposer, stream, got.val, team, await reading.hinders(got.val.edits ?? []))
-    numbers.add('claynotch_decisions_total', [['decision', made?.decision ?? 'unclear']])
-    return (
-      made ?? {
-        stream,
-        number: got.val.number,
-        decision: 'unclear',
-        why: 'no majority of cores settled it in time; send the same number again',
-        findings: [],
-      }
-    )
+    const change = got.val
+    const hindered = await reading.hinders(change.edits ?? [])
+    const made = await makeDecision(proposer, { stream, change, digest: digestOf(change), team, hindered })
+    numbers.add('claynotch_decisions_total', [['decision', made.decision]])
+    return made
   }
   async function changes(ask: Ask, stream: string, team: string | undefined): Promise<undefined> {
     const { req, res } = ask.raw
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,4 +1,5 @@
 export * from './config.js'
+export * from './kept.js'
 export * from './decide.js'
 export * from './edge.js'
 export * from './credentials.js'
--- /dev/null
+++ b/packages/operator/src/kept.ts
@@ -0,0 +1,121 @@
+import { createHash } from 'node:crypto'
+import { CONFIGS_KEPT, DECISIONS_KEPT, HISTORY_KEPT, NAMED_KEPT, NAMED_KEPT_LEAST, STREAMS_KEPT } from '@claynotch/base'
+import type { Body, Change, Config, Decision, Made } from './config.js'
+
+// What the configuration's register remembers of changes: their decisions, what each made, and from where on that is whole.
+
+// --- reading ---
+
+export function findDecision(body: Body, stream: string, number: number): Decision | undefined {
+  for (const s of body.streams) if (s.name === stream) for (const d of s.decisions) if (d.number === number) return d
+  for (const h of body.history) if (h.stream === stream && h.number === number) return accepted(h)
+  return undefined
+}
+function accepted(h: Made): Decision {
+  const { stream, number, epoch, digest } = h
+  return { stream, number, decision: 'accepted', epoch, why: '', findings: [], ...withDigest(digest) }
+}
+export function withDigest(digest: string | undefined): { digest?: string } {
+  return digest === undefined ? {} : { digest }
+}
+
+// Every decision there is to read back, by stream and number.
+export function allDecisions(body: Body, stream?: string): Decision[] {
+  const byKey = new Map<string, Decision>()
+  for (const h of body.history) byKey.set(`${h.stream} ${h.number}`, accepted(h))
+  for (const s of body.streams) for (const d of s.decisions) byKey.set(`${d.stream} ${d.number}`, d)
+  const out: Decision[] = []
+  for (const d of byKey.values()) if (stream === undefined || d.stream === stream) out.push(d)
+  return out.sort(byPlace)
+}
+function byPlace(a: Decision, b: Decision): number {
+  return a.stream !== b.stream ? (a.stream < b.stream ? -1 : 1) : a.number - b.number
+}
+
+// Tells changes apart that bear one number. What a change expects is not of it: sent again, it may name the present epoch.
+export function digestOf(change: Change): string {
+  const content = JSON.stringify([change.epoch, change.whole, change.edits, change.stage])
+  return createHash('sha256').update(content).digest('base64url').slice(0, DIGEST_LENGTH)
+}
+const DIGEST_LENGTH = 11
+
+// The epoch that a change made, if it was ever taken.
+export function epochMadeBy(change: Change): number {
+  return change.epoch ?? change.expect + 1
+}
+
+// Whether the change may have been taken, though nothing kept tells of it: all of its kind from its epoch on must be there
+// to say that it was not.
+export function mayBeForgotten(body: Body, change: Change): boolean {
+  const named = change.epoch !== undefined
+  let oldest: number | undefined
+  let count = 0
+  for (const h of body.history) {
+    if ((h.named === true) !== named) continue
+    oldest ??= h.epoch
+    count++
+  }
+  const least = named ? NAMED_KEPT_LEAST : HISTORY_KEPT
+  return oldest !== undefined && count >= least && epochMadeBy(change) < oldest
+}
+
+// --- writing ---
+
+// The body with one more decision, and with it, where it was accepted, a configuration.
+export function keepDecision(body: Body, decision: Decision, config?: Config): Body {
+  const { stream, number, epoch, digest } = decision
+  const streams = putDecision(body.streams, decision)
+  if (!config) return { ...body, streams }
+  const made: Made = { epoch, stream, number, ...withDigest(digest), config }
+  const history = [...lastOf(thinned(body.history), false, HISTORY_KEPT - 1), made]
+  return { ...body, epoch, config, streams, history }
+}
+// The body with an accepted change that named its epoch.
+export function keepNamed(body: Body, decision: Decision, config: Config): Body {
+  const { stream, number, epoch, digest } = decision
+  const made: Made = { epoch, stream, number, ...withDigest(digest), named: true }
+  const history = [...lastOf(body.history, true, NAMED_KEPT - 1), made]
+  return { ...body, epoch, config, history }
+}
+// The stream that is used now becomes the last one used.
+function putDecision(from: Body['streams'], decision: Decision): Body['streams'] {
+  let used = 0
+  let mine: Body['streams'][number] | undefined
+  const streams: Body['streams'] = []
+  for (const s of from) {
+    used = Math.max(used, s.used)
+    if (s.name === decision.stream) mine = s
+    else streams.push(s)
+  }
+  const decisions = [...(mine?.decisions ?? []), decision].slice(-DECISIONS_KEPT)
+  streams.push({ name: decision.stream, used: used + 1, decisions })
+  streams.sort(byUse)
+  while (streams.length > STREAMS_KEPT) streams.shift()
+  return streams
+}
+function byUse(a: { used: number }, b: { used: number }): number {
+  return a.used - b.used
+}
+// Without the configurations beside the latest few, the next one counted among these.
+function thinned(history: Made[]): Made[] {
+  const least = countOf(history, false) + 1 - CONFIGS_KEPT
+  const out: Made[] = []
+  let k = 0
+  for (const h of history) out.push(h.named || k++ >= least ? h : withoutConfig(h))
+  return out
+}
+function withoutConfig(h: Made): Made {
+  return { epoch: h.epoch, stream: h.stream, number: h.number, ...withDigest(h.digest) }
+}
+function countOf(history: Made[], named: boolean): number {
+  let out = 0
+  for (const h of history) if ((h.named === true) === named) out++
+  return out
+}
+// All of the other kind, and of this kind the latest so many.
+function lastOf(history: Made[], named: boolean, most: number): Made[] {
+  let over = countOf(history, named) - most
+  const out: Made[] = []
+  for (const h of history) if ((h.named === true) !== named || over-- <= 0) out.push(h)
+  return out
+}
--- a/packages/operator/src/moves.ts
+++ b/packages/operator/src/moves.ts
@@ -1,6 +1,6 @@
 import { Ok, Err, type Finding, type Result } from '@claynotch/base'
 import type { Body, Config, Edit, Move } from './config.js'
-import { keepDecision } from './decide.js'
+import { keepDecision } from './kept.js'
 
 // Moves of lanes between groups, as a part of the configuration's register. Everything here is pure: the register
 // calls it anew in each round, on the value of now.
