--- a/packages/base/src/http.ts
+++ b/packages/base/src/http.ts
@@ -372,7 +372,7 @@
       const cancel = world.later(limit, late)
       unwatch = closed.watch(broke)
       const text = body === undefined ? '' : JSON.stringify(body)
-      async function got(res: IncomingMessage): Promise<void> {
+      function got(res: IncomingMessage): void {
         const parts: Buffer[] = []
         function data(b: Buffer): void {
           parts.push(b)
--- a/packages/base/src/link.ts
+++ b/packages/base/src/link.ts
@@ -18,7 +18,7 @@
   said: () => number
 }
 
-export type Take = (msg: unknown, link: Link) => Promise<unknown> | unknown
+export type Take = (msg: unknown, link: Link) => unknown
 
 export function makeLink(world: World, stream: Duplex, take: Take): Link {
   const closed = makeFlag()
--- a/packages/fleet/src/hollowpart.ts
+++ b/packages/fleet/src/hollowpart.ts
@@ -202,11 +202,14 @@
   process.send?.({ num: order.num, answer, fault })
   if (order.what === 'end') process.exit(0)
 }
+function onMessage(order: Order): void {
+  void take(order)
+}
 // A part outlives neither its parent nor its bound in time.
 function leave(): void {
   process.exit(0)
 }
-process.on('message', take)
+process.on('message', onMessage)
 process.on('disconnect', leave)
 setTimeout(leave, 15 * 60 * 1000).unref()
 void watchLag()
--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -52,7 +52,10 @@
     await one.stop()
     process.exit(0)
   }
-  process.on('SIGTERM', end)
+  function onTerm(): void {
+    void end()
+  }
+  process.on('SIGTERM', onTerm)
 }
 
 async function platform({ args }: { args: { settings: string } }): Promise<void> {
--- a/packages/fleet/src/sim.ts
+++ b/packages/fleet/src/sim.ts
@@ -290,10 +290,10 @@
         }
         plan(delay(), w.proc, arrive)
       }
-      async function close(): Promise<void> {
+      function close(): void {
         if (wires.get(at)?.proc === proc) wires.delete(at)
       }
-      return { cast, close: close as () => Promise<void> }
+      return { cast, close }
     }
     function spend(run: () => void, writing?: Writing): Promise<void> {
       if (writing) proc.inFlight.add(writing)
--- a/packages/fleet/src/test/beside.ts
+++ b/packages/fleet/src/test/beside.ts
@@ -10,12 +10,12 @@
 // Runs a task as a process of its own in the simulator; what it throws is thrown on.
 export async function task(sim: Sim, on: Machine, run: (world: World) => Promise<void>): Promise<void> {
   let over = false
-  let bad: unknown
+  let bad: Error | undefined
   async function start(world: World): Promise<void> {
     try {
       await run(world)
     } catch (e) {
-      bad = e
+      bad = e as Error
     }
     over = true
   }
--- a/packages/fleet/src/test/edges.test.ts
+++ b/packages/fleet/src/test/edges.test.ts
@@ -193,7 +193,8 @@
       await pause(world, 1500)
       s.destroy()
       const told: { decision: string; why: string }[] = []
-      for (const l of out.split(/\r?\n/)) if (l.startsWith('{')) told.push(JSON.parse(l))
+      for (const l of out.split(/\r?\n/))
+        if (l.startsWith('{')) told.push(JSON.parse(l) as { decision: string; why: string })
       return told
     }
     const lane = { name: 'more', database: 'kiln', group: 'g1', reads: 'leader' }
--- a/packages/fleet/src/test/lend.test.ts
+++ b/packages/fleet/src/test/lend.test.ts
@@ -117,7 +117,7 @@
   }
   await inWorld(run)
 }
-t.test('the pool against a plain model of connections', lends)
+void t.test('the pool against a plain model of connections', lends)
 
 async function dials(c: Test): Promise<void> {
   async function run(world: World): Promise<void> {
@@ -143,7 +143,7 @@
   }
   await inWorld(run)
 }
-t.test('the wait for a leader takes nothing from the time that a dial has', dials)
+void t.test('the wait for a leader takes nothing from the time that a dial has', dials)
 
 async function doubts(c: Test): Promise<void> {
   async function run(world: World): Promise<void> {
@@ -195,7 +195,7 @@
   }
   await inWorld(run)
 }
-t.test('doubt where nobody samples', doubts)
+void t.test('doubt where nobody samples', doubts)
 
 function shares(c: Test): void {
   const config: Config = { proxies: 'live', groups: [{ name: 'g', connections: 92 }], lanes: [] }
@@ -206,4 +206,4 @@
     c.ok(live * lendable(config, 'g', live) <= 92, `${live} live proxies together stay under the limit`)
   c.end()
 }
-t.test('shares by live proxies', shares)
+void t.test('shares by live proxies', shares)
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -432,6 +432,8 @@
         if (!tx) return refusal('INVALID_ARGUMENT', 'no transaction is open', false)
         await rollBack(s)
         return { outcome: 'done', transaction: 'over' }
+      default:
+        break
     }
     if (word.w === 'statement' && tx) return await inTransaction(s, tx, word, left, gone)
     if (word.w === 'begin' && tx) return refusal('INVALID_ARGUMENT', 'a transaction is open already', false)
