--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -135,7 +135,7 @@
           peer: `${box.machine.ip}:7002`,
           seeds,
           coreSet: core.coreSet,
-          core: { place: places[k], adopt: core.adopt },
+          core: { place: core.place, adopt: core.adopt },
           build: 'sim',
         })
       function handle(ask: Ask): Reply {
--- a/packages/fleet/src/test/deltas.test.ts
+++ b/packages/fleet/src/test/deltas.test.ts
@@ -149,7 +149,7 @@
   async function run(world: World): Promise<void> {
     const store = makeStore(world, '/d')
     await store.open()
-    await store.mark('founded', { epoch: 0, cores: [{ id: 'a', addr: '10.0.0.1:7000' }] })
+    await store.mark('founded', { epoch: 0, cores: [{ id: 'a', addr: '10.0.0.1:7000' }] }, undefined)
     await store.prepare('k', [1, 'p'])
     c.same(await store.accept('k', [1, 'p'], wide(1, 0)), { ok: true })
     const size = machine.files.get('/d')!.length
--- a/packages/register/src/store.ts
+++ b/packages/register/src/store.ts
@@ -21,7 +21,15 @@
 // machine that isn't of it, so that it can tell others.
 // format: a program that can't read deltas takes FILE_FORMAT, among the ids, for a core of another set and refuses to start on
 // this file; it would lose what they hold.
-type SetRecord = { k: 'set'; phase: Phase; cores: string[]; places?: CorePlace[]; epoch?: number; next?: CorePlace[] }
+type SetRecord = {
+  k: 'set'
+  phase: Phase
+  cores: string[]
+  places?: CorePlace[]
+  epoch?: number
+  next?: CorePlace[]
+  token?: string
+}
 type FloorRecord = { k: 'floor'; floor: number }
 type PromiseRecord = { k: 'promise'; key: string; promise: Ballot }
 type CellRecord = { k: 'cell'; key: string; promise: Ballot; ballot: Ballot; value: Value | undefined }
@@ -43,7 +51,14 @@
   // The ids of the set that this disk knows, and the set whole where the file holds it.
   cores: () => string[]
   set: () => CoreSet
-  mark: (phase: Phase, set: CoreSet) => Promise<void>
+  // The token of this storage (see CorePlace); undefined for founders and for files of before this field.
+  token: () => string | undefined
+  mark: (phase: Phase, set: CoreSet, token: string | undefined) => Promise<void>
+  // A newcomer whose storage never voted: it begins with nothing promised and nothing accepted.
+  begin: (set: CoreSet) => Promise<void>
+  // Reads the file again after a failed write and writes it anew; true once that is synced. What the file lacks was never
+  // answered for.
+  recover: () => Promise<boolean>
   prepare: (key: string, ballot: Ballot) => Promise<PrepareAnswer>
   accept: (key: string, ballot: Ballot, value: Value) => Promise<AcceptAnswer>
   // The same for a value told as what changed since the one accepted at base.
@@ -57,7 +72,13 @@
   // Set once a write failed: what is in memory may not be on disk, so nothing is answered from here any more.
   failed: () => string | undefined
   // The last step of a refill: everything at once, then founded.
-  refill: (cells: Map<string, Cell>, floor: number, set: CoreSet) => Promise<void>
+  refill: (cells: Map<string, Cell>, floor: number, set: CoreSet, token: string | undefined) => Promise<void>
+}
+
+const LOST_MEMORY = 'has lost its memory'
+// Whether the file is damaged, so that what this core voted is not known any more.
+export function isLoss(finding: Finding): boolean {
+  return finding.what.includes(LOST_MEMORY)
 }
 
 export function makeStore(world: World, path: string, accepted?: Accepted): Store {
@@ -67,6 +88,7 @@
   let phase: Phase = 'none'
   let cores: string[] = []
   let set: CoreSet = NO_SET
+  let token: string | undefined
   // marked: the file says that it may hold deltas.
   let marked = false
   // floor: prepares and accepts under this number are refused for every key (set by a refill).
@@ -85,6 +107,7 @@
       cores = rec.cores.filter(isCore)
       marked = cores.length < rec.cores.length
       set = { epoch: rec.epoch ?? 0, cores: rec.places ?? [], ...(rec.next ? { next: rec.next } : {}) }
+      token = rec.token
     } else if (rec.k === 'floor') floor = rec.floor
     else if (rec.k === 'promise') cells.set(rec.key, { ...cell(rec.key), promise: rec.promise })
     else if (rec.k === 'delta') return replayDelta(rec)
@@ -102,7 +125,7 @@
   // Nothing that was read counts: what is missing may have been a promise of any register.
   function forget(): void {
     cells.clear()
-    keep('none', NO_SET)
+    keep('none', NO_SET, undefined)
     floor = 0
   }
   function live(): Rec[] {
@@ -116,6 +139,7 @@
       places: set.cores,
       epoch: set.epoch,
       ...(set.next ? { next: set.next } : {}),
+      ...(token !== undefined ? { token } : {}),
     })
     return out
   }
@@ -125,7 +149,7 @@
     if (got.damaged) {
       findings.push({
         place: path,
-        what: 'a bad record stands before good ones: this core has lost its memory and must be refilled',
+        what: `a bad record stands before good ones: this core ${LOST_MEMORY} and must be refilled`,
       })
       return findings
     }
@@ -136,7 +160,7 @@
       return [
         {
           place: path,
-          what: 'a delta stands without the value that it builds on: this core has lost its memory and must be refilled',
+          what: `a delta stands without the value that it builds on: this core ${LOST_MEMORY} and must be refilled`,
         },
       ]
     }
@@ -154,7 +178,8 @@
   let failure: string | undefined
   // writing: the register whose value is on its way to the disk.
   let writing: string | undefined
-  // One failed write ends the store's life: a later success would not say what became of the first.
+  // After one failed write nothing is answered until the file was read and written anew: a later success would not say what
+  // became of the first.
   async function write(run: () => Promise<unknown>): Promise<void> {
     if (failure !== undefined) throw new Error(failure)
     try {
@@ -181,20 +206,46 @@
   function failed(): string | undefined {
     return failure
   }
-  function keep(to: Phase, next: CoreSet): void {
+  function keep(to: Phase, next: CoreSet, its: string | undefined): void {
     phase = to
     set = next
+    token = its
     cores = []
     for (const c of next.cores) cores.push(c.id)
     cores.sort()
   }
-  function mark(to: Phase, next: CoreSet): Promise<void> {
+  function mark(to: Phase, next: CoreSet, its: string | undefined): Promise<void> {
+    async function run(): Promise<void> {
+      keep(to, next, its)
+      await rewrite()
+    }
+    return enter(run)
+  }
+  function begin(next: CoreSet): Promise<void> {
     async function run(): Promise<void> {
-      keep(to, next)
+      cells.clear()
+      floor = 0
+      keep('founded', next, token)
       await rewrite()
     }
     return enter(run)
   }
+  function recover(): Promise<boolean> {
+    async function run(): Promise<boolean> {
+      try {
+        forget()
+        const findings = await open()
+        if (findings.some(isLoss)) return false
+        await file.reset(live())
+      } catch {
+        return false
+      }
+      writing = undefined
+      failure = undefined
+      return true
+    }
+    return enter(run)
+  }
   function prepare(key: string, ballot: Ballot): Promise<PrepareAnswer> {
     async function run(): Promise<PrepareAnswer> {
       const c = cell(key)
@@ -248,12 +299,12 @@
     }
     return enter(run)
   }
-  function refill(from: Map<string, Cell>, least: number, now: CoreSet): Promise<void> {
+  function refill(from: Map<string, Cell>, least: number, now: CoreSet, its: string | undefined): Promise<void> {
     async function run(): Promise<void> {
       cells.clear()
       for (const [key, c] of from) cells.set(key, c)
       floor = least
-      keep('founded', now)
+      keep('founded', now, its)
       await rewrite()
     }
     return enter(run)
@@ -272,6 +323,9 @@
   function setNow(): CoreSet {
     return set
   }
+  function tokenNow(): string | undefined {
+    return token
+  }
   function cellsNow(): Map<string, Cell> {
     return cells
   }
@@ -280,7 +334,10 @@
     phase: phaseNow,
     cores: coresNow,
     set: setNow,
+    token: tokenNow,
     mark,
+    begin,
+    recover,
     prepare,
     accept,
     acceptDelta,
