Show operators the core set, who votes, and how many more losses it bears

`claynotch show cores` and GET /cores at an agent's operator edge: each voter of the set that the agent knows is asked, so that it is told without a majority too. lossesBorne(set, voting) is the smaller surplus of votes of the two halves; ruled out: counting over the whole set, which tells one more than is borne while a joint set's newcomer refills. `claynotch check` finds an even number of cores, fewer than three, voters that don't vote and that the next loss leaves no quorum. makeMarginWatch says `next-loss-leaves-no-quorum` once per change of state; the duty for the core set is to call it.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -44,6 +44,7 @@
   unclear,
   type Body,
   type Change,
+  type CoreStatus,
   type Credential,
   type Edit,
   type Verdict,
@@ -84,6 +85,7 @@
   type Value,
   type Voter,
 } from '@claynotch/register'
+import { readCoreStatus } from './corestatus.js'
 import { startCoreSetDuty } from './coreset.js'
 import { ownEdges, type AgentEdges, type Desk } from './seam.js'
 
@@ -907,6 +909,9 @@
     }
     return out
   }
+  function readCores(): Promise<CoreStatus | undefined> {
+    return readCoreStatus(world, { coreSet: coreSetNow, core: coreNow, spares })
+  }
   function readGroups(): unknown {
     const out: unknown[] = []
     const lags = new Map(proxy?.note?.lags ?? [])
@@ -1002,7 +1007,7 @@
   const operator = makeOperatorEdge(
     world,
     proposer,
-    { members: readMembers, groups: readGroups, replace, hinders, body: config, news },
+    { members: readMembers, cores: readCores, groups: readGroups, replace, hinders, body: config, news },
     numbers,
     credentials,
   )
--- /dev/null
+++ b/packages/agent/src/corestatus.ts
@@ -0,0 +1,98 @@
+import { ROUND_LIFE, type Held, type World } from '@claynotch/base'
+import type { CoreLine, CoreStatus } from '@claynotch/operator'
+import { lossesBorne, quorumOf, votersOf, type CorePlace, type CoreSet, type State } from '@claynotch/register'
+
+// The core set as it is now: who of it votes, and how many more losses it bears. For operators, and for the log.
+
+// core: a voter's link and when it was last heard. spares: core machines that don't vote.
+export type CoreStatusView = {
+  coreSet: () => CoreSet
+  core: (id: string) => { held: Held; heard: number } | undefined
+  spares: () => CorePlace[]
+}
+
+// What each voter of the set says of itself; whoever didn't answer isn't there.
+export async function askVoters(
+  set: CoreSet,
+  core: (id: string) => { held: Held } | undefined,
+): Promise<Map<string, State>> {
+  const out = new Map<string, State>()
+  async function ask(id: string): Promise<void> {
+    const got = (await core(id)?.held.ask({ t: 'state' }, ROUND_LIFE)) as State | undefined
+    if (got) out.set(id, got)
+  }
+  const asks: Promise<void>[] = []
+  for (const c of votersOf(set)) asks.push(ask(c.id))
+  await Promise.all(asks)
+  return out
+}
+
+// Those that vote under this very set.
+export function votingOf(set: CoreSet, states: Map<string, State>): Set<string> {
+  const out = new Set<string>()
+  for (const [id, s] of states) if (stateOf(set, s) === 'voting') out.add(id)
+  return out
+}
+function stateOf(set: CoreSet, state: State | undefined): CoreLine['state'] {
+  if (!state) return 'silent'
+  if (state.set.epoch !== set.epoch) return 'behind'
+  return state.serving ? 'voting' : 'refilling'
+}
+
+function partOf(set: CoreSet, id: string): CoreLine['part'] {
+  if (set.next === undefined) return 'votes'
+  if (!hasCore(set.cores, id)) return 'joins'
+  return hasCore(set.next, id) ? 'stays' : 'leaves'
+}
+function hasCore(list: CorePlace[], id: string): boolean {
+  for (const c of list) if (c.id === id) return true
+  return false
+}
+
+// Asks every voter; undefined while no set is known here.
+export async function readCoreStatus(world: World, view: CoreStatusView): Promise<CoreStatus | undefined> {
+  const set = view.coreSet()
+  if (set.cores.length === 0) return undefined
+  const states = await askVoters(set, view.core)
+  const voting = votingOf(set, states)
+  const cores: CoreLine[] = []
+  for (const { id, addr } of votersOf(set)) {
+    const state = states.get(id)
+    const heard = view.core(id)?.heard
+    cores.push({
+      id,
+      addr,
+      part: partOf(set, id),
+      state: stateOf(set, state),
+      ...(state ? { epoch: state.set.epoch } : {}),
+      ...(heard === undefined ? {} : { heard: Math.round(world.now() - heard) }),
+    })
+  }
+  const spares: string[] = []
+  for (const s of view.spares()) spares.push(s.id)
+  return {
+    epoch: set.epoch,
+    changing: set.next !== undefined,
+    quorum: quorumOf(set).met(voting),
+    lossesBorne: Math.max(0, lossesBorne(set, voting)),
+    cores,
+    spares: spares.sort(),
+  }
+}
+
+// Says in the log, once per change of state, that the next loss leaves no quorum, and that it is borne again. The duty for
+// the core set calls it with what its voters answered.
+export function makeMarginWatch(world: World, node: string): (set: CoreSet, states: Map<string, State>) => void {
+  let short = false
+  function watch(set: CoreSet, states: Map<string, State>): void {
+    const voting = votingOf(set, states)
+    const borne = lossesBorne(set, voting)
+    // Without a quorum it stays as it was said last: the next loss has come.
+    if (borne < 0 || short === (borne === 0)) return
+    short = borne === 0
+    const said = { node, epoch: set.epoch, voting: voting.size, of: votersOf(set).length }
+    if (short) world.log.warn('next-loss-leaves-no-quorum', said)
+    else world.log.info('next-loss-borne', { ...said, losses: borne })
+  }
+  return watch
+}
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,3 @@
 export * from './agent.js'
 export * from './seam.js'
+export * from './corestatus.js'
--- a/packages/claynotch/src/main.ts
+++ b/packages/claynotch/src/main.ts
@@ -68,7 +68,7 @@
 async function runMove({ args }: { args: Parameters<typeof move>[0] }): Promise<void> {
   await move(args)
 }
-async function runShow({ args }: { args: { to: string; what: string } }): Promise<void> {
+async function runShow({ args }: { args: { to: string; what: string; json?: boolean } }): Promise<void> {
   await show(args)
 }
 async function runCheck({
@@ -117,14 +117,15 @@
       run: runApply,
     }),
     show: defineCommand({
-      meta: { name: 'show', description: 'Print configuration, history, decisions, members, groups or moves' },
+      meta: { name: 'show', description: 'Print configuration, history, decisions, members, cores, groups or moves' },
       args: {
         to,
         what: {
           type: 'positional',
-          description: 'configuration, history, decisions, members, groups or moves',
+          description: 'configuration, history, decisions, members, cores, groups or moves',
           required: true,
         },
+        json: { type: 'boolean', description: 'write JSON also where there is a text (cores)', default: false },
       },
       run: runShow,
     }),
--- a/packages/claynotch/src/verbs.ts
+++ b/packages/claynotch/src/verbs.ts
@@ -1,11 +1,14 @@
 import { readFile } from 'node:fs/promises'
 import {
   checkAgainst,
+  checkCores,
   differences,
   makeCredential,
   readConfig,
   applyEdits,
+  showCores,
   type Config,
+  type CoreStatus,
   type Credential,
   type Edit,
   type Fleet,
@@ -129,10 +132,14 @@
   await send(args, { number, expect: now.epoch, edits })
 }
 
-export async function show(args: { to: string; what: string }): Promise<void> {
-  const known = ['configuration', 'history', 'decisions', 'members', 'groups', 'moves']
+export async function show(args: { to: string; what: string; json?: boolean }): Promise<void> {
+  const known = ['configuration', 'history', 'decisions', 'members', 'cores', 'groups', 'moves']
   if (!known.includes(args.what)) stopWith(2, `what: expected one of ${known.join(', ')}`)
   const got = await call(args.to, 'GET', `/${args.what}`)
+  if (args.what === 'cores' && got.status === 200 && args.json !== true) {
+    process.stdout.write(showCores(got.body as CoreStatus))
+    process.exit(0)
+  }
   process.stdout.write(typeof got.body === 'string' ? got.body : `${JSON.stringify(got.body, null, 2)}\n`)
   process.exit(got.status === 200 ? 0 : 3)
 }
@@ -148,6 +155,12 @@
   process.exit(got.status === 202 ? 0 : 1)
 }
 
+// What is wrong with the core set; an agent of before GET /cores tells nothing.
+async function findCoreFaults(to: string): Promise<Finding[]> {
+  const got = await call(to, 'GET', '/cores')
+  return got.status === 200 ? checkCores(got.body as CoreStatus) : []
+}
+
 // A configuration against the fleet as it is. Exit codes: 0 nothing found, 1 findings, 2 the configuration is
 // invalid or the input bad, 3 the fleet could not be read.
 export async function check(args: { to: string; whole?: string; edits?: string; json?: boolean }): Promise<void> {
@@ -180,6 +193,7 @@
   const invalid = findings.length > 0
   const changes = got?.ok ? differences(now.config, got.val) : []
   if (got?.ok) findings = checkAgainst(got.val, fleet)
+  if (got?.ok) findings.push(...(await findCoreFaults(args.to)))
   if (args.json === true)
     process.stdout.write(`${JSON.stringify({ epoch: now.epoch, valid: !invalid, findings, changes }, null, 2)}\n`)
   else {
--- a/packages/operator/src/edge.ts
+++ b/packages/operator/src/edge.ts
@@ -24,6 +24,7 @@
   type Unclear,
   type Verdict,
 } from './config.js'
+import type { CoreStatus } from './cores.js'
 import { identify, stopCaller, type Credential } from './credentials.js'
 import { decide } from './decide.js'
 import { allDecisions, digestOf } from './kept.js'
@@ -34,6 +35,8 @@
 export type Reading = {
   // undefined: no majority.
   members: () => Promise<unknown>
+  // undefined: no set is known yet. Told without a majority too.
+  cores: () => Promise<CoreStatus | undefined>
   groups: () => unknown
   replace: (group: string, to: string | undefined) => Promise<{ ok: boolean; why: string }>
   // What stands against moves that a change asks for, in the fleet as it is.
@@ -205,6 +208,10 @@
         const got = await reading.members()
         return got === undefined ? noMajority() : { status: 200, body: got }
       }
+      case 'cores': {
+        const got = await reading.cores()
+        return got === undefined ? noMajority() : { status: 200, body: got }
+      }
       case 'groups':
         return { status: 200, body: reading.groups() }
     }
--- a/packages/register/src/coreset.ts
+++ b/packages/register/src/coreset.ts
@@ -31,6 +31,21 @@
   }
   return { epoch: set.epoch, met }
 }
+// How many of the voting cores may be lost, whichever they are, with a quorum of the set left; -1: they are none now. Of a
+// joint set each half must keep its majority, and the losses may all be of the same half.
+export function lossesBorne(set: CoreSet, voting: Set<string>): number {
+  const halves = set.next === undefined ? [set.cores] : [set.cores, set.next]
+  let out = Infinity
+  for (const half of halves) out = Math.min(out, spareVotes(half, voting))
+  return Math.max(-1, out)
+}
+// How many votes there are beyond a majority; below 0 as many as are short.
+function spareVotes(half: CorePlace[], voting: Set<string>): number {
+  const majority = Math.floor(half.length / 2) + 1
+  let votes = 0
+  for (const c of half) if (voting.has(c.id)) votes++
+  return votes - majority
+}
 // Everyone who may be asked: each once.
 export function votersOf(set: CoreSet): CorePlace[] {
   const out = new Map<string, CorePlace>()
