Acknowledge an instance's word only once a majority has it; end calls at a machine without a term at once

Cause: a cut-off machine acknowledged beats, also that an instance is draining, for as long as its lease ran (2.5 s), while nobody else had heard: the instance then left by its own clock with requests still on their way. Orders and reads at a machine whose term had run out waited 900 ms for rounds that could not settle. An agent that had lost all cores took the set of the first seed that answered, each time again, so that a cut-off seed with an old set kept it away from those that knew better.

Now: news of an instance is acknowledged after a renewal round that began once it was heard and that a majority answered (packages/agent/src/telling.ts), any other word while the last round was good; what is heard while a round runs is told by the next at once. A machine that has lost its term answers unclear at once. Seeds that tell no later set than the one known are passed over.

Ruled out by reading: reads and 412 from memory (both only from a settled round under the present epoch), feeds beyond the term, a thawed process serving by what it remembers (every lease is an absolute time of the machine's clock).

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -85,6 +85,7 @@
 } from '@claynotch/register'
 import { startCoreSetDuty } from './coreset.js'
 import { ownEdges, type AgentEdges, type Desk } from './seam.js'
+import { makeTelling } from './telling.js'
 
 // link: where the proxy of this machine finds its agent; none: it has no proxy. peer: UDP, for summaries. http: operators,
 // instances, the platform, and nodes that look for the cores; none: it serves none of them and holds no duties. seeds: http
@@ -148,8 +149,11 @@
   // pictures: what each core told of itself so far. told: what each core has of us, by the core's life.
   const pictures = new Map<string, Picture>()
   const told = new Map<string, Told>()
+  const telling = makeTelling(world)
   let members: MemberLine[] = []
+  // termed: a majority has renewed this life's term before.
   let termUntil = 0
+  let termed = false
   // proxy: the one linked now. given: the latest time up to which any proxy of this machine may hold a term;
   // an agent that has just started may have a predecessor's word out for one whole term.
   // at: when the note came.
@@ -258,7 +262,7 @@
   async function lookAgain(): Promise<void> {
     if (looking) return
     looking = true
-    const got = await askSeeds(world, seeds)
+    const got = await askSeeds(world, seeds, coreSet.epoch)
     looking = false
     if (got) adopt(got.set)
   }
@@ -378,11 +382,18 @@
     }
     return { msg, asked: msg.core, keep }
   }
+  // What was heard while a round ran is told by another at once, not with the next beat: its acknowledgement waits for it.
   async function renew(): Promise<void> {
-    if (coreSet.cores.length === 0) {
-      await discover()
-      if (coreSet.cores.length === 0) return
+    if (coreSet.cores.length === 0) await discover()
+    while (coreSet.cores.length > 0 && !stop.fired()) {
+      const round = telling.begin()
+      const good = await renewOnce()
+      telling.end(round, good)
+      if (!good || !telling.waiting()) return
     }
+  }
+  // Whether a majority answered.
+  async function renewOnce(): Promise<boolean> {
     const from = world.now()
     // All of it is under this set, whichever is known at its end.
     const under = coreSet
@@ -435,13 +446,15 @@
         termUntil = 0
       }
       if (termUntil === 0) void lookAgain()
-      return
+      return false
     }
     numbers.add('claynotch_renewals_total', [['end', 'good']])
     termUntil = Math.max(termUntil, from + TERM)
+    termed = true
     // A later set came while these answered: the term stands, what they tell is merged with the next answers.
     if (coreSet === under) merge(good, from)
     await feed()
+    return true
   }
   // good: a majority that answered since from; their pictures are as new as those answers.
   function merge(good: Set<string>, from: number): void {
@@ -655,12 +668,13 @@
 
   // --- the other edges ---
 
-  function heard(a: Announcement): void {
+  // false: not kept, as more are known here than are kept.
+  function heard(a: Announcement): boolean {
     const old = sights.get(a.name)
     numbers.add('claynotch_announcements_total')
     if (!old && sights.size >= SIGHTS_KEPT) {
       numbers.add('claynotch_announcements_dropped_total')
-      return
+      return false
     }
     const leaving = a.leaving === true || a.gone === true
     // Whatever it said before it went comes before that.
@@ -689,10 +703,19 @@
       got.sight.addr !== old.sight.addr ||
       got.sight.group !== old.sight.group
     ) {
+      telling.news(a.name)
       linked.ring()
       duty.ring()
       void feed()
     }
+    return true
+  }
+  // Why an instance's word can't be acknowledged, as no majority has been told of it.
+  async function untold(name: string): Promise<string | undefined> {
+    const why = ready()
+    if (why !== undefined) return why
+    if (!(await telling.told(name, CHANGE_ANSWER))) return 'no majority of cores could be told of it'
+    return ready()
   }
   // An instance's last word, of which it tells nothing but its name. false: nobody here knows it.
   function left(name: string): boolean {
@@ -1012,8 +1035,17 @@
   function coreSetNow(): CoreSet {
     return coreSet
   }
+  // The term ran out: no majority has answered for that long, and callers are better off elsewhere at once. A process that
+  // has just started, and never had one, may still reach them.
+  function isCutOff(): boolean {
+    return termed && world.now() >= termUntil
+  }
   // Both answer in time for a caller that goes elsewhere after a second; what is under way ends by itself.
   async function change(stream: string, one: Change): Promise<Decision | undefined> {
+    if (isCutOff()) {
+      numbers.add('claynotch_decisions_total', [['decision', 'unclear']])
+      return undefined
+    }
     const got = await within(world, CHANGE_ANSWER, makeDecision(proposer, stream, one, undefined, [], CHANGE_ANSWER))
     numbers.add('claynotch_decisions_total', [['decision', got === LATE ? 'unclear' : (got?.decision ?? 'unclear')]])
     return got === LATE ? undefined : got
@@ -1033,6 +1065,7 @@
     return got.done ? ((got.value?.body as Body | undefined) ?? emptyBody()) : undefined
   }
   async function readBody(): Promise<Body | undefined> {
+    if (isCutOff()) return undefined
     shared ??= reading.then(startRead)
     const got = await within(world, CHANGE_ANSWER, shared)
     return got === LATE ? undefined : got
@@ -1041,6 +1074,7 @@
     numbers,
     heard,
     left,
+    untold,
     change,
     read: readBody,
     body: config,
--- a/packages/agent/src/seam.ts
+++ b/packages/agent/src/seam.ts
@@ -16,10 +16,13 @@
 // What operators, instances and probes may have of an agent, whatever they speak.
 export type Desk = {
   numbers: Numbers
-  // An instance's word of itself.
-  heard: (a: Announcement) => void
+  // An instance's word of itself; false: not kept, as too many are known.
+  heard: (a: Announcement) => boolean
   // An instance's last word, where it tells its name alone; false: not known here.
   left: (name: string) => boolean
+  // Why an instance's word that was heard here can't be acknowledged; undefined, within CHANGE_ANSWER: a majority of the
+  // cores has it.
+  untold: (name: string) => Promise<string | undefined>
   // One numbered change, decided at the cores; undefined after CHANGE_ANSWER at most: unclear, the same may be asked again.
   change: (stream: string, change: Change) => Promise<Decision | undefined>
   // The configuration, read at a majority; undefined after CHANGE_ANSWER at most: no majority. body: as known here.
@@ -45,10 +48,13 @@
 }
 
 function httpControl(world: World, addr: Addr, desk: Desk): Promise<Serving> {
+  async function announced(a: Announcement): Promise<string | undefined> {
+    return desk.heard(a) ? await desk.untold(a.name) : 'too many instances are known'
+  }
   async function handle(ask: Ask): Promise<Reply | undefined> {
     const first = takeProbe(ask, desk) ?? takeSeeds(ask, desk.coreSet())
     if (first) return first
-    if (ask.path === '/announcement') return takeAnnouncement(ask, desk.heard)
+    if (ask.path === '/announcement') return await takeAnnouncement(ask, announced)
     return await desk.operator.take(ask)
   }
   return serve(world, addr, handle, { raw: desk.operator.raw, limit: OPERATOR_BODY_LIMIT })
--- a/packages/instance/src/announcement.ts
+++ b/packages/instance/src/announcement.ts
@@ -1,5 +1,5 @@
 import * as t from 'io-ts'
-import { Address, badInput, Name, readStrict, Whole, type Ask, type Reply } from '@claynotch/base'
+import { Address, AFTER_LOAD, badInput, Name, readStrict, Whole, type Ask, type Reply } from '@claynotch/base'
 
 // POST /announcement, by an instance about once a second, and once more with leaving before it goes.
 // sequence: grows with each announcement of one life of an instance, so that one held up on its way takes nothing back.
@@ -16,10 +16,16 @@
 ])
 export type Announcement = t.TypeOf<typeof Announcement>
 
-export function takeAnnouncement(ask: Ask, heard: (a: Announcement) => void): Reply {
+// heard: why the word can't be acknowledged, if so.
+export async function takeAnnouncement(
+  ask: Ask,
+  heard: (a: Announcement) => Promise<string | undefined>,
+): Promise<Reply> {
   if (ask.method !== 'POST') return badInput(405, 'announcements are posted')
   const got = readStrict(Announcement, ask.body)
   if (got.err) return badInput(400, 'not an announcement', got.val)
-  heard(got.val)
-  return { status: 200, body: { heard: true } }
+  const why = await heard(got.val)
+  return why === undefined
+    ? { status: 200, body: { heard: true } }
+    : { status: 503, body: { heard: false, why }, after: AFTER_LOAD }
 }
--- a/packages/register/src/coreset.ts
+++ b/packages/register/src/coreset.ts
@@ -59,14 +59,17 @@
 }
 
 // The set as the first of these tells it that can; undefined: none of them can. All are asked at once, as some may be silent.
-export function askSeeds(world: World, seeds: Addr[]): Promise<{ seed: Addr; set: CoreSet } | undefined> {
+// above: the epoch of the set that is known already. One that was cut off goes on telling an old set, and may be the quickest
+// to answer: what is no later than that is passed over.
+export function askSeeds(world: World, seeds: Addr[], above = -1): Promise<{ seed: Addr; set: CoreSet } | undefined> {
   function start(done: (got: { seed: Addr; set: CoreSet } | undefined) => void): void {
     let left = seeds.length
     async function ask(seed: Addr): Promise<void> {
       const got = await callOnce(world, seed, 'GET', '/seeds', undefined, ROUND_LIFE)
       const told = got.ok && got.val.status === 200 ? readAs(SeedsAnswer, got.val.body) : undefined
       left--
-      if (told?.ok && told.val.cores.length > 0) done({ seed, set: { epoch: 0, ...told.val } })
+      if (told?.ok && told.val.cores.length > 0 && (told.val.epoch ?? 0) > above)
+        done({ seed, set: { epoch: 0, ...told.val } })
       else if (left === 0) done(undefined)
     }
     if (left === 0) done(undefined)
