--- a/packages/base/src/hold.ts
+++ b/packages/base/src/hold.ts
@@ -1,7 +1,7 @@
 import * as t from 'io-ts'
 import { DIAL_LIMIT, DIAL_PAUSE, DIAL_PAUSE_MOST, LINK_EPOCH, LINK_EPOCH_LEAST, LINK_QUIET } from './constants.js'
 import { makeLink, type Link, type Take } from './link.js'
-import { makeBell, makeFlag, pause, type Flag } from './time.js'
+import { makeSignal, makeFlag, pause, type Flag } from './time.js'
 import type { Addr, World } from './world.js'
 
 // First message on every link, both ways. Mixed versions: both sides speak the lower of the two
@@ -41,7 +41,7 @@
   let link: Link | undefined
   let peer: Hello | undefined
   const ended = makeFlag()
-  const change = makeBell()
+  const change = makeSignal()
   stop.watch(ended.fire)
 
   async function once(): Promise<boolean> {
--- a/packages/base/src/settings.ts
+++ b/packages/base/src/settings.ts
@@ -1,7 +1,7 @@
 import type * as t from 'io-ts'
 import { readAs, readStrict, type Finding } from './check.js'
 import { SETTINGS_BEAT } from './constants.js'
-import { loop, type Bell, type Flag } from './time.js'
+import { loop, type Signal, type Flag } from './time.js'
 import type { World } from './world.js'
 import { Ok, Err, type Result } from './result.js'
 
@@ -66,14 +66,14 @@
   return Err(out)
 }
 
-// Reads a settings file again when it changed or when the bell rings (SIGHUP). A bad new file is told
+// Reads a settings file again when it changed or when signalled (SIGHUP). A bad new file is told
 // whole, and the old settings stay in force.
 export function watchSettings<T>(
   world: World,
   codec: t.Type<T, unknown, unknown>,
   from: Source<T>,
   stop: Flag,
-  bell: Bell,
+  signal: Signal,
   apply: (next: T) => void,
 ): void {
   const { path } = from
@@ -97,7 +97,7 @@
     world.log.info('settings-read', { path })
     apply(got.val)
   }
-  void loop(world, 'settings', SETTINGS_BEAT, stop, look, bell)
+  void loop(world, 'settings', SETTINGS_BEAT, stop, look, signal)
 }
 
 export function showFindings(findings: Finding[]): string {
--- a/packages/base/src/time.ts
+++ b/packages/base/src/time.ts
@@ -1,21 +1,25 @@
 import type { World, Cancel } from './world.js'
 
-// A flag that can be awaited. Once fired it stays so.
+/** Waiting on the world's clock: flags, signals, pauses, loops and a queue of one. */
+
+/** A flag that can be awaited. Once fired it stays so. */
 export type Flag = {
   fire: () => void
   fired: () => boolean
   wait: () => Promise<void>
+  /** Runs once the flag fires, at once if it has. */
   watch: (run: () => void) => Cancel
 }
 
 export function makeFlag(): Flag {
   let done = false
-  const runs = new Set<() => void>()
+  const watchers = new Set<() => void>()
+
   function fire(): void {
     if (done) return
     done = true
-    for (const run of runs) run()
-    runs.clear()
+    for (const run of watchers) run()
+    watchers.clear()
   }
   function fired(): boolean {
     return done
@@ -25,15 +29,15 @@
       run()
       return nothing
     }
-    runs.add(run)
+    watchers.add(run)
     function cancel(): void {
-      runs.delete(run)
+      watchers.delete(run)
     }
     return cancel
   }
   function wait(): Promise<void> {
-    function start(ok: () => void): void {
-      watch(ok)
+    function start(resolve: () => void): void {
+      watch(resolve)
     }
     return new Promise(start)
   }
@@ -42,91 +46,102 @@
 
 export function nothing(): void {}
 
-// Waits so long, or until the flag fires, whichever is first.
+/** Waits so many milliseconds, or until the flag fires, whichever is first. */
 export function pause(world: World, ms: number, stop?: Flag): Promise<void> {
-  function start(ok: () => void): void {
+  function start(resolve: () => void): void {
     let unwatch: Cancel = nothing
-    function end(): void {
+    function elapsed(): void {
       unwatch()
-      ok()
+      resolve()
     }
-    const cancel = world.later(ms, end)
-    function cut(): void {
+    const cancel = world.later(ms, elapsed)
+    function stopped(): void {
       cancel()
-      ok()
+      resolve()
     }
-    if (stop) unwatch = stop.watch(cut)
+    if (stop) unwatch = stop.watch(stopped)
   }
   return new Promise(start)
 }
 
+/** What within() gives where the promise was not settled in time. */
 export const LATE = Symbol('late')
 
-// The promise's value, or LATE. A rejection passes through.
-export function within<T>(world: World, ms: number, what: Promise<T>): Promise<T | typeof LATE> {
-  function start(ok: (v: T | typeof LATE) => void, fail: (e: unknown) => void): void {
+/** The promise's value, or LATE after so many milliseconds. A rejection passes through. */
+export function within<T>(world: World, ms: number, promise: Promise<T>): Promise<T | typeof LATE> {
+  function start(resolve: (value: T | typeof LATE) => void, reject: (reason: unknown) => void): void {
     function late(): void {
-      ok(LATE)
+      resolve(LATE)
     }
     const cancel = world.later(ms, late)
-    function done(v: T): void {
+    function fulfilled(value: T): void {
       cancel()
-      ok(v)
+      resolve(value)
     }
-    function bad(e: unknown): void {
+    function rejected(reason: unknown): void {
       cancel()
-      fail(e)
+      reject(reason)
     }
-    what.then(done, bad)
+    promise.then(fulfilled, rejected)
   }
   return new Promise(start)
 }
 
-// A bell wakes all who wait for it; unlike a flag it can ring again.
-// watch: runs at each ring until cancelled.
-export type Bell = {
+/** A signal wakes all who wait for it; unlike a flag it can be given again. */
+export type Signal = {
   ring: () => void
+  /** Waits for the next signal, for so many milliseconds, or until the flag fires. */
   wait: (world: World, ms: number, stop?: Flag) => Promise<void>
+  /** Runs at each signal until cancelled. */
   watch: (run: () => void) => Cancel
 }
 
-export function makeBell(): Bell {
-  let now = makeFlag()
-  const runs = new Set<() => void>()
+/** @deprecated the old name of Signal (docs/glossary.md) */
+export type Bell = Signal
+
+export function makeSignal(): Signal {
+  let next = makeFlag()
+  const watchers = new Set<() => void>()
+
   function ring(): void {
-    const old = now
-    now = makeFlag()
-    old.fire()
-    for (const run of runs) run()
+    const current = next
+    next = makeFlag()
+    current.fire()
+    for (const run of watchers) run()
   }
   function watch(run: () => void): Cancel {
-    runs.add(run)
+    watchers.add(run)
     function cancel(): void {
-      runs.delete(run)
+      watchers.delete(run)
     }
     return cancel
   }
   async function wait(world: World, ms: number, stop?: Flag): Promise<void> {
     if (stop?.fired()) return
-    const mine = makeFlag()
-    const a = now.watch(mine.fire)
-    const b = stop ? stop.watch(mine.fire) : nothing
-    await pause(world, ms, mine)
-    a()
-    b()
+    const woken = makeFlag()
+    const unwatchSignal = next.watch(woken.fire)
+    const unwatchStop = stop ? stop.watch(woken.fire) : nothing
+    await pause(world, ms, woken)
+    unwatchSignal()
+    unwatchStop()
   }
   return { ring, wait, watch }
 }
 
-// A loop in its own task: runs the step, then waits for the beat, until stopped.
-// A step that throws is a fault of ours: it is logged and the loop goes on.
+/** @deprecated the old name of makeSignal (docs/glossary.md) */
+export const makeBell = makeSignal
+
+/**
+ * A loop in its own task: runs the step, then waits for the interval (ms) or the signal, until stopped.
+ * A step that throws is a fault of ours: it is logged and the loop goes on.
+ */
 export async function loop(
   world: World,
   name: string,
-  beat: number,
+  interval: number,
   stop: Flag,
   step: () => Promise<void> | void,
-  bell?: Bell,
+  signal?: Signal,
 ): Promise<void> {
   while (!stop.fired()) {
     try {
@@ -135,12 +150,12 @@
       world.log.error('loop-fault', { loop: name, why: (e as Error).stack ?? String(e) })
     }
     if (stop.fired()) return
-    if (bell) await bell.wait(world, beat, stop)
-    else await pause(world, beat, stop)
+    if (signal) await signal.wait(world, interval, stop)
+    else await pause(world, interval, stop)
   }
 }
 
-// A queue of one: tasks run one after another in the order asked.
+/** A queue of one: tasks run one after another in the order asked, whether those before succeeded or not. */
 export function makeTurnstile(): <T>(run: () => Promise<T>) => Promise<T> {
   let tail: Promise<unknown> = Promise.resolve()
   function enter<T>(run: () => Promise<T>): Promise<T> {
--- a/packages/claynotch/src/run.ts
+++ b/packages/claynotch/src/run.ts
@@ -1,6 +1,6 @@
 import type * as t from 'io-ts'
 import {
-  makeBell,
+  makeSignal,
   makeFlag,
   makeLog,
   readSettings,
@@ -22,10 +22,10 @@
 ): Promise<void> {
   // Signals are held from the first line on: one that comes while the daemon starts is not lost, nor does it kill.
   const stop = makeFlag()
-  const bell = makeBell()
+  const reread = makeSignal()
   process.on('SIGTERM', stop.fire)
   process.on('SIGINT', stop.fire)
-  process.on('SIGHUP', bell.ring)
+  process.on('SIGHUP', reread.ring)
   const world = realWorld(makeLog({ program: kind }))
   const got = await readSettings(world, codec, from)
   if (got.err) {
@@ -39,7 +39,7 @@
     process.stderr.write(`${kind}: ${(e as Error).message}\n`)
     process.exit(1)
   }
-  watchSettings(world, codec, from, stop, bell, running.apply)
+  watchSettings(world, codec, from, stop, reread, running.apply)
   await stop.wait()
   await running.stop()
   world.log.info('stopped')
--- a/packages/fleet/src/hollownode.ts
+++ b/packages/fleet/src/hollownode.ts
@@ -5,7 +5,7 @@
   holdLink,
   loop,
   makeFlag,
-  makeNumbers,
+  makeMetrics,
   NOTE_BEAT,
   pause,
   readAs,
@@ -59,7 +59,7 @@
   stopAll.watch(stop.fire)
   const state = makeState(world)
   const life = Math.floor(world.random() * 2 ** 40).toString(36)
-  const numbers = makeNumbers()
+  const numbers = makeMetrics()
   const epochAt = new Map<number, number>()
   const seen = watch ? startWatch(world, state, httpInstance, stop, numbers) : undefined
   let fed = 0
--- a/packages/fleet/src/test/lend.test.ts
+++ b/packages/fleet/src/test/lend.test.ts
@@ -1,5 +1,5 @@
 import t, { type Test } from 'tap'
-import { makeBell, makeFlag, makeNumbers, Ok, pause, type Result, type World } from '@claynotch/base'
+import { makeSignal, makeFlag, makeMetrics, Ok, pause, type Result, type World } from '@claynotch/base'
 import type { Done, InstanceEdge, Port, Trouble, Who } from '@claynotch/instance'
 import { lendable, type Config } from '@claynotch/operator'
 import { makePool, startWatch, type Instance, type Need, type State } from '@claynotch/proxy'
@@ -77,7 +77,7 @@
   async function run(world: World): Promise<void> {
     const rnd = makeRandom(7)
     const lines: Line[] = []
-    const pool = makePool(world, modelEdge(lines, 3), makeFlag(), makeNumbers())
+    const pool = makePool(world, modelEdge(lines, 3), makeFlag(), makeMetrics())
     let wrong = 0
     let most = 0
     let served = 0
@@ -122,7 +122,7 @@
 async function dials(c: Test): Promise<void> {
   async function run(world: World): Promise<void> {
     const lines: Line[] = []
-    const pool = makePool(world, modelEdge(lines, 20), makeFlag(), makeNumbers())
+    const pool = makePool(world, modelEdge(lines, 20), makeFlag(), makeMetrics())
     const need: Need = { database: 'd', settings: [], shapes: new Map(), team: '', share: 1 }
     const got = await pool.borrow(who, 4, need, { free: 1, dial: 100 }, makeFlag())
     c.ok(got.ok, 'a call that has waited long for its leader still has time to open a connection')
@@ -147,7 +147,7 @@
 
 async function doubts(c: Test): Promise<void> {
   async function run(world: World): Promise<void> {
-    const bell = makeBell()
+    const bell = makeSignal()
     const config: Config = { proxies: 'live', groups: [{ name: 'g', connections: 30 }], lanes: [] }
     function share(): boolean {
       return true
@@ -165,7 +165,7 @@
     }
     const state = { bell, share, config: configNow, sights, group } as unknown as State
     const stop = makeFlag()
-    const watch = startWatch(world, state, modelEdge([], 1), stop, makeNumbers())
+    const watch = startWatch(world, state, modelEdge([], 1), stop, makeMetrics())
     await pause(world, 10)
     const one = watch.get('i1') as Instance
     watch.saw('i1', world.now(), { epoch: 1, position: 1 }, 1)
--- a/packages/fleet/src/test/parts.test.ts
+++ b/packages/fleet/src/test/parts.test.ts
@@ -1,5 +1,5 @@
 import t, { type Test } from 'tap'
-import { BACKOFF, BREAKER_LEAST, makeFile, makeNumbers, readRecords, RETRY_TOKENS, type World } from '@claynotch/base'
+import { BACKOFF, BREAKER_LEAST, makeFile, makeMetrics, readRecords, RETRY_TOKENS, type World } from '@claynotch/base'
 import { decide, emptyBody, readConfig, type Body, type Change, type Config } from '@claynotch/operator'
 import { backoff, floorOf, isFresh, makeBreaker, makeTokens, needOf, type Sample } from '@claynotch/proxy'
 import { holderOf } from '@claynotch/duty'
@@ -193,7 +193,7 @@
     spent = 0
     while (shared.spend()) spent++
     c.ok(spent <= RETRY_TOKENS / 2 + 1, `${spent} retries while the fleet retries too much`)
-    const breaker = makeBreaker(world, 'g', makeNumbers())
+    const breaker = makeBreaker(world, 'g', makeMetrics())
     for (let k = 0; k < BREAKER_LEAST - 1; k++) breaker.note(false, false)
     c.equal(breaker.state(), 'closed', 'a few failures are no sustained rate')
     breaker.note(false, false)
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -1,4 +1,4 @@
-import { callOnce, PROMOTION_LIMIT, type Addr, type Ask, type Numbers, type Reply, type World } from '@claynotch/base'
+import { callOnce, PROMOTION_LIMIT, type Addr, type Ask, type Metrics, type Reply, type World } from '@claynotch/base'
 
 // The call that makes an instance the leader. at: where the machines' keeper takes it; undefined: straight to the instance.
 // epoch: the one that it is to lead. holder, fence: the node that holds the group's duty; the fence rises with each holder.
@@ -9,7 +9,7 @@
 
 // The edge to whoever keeps the machines: probes in, the single promotion call out.
 
-export type Probes = { ready: () => string | undefined; numbers: Numbers }
+export type Probes = { ready: () => string | undefined; numbers: Metrics }
 
 // Answers GET /live, /ready and /metrics; undefined for any other path.
 export function takeProbe(ask: Ask, probes: Probes): Reply | undefined {
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -4,7 +4,7 @@
   decode,
   encode,
   loop,
-  makeBell,
+  makeSignal,
   readAs,
   SEEN_LIFE,
   SUMMARY_AGAIN,
@@ -15,7 +15,7 @@
   SUMMARY_SLOW,
   type Addr,
   type Flag,
-  type Numbers,
+  type Metrics,
   type World,
 } from '@claynotch/base'
 
@@ -56,7 +56,7 @@
   stop: Flag,
   members: () => Peer[],
   mine: Saying,
-  numbers: Numbers,
+  metrics: Metrics,
   heard: (sum: Summary) => void,
 ): Promise<Peers> {
   // last: the newest summary of each node and when it came; bounded, as names come from the network.
@@ -67,24 +67,24 @@
     try {
       body = decode(bytes)
     } catch {
-      numbers.add('claynotch_summary_garbage_total')
+      metrics.add('claynotch_summary_garbage_total')
       return
     }
     // Other versions are ignored, not errors: a newer program may speak beside us.
     if ((body as { v?: unknown } | null)?.v !== SUMMARY_EPOCH) {
-      numbers.add('claynotch_summary_other_epoch_total')
+      metrics.add('claynotch_summary_other_epoch_total')
       return
     }
     const got = readAs(Summary, body)
     if (got.err) {
-      numbers.add('claynotch_summary_garbage_total')
+      metrics.add('claynotch_summary_garbage_total')
       return
     }
     const old = last.get(got.val.node)
     // num starts at a clock's reading, so that a restarted node's summaries go on.
     if (old && old.sum.num >= got.val.num && world.now() - old.at < SUMMARY_LIFE) return
     last.set(got.val.node, { at: world.now(), sum: got.val })
-    numbers.add('claynotch_summaries_total')
+    metrics.add('claynotch_summaries_total')
     heard(got.val)
   }
   const wire = await world.wire(addr, take)
@@ -118,8 +118,8 @@
       wire.cast(to.addr, bytes)
     }
   }
-  const bell = makeBell()
-  void loop(world, 'summaries', SUMMARY_BEAT, stop, send, bell)
+  const signal = makeSignal()
+  void loop(world, 'summaries', SUMMARY_BEAT, stop, send, signal)
 
   // With the time since they came counted in.
   function hints(): Summary[] {
@@ -144,5 +144,5 @@
   async function close(): Promise<void> {
     wire.close()
   }
-  return { hints, ring: bell.ring, close }
+  return { hints, ring: signal.ring, close }
 }
