--- a/packages/register/src/coreset.ts
+++ b/packages/register/src/coreset.ts
@@ -33,6 +33,21 @@
   }
   return { epoch: set.epoch, met }
 }
+// How many of the voting cores may be lost, whichever they are, with a quorum of the set left; -1: they are none now. Of a
+// joint set each half must keep its majority, and the losses may all be of the same half.
+export function lossesBorne(set: CoreSet, voting: Set<string>): number {
+  const halves = set.next === undefined ? [set.cores] : [set.cores, set.next]
+  let out = Infinity
+  for (const half of halves) out = Math.min(out, spareVotes(half, voting))
+  return Math.max(-1, out)
+}
+// How many votes there are beyond a majority; below 0 as many as are short.
+function spareVotes(half: CorePlace[], voting: Set<string>): number {
+  const majority = Math.floor(half.length / 2) + 1
+  let votes = 0
+  for (const c of half) if (voting.has(c.id)) votes++
+  return votes - majority
+}
 // Everyone who may be asked: each once.
 export function votersOf(set: CoreSet): CorePlace[] {
   const out = new Map<string, CorePlace>()
@@ -61,14 +76,17 @@
 }
 
 // The set as the first of these tells it that can; undefined: none of them can. All are asked at once, as some may be silent.
-export function askSeeds(world: World, seeds: Addr[]): Promise<{ seed: Addr; set: CoreSet } | undefined> {
+// above: the epoch of the set that is known already. One that was cut off goes on telling an old set, and may be the quickest
+// to answer: what is no later than that is passed over.
+export function askSeeds(world: World, seeds: Addr[], above = -1): Promise<{ seed: Addr; set: CoreSet } | undefined> {
   function start(done: (got: { seed: Addr; set: CoreSet } | undefined) => void): void {
     let left = seeds.length
     async function ask(seed: Addr): Promise<void> {
       const got = await callOnce(world, seed, 'GET', '/seeds', undefined, ROUND_LIFE)
       const told = got.ok && got.val.status === 200 ? readAs(SeedsAnswer, got.val.body) : undefined
       left--
-      if (told?.ok && told.val.cores.length > 0) done({ seed, set: { epoch: 0, ...told.val } })
+      if (told?.ok && told.val.cores.length > 0 && (told.val.epoch ?? 0) > above)
+        done({ seed, set: { epoch: 0, ...told.val } })
       else if (left === 0) done(undefined)
     }
     if (left === 0) done(undefined)
