--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -765,13 +765,15 @@
       const rec = cell(groupKey(g))?.body as GroupRecord | undefined
       if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
     }
+    // Without a term what is known of leaders and instances may have been passed long ago; what the proxy measured stands.
+    const current = world.now() < termUntil
     return {
       v: SUMMARY_EPOCH,
       node: set.node,
       area: set.area,
       num: ++sumNum,
-      moving,
-      leaving,
+      moving: current ? moving : [],
+      leaving: current ? leaving : [],
       tries: note?.tries ?? [],
     }
   }
--- /dev/null
+++ b/packages/fleet/src/test/cutoff.test.ts
@@ -0,0 +1,343 @@
+import fc from 'fast-check'
+import t, { type Test } from 'tap'
+import { ownEdges, startAgent, type Agent, type AgentEdges } from '@claynotch/agent'
+import { makeTelling, type Telling } from '@claynotch/agent/dist/telling.js'
+import { decode, pause, readAs, serve, TERM, type Addr, type Reply, type World } from '@claynotch/base'
+import type { Promotion, PromotionEnd } from '@claynotch/host'
+import { Summary } from '@claynotch/peer'
+import { askSeeds, startCore, type CorePlace } from '@claynotch/register'
+import { recordOf, wait } from '../harm.js'
+import { makeSim, type Proc, type Sim } from '../sim.js'
+import { makeSimFleet, smallShape, type SimFleet } from '../simfleet.js'
+
+t.setTimeout(600000)
+
+// A machine that is cut off: what it tells, what it promotes, and how others find their way past it. What it answers to the
+// platform's callers is in platform/src/test/cutoff.test.ts.
+
+// --- promotions ---
+
+// ms. A step beyond the term in which what was decided within it may still be written.
+const STEP = 5
+type Called = { holder: string; at: number }
+type Cast = { f: SimFleet; called: Called[]; onCall: (run: (what: Promotion) => void) => void }
+// cores: on machines of their own; the duty is held by one of the fronts.
+async function makeCast(seed: number): Promise<Cast> {
+  const called: Called[] = []
+  let run: (what: Promotion) => void = ignore
+  function ignore(): void {}
+  async function promotion(world: World, at: Addr | undefined, what: Promotion): Promise<PromotionEnd> {
+    called.push({ holder: what.holder, at: f.sim.now() })
+    run(what)
+    return await ownEdges.promotion(world, at, what)
+  }
+  const edges: AgentEdges = { ...ownEdges, promotion }
+  const shape = { ...smallShape(), requesters: 4 }
+  const groups = shape.config.groups.map(unsynced)
+  const f = makeSimFleet(seed, { ...shape, fronts: 4, config: { ...shape.config, groups } }, { agentEdges: edges })
+  if (!(await f.begin())) throw new Error('the fleet did not begin')
+  f.traffic()
+  await wait(f, 5000)
+  function onCall(next: (what: Promotion) => void): void {
+    run = next
+  }
+  return { f, called, onCall }
+}
+function unsynced<G extends object>(group: G): G & { sync: number } {
+  return { ...group, sync: 0 }
+}
+function holderOf(f: SimFleet): number {
+  const name = recordOf(f)?.holder
+  for (const [k, x] of f.fronts.entries()) if (x.node === name) return k
+  throw new Error('nobody holds the duty')
+}
+
+// The holder loses the cores at the moment at which the leader crashes, while it reaches the platform and all instances: it
+// promotes nobody once its term is over, and another node does.
+async function cutHolder(c: Test): Promise<void> {
+  for (const [seed, way] of [
+    [1, 'in'],
+    [2, 'out'],
+    [3, 'both'],
+  ] as const) {
+    const { f, called } = await makeCast(seed)
+    const holder = f.fronts[holderOf(f)]
+    const from = f.sim.now()
+    for (const core of f.cores) {
+      if (way !== 'out') f.sim.cut(core.machine, holder.machine, false)
+      if (way !== 'in') f.sim.cut(holder.machine, core.machine, false)
+    }
+    f.killBox(f.boxes.indexOf(f.leaderOf('g1')!))
+    await wait(f, 20000)
+    f.sim.heal()
+    await wait(f, 5000)
+    let late = 0
+    for (const one of called) if (one.holder === holder.node && one.at > from + TERM + STEP) late++
+    c.equal(late, 0, `${way}: no call by a node without a term, of ${called.length}`)
+    c.ok(f.promotions.length > 0 && recordOf(f)?.phase === 'steady', `${way}: another node promoted`)
+    await f.quiet()
+    c.strictSame(f.judge().breaches, [], `${way}: every rule held`)
+  }
+}
+
+// The holder's process is frozen between its last look at its term and the write of the call, for twenty seconds.
+async function frozenCall(c: Test): Promise<void> {
+  for (const seed of [4, 5]) {
+    const { f, called, onCall } = await makeCast(seed)
+    const agent: Proc = f.fronts[holderOf(f)].agentProc
+    let frozen = 0
+    function freeze(): void {
+      if (frozen++ === 0) f.sim.freeze(agent)
+    }
+    onCall(freeze)
+    f.killBox(f.boxes.indexOf(f.leaderOf('g1')!))
+    await wait(f, 20000)
+    c.ok(frozen > 0 && called.length > 0, 'a call was on its way')
+    c.equal(recordOf(f)?.phase, 'steady', 'another node promoted meanwhile')
+    const before = f.promotions.length
+    f.sim.thaw(agent)
+    await wait(f, 5000)
+    c.equal(f.promotions.length, before, 'the call that was frozen is not made')
+    await f.quiet()
+    c.strictSame(f.judge().breaches, [])
+  }
+}
+
+// --- words of instances ---
+
+// An agent that reaches no majority acknowledges no word of an instance, from the first one on that changes something, and
+// none at all once a round has failed.
+async function announcements(c: Test): Promise<void> {
+  const { f } = await makeCast(6)
+  const word = { name: 'x-1', group: 'g1', addr: '10.9.0.1:80', area: 'a', role: 'follower' }
+  async function say(more: object): Promise<number> {
+    const got = f.ask(0, '/announcement', 'POST', { ...word, ...more })
+    await f.sim.until(got.done, 3000)
+    return got.status()
+  }
+  c.equal(await say({}), 200)
+  c.equal(await say({}), 200)
+  for (const core of f.cores) f.sim.cut(core.machine, f.fronts[0].machine, true)
+  c.equal(await say({ leaving: true }), 503, 'news that nobody else has')
+  await wait(f, 1500)
+  c.equal(await say({ leaving: true }), 503)
+  await wait(f, 5000)
+  c.equal(await say({}), 503, 'nor anything without a term')
+  f.sim.heal()
+  await wait(f, 4000)
+  c.equal(await say({ leaving: true }), 200)
+  await wait(f, 1000)
+  for (const x of f.fronts) {
+    const got = f.ask(f.fronts.indexOf(x), '/groups')
+    await f.sim.until(got.done, 3000)
+    c.match(JSON.stringify(got.body()), /"name":"x-1"[^}]*"leaving":true/, `${x.node} knows it`)
+  }
+}
+
+// What an agent tells its peers of leaders and instances ends with its term, though its datagrams still reach them.
+async function summaries(c: Test): Promise<void> {
+  const { f } = await makeCast(9)
+  const word = { name: 'x-1', group: 'g1', addr: '10.9.0.1:80', area: 'a', role: 'follower', leaving: true }
+  const said = f.ask(0, '/announcement', 'POST', word)
+  await f.sim.until(said.done, 3000)
+  c.equal(said.status(), 200)
+  // A listener in place of the agent of another machine, which the one that is cut off remembers as a member.
+  const peer = f.fronts[1]
+  f.sim.kill(peer.agentProc)
+  const heard: { at: number; sum: Summary }[] = []
+  async function listen(world: World): Promise<void> {
+    function take(bytes: Uint8Array): void {
+      const got = readAs(Summary, decode(bytes))
+      if (got.ok && got.val.node === f.fronts[0].node) heard.push({ at: f.sim.now(), sum: got.val })
+    }
+    await world.wire(`${peer.machine.ip}:7200`, take)
+  }
+  f.sim.spawn(peer.machine, 'listener', listen)
+  await wait(f, 1000)
+  for (const core of f.cores) f.sim.cut(core.machine, f.fronts[0].machine, false)
+  const from = f.sim.now()
+  await wait(f, 20000)
+  let told = 0
+  let after = 0
+  for (const { at, sum } of heard)
+    if (sum.leaving.includes('x-1') || sum.moving.length > 0) {
+      told++
+      if (at > from + TERM + STEP) after++
+    }
+  c.ok(told > 0, 'told while it held a term')
+  c.equal(after, 0, 'and not after it')
+}
+
+// Rounds, news and questions in any order against a plain list of what happened: told only where a good round began after
+// the news, and only while the last round was good.
+type Step = { what: 'begin' | 'good' | 'bad' | 'news' | 'ask'; name: number }
+type Past = { round: number; newsAt: Map<string, number>; goodFrom: number; lastGood: boolean }
+async function playTelling(steps: Step[]): Promise<string[]> {
+  const sim: Sim = makeSim(1)
+  const faults: string[] = []
+  async function run(world: World): Promise<void> {
+    const telling: Telling = makeTelling(world)
+    const past: Past = { round: 0, newsAt: new Map(), goodFrom: 0, lastGood: true }
+    let open = 0
+    let time = 0
+    const beganAt = new Map<number, number>()
+    for (const step of steps) {
+      time++
+      const name = `i-${step.name}`
+      if (step.what === 'begin' && open === 0) {
+        open = telling.begin()
+        beganAt.set(open, time)
+      } else if ((step.what === 'good' || step.what === 'bad') && open !== 0) {
+        const good = step.what === 'good'
+        telling.end(open, good)
+        past.lastGood = good
+        if (good) past.goodFrom = beganAt.get(open)!
+        open = 0
+      } else if (step.what === 'news') {
+        telling.news(name)
+        past.newsAt.set(name, time)
+      } else if (step.what === 'ask') {
+        const news = past.newsAt.get(name)
+        const want = past.lastGood && (news === undefined || past.goodFrom > news)
+        const got = await telling.told(name, 0)
+        if (got !== want) faults.push(`${name}: told ${got}, the model says ${want}`)
+      }
+      let waits = false
+      for (const at of past.newsAt.values()) if (at > past.goodFrom) waits = true
+      if (telling.waiting() !== waits) faults.push(`waiting ${telling.waiting()}, the model says ${waits}`)
+    }
+  }
+  sim.spawn(sim.machine('m', '10.0.0.1'), 'p', run)
+  await sim.run(sim.now() + 1000)
+  return [...faults, ...sim.lines]
+}
+async function tellings(c: Test): Promise<void> {
+  let runs = 0
+  async function holds(steps: Step[]): Promise<void> {
+    runs++
+    const faults = await playTelling(steps)
+    if (faults.length > 0) throw new Error(faults.join('; '))
+  }
+  const step: fc.Arbitrary<Step> = fc.record({
+    what: fc.constantFrom('begin', 'good', 'bad', 'news', 'ask'),
+    name: fc.integer({ min: 0, max: 2 }),
+  })
+  await c.resolves(fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 30 }), holds), { seed: 19, numRuns: 1000 }))
+  c.equal(runs, 1000)
+}
+// Who asks while a round runs is answered at its end, or at the next one's where the news came after it began.
+async function waits(c: Test): Promise<void> {
+  const sim = makeSim(2)
+  const ends: string[] = []
+  async function run(world: World): Promise<void> {
+    const telling = makeTelling(world)
+    async function ask(name: string, ms: number): Promise<void> {
+      const from = world.now()
+      ends.push(`${name} ${await telling.told(name, ms)} after ${Math.round(world.now() - from)}`)
+    }
+    telling.news('early')
+    const first = telling.begin()
+    telling.news('amid')
+    void ask('early', 900)
+    void ask('amid', 900)
+    void ask('hasty', 900)
+    void ask('amid', 50)
+    await pause(world, 100)
+    telling.end(first, true)
+    const second = telling.begin()
+    await pause(world, 100)
+    telling.end(second, true)
+    telling.news('lost')
+    void ask('lost', 900)
+    const third = telling.begin()
+    await pause(world, 100)
+    telling.end(third, false)
+  }
+  sim.spawn(sim.machine('m', '10.0.0.1'), 'p', run)
+  await sim.run(sim.now() + 3000)
+  c.strictSame(ends, [
+    'hasty true after 0',
+    'amid false after 50',
+    'early true after 100',
+    'amid true after 200',
+    'lost false after 100',
+  ])
+}
+
+// --- seeds ---
+
+const PLACES: CorePlace[] = []
+for (let k = 1; k <= 3; k++) PLACES.push({ id: `10.0.1.${k}`, addr: `10.0.1.${k}:7000` })
+const GONE: CorePlace[] = []
+for (let k = 1; k <= 3; k++) GONE.push({ id: `10.0.4.${k}`, addr: `10.0.4.${k}:7000` })
+const OLD: Addr = '10.0.5.1:80'
+const NEW: Addr = '10.0.5.2:80'
+
+// Two seeds: one that was cut off tells the set before at once, the other tells the present one after so many ms.
+function startSeeds(sim: Sim, ms: number): void {
+  async function old(world: World): Promise<void> {
+    function handle(): Reply {
+      return { status: 200, body: { cores: GONE } }
+    }
+    await serve(world, OLD, handle)
+  }
+  async function present(world: World): Promise<void> {
+    async function handle(): Promise<Reply> {
+      await pause(world, ms)
+      return { status: 200, body: { epoch: 1, cores: PLACES } }
+    }
+    await serve(world, NEW, handle)
+  }
+  sim.spawn(sim.machine('old', '10.0.5.1'), 'old', old)
+  sim.spawn(sim.machine('new', '10.0.5.2'), 'new', present)
+}
+async function seeds(c: Test): Promise<void> {
+  const sim = makeSim(7)
+  const told: string[] = []
+  startSeeds(sim, 200)
+  async function ask(world: World): Promise<void> {
+    await pause(world, 10)
+    for (const above of [undefined, 0, 1]) {
+      const got = await askSeeds(world, [OLD, NEW], above)
+      told.push(got ? `${got.seed} ${got.set.epoch}` : 'none')
+    }
+  }
+  sim.spawn(sim.machine('m', '10.0.2.1'), 'p', ask)
+  await sim.run(sim.now() + 5000)
+  c.strictSame(told, [`${OLD} 0`, `${NEW} 1`, 'none'], 'any set, a later one than the first, a later one than the last')
+}
+// A front that begins with the old set finds the present one, though the seed that misled it goes on answering first.
+async function misled(c: Test): Promise<void> {
+  const sim = makeSim(8)
+  startSeeds(sim, 200)
+  for (const [k, place] of PLACES.entries()) {
+    async function core(world: World): Promise<void> {
+      function none(): Addr[] {
+        return []
+      }
+      await startCore(world, { id: place.id, addr: place.addr, data: '/d', seeds: none, founders: PLACES })
+    }
+    sim.spawn(sim.machine(`core${k}`, place.id), `core${k}`, core)
+  }
+  let agent: Agent | undefined
+  async function front(world: World): Promise<void> {
+    agent = await startAgent(world, { node: 'front', area: 'a', peer: '10.0.2.1:7002', seeds: [OLD, NEW], build: 'x' })
+  }
+  await sim.run(sim.now() + 3000)
+  sim.spawn(sim.machine('front', '10.0.2.1'), 'front', front)
+  function hasTerm(): boolean {
+    return (agent?.termUntil() ?? 0) > 0
+  }
+  const from = sim.now()
+  c.ok(await sim.until(hasTerm, 20000), 'it holds a term under the present set')
+  c.ok(sim.now() - from < 5000, `after ${Math.round(sim.now() - from)} ms`)
+}
+
+void t.test('promotions: a holder that is cut off', cutHolder)
+void t.test('promotions: a holder that is frozen as it calls', frozenCall)
+void t.test('announcements at an agent that is cut off', announcements)
+void t.test('summaries of an agent that is cut off', summaries)
+void t.test('what a majority was told, against a plain model', tellings)
+void t.test('who waits for a majority to be told', waits)
+void t.test('seeds: one that tells an old set first', seeds)
+void t.test('seeds: a front that was misled', misled)
