Tell a majority that an instance leaves also where one core has told us so

Cause: an agent took a leaving that it had heard from one core's picture as known, and acknowledged the instance's own word for it by its lease; the agent that had told that core alone was cut off, so that no majority had it. Now whoever acknowledges a leaving has told it in a round of its own. Test first red: 'announcements that one core knows' (503 wanted, 200 told); mutant beat-one-core is caught by it.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -691,7 +691,14 @@
       ...(sequence === undefined ? {} : { sequence }),
     }
     const now = world.now()
-    own.set(a.name, laterSight(own.get(a.name), next, now))
+    const mine = own.get(a.name)
+    const mineNow = laterSight(mine, next, now)
+    own.set(a.name, mineNow)
+    // That it leaves is told by whoever acknowledges it: what one core told us may be known to that core alone.
+    if (mineNow.sight.leaving && mine?.sight.leaving !== true) {
+      telling.news(a.name)
+      linked.ring()
+    }
     const got = laterSight(old, next, now)
     sights.set(a.name, { ...got, alive: now })
     if (got.sight.leaving && !old?.sight.leaving)
--- a/packages/fleet/src/test/cutoff.test.ts
+++ b/packages/fleet/src/test/cutoff.test.ts
@@ -134,6 +134,32 @@
   }
 }
 
+// Another agent told one core alone that an instance leaves, and was cut off; what that core tells is no majority's word, so
+// that the agent which hears it from there has yet to tell it.
+async function oneCore(c: Test): Promise<void> {
+  const { f } = await makeCast(10)
+  const word = { name: 'x-1', group: 'g1', addr: '10.9.0.1:80', area: 'a', role: 'follower' }
+  async function say(front: number, more: object): Promise<number> {
+    const got = f.ask(front, '/announcement', 'POST', { ...word, ...more })
+    await f.sim.until(got.done, 3000)
+    return got.status()
+  }
+  async function knows(front: number): Promise<boolean> {
+    const got = f.ask(front, '/groups')
+    await f.sim.until(got.done, 3000)
+    return /"name":"x-1"[^}]*"leaving":true/.test(JSON.stringify(got.body()))
+  }
+  c.equal(await say(0, {}), 200)
+  c.equal(await say(1, {}), 200)
+  const [, ...rest] = f.cores
+  for (const core of rest) f.sim.cut(core.machine, f.fronts[0].machine, true)
+  c.equal(await say(0, { leaving: true }), 503)
+  for (let k = 0; k < 30 && !(await knows(1)); k++) await wait(f, 50)
+  c.ok(await knows(1), 'by way of that core')
+  for (const core of f.cores) f.sim.cut(core.machine, f.fronts[1].machine, true)
+  c.equal(await say(1, { leaving: true }), 503, 'not acknowledged by a second one that can tell nobody')
+}
+
 // What an agent tells its peers of leaders and instances ends with its term, though its datagrams still reach them.
 async function summaries(c: Test): Promise<void> {
   const { f } = await makeCast(9)
@@ -336,6 +362,7 @@
 void t.test('promotions: a holder that is cut off', cutHolder)
 void t.test('promotions: a holder that is frozen as it calls', frozenCall)
 void t.test('announcements at an agent that is cut off', announcements)
+void t.test('announcements that one core knows', oneCore)
 void t.test('summaries of an agent that is cut off', summaries)
 void t.test('what a majority was told, against a plain model', tellings)
 void t.test('who waits for a majority to be told', waits)
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -644,7 +644,14 @@
     rule: 'news of an instance is acknowledged once a majority has it',
     test: 'cutoff.test.js',
     seeds: [1, 1],
-    edits: [['agent/dist/agent.js', 'telling.news(a.name);', '']],
+    edits: [['agent/dist/telling.js', 'untold.set(name, begun);', '']],
+  },
+  {
+    name: 'beat-one-core',
+    rule: 'that an instance leaves, as one core told it, is told again by who acknowledges it',
+    test: 'cutoff.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/agent.js', 'if (mineNow.sight.leaving && mine?.sight.leaving !== true)', 'if (false)']],
   },
   {
     name: 'beat-after-failed-round',
