--- a/packages/operator/src/decide.ts
+++ b/packages/operator/src/decide.ts
@@ -88,13 +88,14 @@
 function refuseOrder(body: Body, { change, team, hindered = [] }: Order): Refusal | undefined {
   const beyond = team === undefined ? [] : beyondTeam(team, change, body.config)
   if (beyond.length > 0) return refuse("not this team's to change", beyond)
-  if (change.expect !== body.epoch) return refuse(`expected epoch ${change.expect}, the present one is ${body.epoch}`)
-  if (hindered.length > 0) return refuse("the fleet can't do this now", hindered)
   const epoch = epochMadeBy(change)
-  if (epoch <= body.epoch)
-    return refuse(`the present epoch is ${body.epoch}, and ${epoch} isn't above it`, [
-      { place: '/epoch', what: `not above ${body.epoch}` },
+  // Whenever the one that it expects is the present one.
+  if (epoch <= change.expect)
+    return refuse(`epoch ${epoch} isn't above the one that it expects, ${change.expect}`, [
+      { place: '/epoch', what: `not above ${change.expect}` },
     ])
+  if (change.expect !== body.epoch) return refuse(`expected epoch ${change.expect}, the present one is ${body.epoch}`)
+  if (hindered.length > 0) return refuse("the fleet can't do this now", hindered)
   return undefined
 }
 
