Test rival orders over real stores by drawn fates of each word; mutants of the guards of point 2

The schedules by which two mutants were caught stand in the test. tools/mutants.js takes tests of other packages by their place in the build.

--- a/tools/mutants.js
+++ b/tools/mutants.js
@@ -72,7 +72,9 @@
     String(seed),
   ]
   const platform = [join(dir, 'platform/dist/test/sweep.js'), m.scenario, String(seed), String(seed)]
-  const args = m.test ? [join(dir, 'packages/fleet/dist/test', m.test)] : m.on === 'platform' ? platform : own
+  // A test by its name alone is one of the fleet's; else its place in the build is given.
+  const test = m.test?.includes('/') ? join(dir, m.test) : join(dir, 'packages/fleet/dist/test', m.test ?? '')
+  const args = m.test ? [test] : m.on === 'platform' ? platform : own
   function start(done) {
     const child = spawn(process.execPath, args, {
       stdio: ['ignore', 'pipe', 'pipe'],
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -517,4 +517,85 @@
       ],
     ],
   },
+  // Racing and repeated orders (docs/design/control-safety.md, 2).
+  {
+    name: 'number-by-name',
+    rule: "a rival under a number is told the first one's acceptance",
+    test: 'packages/operator/dist/test/orders.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'operator/dist/decide.js',
+        'first?.digest === undefined || digest === undefined || first.digest === digest',
+        'true',
+      ],
+    ],
+  },
+  {
+    name: 'repeat-judged-anew',
+    rule: 'an order that was taken is refused when it is sent again',
+    test: 'packages/fleet/dist/test/orders.test.js',
+    seeds: [1, 1],
+    edits: [['operator/dist/decide.js', 'if (first) return { known: first };', '']],
+  },
+  {
+    name: 'forgotten-refused',
+    rule: 'an order that was taken long ago is refused when it is sent again',
+    test: 'packages/operator/dist/test/orders.test.js',
+    seeds: [1, 1],
+    edits: [['operator/dist/decide.js', 'change.expect < body.epoch && mayBeForgotten(body, change)', 'false']],
+  },
+  {
+    name: 'least-of-this-program',
+    rule: 'an order that an earlier program dropped is refused when it is sent again',
+    test: 'packages/operator/dist/test/orders.test.js',
+    seeds: [1, 1],
+    edits: [['operator/dist/kept.js', 'named ? NAMED_KEPT_LEAST : HISTORY_KEPT', '1024']],
+  },
+  {
+    name: 'coming-refused',
+    rule: 'an order on an epoch that is not there yet is refused, and taken later',
+    test: 'packages/operator/dist/test/orders.test.js',
+    seeds: [1, 1],
+    edits: [['operator/dist/decide.js', 'change.epoch !== undefined && change.expect > body.epoch', 'false']],
+  },
+  {
+    name: 'refused-unchosen',
+    rule: 'an order is refused for the sake of a value that is not chosen',
+    test: 'orders.test.js',
+    seeds: [1, 1],
+    edits: [['register/dist/proposer.js', 'if (enough.met(same)) {', 'if (true) {']],
+  },
+  {
+    name: 'told-unsettled',
+    rule: 'a decision is told from a round that did not end',
+    test: 'orders.test.js',
+    seeds: [1, 1],
+    edits: [['operator/dist/edge.js', 'return got.done ? out : unclear(order, NO_MAJORITY);', 'return out;']],
+  },
+  {
+    name: 'stream-without-content',
+    rule: 'two operators are both confirmed under one number',
+    test: 'platform/dist/test/orders.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['../platform/dist/control.js', '`${ask.path} ${base} ${text}`', '`${ask.path} ${base} ${change.val.epoch}`'],
+    ],
+  },
+  {
+    name: 'named-unkept',
+    rule: 'an order that was taken is refused after some changes',
+    test: 'platform/dist/test/orders.test.js',
+    seeds: [1, 1],
+    edits: [['operator/dist/kept.js', 'lastOf(body.history, true, NAMED_KEPT - 1)', 'lastOf(body.history, true, 200)']],
+  },
+  {
+    name: 'losses-of-the-whole',
+    rule: 'operators are told that a loss is borne which leaves no quorum',
+    test: 'corestatus.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['register/dist/coreset.js', 'set.next === undefined ? [set.cores] : [set.cores, set.next]', '[set.cores]'],
+    ],
+  },
 ]
