Model test of control: drawn schedules against a plain model, first part

Orders, leases, core set, refill and data files were tested each by itself or by random histories without orders; the faults lie between them.

--- /dev/null
+++ b/packages/fleet/src/control/fleet.ts
@@ -0,0 +1,307 @@
+/**
+ * Core machines and a front in the simulator, with the faults that a schedule may bring about.
+ *
+ * A box is one core machine (a core and its agent, as `startCoreMachine` makes them); a front is one agent without a core.
+ * Orders are taken through the same desk that the platform's operator edge uses.
+ */
+import { ownEdges, takeSeeds, type Agent, type AgentEdges, type Desk } from '@claynotch/agent'
+import { readAs, serve, type Addr, type Ask, type Reply, type Serving, type World } from '@claynotch/base'
+import { startCoreMachine, startFrontAgent, type CoreMachine } from '@claynotch/claynotch'
+import { Change } from '@claynotch/operator'
+import { quorumOf, readCoreSet, votersOf, type CoreSet } from './sets.js'
+import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
+
+/** Milliseconds from SIGTERM to the end of the process. */
+const TERM_GRACE = 1000
+
+/**
+ * One core machine. `up`: its process runs, or is frozen; `ending`: it was told to stop; `gone`: removed for good;
+ * `memory`: it holds what it promised and accepted, as of when it was last seen voting, and its disk has been kept since.
+ */
+export type Box = {
+  name: string
+  ip: string
+  machine: Machine
+  proc: Proc | undefined
+  run: CoreMachine | undefined
+  up: boolean
+  ending: boolean
+  gone: boolean
+  memory: boolean
+  stepped: number
+}
+/** One front: its agent in its present life. */
+export type Front = { machine: Machine; proc: Proc; agent: Agent | undefined; up: boolean }
+
+/** One life of an agent, on a core machine or a front; ending: it was told to stop. */
+export type Life = { node: string; agent: Agent; machine: Machine; proc: Proc; ending: () => boolean }
+
+/** The machines of one run. `sets`: every core set seen, by epoch; `broken`: what was seen that must never be. */
+export type ControlFleet = {
+  sim: Sim
+  boxes: Box[]
+  front: Front
+  sets: Map<number, CoreSet>
+  broken: (what: string) => void
+  add: (first: boolean) => Box
+  start: (box: Box) => void
+  kill: (box: Box, how?: { dark?: boolean; disk?: 'lost' }) => void
+  terminate: (box: Box) => void
+  /** Every life whose process is not dead. */
+  lives: () => Life[]
+  startFront: (first: boolean) => void
+  killFront: () => void
+  /** Looks at every core set; returns the latest. */
+  latest: () => CoreSet
+  settled: () => boolean
+  /** Whether the set could still serve if these boxes never came back with their disks. */
+  bears: (lost: Box[]) => boolean
+  /** Boxes that are not removed, and the http addresses of those. */
+  present: () => Box[]
+}
+
+/** What a box answers to operators. */
+async function answer(ask: Ask, desk: Desk): Promise<Reply | undefined> {
+  const seeds = takeSeeds(ask, desk.coreSet())
+  if (seeds) return seeds
+  if (ask.path === '/read') {
+    const body = await desk.read()
+    return body ? { status: 200, body } : { status: 503, body: null }
+  }
+  if (!ask.path.startsWith('/order/')) return { status: 404, body: null }
+  const change = readAs(Change, ask.body)
+  if (change.err) return { status: 400, body: null }
+  const got = await desk.change(ask.path.slice('/order/'.length), change.val)
+  return got ? { status: 200, body: got } : { status: 503, body: null }
+}
+function control(world: World, addr: Addr, desk: Desk): Promise<Serving> {
+  function handle(ask: Ask): Promise<Reply | undefined> {
+    return answer(ask, desk)
+  }
+  return serve(world, addr, handle, { limit: 4 * 1024 * 1024 })
+}
+const edges: AgentEdges = { ...ownEdges, control }
+
+/** The http address of a box. */
+export function httpOf(box: Box): Addr {
+  return `${box.ip}:8000`
+}
+
+/** Makes the fleet; `founders` boxes are the seeds of the very first start. */
+export function makeControlFleet(seed: number, founders: number, broken: (what: string) => void): ControlFleet {
+  const sim = makeSim(seed)
+  const boxes: Box[] = []
+  const sets = new Map<number, CoreSet>()
+  const texts = new Map<number, string>()
+  let living: Life[] = []
+
+  function firstSeeds(): Addr[] {
+    const out: Addr[] = []
+    for (let k = 0; k < founders; k++) out.push(`10.0.1.${k + 1}:8000`)
+    return out
+  }
+  /** Three processes that are there, as whoever starts a machine would name them; not the machine itself. */
+  function someSeeds(but: Box | undefined): Addr[] {
+    const list = boxes.filter(isOther)
+    function isOther(b: Box): boolean {
+      return b !== but && !b.gone
+    }
+    const out: Addr[] = []
+    while (out.length < 3 && list.length > 0)
+      out.push(httpOf(list.splice(Math.floor(sim.random() * list.length), 1)[0]))
+    return out
+  }
+  function begin(box: Box, seeds: Addr[], first: boolean): void {
+    async function run(world: World): Promise<void> {
+      const got = await startCoreMachine(
+        world,
+        {
+          node: box.name,
+          area: 'a',
+          link: `${box.ip}:7000`,
+          peer: `${box.ip}:7002`,
+          http: httpOf(box),
+          seeds,
+          first,
+          data: '/d',
+        },
+        edges,
+      )
+      if (box.proc === mine) box.run = got
+      function ending(): boolean {
+        return box.proc !== mine || box.ending
+      }
+      living.push({ node: box.name, agent: got.agent, machine: box.machine, proc: mine, ending })
+    }
+    box.run = undefined
+    box.up = true
+    box.ending = false
+    box.machine.dark = false
+    const mine = sim.spawn(box.machine, box.name, run)
+    box.proc = mine
+  }
+  function add(first: boolean): Box {
+    const num = boxes.length + 1
+    const ip = `10.0.1.${num}`
+    const box: Box = {
+      name: `core${num}`,
+      ip,
+      machine: sim.machine(`core${num}`, ip),
+      proc: undefined,
+      run: undefined,
+      up: false,
+      ending: false,
+      gone: false,
+      memory: false,
+      stepped: -Infinity,
+    }
+    boxes.push(box)
+    begin(box, first ? firstSeeds() : someSeeds(box), first)
+    return box
+  }
+  function start(box: Box): void {
+    if (!box.up && !box.gone) begin(box, someSeeds(box), false)
+  }
+  function kill(box: Box, how: { dark?: boolean; disk?: 'lost' } = {}): void {
+    look(box)
+    if (how.dark) box.machine.dark = true
+    if (box.proc) sim.kill(box.proc)
+    box.run = undefined
+    box.up = false
+    if (!how.disk) return
+    box.machine.files.clear()
+    box.memory = false
+  }
+  function terminate(box: Box): void {
+    box.ending = true
+    void box.run?.stop()
+    const was = box.proc
+    function end(): void {
+      if (box.proc === was && box.up) kill(box)
+    }
+    sim.at(sim.now() + TERM_GRACE, end)
+  }
+
+  const front: Front = {
+    machine: sim.machine('front', '10.0.2.1'),
+    proc: undefined as never,
+    agent: undefined,
+    up: false,
+  }
+  function startFront(first: boolean): void {
+    async function run(world: World): Promise<void> {
+      const got = await startFrontAgent(world, {
+        node: 'front',
+        area: 'a',
+        link: '127.0.0.1:7001',
+        peer: '10.0.2.1:7002',
+        corePort: 7000,
+        seeds: first ? firstSeeds() : someSeeds(undefined),
+        first,
+      })
+      if (front.proc === mine) front.agent = got
+      living.push({ node: 'front', agent: got, machine: front.machine, proc: mine, ending: never })
+    }
+    front.agent = undefined
+    front.up = true
+    const mine = sim.spawn(front.machine, 'front', run)
+    front.proc = mine
+  }
+  function killFront(): void {
+    sim.kill(front.proc)
+    front.agent = undefined
+    front.up = false
+  }
+
+  function never(): boolean {
+    return false
+  }
+  function lives(): Life[] {
+    living = living.filter(isAlive)
+    return living
+  }
+  function isAlive(life: Life): boolean {
+    return life.proc.state !== 'dead'
+  }
+
+  function sawSet(set: CoreSet, where: string): void {
+    if (set.cores.length === 0) return
+    const text = JSON.stringify([set.cores, set.next ?? null])
+    const old = texts.get(set.epoch)
+    if (old === undefined) {
+      texts.set(set.epoch, text)
+      sets.set(set.epoch, set)
+    } else if (old !== text) broken(`two core sets of epoch ${set.epoch}: ${old}, and ${text} at ${where}`)
+  }
+  function look(box: Box): void {
+    const core = box.run?.core
+    if (!core) return
+    const set = core.coreSet()
+    sawSet(set, box.name)
+    const state = core.state()
+    // A failed disk keeps what it synced.
+    if (state !== 'disk failed') box.memory = state === 'serving'
+    if (core.serving() && !votersOf(set).some(isIt)) broken(`${box.name} serves outside its set of epoch ${set.epoch}`)
+    function isIt(c: { id: string }): boolean {
+      return c.id === box.ip
+    }
+  }
+  function latest(): CoreSet {
+    for (const b of boxes) look(b)
+    let out: CoreSet = { epoch: -1, cores: [] }
+    for (const set of sets.values()) if (set.epoch > out.epoch) out = set
+    return out
+  }
+  function settled(): boolean {
+    const set = latest()
+    if (set.epoch < 0 || set.next !== undefined) return false
+    for (const c of set.cores) {
+      const box = boxes.find(isIt)
+      function isIt(b: Box): boolean {
+        return b.ip === c.id
+      }
+      if (!box?.run?.core.serving() || box.run.core.coreSet().epoch !== set.epoch) return false
+    }
+    return true
+  }
+  /** The latest set that is known, and every later one that a core has accepted, chosen or not. */
+  function mayDecide(): CoreSet[] {
+    const last = latest()
+    const out = [last]
+    for (const b of boxes) {
+      const set = readCoreSet(b.run?.core.store.cells().get('coreset')?.value?.body)
+      if (set && set.epoch > last.epoch) out.push(set)
+    }
+    return out
+  }
+  function bears(lost: Box[]): boolean {
+    const ids = new Set<string>()
+    for (const b of boxes) if (b.memory && !b.gone && !lost.includes(b)) ids.add(b.ip)
+    for (const set of mayDecide()) if (!quorumOf(set).met(ids)) return false
+    return true
+  }
+  function present(): Box[] {
+    return boxes.filter(isHere)
+    function isHere(b: Box): boolean {
+      return !b.gone
+    }
+  }
+  return {
+    sim,
+    boxes,
+    front,
+    sets,
+    broken,
+    add,
+    start,
+    kill,
+    terminate,
+    startFront,
+    killFront,
+    latest,
+    settled,
+    lives,
+    bears,
+    present,
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/controlmodel.ts
@@ -0,0 +1,32 @@
+/**
+ * The model test of control: plays one schedule against the real cores, agents and order-taking in the simulator, and holds
+ * every step against a plain model (docs/design/control-safety.md, "Proof"). The same schedule gives the same run each time.
+ */
+import type { Action, Schedule } from './control/actions.js'
+import { makeRun, type Run, type Verdict } from './control/run.js'
+
+export { FAULTS, WAYS, type Action, type FaultKind, type Schedule, type Way } from './control/actions.js'
+export { makeRun, PROGRESS_LIMIT, WHOLE_LIMIT, type Run, type Verdict } from './control/run.js'
+
+function begin(run: Run, action: Action, operator: number): void {
+  if (action.kind === 'order') void run.order(operator, action.machine, action)
+  else if (action.kind === 'race') void run.race(action.machine, action.other, action.gap)
+  else run.faults.apply(action)
+}
+
+/** Plays it from its founding to the last judgement. */
+export async function play(schedule: Schedule): Promise<Verdict> {
+  const run = makeRun(schedule.seed, schedule.seeds, schedule.spares, schedule.pad)
+  const { sim } = run.fleet
+  if (await run.found()) {
+    for (let k = 0; k < schedule.before; k++) {
+      void run.order(0, k)
+      await run.idle()
+    }
+    for (const [k, action] of schedule.actions.entries()) {
+      await sim.run(sim.now() + action.wait)
+      begin(run, action, k % 2)
+    }
+  }
+  return await run.finish()
+}
