--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,4 +1,5 @@
 import {
+  DELTA_EPOCH,
   LEAVE_LIMIT,
   NOTE_BEAT,
   answerLinks,
@@ -39,19 +40,21 @@
 import {
   CONFIG_KEY,
   emptyBody,
+  inForce,
   makeDecision,
   makeOperatorEdge,
   meantBy,
+  unclear,
   type Body,
   type Change,
+  type CoreStatus,
   type Credential,
-  type Decision,
   type Edit,
+  type Verdict,
 } from '@claynotch/operator'
 import { startPeers, type Peer, type Summary } from '@claynotch/peer'
 import {
   askSeeds,
-  compareBallots,
   CoreSet,
   CORESET_KEY,
   gather,
@@ -68,8 +71,6 @@
   RenewAnswer,
   slotOf,
   SLOTS_KEY,
-  ValueShape,
-  type Ballot,
   type Answer,
   type CorePlace,
   type FedCell,
@@ -78,14 +79,20 @@
   type Member,
   type MemberLine,
   type Picture,
+  type HeldValue,
+  type KeyLine,
   type Quorum,
+  type Settled,
   type Sight,
   type Slots,
   type Value,
   type Voter,
 } from '@claynotch/register'
+import { readCoreStatus } from './corestatus.js'
 import { startCoreSetDuty } from './coreset.js'
+import { makeRegisters } from './registers.js'
 import { ownEdges, type AgentEdges, type Desk } from './seam.js'
+import { makeSubscription, type Source } from './subscription.js'
 
 // link: where the proxy of this machine finds its agent; none: it has no proxy. peer: UDP, for summaries. http: operators,
 // instances, the platform, and nodes that look for the cores; none: it serves none of them and holds no duties. seeds: http
@@ -119,14 +126,17 @@
   apply: (next: { seeds: Addr[]; platform: Addr | undefined; operators: Credential[] | undefined }) => void
 }
 
-// What is known of one register.
-// Invariants: value was chosen at ballot; turn never goes back; until only grows, and stays where it is
-// while a majority knows of something newer than value.
-type Known = { value: Value; ballot: Ballot; until: number }
-
-// What a life of a core has of this agent. self: what this machine told of itself, as text. sights: all own sights heard before this time.
+// What a life of a core has of this agent. self: what this machine told of itself, as text. sights: all own sights heard
+// before this time.
 type Told = { core: string; self: string; acks: Map<string, number>; highs: Map<string, string>; sights: number }
 
+function speaksDeltas(held: Held): () => boolean {
+  function speaks(): boolean {
+    return (held.peer()?.epoch ?? 0) >= DELTA_EPOCH
+  }
+  return speaks
+}
+
 export async function startAgent(world: World, set: AgentSettings, edges: AgentEdges = ownEdges): Promise<Agent> {
   const stop = makeFlag()
   const numbers = makeNumbers()
@@ -137,9 +147,6 @@
   const cores = new Map<string, { held: Held; addr: Addr; since: number; end: () => void }>()
   let coreSet: CoreSet = NO_SET
   let coreSetSince = 0
-  const known = new Map<string, Known>()
-  // wanted: newest ballot that a majority's answers showed, by key, with the time of that round; gone once known has it.
-  const wanted = new Map<string, { ballot: Ballot; from: number; chosenAt: string | undefined }>()
   const news = makeBell()
   const lag = makeBell()
   const linked = makeBell()
@@ -152,6 +159,9 @@
   const told = new Map<string, Told>()
   let members: MemberLine[] = []
   let termUntil = 0
+  // current: all that a majority showed since this life, or its last long silence, began is known here; no duty is held before.
+  let current = false
+  let renewed = -Infinity
   // proxy: the one linked now. given: the latest time up to which any proxy of this machine may hold a term;
   // an agent that has just started may have a predecessor's word out for one whole term.
   // at: when the note came.
@@ -164,42 +174,42 @@
 
   function voters(): Voter[] {
     const out: Voter[] = []
-    for (const [id, { held }] of cores) out.push({ id, ask: held.ask, tell: held.tell })
+    for (const [id, { held }] of cores) out.push({ id, ask: held.ask, tell: held.tell, deltas: speaksDeltas(held) })
     return out
   }
   function quorum(): Quorum {
     return quorumOf(coreSet)
   }
-  const proposer = makeProposer(world, set.node, voters, quorum, adopt)
+  const proposer = makeProposer(world, set.node, voters, quorum, adopt, heldValue)
+  function heldValue(key: string): HeldValue | undefined {
+    return registers.held(key)
+  }
 
   // --- what is known ---
 
-  function learned(key: string, value: Value, ballot: Ballot, from?: number): void {
-    const old = known.get(key)
-    if (old && value.turn < old.value.turn) return
-    const newer = !old || value.turn > old.value.turn
-    const top = old && compareBallots(old.ballot, ballot) > 0 ? old.ballot : ballot
-    // A round that showed this very value proves it current as of its start.
-    let until = Math.max(old?.until ?? 0, from === undefined ? 0 : from + TERM)
-    const w = wanted.get(key)
-    if (w && compareBallots(w.ballot, top) <= 0) {
-      wanted.delete(key)
-      until = Math.max(until, w.from + TERM)
-    }
-    known.set(key, { value: newer ? value : old.value, ballot: top, until })
-    if (newer) {
-      world.log.info('epoch-learnt', { key, turn: value.turn })
-      if (key === CORESET_KEY) {
-        const next = readAs(CoreSet, value.body)
-        if (next.ok) adopt(next.val)
-      }
-      duty.ring()
-      mover.ring()
-      news.ring()
-    }
+  const registers = makeRegisters(world, { epoch: epochNow, link: linkTo, settle, news: newValue, behind: lag.ring })
+  const { learned, cell } = registers
+  const known = registers.all()
+  const subscription = makeSubscription(world, set.node, set.area, registers.ballots)
+  function epochNow(): number {
+    return coreSet.epoch
   }
-  function cell(key: string): Value | undefined {
-    return known.get(key)?.value
+  function linkTo(id: string): Held | undefined {
+    return cores.get(id)?.held
+  }
+  function settle(key: string): Promise<Settled> {
+    return proposer.read(key, 0)
+  }
+
+  function newValue(key: string, value: Value): void {
+    world.log.info('epoch-learnt', { key, turn: value.turn })
+    if (key === CORESET_KEY) {
+      const next = readAs(CoreSet, value.body)
+      if (next.ok) adopt(next.val)
+    }
+    duty.ring()
+    mover.ring()
+    news.ring()
   }
   function config(): Body | undefined {
     return cell(CONFIG_KEY)?.body as Body | undefined
@@ -243,7 +253,12 @@
         flag.fire()
       }
       pictures.set(id, makePicture(world))
-      cores.set(id, { held: holdLink(world, addr, mine, makeTake(id), flag, onCore), addr, since: world.now(), end })
+      cores.set(id, {
+        held: holdLink(world, addr, mine, makeTake(id), flag, makeOnCore(id)),
+        addr,
+        since: world.now(),
+        end,
+      })
     }
     void set.core?.adopt(next)
     if (first) return
@@ -265,8 +280,12 @@
     if (got) adopt(got.set)
   }
   // The first term isn't waited for longer than it takes to reach the cores.
-  function onCore(): void {
-    if (termUntil === 0) linked.ring()
+  function makeOnCore(id: string) {
+    function onCore(): void {
+      subscription.linkedAnew(id)
+      if (termUntil === 0) linked.ring()
+    }
+    return onCore
   }
   function makeTake(id: string) {
     function take(msg: unknown): undefined {
@@ -278,12 +297,15 @@
       const p = got.val
       pushNums.set(`${id} ${p.key}`, p.num)
       numbers.add('claynotch_agent_pushes_total')
-      learned(p.key, p.value as Value, p.ballot)
-      tellAck(id, p.key)
+      void takePush(id, p)
       return undefined
     }
     return take
   }
+  async function takePush(id: string, push: Push): Promise<void> {
+    await registers.pushed(id, push)
+    tellAck(id, push.key)
+  }
   // Tells one core that the proxy has applied what it has.
   function tellAck(id: string, key: string): void {
     const turn = acked.get(key)
@@ -443,6 +465,8 @@
     }
     numbers.add('claynotch_renewals_total', [['end', 'good']])
     termUntil = Math.max(termUntil, from + TERM)
+    if (from - renewed > TERM) setCurrent(false)
+    renewed = from
     // A later set came while these answered: the term stands, what they tell is merged with the next answers.
     if (coreSet === under) merge(good, from)
     await feed()
@@ -450,57 +474,45 @@
   // good: a majority that answered since from; their pictures are as new as those answers.
   function merge(good: Set<string>, from: number): void {
     const byNode = new Map<string, { line: MemberLine; at: number }>()
-    // high: for each key, the newest ballot that any of the majority holds, and who holds just that.
-    const enough = quorum()
-    const high = new Map<string, { ballot: Ballot; by: Set<string>; chosenAt: string | undefined }>()
+    const tables = new Map<string, Map<string, KeyLine>>()
     for (const id of good) {
       const picture = pictures.get(id)!
       for (const [node, one] of picture.members())
         if (one.at > (byNode.get(node)?.at ?? -Infinity)) byNode.set(node, one)
-      for (const k of picture.keys().values()) {
-        const old = high.get(k.key)
-        const by = old ? compareBallots(k.ballot, old.ballot) : 1
-        if (by > 0) high.set(k.key, { ballot: k.ballot, by: new Set([id]), chosenAt: k.chosen ? id : undefined })
-        else if (by === 0 && old) {
-          old.by.add(id)
-          if (k.chosen) old.chosenAt = id
-          else if (enough.met(old.by)) old.chosenAt ??= id
-        }
-      }
+      tables.set(id, picture.keys())
     }
     members = []
     for (const one of byNode.values()) members.push(one.line)
     mergeSights()
-    for (const [key, h] of high) {
-      const k = known.get(key)
-      if (k && compareBallots(h.ballot, k.ballot) <= 0) {
-        k.until = Math.max(k.until, from + TERM)
-        continue
-      }
-      wanted.set(key, { ballot: h.ballot, from, chosenAt: h.chosenAt })
-      lag.ring()
+    registers.shown(tables, quorum(), from)
+    judgeCurrent()
+    void subscription.choose(sources(), coreSet.epoch)
+  }
+  // The cores as places to take pushes from.
+  function sources(): Source[] {
+    const areas = new Map<string, string>()
+    for (const m of members) if (m.core) areas.set(m.core.id, m.area)
+    const out: Source[] = []
+    for (const [id, { held }] of cores) {
+      const picture = pictures.get(id)!
+      out.push({ id, held, heard: picture.heard(), area: areas.get(id), lines: picture.keys() })
     }
-    // Registers that no core of a majority holds a value of were never settled; nothing to keep for them.
+    return out
   }
 
-  // The difference between wanted and known, worked off key by key.
+  function setCurrent(to: boolean): void {
+    current = to
+    numbers.set('claynotch_agent_current', [], to ? 1 : 0)
+  }
+  function judgeCurrent(): void {
+    if (current || registers.wants()) return
+    setCurrent(true)
+    duty.ring()
+    mover.ring()
+  }
   async function catchUp(): Promise<void> {
-    for (const [key, w] of [...wanted]) {
-      if (w.chosenAt !== undefined) {
-        const got = (await cores.get(w.chosenAt)?.held.ask({ t: 'get', epoch: coreSet.epoch, key }, ROUND_LIFE)) as
-          { ballot?: Ballot; value?: unknown } | undefined
-        const value = readAs(ValueShape, got?.value)
-        if (got?.ballot && value.ok && compareBallots(got.ballot, w.ballot) === 0) {
-          learned(key, value.val as Value, got.ballot)
-          continue
-        }
-      }
-      // Accepted somewhere, chosen or not: a round of our own settles it either way.
-      const from = world.now()
-      const got = await proposer.read(key, 0)
-      if (got.done && got.value) learned(key, got.value, got.ballot, from)
-      else if (got.done) wanted.delete(key)
-    }
+    await registers.catchUp()
+    judgeCurrent()
     await feed()
   }
 
@@ -583,13 +595,17 @@
       if (now > given) for (const [key, k] of known) ackAll(key, k.value.turn)
       return
     }
+    // Past changes and decisions are no matter of the proxy's.
+    function fedBody(key: string, value: Value): unknown {
+      return key === CONFIG_KEY ? inForce(value.body as Body) : value.body
+    }
     const list: FedCell[] = []
     for (const [key, k] of known) {
       // The voters are the agent's matter alone.
       if (key === CORESET_KEY) continue
       const until = Math.min(k.until, termUntil)
       const sent = proxy.sent.get(key) ?? 0
-      list.push({ key, turn: k.value.turn, until, ...(sent < k.value.turn ? { body: k.value.body } : {}) })
+      list.push({ key, turn: k.value.turn, until, ...(sent < k.value.turn ? { body: fedBody(key, k.value) } : {}) })
       proxy.sent.set(key, k.value.turn)
       given = Math.max(given, until)
     }
@@ -853,6 +869,10 @@
   function termNow(): number {
     return termUntil
   }
+  // Up to when this node may hold duties: not before it knows what was settled while it was away.
+  function dutyUntil(): number {
+    return current ? termUntil : 0
+  }
   function platformNow(): Addr | undefined {
     return platform
   }
@@ -863,7 +883,7 @@
     promotion: edges.promotion,
     platform: platformNow,
     proposer,
-    termUntil: termNow,
+    termUntil: dutyUntil,
     live,
     groups,
     cell,
@@ -894,7 +914,7 @@
     {
       node: set.node,
       proposer,
-      termUntil: termNow,
+      termUntil: dutyUntil,
       live,
       learned,
       coreSet: coreSetOf,
@@ -921,6 +941,9 @@
     }
     return out
   }
+  function readCores(): Promise<CoreStatus | undefined> {
+    return readCoreStatus(world, { coreSet: coreSetNow, core: coreNow, spares })
+  }
   function readGroups(): unknown {
     const out: unknown[] = []
     const lags = new Map(proxy?.note?.lags ?? [])
@@ -1016,7 +1039,7 @@
   const operator = makeOperatorEdge(
     world,
     proposer,
-    { members: readMembers, groups: readGroups, replace, hinders, body: config, news },
+    { members: readMembers, cores: readCores, groups: readGroups, replace, hinders, body: config, news },
     numbers,
     credentials,
   )
@@ -1028,10 +1051,12 @@
     return coreSet
   }
   // Both answer in time for a caller that goes elsewhere after a second; what is under way ends by itself.
-  async function change(stream: string, one: Change): Promise<Decision | undefined> {
-    const got = await within(world, CHANGE_ANSWER, makeDecision(proposer, stream, one, undefined, [], CHANGE_ANSWER))
-    numbers.add('claynotch_decisions_total', [['decision', got === LATE ? 'unclear' : (got?.decision ?? 'unclear')]])
-    return got === LATE ? undefined : got
+  async function change(stream: string, one: Change): Promise<Verdict> {
+    const order = { stream, change: one }
+    const got = await within(world, CHANGE_ANSWER, makeDecision(proposer, order, CHANGE_ANSWER))
+    const verdict = got === LATE ? unclear(order, 'no majority of cores settled it in time') : got
+    numbers.add('claynotch_decisions_total', [['decision', verdict.decision]])
+    return verdict
   }
   // Whoever asks while a look runs shares the next, which starts after all of them asked, so that a crowd of readers
   // makes no more than one at a time.
@@ -1071,7 +1096,7 @@
   // A ring of the bell between two beats must not be lost: the loop looks at what is wanted, not at the ring.
   void loop(world, 'catch-up', TERM_BEAT / 4, stop, catchUpIfNeeded, lag)
   async function catchUpIfNeeded(): Promise<void> {
-    if (wanted.size > 0) await catchUp()
+    if (registers.wants()) await catchUp()
   }
   void loop(world, 'feed', TERM_BEAT, stop, feed, news)
   void loop(world, 'slot', TERM_BEAT, stop, holdSlot, news)
