--- a/packages/fleet/src/control/fleet.ts
+++ b/packages/fleet/src/control/fleet.ts
@@ -75,7 +75,7 @@
   const change = readAs(Change, ask.body)
   if (change.err) return { status: 400, body: null }
   const got = await desk.change(ask.path.slice('/order/'.length), change.val)
-  return got ? { status: 200, body: got } : { status: 503, body: null }
+  return got.decision === 'unclear' ? { status: 503, body: null } : { status: 200, body: got }
 }
 function hasBox(set: CoreSet, box: Box): boolean {
   for (const c of votersOf(set)) if (c.id === box.ip) return true
