Split the simulator into clock, network, worlds, disk and driver

makeSim was one closure of 457 lines that shared fourteen variables, and every test stands on it. Virtual time with its queue, the network, the world of a process, its disk and the driver are factories of their own with typed interfaces; sim.ts keeps processes and machines and what others import.

--- /dev/null
+++ b/packages/fleet/src/simparts.ts
@@ -0,0 +1,29 @@
+import type { Duplex } from 'node:stream'
+
+// What the simulator is made of: happenings on virtual time, processes, machines, ends of streams.
+
+export type Happening = { at: number; num: number; proc: Proc | undefined; run: () => void }
+
+// state: dead ones get nothing any more; frozen ones get all they missed, in order, when they thaw.
+export type Proc = {
+  name: string
+  machine: Machine
+  state: 'up' | 'dead' | 'frozen'
+  held: Happening[]
+  ends: Set<End>
+  open: Set<string>
+  inFlight: Set<Writing>
+}
+// dark: off the network (and, when its processes are killed with it, without power).
+// full: no write to its disk succeeds. slow: how many times longer its disk takes.
+export type Machine = {
+  name: string
+  ip: string
+  skew: number
+  files: Map<string, Buffer>
+  dark: boolean
+  full: boolean
+  slow: number
+}
+export type Writing = { machine: Machine; path: string; bytes: Uint8Array; whole: boolean }
+export type End = Duplex & { peerEnd?: End; proc: Proc; shut: boolean; lastAt: number }
