--- a/packages/agent/src/coreset.ts
+++ b/packages/agent/src/coreset.ts
@@ -4,6 +4,7 @@
   JOIN_RETRY,
   JOIN_TOGETHER,
   loop,
+  MARGIN_BEAT,
   readAs,
   REFILL_BATCH,
   RENEW_WAIT,
@@ -27,6 +28,7 @@
   type State,
   type Value,
 } from '@claynotch/register'
+import { askVoters, makeMarginWatch } from './corestatus.js'
 import { planVoters } from './voterplan.js'
 
 // The duty for the core set: docs/design/coreset.md. The set follows the core machines that are there, in two changes of the
@@ -194,12 +196,23 @@
       done: got.done,
     })
   }
+  // How many more losses the set bears, for the log.
+  const watchMargin = makeMarginWatch(world, view.node)
+  let nextWatch = 0
+  async function watch(set: CoreSet): Promise<void> {
+    if (world.now() < nextWatch) return
+    nextWatch = world.now() + MARGIN_BEAT
+    watchMargin(set, await askVoters(set, view.core))
+  }
   async function look(): Promise<void> {
     if (world.now() >= view.termUntil() || holderOf(CORESET_KEY, view.live()) !== view.node) return
     const { set, since } = view.coreSet()
     if (set.cores.length === 0) return
     if (set.next) await finish(set, set.next, since)
-    else await change(set)
+    else {
+      await change(set)
+      await watch(set)
+    }
   }
   void loop(world, 'core-set-duty', CORESET_BEAT, stop, look)
 }
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -108,6 +108,8 @@
 export const JOIN_TOGETHER = 500
 // ms. Interval at which the holder of the duty looks at the voters; a look that finds nothing to do sends nothing.
 export const CORESET_BEAT = 250
+// ms. Interval at which the holder of the duty asks all voters, to say in the log when the next loss leaves no quorum.
+export const MARGIN_BEAT = 5000
 
 // --- links ---
 // ms. A dial on the local network that takes longer is a failure.
