--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -605,7 +605,7 @@
   {
     name: 'duty-before-current',
     rule: 'a node holds duties before it knows what was settled while it was away',
-    test: 'deltas.test.js',
+    test: 'deltastorms.test.js',
     seeds: [1, 1],
     edits: [['agent/dist/agent.js', 'if (current || registers.wants())', 'if (current)']],
     name: 'two-promotions',
