--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -608,6 +608,8 @@
     test: 'deltastorms.test.js',
     seeds: [1, 1],
     edits: [['agent/dist/agent.js', 'if (current || registers.wants())', 'if (current)']],
+  },
+  {
     name: 'two-promotions',
     rule: 'one promotion call of a group is on its way at a time',
     test: 'promotions.test.js',
