--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -712,7 +712,14 @@
       ...(sequence === undefined ? {} : { sequence }),
     }
     const now = world.now()
-    own.set(a.name, laterSight(own.get(a.name), next, now))
+    const mine = own.get(a.name)
+    const mineNow = laterSight(mine, next, now)
+    own.set(a.name, mineNow)
+    // That it leaves is told by whoever acknowledges it: what one core told us may be known to that core alone.
+    if (mineNow.sight.leaving && mine?.sight.leaving !== true) {
+      telling.news(a.name)
+      linked.ring()
+    }
     const got = laterSight(old, next, now)
     sights.set(a.name, { ...got, alive: now })
     if (got.sight.leaving && !old?.sight.leaving)
@@ -786,13 +793,15 @@
       const rec = cell(groupKey(g))?.body as GroupRecord | undefined
       if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
     }
+    // Without a term what is known of leaders and instances may have been passed long ago; what the proxy measured stands.
+    const current = world.now() < termUntil
     return {
       v: SUMMARY_EPOCH,
       node: set.node,
       area: set.area,
       num: ++sumNum,
-      moving,
-      leaving,
+      moving: current ? moving : [],
+      leaving: current ? leaving : [],
       tries: note?.tries ?? [],
     }
   }
