Part the simulated fleet's shape, types and watch from its making

The shape, the types that tests use and the watch over holders and configurations are modules of their own, as are the instance's settings, faults and records; what others import from the old paths is still there.

--- a/packages/fleet/src/instance.ts
+++ b/packages/fleet/src/instance.ts
@@ -1,73 +1,24 @@
 import {
+  type Addr,
+  type Ask,
   callOnce,
+  type Flag,
+  type Line,
   loop,
   makeFile,
   makeFlag,
   makeTurnstile,
   openLine,
-  serve,
-  type Addr,
-  type Ask,
-  type Flag,
-  type Line,
   type Reply,
+  serve,
   type World,
 } from '@claynotch/base'
+import type { Entry, Faults, Instance, InstanceRecord, InstanceSettings, Ran, Took } from './instancetypes.js'
 
 // A stand-in for a database instance: a table of lists, written by 'append', read by 'list'. It speaks the
 // instance's wire of docs/wire.md, replicates asynchronously, records all that it ran, and fails on request.
 
-// src: copied from another group's history, where it stood at that position in that entry's epoch.
-export type Entry = { epoch: number; ops: [string, string][]; src?: { group: string; epoch: number; position: number } }
-// One append that this instance ran as leader. at: its own clock.
-export type Ran = { tag: string; epoch: number; position: number; at: number }
-export type Took = { epoch: number; at: number; base: number }
-export type Faults = {
-  dark: boolean // takes connections and bytes, answers nothing
-  lose: string[] // paths whose next answers are lost after the request ran, one each
-  full: boolean // every write is refused for want of memory
-  deaf: boolean // a follower stops receiving and goes on claiming that it doesn't lag
-  lag: number // ms between fetches of a follower
-  left: boolean // has announced that it leaves
-  uncopied: boolean // copies nothing from its source group any more
-  sick: number // share of statements answered with ELECTION though STATUS looks well
-}
-export type InstanceSettings = {
-  name: string
-  group: string
-  area: string
-  addr: Addr
-  peers: Addr[]
-  agents: Addr[]
-  leader: boolean
-  connections: number
-  lag: number
-  data: string
-  leaves?: boolean
-  // A leader copies all that this group has, by its leader's log.
-  source?: { group: string; peers: Addr[] }
-}
-export type Instance = {
-  stop: () => Promise<void>
-  leave: () => Promise<void>
-  faults: Faults
-  record: () => InstanceRecord
-  role: () => string
-  epoch: () => number
-  position: () => number
-}
-export type InstanceRecord = {
-  name: string
-  group: string
-  log: Entry[]
-  ran: Ran[]
-  took: Took[]
-  most: number
-  limit: number
-  lateWork: number
-  leftAt: number | undefined
-  wrongSettings: number
-}
+export type { Entry, Faults, Instance, InstanceRecord, InstanceSettings, Ran, Took } from './instancetypes.js'
 
 // One connection: what a database keeps for it.
 type Session = {
--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -1,103 +1,19 @@
-import { startAgent, type Agent, type AgentEdges } from '@claynotch/agent'
-import { callOnce, makeFlag, serve, type Addr, type Ask, type Reply, type World } from '@claynotch/base'
-import type { Config, Credential } from '@claynotch/operator'
-import { startProxy, type Proxy, type ProxyEdges } from '@claynotch/proxy'
-import { startCore, type Core, type CorePlace } from '@claynotch/register'
-import { startInstance, type Instance, type InstanceRecord } from './instance.js'
-import { judge, type Breach, type Judgement, type Law } from './judge.js'
-import { runRequester, type Event, type Mix } from './requester.js'
-import { makeSim, type Machine, type Proc, type Sim } from './sim.js'
+import { type AgentEdges, startAgent } from '@claynotch/agent'
+import { type Addr, type Ask, callOnce, makeFlag, type Reply, serve, type World } from '@claynotch/base'
+import { type ProxyEdges, startProxy } from '@claynotch/proxy'
+import { type CorePlace, startCore } from '@claynotch/register'
+import { type InstanceRecord, startInstance } from './instance.js'
+import { type Breach, judge, type Judgement, type Law } from './judge.js'
+import { type Event, type Mix, runRequester } from './requester.js'
+import { makeSim } from './sim.js'
+import type { Box, CoreBox, Decided, Front, SimFleet } from './simfleettypes.js'
+import { watchFleet } from './simwatch.js'
+import { lawOf, type Shape } from './simshape.js'
 
-// A whole fleet in the simulator. copies: [source, target] groups; the target's leader copies all that the source has.
-export type Shape = {
-  fronts: number
-  areas: string[]
-  cores: number
-  groups: string[]
-  instances: number
-  connections: number
-  lag: number
-  config: Config
-  mixes: Mix[]
-  requesters: number
-  think: number
-  keys: number
-  again?: boolean
-  latency?: number
-  operators?: Credential[]
-  suspect?: number
-  apart?: boolean
-  copies?: [string, string][]
-}
-
-export type Front = {
-  machine: Machine
-  agentProc: Proc
-  proxyProc: Proc
-  agent: Agent | undefined
-  proxy: Proxy | undefined
-  node: string
-  http: Addr
-  listen: Addr
-}
-export type CoreBox = { machine: Machine; proc: Proc; core: Core | undefined; id: string; http: Addr }
-export type Box = {
-  machine: Machine
-  proc: Proc
-  instance: Instance | undefined
-  name: string
-  group: string
-  addr: Addr
-  records: InstanceRecord[]
-}
-
-export type SimFleet = {
-  sim: Sim
-  shape: Shape
-  fronts: Front[]
-  cores: CoreBox[]
-  boxes: Box[]
-  events: Event[]
-  platform: Machine
-  // Every decision told to an operator, and when.
-  decided: { stream: string; number: number; expect: number; told: Decided; at: number }[]
-  // What each lane was by accepted changes, in order.
-  laws: Law[]
-  // What watching the proxies all along has found.
-  watched: Breach[]
-  promotions: { group: string; instance: string; epoch: number; at: number }[]
-  startCoreAt: (k: number) => void
-  startAgentAt: (k: number) => void
-  startProxyAt: (k: number) => void
-  startBoxAt: (k: number) => void
-  killBox: (k: number) => void
-  addFront: () => number
-  // Lines of NDJSON to the operator's edge of one agent; the decisions come back.
-  change: (front: number, stream: string, lines: unknown[]) => { done: () => boolean; out: () => Decided[] }
-  ask: (
-    front: number,
-    path: string,
-    method?: string,
-    body?: unknown,
-  ) => { done: () => boolean; body: () => unknown; status: () => number }
-  begin: () => Promise<boolean>
-  traffic: () => void
-  // More requesters, on mixes of their own.
-  crowdIn: (mixes: Mix[], count: number, think: number) => void
-  quiet: () => Promise<void>
-  judge: () => Judgement
-  readBack: () => Promise<Breach[]>
-  leaderOf: (group: string) => Box | undefined
-  records: () => InstanceRecord[]
-}
-export type Decided = {
-  number?: number
-  decision: string
-  epoch?: number
-  why?: string
-  findings?: { place: string; what: string }[]
-}
+export type { Box, CoreBox, Decided, Front, SimFleet } from './simfleettypes.js'
+export { lawOf, smallShape, type Shape } from './simshape.js'
 
+// A whole fleet in the simulator: cores, front machines, instances, the platform and requesters.
 export function makeSimFleet(
   seed: number,
   shape: Shape,
@@ -345,45 +261,7 @@
     for (const lane of shape.config.lanes) laws.push(lawOf(lane, sim.now()))
     return await sim.until(allReady, 15000)
   }
-  // Beat by beat: no proxy goes back to an older configuration, and none that takes work is more than 3 s
-  // behind one that was acknowledged.
-  const lastEpoch = new Map<Proxy, number>()
-  // holders: by group, the fence some time ago; it rises with each new holder, and not many times a second.
-  const holders = new Map<string, { at: number; fence: number }>()
-  function monitor(): void {
-    for (const g of shape.groups) {
-      let fence = 0
-      for (const x of fronts)
-        fence = Math.max(fence, (x.agent?.cell(`group/${g}`)?.body as { fence?: number } | undefined)?.fence ?? 0)
-      const old = holders.get(g)
-      if (old && fence > old.fence + 4)
-        watched.push({
-          rule: 'duty',
-          what: `the record of ${g} changed holders ${fence - old.fence} times in a second`,
-        })
-      if (!old || sim.now() - old.at > 1000 || fence < old.fence) holders.set(g, { at: sim.now(), fence })
-    }
-    for (const f of fronts) {
-      if (!f.proxy || f.proxyProc.state !== 'up') continue
-      const epoch = f.proxy.state.rules()?.epoch ?? 0
-      const old = lastEpoch.get(f.proxy) ?? 0
-      if (epoch < old)
-        watched.push({ rule: 'slipped back', what: `${f.node} went from configuration ${old} to ${epoch}` })
-      lastEpoch.set(f.proxy, epoch)
-      if (!f.proxy.state.valid()) continue
-      for (const d of decided) {
-        if (d.told.decision === 'accepted' && (d.told.epoch ?? 0) > epoch && sim.now() - d.at > 3000) {
-          watched.push({
-            rule: 'unheeded',
-            what: `${f.node} works by configuration ${epoch} though ${d.told.epoch} was accepted ${Math.round(sim.now() - d.at)} ms ago`,
-          })
-          break
-        }
-      }
-    }
-    sim.at(100, monitor)
-  }
-  sim.at(100, monitor)
+  watchFleet(sim, shape, fronts, decided, watched)
   function note(e: Event): void {
     events.push(e)
   }
@@ -504,48 +382,3 @@
     records,
   }
 }
-
-// A lane as the judge holds it; reads from the leader may miss nothing.
-export function lawOf(lane: Config['lanes'][number], from: number): Law {
-  const near =
-    lane.reads === 'leader' ? { within: 0, own: false } : { within: lane.reads.within, own: lane.reads.own === true }
-  return { lane: lane.name, from, group: lane.group, ...near }
-}
-
-export function smallShape(groups = 1): Shape {
-  const names: string[] = []
-  for (let k = 0; k < groups; k++) names.push(`g${k + 1}`)
-  const lanes: Config['lanes'] = []
-  const mixes: Mix[] = []
-  for (const g of names) {
-    lanes.push(
-      { name: `book-${g}`, database: 'kiln', group: g, reads: 'leader' },
-      { name: 'dep-' + g, database: 'kiln', group: g, reads: { within: 2500, own: true } },
-      { name: `cal-${g}`, database: 'kiln', group: g, reads: { within: 1500 } },
-    )
-    mixes.push(
-      { kind: 'booking', lane: `book-${g}`, group: g, op: 'book', weight: 3, within: 0, own: false },
-      { kind: 'post', lane: `book-${g}`, group: g, op: 'post', weight: 2, within: 0, own: false },
-      { kind: 'ledger', lane: `book-${g}`, group: g, op: 'lookup', weight: 2, within: 0, own: false },
-      { kind: 'deposit', lane: `dep-${g}`, group: g, op: 'deposit', weight: 3, within: 2500, own: true },
-      { kind: 'calendar', lane: `cal-${g}`, group: g, op: 'lookup', weight: 3, within: 1500, own: false },
-      { kind: 'browse', lane: `cal-${g}`, group: g, op: 'browse', weight: 0.5, within: 1500, own: false },
-    )
-  }
-  const groupList: Config['groups'] = []
-  for (const g of names) groupList.push({ name: g, connections: 24 })
-  return {
-    fronts: 3,
-    areas: ['a', 'b'],
-    cores: 5,
-    groups: names,
-    instances: 3,
-    connections: 24,
-    lag: 120,
-    requesters: 9,
-    think: 150,
-    keys: 12,
-    mixes,
-    config: { proxies: 4, groups: groupList, lanes },
-  }
-}
--- /dev/null
+++ b/packages/fleet/src/simfleettypes.ts
@@ -0,0 +1,82 @@
+import type { Agent } from '@claynotch/agent'
+import type { Addr } from '@claynotch/base'
+import type { Proxy } from '@claynotch/proxy'
+import type { Core } from '@claynotch/register'
+import type { Instance, InstanceRecord } from './instance.js'
+import type { Breach, Judgement, Law } from './judge.js'
+import type { Event, Mix } from './requester.js'
+import type { Machine, Proc, Sim } from './sim.js'
+import type { Shape } from './simshape.js'
+
+// What scenarios and tests may have of a simulated fleet.
+
+export type Front = {
+  machine: Machine
+  agentProc: Proc
+  proxyProc: Proc
+  agent: Agent | undefined
+  proxy: Proxy | undefined
+  node: string
+  http: Addr
+  listen: Addr
+}
+
+export type CoreBox = { machine: Machine; proc: Proc; core: Core | undefined; id: string; http: Addr }
+
+export type Box = {
+  machine: Machine
+  proc: Proc
+  instance: Instance | undefined
+  name: string
+  group: string
+  addr: Addr
+  records: InstanceRecord[]
+}
+
+export type SimFleet = {
+  sim: Sim
+  shape: Shape
+  fronts: Front[]
+  cores: CoreBox[]
+  boxes: Box[]
+  events: Event[]
+  platform: Machine
+  // Every decision told to an operator, and when.
+  decided: { stream: string; number: number; expect: number; told: Decided; at: number }[]
+  // What each lane was by accepted changes, in order.
+  laws: Law[]
+  // What watching the proxies all along has found.
+  watched: Breach[]
+  promotions: { group: string; instance: string; epoch: number; at: number }[]
+  startCoreAt: (k: number) => void
+  startAgentAt: (k: number) => void
+  startProxyAt: (k: number) => void
+  startBoxAt: (k: number) => void
+  killBox: (k: number) => void
+  addFront: () => number
+  // Lines of NDJSON to the operator's edge of one agent; the decisions come back.
+  change: (front: number, stream: string, lines: unknown[]) => { done: () => boolean; out: () => Decided[] }
+  ask: (
+    front: number,
+    path: string,
+    method?: string,
+    body?: unknown,
+  ) => { done: () => boolean; body: () => unknown; status: () => number }
+  begin: () => Promise<boolean>
+  traffic: () => void
+  // More requesters, on mixes of their own.
+  crowdIn: (mixes: Mix[], count: number, think: number) => void
+  quiet: () => Promise<void>
+  judge: () => Judgement
+  readBack: () => Promise<Breach[]>
+  leaderOf: (group: string) => Box | undefined
+  records: () => InstanceRecord[]
+}
+
+export type Decided = {
+  number?: number
+  decision: string
+  epoch?: number
+  why?: string
+  findings?: { place: string; what: string }[]
+}
