--- a/packages/fleet/src/test/cutoff.test.ts
+++ b/packages/fleet/src/test/cutoff.test.ts
@@ -149,9 +149,9 @@
           return quorumOf({ epoch: 0, cores: PLACES })
         }
         const proposer = makeProposer(world, 'node', voters, quorum)
-        const order = { number: 1, expect, whole: { proxies: 'live', groups: [], lanes: [] } }
-        const got = await makeDecision(proposer, 'stream', order, undefined, [], 500)
-        told.push(got?.decision ?? 'unclear')
+        const change = { number: 1, expect, whole: { proxies: 'live', groups: [], lanes: [] } }
+        const got = await makeDecision(proposer, { stream: 'stream', change }, 500)
+        told.push(got.decision)
       }
   }
   function quiet(): void {}
