--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -455,10 +455,24 @@
   {
     name: 'seeds-once',
     rule: 'whoever knows only an old core set never finds the new one',
-    test: 'cores.test.js',
-    seeds: [100, 102],
+    test: 'controlguards.test.js',
+    seeds: [1, 1],
     edits: [['agent/dist/agent.js', 'void lookAgain();', '']],
   },
+  {
+    name: 'no-sweep',
+    rule: 'a value chosen under the old set is at no quorum of the new one',
+    test: 'controlguards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/coreset.js', 'if (!(await sweep(set))) return;', '']],
+  },
+  {
+    name: 'newcomer-sure',
+    rule: 'a newcomer says that it knows of all leases, though others counted some before it voted',
+    test: 'controlguards.test.js',
+    seeds: [1, 1],
+    edits: [['register/dist/terms.js', 'function doubt() { start = world.now(); }', 'function doubt() { }']],
+  },
   {
     name: 'newcomer-unrefilled',
     rule: 'a new core votes before its refill, and terms',
