--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -605,9 +605,11 @@
   {
     name: 'duty-before-current',
     rule: 'a node holds duties before it knows what was settled while it was away',
-    test: 'deltas.test.js',
+    test: 'deltastorms.test.js',
     seeds: [1, 1],
     edits: [['agent/dist/agent.js', 'if (current || registers.wants())', 'if (current)']],
+  },
+  {
     name: 'two-promotions',
     rule: 'one promotion call of a group is on its way at a time',
     test: 'promotions.test.js',
@@ -801,10 +803,9 @@
     ],
   },
   {
-    on: 'platform',
     name: 'order-unsettled',
     rule: 'a decision is told only of a round that settled',
-    test: '../../../../platform/dist/test/cutoff.test.js',
+    test: 'cutoff.test.js',
     seeds: [1, 1],
     edits: [['operator/dist/edge.js', 'return got.done ? out : unclear(order, NO_MAJORITY);', 'return out;']],
   },
