--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -162,6 +162,7 @@
     seeds: [1, 8],
     edits: [
       ['proxy/dist/state.js', 'if (old && c.turn < old.turn)\n                continue;', ''],
+      ['agent/dist/registers.js', 'if (mine && compareBallots(mine.ballot, push.ballot) >= 0)', 'if (false)'],
       ['agent/dist/registers.js', 'if (old && value.turn < old.value.turn)\n            return;', ''],
       [
         'agent/dist/registers.js',
