--- a/packages/fleet/src/simclock.ts
+++ b/packages/fleet/src/simclock.ts
@@ -51,11 +51,11 @@
 }
 
 // ms. Virtual time at the start.
-const START = 1000
+const FIRST_MOMENT = 1000
 
 export function makeClock(): Clock {
   const queue = makeQueue()
-  let now = START
+  let now = FIRST_MOMENT
   let made = 0
 
   function nowTime(): number {
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -451,7 +451,7 @@
     rule: 'a core whose disk refused writes once votes never again',
     test: 'voters.test.js',
     seeds: [1, 1],
-    edits: [['register/dist/core.js', 'await recoverDisk();', '']],
+    edits: [['register/dist/core.js', 'if (store.failed() !== undefined) await recoverDisk();', '']],
   },
   {
     name: 'seeds-once',
