--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -412,8 +412,8 @@
   {
     name: 'old-storage',
     rule: 'a removed core that joins again votes by what it held when it was removed',
-    test: 'cores.test.js',
-    seeds: [100, 102],
+    test: 'storage.test.js',
+    seeds: [1, 1],
     edits: [
       ['register/dist/core.js', 'const sameStorage = !lost && place.token === token;', 'const sameStorage = true;'],
       [
@@ -477,8 +477,8 @@
   {
     name: 'newcomer-unrefilled',
     rule: 'a new core votes before its refill, and terms',
-    test: 'cores.test.js',
-    seeds: [100, 102],
+    test: 'storage.test.js',
+    seeds: [1, 1],
     edits: [
       [
         'register/dist/core.js',
