Revert the trial of a new holder that counts a leader that nobody hears as quiet

The core is cut in two at 11 s with the primary and, since more core machines are in use and names fall out otherwise, the holder of its duty on the smaller side. The trial counted a leader without a sight as quiet from the takeover on: it is still told of at that moment, so nothing changed (takeover.test.ts: 6.2 to 6.7 s with it). Ruled out: the register, the core set and the promotion itself (0.04 s and 1.2 s). Conclusion: reverted.

--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -660,14 +660,11 @@
       const now = world.now()
       // A record that kept its leader (a claim, a wish) doesn't make us forget how long it was quiet.
       const kept = mem && mem.turn !== 0 && mem.leader === rec.leader
-      // Who takes the duty over where its holder went has asked nothing yet. That nobody tells of the leader any more says
-      // that nobody has heard it for ANNOUNCE_LIFE; one failed question of our own is then enough.
-      const isUnheard = rec.leader !== undefined && sightOf(rec.leader) === undefined
       mem = {
         turn: cell.turn,
         since: now,
         leader: rec.leader,
-        leaderOk: kept && mem ? mem.leaderOk : isUnheard ? now - ANNOUNCE_LIFE : now,
+        leaderOk: kept && mem ? mem.leaderOk : now,
         candidateOk: now,
         suspected: kept && mem ? mem.suspected : false,
       }
