--- a/tools/verdict.js
+++ b/tools/verdict.js
@@ -1,10 +1,27 @@
 // Runs every test file, several at a time, and ends with one line: N passed, N failed.
 // A file that ends badly without a failed test of its own counts as one failure.
+// Tests that stand in KNOWN-RED.txt may fail: they are printed, and counted apart. One that passes again is to be taken out.
 import { spawn } from 'node:child_process'
-import { readdirSync } from 'node:fs'
+import { existsSync, readdirSync, readFileSync } from 'node:fs'
 import { availableParallelism } from 'node:os'
 
 const LIMIT = 10 * 60 * 1000
+const KNOWN_RED = 'KNOWN-RED.txt'
+const MOST_KNOWN_RED = 3
+
+// Lines: file, test, cause and issue, parted by " | "; others are words about the file.
+function readKnownRed() {
+  const out = new Map()
+  if (!existsSync(KNOWN_RED)) return out
+  for (const line of readFileSync(KNOWN_RED, 'utf8').split('\n')) {
+    const [file, test, cause, issue] = line.split(' | ')
+    if (line.startsWith('#') || issue === undefined) continue
+    out.set(`${file} ${test}`, cause)
+  }
+  if (out.size > MOST_KNOWN_RED) throw new Error(`${KNOWN_RED} holds ${out.size} tests; ${MOST_KNOWN_RED} at the most`)
+  return out
+}
+const knownRed = readKnownRed()
 
 function findTests() {
   const out = []
@@ -45,12 +62,23 @@
       clearTimeout(timer)
       let passed = 0
       let failed = 0
+      let red = 0
       for (const line of out.split('\n')) {
-        if (/^ok \d+ - /.test(line)) passed++
-        else if (/^not ok \d+ - /.test(line)) failed++
+        const [, not, name] = /^(not )?ok \d+ - (.*?)(?: # time=.*)?$/.exec(line) ?? []
+        if (name === undefined) continue
+        const cause = knownRed.get(`${file} ${name}`)
+        if (not === undefined) {
+          passed++
+          if (cause !== undefined)
+            process.stdout.write(`NOT RED ANY MORE, take it out of ${KNOWN_RED}: ${file}: ${name}\n`)
+        } else if (cause === undefined) failed++
+        else {
+          red++
+          process.stdout.write(`KNOWN RED ${file}: ${name}: ${cause}\n`)
+        }
       }
-      if (code !== 0 && failed === 0) failed = 1
-      if (code === 0 && passed + failed === 0) failed = 1
+      if (code !== 0 && failed === 0 && red === 0) failed = 1
+      if (code === 0 && passed + failed + red === 0) failed = 1
       done({ file, passed, failed, out, err, ms: Date.now() - from })
     }
     child.stdout.on('data', takeOut)
