Keep nothing but the known-red tests in KNOWN-RED.txt

Cause: a line of words about the file was taken for a second test by whoever counts its lines. A line that isn't of four parts now ends the run, where before it was passed over.

--- a/tools/verdict.js
+++ b/tools/verdict.js
@@ -9,13 +9,14 @@
 const KNOWN_RED = 'KNOWN-RED.txt'
 const MOST_KNOWN_RED = 3
 
-// Lines: file, test, cause and issue, parted by " | "; others are words about the file.
+// A line for each test: file, test, cause and issue, parted by " | ".
 function readKnownRed() {
   const out = new Map()
   if (!existsSync(KNOWN_RED)) return out
   for (const line of readFileSync(KNOWN_RED, 'utf8').split('\n')) {
     const [file, test, cause, issue] = line.split(' | ')
-    if (line.startsWith('#') || issue === undefined) continue
+    if (line === '') continue
+    if (issue === undefined) throw new Error(`${KNOWN_RED}: not a line of four parts: ${line}`)
     out.set(`${file} ${test}`, cause)
   }
   if (out.size > MOST_KNOWN_RED) throw new Error(`${KNOWN_RED} holds ${out.size} tests; ${MOST_KNOWN_RED} at the most`)
