--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -281,6 +281,9 @@
 // ms. The same where several nodes fail against it and none succeeds: longer than a process takes to start anew or
 // connections to be dialled again after a reset, as a wrong move costs about as much again.
 export const SUSPECT_SURE = 300
+// ms. For this long after a duty was taken over from a holder that went, a leader that nobody hears any more is suspected
+// after SUSPECT_SURE: its last announcement is forgotten at most ANNOUNCE_LIFE after it was heard, and a look or two follow.
+export const TAKEOVER_DOUBT = 5000
 // ms. Beat on which a proxy looks whether calls wait so.
 export const STALL_BEAT = 100
 // ms. Calls that wait at an instance this long without one good answer count as failing: many times a statement's work.
--- a/packages/duty/src/duty.ts
+++ b/packages/duty/src/duty.ts
@@ -22,6 +22,7 @@
   PROMOTE_LOOK,
   SUSPECT_LIMIT,
   SUSPECT_SURE,
+  TAKEOVER_DOUBT,
   TERM,
   TERM_SLACK,
   type Bell,
@@ -132,6 +133,7 @@
   since: number
   leader: string | undefined
   leaderOk: number
+  tookOver: number | undefined
   candidateOk: number
   suspected: boolean
   homeSince?: number
@@ -342,7 +344,15 @@
   async function begin(): Promise<boolean> {
     const said: Sight[] = []
     for (const s of sightsHere()) if (s.role === 'leader') said.push(s)
-    mem ??= { turn: 0, since: world.now(), leader: undefined, leaderOk: 0, candidateOk: 0, suspected: false }
+    mem ??= {
+      turn: 0,
+      since: world.now(),
+      leader: undefined,
+      leaderOk: 0,
+      tookOver: undefined,
+      candidateOk: 0,
+      suspected: false,
+    }
     // Those that say they lead are asked; all only when none does, after announcements had time to come in.
     const waited = world.now() - mem.since >= view.suspect
     if (said.length === 0 && !waited) return false
@@ -399,6 +409,15 @@
     return false
   }
 
+  function isHolderGone(rec: GroupRecord): boolean {
+    return rec.holder !== view.node && !view.live().includes(rec.holder)
+  }
+  // Whether the leader seems to have gone together with the holder before us: soon after that one's lease ran out nobody has
+  // heard the leader for ANNOUNCE_LIFE, no node reports an answer of it, and our own question had none. It was silent for
+  // longer than our own clock since the takeover can tell.
+  function wentWithHolder(m: Memory, sight: Sight | undefined, good: number): boolean {
+    return m.tookOver !== undefined && world.now() - m.tookOver < TAKEOVER_DOUBT && sight === undefined && good === 0
+  }
   async function steady(turn: number, rec: GroupRecord, m: Memory): Promise<boolean> {
     const leader = { name: rec.leader as string, addr: addrOf(rec.leader as string, rec.addr as string) }
     if (await rivals(turn, rec, m)) return true
@@ -440,7 +459,7 @@
       refused || (told.bad >= Math.min(2, told.bad + told.good) && told.hears === 0 && told.bad > told.good)
     // leaderOk is as of our own beats; where several nodes fail, they know better since when.
     const quiet = strong && !refused ? told.since : world.now() - m.leaderOk
-    const need = strong ? Math.min(SUSPECT_SURE, view.suspect) : view.suspect
+    const need = strong || wentWithHolder(m, sight, told.good) ? Math.min(SUSPECT_SURE, view.suspect) : view.suspect
     if (quiet < need) {
       if (strong) world.later(Math.min(need - quiet, MOVE_BEAT * 2), bell.ring)
       return false
@@ -665,6 +684,7 @@
         since: now,
         leader: rec.leader,
         leaderOk: kept && mem ? mem.leaderOk : now,
+        tookOver: kept && mem ? mem.tookOver : isHolderGone(rec) ? now : undefined,
         candidateOk: now,
         suspected: kept && mem ? mem.suspected : false,
       }
