Tell a ballot that is being written as pending, and don't count it as accepted

Cause: a core's renewals named the ballot of a write that was not synced, and an agent took a majority of such lines for a chosen value. With power lost at these cores before their syncs the value was never chosen, yet agents had it and their proxies worked by it. Ruled out: leaving such lines out, as an older ballot would then pass for the newest and prolong what is older.

--- a/packages/agent/src/registers.ts
+++ b/packages/agent/src/registers.ts
@@ -83,7 +83,8 @@
     return out
   }
 
-  // For each key the newest ballot that any of the majority holds, who holds just that, and one who knows it as chosen.
+  // For each key the newest ballot that any of the majority has seen, who has accepted just that, and one who knows it as
+  // chosen. A write that is not synced counts as seen, so that nothing older passes for the newest, and not as accepted.
   type High = { ballot: Ballot; by: Set<string>; chosenAt: string | undefined }
   function highest(tables: Map<string, Map<string, KeyLine>>, enough: Quorum): Map<string, High> {
     const high = new Map<string, High>()
@@ -91,12 +92,13 @@
       for (const k of lines.values()) {
         const old = high.get(k.key)
         const by = old ? compareBallots(k.ballot, old.ballot) : 1
-        if (by > 0) high.set(k.key, { ballot: k.ballot, by: new Set([id]), chosenAt: k.chosen ? id : undefined })
-        else if (by === 0 && old) {
-          old.by.add(id)
-          if (k.chosen) old.chosenAt = id
-          else if (enough.met(old.by)) old.chosenAt ??= id
-        }
+        if (by < 0) continue
+        const now: High = old && by === 0 ? old : { ballot: k.ballot, by: new Set(), chosenAt: undefined }
+        high.set(k.key, now)
+        if (k.chosen) now.chosenAt = id
+        if (k.pending === true) continue
+        now.by.add(id)
+        if (enough.met(now.by)) now.chosenAt ??= id
       }
     }
     return high
--- a/packages/fleet/src/test/registers.test.ts
+++ b/packages/fleet/src/test/registers.test.ts
@@ -1,7 +1,15 @@
 import t, { type Test } from 'tap'
 import { makeRegisters, type Registers } from '@claynotch/agent/dist/registers.js'
-import type { World } from '@claynotch/base'
-import type { Ballot, Push, Settled, Value } from '@claynotch/register'
+import { nothing, type World } from '@claynotch/base'
+import {
+  quorumOf,
+  type Ballot,
+  type CorePlace,
+  type KeyLine,
+  type Push,
+  type Settled,
+  type Value,
+} from '@claynotch/register'
 import { makeSim } from '../sim.js'
 
 // What an agent knows of registers: docs/design/control-safety.md, 4.
@@ -59,4 +67,52 @@
   c.ok(await sim.until(isOver, 1000))
 }
 
+// A majority that is only writing a value has not accepted it: it is settled by a round, not taken from one of them.
+async function pendingWrites(c: Test): Promise<void> {
+  const sim = makeSim(2)
+  const enough = quorumOf({ epoch: 0, cores: ['a', 'b', 'c'].map(placeOf) })
+  let over = false
+  async function run(world: World): Promise<void> {
+    for (const [pending, wanted] of [
+      [['a', 'b'], []],
+      [['a'], []],
+      [[], ['b']],
+    ]) {
+      const asked: string[] = []
+      let rounds = 0
+      function link(id: string): undefined {
+        asked.push(id)
+      }
+      function settle(): Promise<Settled> {
+        rounds++
+        return Promise.resolve({ done: false, why: 'nobody is there' })
+      }
+      const registers = makeRegisters(world, { epoch: zero, link, settle, news: nothing, behind: nothing })
+      const tables = new Map<string, Map<string, KeyLine>>()
+      for (const id of ['a', 'b']) tables.set(id, new Map([['k', lineOf(pending.includes(id))]]))
+      registers.shown(tables, enough, world.now())
+      await registers.catchUp()
+      c.strictSame(asked, wanted, `${pending.length} of two are writing`)
+      c.equal(rounds, 1)
+    }
+    over = true
+  }
+  sim.spawn(sim.machine('m', '10.0.0.1'), 'p', run)
+  function isOver(): boolean {
+    return over
+  }
+  c.ok(await sim.until(isOver, 1000))
+}
+function placeOf(id: string): CorePlace {
+  return { id, addr: `${id}:1` }
+}
+function lineOf(isPending: boolean): KeyLine {
+  const line: KeyLine = { key: 'k', ballot: ballotAt(2), turn: 2, chosen: false }
+  return isPending ? { ...line, pending: true } : line
+}
+function zero(): number {
+  return 0
+}
+
 void t.test('versions in any order', neverBack)
+void t.test('writes that are not synced', pendingWrites)
--- a/packages/fleet/src/test/storage.test.ts
+++ b/packages/fleet/src/test/storage.test.ts
@@ -1,6 +1,6 @@
 import t, { type Test } from 'tap'
-import { hello, holdLink, makeFlag, pause, VOTERS_MOST, type Addr, type World } from '@claynotch/base'
-import type { Settled, Value } from '@claynotch/register'
+import { hello, holdLink, makeFlag, pause, readAs, VOTERS_MOST, type Addr, type World } from '@claynotch/base'
+import { RenewAnswer, type KeyLine, type Settled, type Value } from '@claynotch/register'
 import { idOf, makeClient, makeCoreFleet, type CoreFleet } from '../corefleet.js'
 
 t.setTimeout(600000)
@@ -120,5 +120,39 @@
   c.equal(fleet.boxes[victim].run?.core.store.cells().get('k')?.value?.body, 'first', 'it holds all when it votes')
 }
 
+// A core that is writing a value tells its ballot as pending, and as accepted once it is synced.
+async function pendingLine(c: Test): Promise<void> {
+  const fleet = makeCoreFleet(3, VOTERS_MOST)
+  c.ok(await founded(fleet))
+  const { epoch } = fleet.latest()
+  const SLOW = 300
+  fleet.boxes[0].machine.slow = SLOW
+  function nothing(): undefined {
+    return undefined
+  }
+  async function run(world: World): Promise<(boolean | undefined)[]> {
+    const link = holdLink(world, `${idOf(0)}:7000`, hello('test', 'probe'), nothing, makeFlag())
+    await pause(world, 500)
+    const self = { area: 'a', addr: '10.0.4.1:1', operator: '', build: '', proxy: false }
+    const counts = { core: '', count: 0, acks: [], sights: [], open: 0, highs: [], remembers: true }
+    async function isPending(): Promise<boolean | undefined> {
+      const got = await link.ask({ t: 'renew', epoch, node: 'probe', life: 'one', self, ...counts }, 500)
+      const { keys } = readAs(RenewAnswer, got).unwrap()
+      return keys?.find(isIt)?.pending
+    }
+    function isIt(line: KeyLine): boolean {
+      return line.key === 'new'
+    }
+    const value = { turn: 1, tag: 'new', body: 'new' }
+    const accepted = link.ask({ t: 'accept', epoch, key: 'new', ballot: [HIGH, 'probe'], value }, 5000)
+    await pause(world, 20)
+    const during = await isPending()
+    await accepted
+    return [during, await isPending()]
+  }
+  c.strictSame(await task(fleet, run), [true, undefined])
+}
+
+void t.test('a write that is not synced is told as such', pendingLine)
 void t.test('what a removed core held does not come back with it', oldVotes)
 void t.test('an emptied voter is refilled before it votes', emptied)
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -249,8 +249,11 @@
 
   function keyLines(): KeyLine[] {
     const out: KeyLine[] = []
-    for (const [key, c] of store.cells())
-      if (c.value) out.push({ key, ballot: c.ballot, turn: c.value.turn, chosen: isSettled(key, c) })
+    for (const [key, c] of store.cells()) {
+      if (!c.value) continue
+      const line: KeyLine = { key, ballot: c.ballot, turn: c.value.turn, chosen: isSettled(key, c) }
+      out.push(store.isWritten(key) ? line : { ...line, pending: true })
+    }
     return out
   }
   function isSettled(key: string, c: Cell): boolean {
--- a/packages/register/src/renewals.ts
+++ b/packages/register/src/renewals.ts
@@ -52,7 +52,7 @@
 }
 
 function signKey(line: KeyLine): string {
-  return `${line.ballot[0]} ${line.ballot[1]} ${line.turn} ${line.chosen}`
+  return `${line.ballot[0]} ${line.ballot[1]} ${line.turn} ${line.chosen} ${line.pending}`
 }
 function signMember(line: MemberLine): string {
   return `${line.life} ${line.area} ${line.addr} ${line.operator} ${line.build} ${line.proxy} ${line.core?.token}`
--- a/packages/register/src/words.ts
+++ b/packages/register/src/words.ts
@@ -118,7 +118,12 @@
 ])
 export type Member = t.TypeOf<typeof Member>
 
-export const KeyLine = t.type({ key: t.string, ballot: Ballot, turn: t.number, chosen: t.boolean })
+// What a core holds of one register. pending: its write is not synced yet, so that the core has seen that ballot, and has not
+// accepted it; where the field is missing it has.
+export const KeyLine = t.intersection([
+  t.type({ key: t.string, ballot: Ballot, turn: t.number, chosen: t.boolean }),
+  t.partial({ pending: t.literal(true) }),
+])
 export type KeyLine = t.TypeOf<typeof KeyLine>
 
 // sure: false while this core has run for less than a whole term, as it may have forgotten members. unknown: this core has
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -409,6 +409,27 @@
     seeds: [100, 102],
     edits: [['agent/dist/voterplan.js', 'isFull ? CORE_GONE : VOTER_SILENT', '3000']],
   },
+  {
+    name: 'pending-accepted',
+    rule: 'a value that a majority is only writing is taken for chosen',
+    test: 'registers.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/registers.js', 'if (k.pending === true)', 'if (false)']],
+  },
+  {
+    name: 'pending-untold',
+    rule: 'a core tells a ballot as accepted that is not on its disk',
+    test: 'storage.test.js',
+    seeds: [1, 1],
+    edits: [['register/dist/core.js', 'store.isWritten(key) ? line : { ...line, pending: true }', 'line']],
+  },
+  {
+    name: 'takeover-waits',
+    rule: 'a duty taken over waits for a leader that nobody hears',
+    test: 'takeover.test.js',
+    seeds: [1, 1],
+    edits: [['duty/dist/duty.js', 'strong || wentWithHolder(m, sight, told.good)', 'strong']],
+  },
   {
     name: 'old-storage',
     rule: 'a removed core that joins again votes by what it held when it was removed',
