Measure a register's value once a chain of deltas, not at each change

Cause, from a second reading: each accepted delta had the whole value encoded, to hold the chain shorter than it: work that grows with the value on the way of every change.

--- a/packages/register/src/pushes.ts
+++ b/packages/register/src/pushes.ts
@@ -21,8 +21,9 @@
 }
 
 export function makeChains(): Chains {
-  // bytes: of all steps of one register together; they are kept while that is less than its value, so that a path always is.
-  const chains = new Map<string, { steps: Step[]; bytes: number }>()
+  // bytes: of all steps of one register together; they are kept while that is less than its value had when the chain began
+  // (whole), so that a path is shorter than the value. A value isn't measured at each change: that costs its whole length.
+  const chains = new Map<string, { steps: Step[]; bytes: number; whole: number }>()
 
   function taken(key: string, before: Cell, after: Cell, told: Delta | undefined): void {
     // The same value at a later ballot, or another: either way what was accepted before is what this one follows here.
@@ -31,13 +32,14 @@
       chains.delete(key)
       return
     }
-    const chain = chains.get(key) ?? { steps: [], bytes: 0 }
+    const chain = chains.get(key) ?? { steps: [], bytes: 0, whole: bytesOf(after.value) }
     const bytes = bytesOf(delta)
     chain.steps.push({ base: before.ballot, ballot: after.ballot, delta, bytes })
     chain.bytes += bytes
-    const whole = bytesOf(after.value)
-    while (chain.steps.length > DELTAS_KEPT || chain.bytes >= whole) chain.bytes -= chain.steps.shift()!.bytes
-    chains.set(key, chain)
+    while (chain.steps.length > DELTAS_KEPT || chain.bytes >= chain.whole) chain.bytes -= chain.steps.shift()!.bytes
+    // The next one begins with its own measure.
+    if (chain.steps.length === 0) chains.delete(key)
+    else chains.set(key, chain)
   }
   function path(key: string, from: Ballot, to: Ballot): Delta[] | undefined {
     const out: Delta[] = []
