--- a/packages/agent/src/control-service.ts
+++ b/packages/agent/src/control-service.ts
@@ -6,7 +6,7 @@
 import type { ControlService } from './adapter.js'
 import { makeConfigurationService } from './configuration-service.js'
 import type { InstanceReports } from './instance-reports.js'
-import type { InstanceTable } from './instance-table.js'
+import type { Heard, InstanceTable } from './instance-table.js'
 import type { LeaseRenewal } from './lease-renewal.js'
 import type { ProxyLink } from './proxy-link.js'
 
@@ -33,13 +33,17 @@
   function heardInstance(announcement: Announcement): boolean {
     metrics.add('claynotch_announcements_total')
     const heard = instances.hear(announcement)
+    if (heard.isDraining)
+      world.log.info('instance-draining', { instance: announcement.name, group: announcement.group })
+    return pass(announcement.name, heard)
+  }
+  /** Passes on what an instance said; false where it was dropped. */
+  function pass(name: string, heard: Heard): boolean {
     if (!heard.isKept) metrics.add('claynotch_announcements_dropped_total')
     if (heard.isUnreported) {
-      reports.changed(announcement.name)
+      reports.changed(name)
       parts.renewNow.notify()
     }
-    if (heard.isDraining)
-      world.log.info('instance-draining', { instance: announcement.name, group: announcement.group })
     // The proxy is told at once of what changed, and of all else with the next renewal.
     if (heard.isChanged) {
       parts.failover.ring()
@@ -48,9 +52,9 @@
     return heard.isKept
   }
   function instanceLeft(name: string): boolean {
-    const last = instances.lastOf(name)
-    if (last) heardInstance(last)
-    return last !== undefined
+    const heard = instances.signOff(name)
+    world.log.info('instance-signed-off', { instance: name })
+    return pass(name, heard)
   }
   function notReady(): string | undefined {
     if (parts.stop.fired()) return 'draining'
--- a/packages/agent/src/instance-table.ts
+++ b/packages/agent/src/instance-table.ts
@@ -1,9 +1,6 @@
 import { ANNOUNCEMENT_LIFETIME_MS, LEAVING_LIFETIME_MS, MAX_KNOWN_INSTANCES, type World } from '@claynotch/base'
 import type { Announcement } from '@claynotch/instance'
-import { laterStatus, type CoreView, type InstanceStatus } from '@claynotch/register'
-
-/** Above every count of announcements, and a whole number that links carry. */
-const LAST_SEQUENCE = 2 ** 52
+import { hasSignedOff, laterStatus, SIGNED_OFF_SEQUENCE, type CoreView, type InstanceStatus } from '@claynotch/register'
 
 /** at: local time (ms) of the announcement behind the status. */
 export type HeardStatus = { status: InstanceStatus; at: number }
@@ -37,8 +34,11 @@
   /** Statuses that were announced at this node. */
   own: () => Iterable<HeardStatus>
   hear: (announcement: Announcement) => Heard
-  /** The last announcement of an instance that tells nothing but its name; undefined: it isn't known here. */
-  lastOf: (name: string) => Announcement | undefined
+  /**
+   * An instance ends and tells nothing but its name. One that isn't known here is remembered all the same, without a group:
+   * an announcement of it may be on its way, and brings it back no more.
+   */
+  signOff: (name: string) => Heard
   /** Takes what cores told; whether a role or a leaving changed by it. */
   merge: (views: Iterable<CoreView>) => boolean
 }
@@ -47,7 +47,7 @@
   const { name, group, addr, area, role } = announcement
   const isGone = announcement.gone === true
   // Whatever it said before it went comes before that.
-  const sequence = isGone ? LAST_SEQUENCE : announcement.sequence
+  const sequence = isGone ? SIGNED_OFF_SEQUENCE : announcement.sequence
   return {
     name,
     group,
@@ -62,6 +62,7 @@
 }
 
 function isChanged(next: InstanceStatus, old: InstanceStatus | undefined): boolean {
+  if (hasSignedOff(next) !== hasSignedOff(old)) return true
   return next.leaving !== old?.leaving || next.role !== old.role || next.addr !== old.addr || next.group !== old.group
 }
 
@@ -99,18 +100,20 @@
     return laterStatus(old, next, at)
   }
   function hear(announcement: Announcement): Heard {
-    const { name } = announcement
+    return record(statusOf(announcement))
+  }
+  function record(next: InstanceStatus): Heard {
+    const { name } = next
     const before = known.get(name)
     if (!before && known.size >= MAX_KNOWN_INSTANCES) return DROPPED
     const now = world.now()
-    const next = statusOf(announcement)
     const ownBefore = own.get(name)
     const ownNext = later(ownBefore, next, now)
     own.set(name, ownNext)
     const merged = later(before, next, now)
     known.set(name, { ...merged, aliveAt: now })
     // That it leaves is told by whoever acknowledges it: what one core told us may be known to that core alone.
-    const isOwnLeaving = ownNext.status.leaving && ownBefore?.status.leaving !== true
+    const isOwnLeaving = ownNext.status.leaving && isChanged(ownNext.status, ownBefore?.status)
     const changed = isChanged(merged.status, before?.status)
     return {
       isKept: true,
@@ -119,11 +122,9 @@
       isDraining: merged.status.leaving && before?.status.leaving !== true,
     }
   }
-  function lastOf(name: string): Announcement | undefined {
-    const status = known.get(name)?.status
-    if (!status) return undefined
-    const { group, addr, area } = status
-    return { name, group, addr, area, role: status.role === 'leader' ? 'leader' : 'follower', gone: true }
+  function signOff(name: string): Heard {
+    const last = known.get(name)?.status ?? { name, group: '', addr: '', area: '', role: 'follower' }
+    return record({ ...last, leaving: true, gone: 0, age: 0, sequence: SIGNED_OFF_SEQUENCE })
   }
   function mergeView(view: CoreView): void {
     for (const [name, { status, at }] of view.instances()) {
@@ -143,5 +144,5 @@
     }
     return false
   }
-  return { list, get, leaving, own: ownNow, hear, lastOf, merge }
+  return { list, get, leaving, own: ownNow, hear, signOff, merge }
 }
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -71,7 +71,7 @@
   open: () => number
   // Open transactions of a group, or of all. Reading ones count too: they get their time like any other.
   transactions: (group?: string, lane?: string, kind?: 'read' | 'write') => number
-  // Ends the open transactions that no call is busy with.
+  // Ends the open transactions: those that no call is busy with at once, the others with their call. For good.
   cut: (why: string) => void
 }
 
@@ -94,6 +94,8 @@
   const prefix = Math.floor(world.random() * 2 ** 40).toString(36)
   let next = 0
   let counted = 0
+  // Set once the node stops: a call that was busy then must not leave a transaction behind that goes on.
+  let whyCut: string | undefined
 
   function laneOf(name: string | undefined, database: string): { rules: Rules; lane: LaneRules } | undefined {
     const rules = state.rules()
@@ -263,6 +265,7 @@
   }
   // Why nothing more may go out on this transaction, if so.
   function lapsed(tx: Transaction): string | undefined {
+    if (whyCut !== undefined) return whyCut
     // An instance that leaves gets no new work, and a statement is work.
     if (state.goneFor(tx.loan.instance) > LEAVING_GRACE_MS) return `the instance ${tx.loan.instance} leaves`
     // A move's fence went by meanwhile: nothing of this transaction may count any more.
@@ -569,6 +572,7 @@
     return out
   }
   function cut(why: string): void {
+    whyCut = why
     for (const s of all.values()) {
       if (!s.transaction || s.busy) continue
       world.log.info('transaction-cut', { group: s.transaction.group, why })
--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -7,6 +7,8 @@
 export * from './proposer.js'
 export * from './leases.js'
 export {
+  hasSignedOff,
+  SIGNED_OFF_SEQUENCE,
   RegisterValueCodec as ValueShape,
   CoreMessage,
   RegisterPush,
--- a/packages/register/src/messages.ts
+++ b/packages/register/src/messages.ts
@@ -157,15 +157,25 @@
 export const MembersAnswer = t.type({ ok: t.boolean, members: t.array(Member), sure: t.boolean })
 export type MembersAnswer = t.TypeOf<typeof MembersAnswer>
 
+/** The count of an instance that signed off: above every count of announcements, and a whole number that links carry. */
+export const SIGNED_OFF_SEQUENCE = 2 ** 52
+
+export function hasSignedOff(status: InstanceStatus | undefined): boolean {
+  return status?.sequence === SIGNED_OFF_SEQUENCE
+}
+
 // Whether the instance spoke b after a, whatever came first to us. By its own count, where both are of one life (one
 // address) and near enough in time that either may have been held up on its way; else by the time they were heard.
+// A sign-off is final: an instance may serve on for long after it and announce itself meanwhile, and its name doesn't come back.
 function isLater(b: InstanceStatus, bAt: number, a: InstanceStatus, aAt: number): boolean {
+  if (hasSignedOff(a) !== hasSignedOff(b)) return hasSignedOff(b)
   if (a.sequence === undefined || b.sequence === undefined || a.sequence === b.sequence) return bAt > aAt
   return a.addr === b.addr && Math.abs(bAt - aAt) < MAX_ANNOUNCEMENT_DELAY_MS ? b.sequence > a.sequence : bAt > aAt
 }
 /** What an instance says, as text; neither the status's age nor how far the instance has counted. */
 export function signStatus(status: InstanceStatus): string {
-  return `${status.group} ${status.addr} ${status.area} ${status.role} ${status.leaving}`
+  const leaving = hasSignedOff(status) ? 'signed off' : String(status.leaving)
+  return `${status.group} ${status.addr} ${status.area} ${status.role} ${leaving}`
 }
 // Of two sights of one instance the later, with the earliest notice of either.
 export function laterStatus(
