Renew at a quorum in turn, let few tell what goes well, and no more sends where nobody retries

Ruled out: telling members by two near cores (their lines would be told twice); rotation on core machines, which need each voter's heartbeat. Mend: a node without duties asks the voters tied to it in each round, the others in two halves in turn, and the rest after 150 ms without a quorum; observations of good answers are told by 24 nodes drawn for each holder, failures by all; firsts and retries only where retries may reach their cap.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -157,9 +157,13 @@
   })
   const lease = makeLeaseRenewal(world, { name: node, life }, links, renewalMessages, metrics, {
     beforeRound: membership.chooseSources,
+    isPinned,
     resumed: notCurrent,
     answered: mergeAnswers,
   })
+  function isPinned(core: string): boolean {
+    return membership.tellsMembers(core) || subscription.at() === core
+  }
   function describe(): MemberDescription {
     return {
       area,
@@ -246,6 +250,7 @@
     groups,
     recordOf,
     dutyNodes: membership.dutyNodes,
+    proxyCount: membership.proxyCount,
     hasLease: lease.isValid,
     instances,
     report: proxyReport,
--- a/packages/agent/src/lease-renewal.ts
+++ b/packages/agent/src/lease-renewal.ts
@@ -1,20 +1,31 @@
-import { LEASE_DURATION_MS, LEASE_RENEWAL_TIMEOUT_MS, readAs, type Metrics, type World } from '@claynotch/base'
+import {
+  LEASE_DURATION_MS,
+  LEASE_RENEWAL_HEDGE_MS,
+  LEASE_RENEWAL_TIMEOUT_MS,
+  readAs,
+  type Metrics,
+  type World,
+} from '@claynotch/base'
 import {
   gatherQuorum,
   LeaseRenewalAnswer,
   quorumOf,
   votersOf,
   type CoreSet,
+  type Quorum,
   type VoterAnswer,
 } from '@claynotch/register'
 import type { CoreLink, CoreLinks } from './core-links.js'
 import type { RenewalMessages } from './renewal-messages.js'
+import { makeVoterRotation, type VoterCandidate } from './voter-rotation.js'
 
 type Answered = LeaseRenewalAnswer | undefined
 
 export type LeaseRenewalEvents = {
   /** Before a round asks the cores. */
   beforeRound: () => void
+  /** Whether a core is to be asked in every round. */
+  isPinned: (core: string) => boolean
   /** No answer came for a whole lease before this round: what is known here may be old. */
   resumed: () => void
   /** A quorum of the set that is still the present one answered since the round began (local time, ms). */
@@ -39,6 +50,11 @@
 function isOk(answer: Answered): boolean {
   return answer?.ok === true
 }
+function goodOf(answers: VoterAnswer<Answered>[]): Set<string> {
+  const good = new Set<string>()
+  for (const { id, val } of answers) if (isOk(val)) good.add(id)
+  return good
+}
 function isReplaced(answer: VoterAnswer<Answered>): boolean {
   return answer.val?.replaced === true
 }
@@ -54,6 +70,7 @@
   let expiresAt = 0
   let renewedAt = -Infinity
   let wasHeld = false
+  const rotation = makeVoterRotation(world, node.name)
 
   async function askOnce(core: string, { link, view }: CoreLink, epoch: number): Promise<Answered> {
     const renewal = messages.next(core, view, epoch)
@@ -96,17 +113,43 @@
     renewedAt = beganAt
     wasHeld = true
   }
+  /** Cores that are asked at first; all of them where no lease is held, as one may be long in coming. */
+  function chooseVoters(quorum: Quorum): Set<string> {
+    if (!isValid()) return new Set(links.all().keys())
+    const candidates: VoterCandidate[] = []
+    for (const [id, { link }] of links.all())
+      candidates.push({
+        id,
+        isUp: link.up(),
+        heard: links.heardAt(id) ?? -Infinity,
+        isPinned: events.isPinned(id),
+      })
+    return rotation.choose(candidates, quorum)
+  }
+  async function askVoters(under: CoreSet): Promise<VoterAnswer<Answered>[]> {
+    const quorum = quorumOf(under)
+    const first = chooseVoters(quorum)
+    const asks: { id: string; got: Promise<Answered> }[] = []
+    const others: [string, CoreLink][] = []
+    for (const [core, held] of links.all()) {
+      if (first.has(core)) asks.push({ id: core, got: ask(core, held, under) })
+      else others.push([core, held])
+    }
+    if (others.length === 0) return await gatherQuorum(world, asks, quorum, isOk, LEASE_RENEWAL_TIMEOUT_MS)
+    const answers = await gatherQuorum(world, asks, quorum, isOk, LEASE_RENEWAL_HEDGE_MS)
+    if (quorum.met(goodOf(answers))) return answers
+    metrics.add('claynotch_renewals_hedged_total')
+    for (const [core, held] of others) asks.push({ id: core, got: ask(core, held, under) })
+    return await gatherQuorum(world, asks, quorum, isOk, LEASE_RENEWAL_TIMEOUT_MS - LEASE_RENEWAL_HEDGE_MS)
+  }
   async function round(): Promise<boolean> {
     const beganAt = world.now()
     // All of it is under this set, whichever is known at its end.
     const under = links.coreSet()
     const quorum = quorumOf(under)
     events.beforeRound()
-    const asks: { id: string; got: Promise<Answered> }[] = []
-    for (const [core, held] of links.all()) asks.push({ id: core, got: ask(core, held, under) })
-    const answers = await gatherQuorum(world, asks, quorum, isOk, LEASE_RENEWAL_TIMEOUT_MS)
-    const good = new Set<string>()
-    for (const { id, val } of answers) if (isOk(val)) good.add(id)
+    const answers = await askVoters(under)
+    const good = goodOf(answers)
     const replaced = answers.some(isReplaced)
     if (replaced) world.log.error('node-replaced', { ...nodeFields(), why: 'another agent runs under this name' })
     if (!quorum.met(good)) {
--- a/packages/agent/src/summary-source.ts
+++ b/packages/agent/src/summary-source.ts
@@ -1,8 +1,9 @@
-import { MAX_KNOWN_INSTANCES, SUMMARY_VERSION, type World } from '@claynotch/base'
+import { MAX_KNOWN_INSTANCES, RETRIES_WORTH_TELLING, SUMMARY_VERSION, WITNESS_COUNT, type World } from '@claynotch/base'
 import { holderOf, type InstanceObservations } from '@claynotch/failover'
 import type { Saying, Summary } from '@claynotch/peer'
 import { groupKey, type GroupRecord, type ProxyReport } from '@claynotch/register'
 import type { InstanceTable } from './instance-table.js'
+import { spread } from './spread.js'
 
 // What this node tells others in its summaries, and what theirs tell it of instances.
 
@@ -15,6 +16,7 @@
   groups: () => string[]
   recordOf: (group: string) => GroupRecord | undefined
   dutyNodes: () => string[]
+  proxyCount: () => number
   hasLease: () => boolean
   instances: InstanceTable
   report: () => ProxyReport | undefined
@@ -71,9 +73,30 @@
       num: ++number,
       moving: hasLease ? moving() : [],
       leaving: hasLease ? view.instances.leaving() : [],
-      tries: view.report()?.tries ?? [],
+      tries: triesWorthTelling(),
     }
   }
+  /**
+   * Firsts and retries of the groups in which this node retries, or in which so many are retried over all nodes that the cap on
+   * them may bind. Where nobody retries, how much is sent is of no use to anyone.
+   */
+  function triesWorthTelling(): Summary['tries'] {
+    const mine = view.report()?.tries ?? []
+    const retriesOf = new Map<string, number>()
+    for (const { tries } of view.summaries())
+      for (const [group, , retries] of tries) retriesOf.set(group, (retriesOf.get(group) ?? 0) + retries)
+    function isWorthTelling([group, , retries]: [string, number, number]): boolean {
+      return retries > 0 || (retriesOf.get(group) ?? 0) > RETRIES_WORTH_TELLING
+    }
+    return mine.filter(isWorthTelling)
+  }
+  /**
+   * Whether this node tells a holder what went well, too. So many nodes do, drawn by their names, that a holder hears of a
+   * leader's good answers as often in a fleet of any size; what fails is told by all.
+   */
+  function isWitness(holder: string): boolean {
+    return spread(view.node, holder) / 2 ** 32 < WITNESS_COUNT / view.proxyCount()
+  }
   /** What others need to know: of those that the records name. */
   function ofLeaders(ages: Ages): Ages {
     const names = new Set<string | undefined>()
@@ -100,10 +123,10 @@
       return out
     }
     const report = view.report()
-    return {
-      seen: ofTheirs(aged(ofLeaders(report?.seen ?? []), age)),
-      bad: ofTheirs(aged(report?.bad ?? [], age)),
-    }
+    const bad = ofTheirs(aged(report?.bad ?? [], age))
+    // Who complains tells what it saw go well, too: both sides of one node's word belong together.
+    const seen = bad.length > 0 || isWitness(node) ? ofTheirs(aged(ofLeaders(report?.seen ?? []), age)) : []
+    return { seen, bad }
   }
   function observations(): InstanceObservations[] {
     const out: InstanceObservations[] = []
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -10,6 +10,11 @@
 export const LEASE_CLOCK_SLACK_MS = 100
 // ms. A renewal round is abandoned then; the next beat tries anew.
 export const LEASE_RENEWAL_TIMEOUT_MS = 500
+// ms. A renewal that the voters asked first have not answered as a quorum by then asks all others too: many times the way
+// between two zones and back, and it leaves most of the round's time.
+export const LEASE_RENEWAL_HEDGE_MS = 150
+// ms. A voter heard within this is expected to answer: each is asked at least every second round, and one answer may be lost.
+export const VOTER_RECENCY_MS = 1900
 
 // --- register ---
 // ms. A proposer's prepare must end within this of its first byte, else the round is void.
@@ -150,6 +155,12 @@
 export const SUMMARY_INTERVAL_MS = 500
 // ms. Longest pause between two summaries of a node that has something to say, though nothing of it changed.
 export const SUMMARY_MAX_INTERVAL_MS = 2000
+// count. Fronts that tell the holder of a duty, without being asked, that leaders answer them; the others tell it what fails
+// alone. At two operations in five seconds for each, some ten of them have a good answer of the last GOOD_OBSERVATION_MS.
+export const WITNESS_COUNT = 24
+// count. Retries of a group known of all nodes, past which nodes without any tell how much they send: half of those at which
+// the cap on retries over all nodes begins to bind (RETRY_TOKENS).
+export const RETRIES_WORTH_TELLING = 10
 // ms. What each proxy's node adds to the pause between summaries that tell all others nothing new: every node then hears at
 // most 20 of them a second. Up to ten such nodes the pause stays what it was.
 export const SUMMARY_SPACING_MS = 50
