Offer a handover first, and hand over only what the other core lacks

Mend: ballots are offered first (link version 4); an older core is handed everything as before. A core that holds an offered register learns that it is settled, as it did by taking it.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -131,10 +131,13 @@
 export const LINK_SILENCE_MS = 3000
 // number. Version of the internal links; see docs/wire.md for the rule on mixed versions.
 // 2: renewals tell what changed; no program of epoch 1 can read them. 3: values as deltas, pushes to subscribers alone.
-export const LINK_VERSION = 3
+// 4: a core offers what it could hand over, and hands over what the other lacks.
+export const LINK_VERSION = 4
 export const MIN_LINK_VERSION = 2
 // number. The least epoch of a link on which values may be told as deltas.
 export const DELTA_LINK_VERSION = 3
+// number. The least version of a link on which a handover is offered first.
+export const OFFER_LINK_VERSION = 4
 
 // --- agent and proxy ---
 // ms. Beat on which a proxy tells its agent what it sees.
--- a/packages/register/src/core-messages.ts
+++ b/packages/register/src/core-messages.ts
@@ -44,6 +44,7 @@
   switch (message.t) {
     case 'learn':
     case 'handover':
+    case 'offer':
     case 'leave':
     case 'ack':
       return undefined
@@ -118,6 +119,8 @@
         return { ok: true }
       case 'handover':
         return { ok: true, took: await view.handover.take(message.cells as HandedEntry[]) }
+      case 'offer':
+        return { ok: true, lacks: view.handover.lackingOf(message.cells) }
       case 'get':
         return await get(message.key, message.have)
       case 'subscribe':
--- a/packages/register/src/handover.ts
+++ b/packages/register/src/handover.ts
@@ -1,11 +1,25 @@
-import { MAX_MISSED_REGISTERS, ROUND_TIMEOUT_MS, type PersistentLink, type Metrics, type World } from '@claynotch/base'
+import {
+  MAX_MISSED_REGISTERS,
+  OFFER_LINK_VERSION,
+  readAs,
+  ROUND_TIMEOUT_MS,
+  type PersistentLink,
+  type Metrics,
+  type World,
+} from '@claynotch/base'
 import { compareBallots, type Ballot } from './ballot.js'
+import { HandoverOfferAnswer } from './messages.js'
 import type { RegisterEntry, Store, RegisterValue } from './register-store.js'
 
 // Repair of what a core that was away should have had: it is kept for it, and handed over at its return.
 // docs/design/repair.md.
 
 export type HandedEntry = { key: string; ballot: Ballot; value: RegisterValue }
+/** A register whose settled value a core holds at this ballot. */
+export type OfferedEntry = { key: string; ballot: Ballot }
+
+/** What a handover needs of the link to another voter. */
+export type HandoverLink = Pick<PersistentLink, 'ask' | 'up' | 'peer'>
 
 type HandoverAnswer = { ok?: boolean; took?: number } | undefined
 
@@ -16,7 +30,9 @@
   /** A register was settled while this voter couldn't be reached. */
   missedBy: (id: string, key: string) => void
   /** Hands over what it missed to each voter that is reached again. */
-  handOver: (others: { id: string; held: Pick<PersistentLink, 'ask' | 'up'> }[]) => Promise<void>
+  handOver: (others: { id: string; held: HandoverLink }[]) => Promise<void>
+  /** The registers of an offer that this core lacks; of the others it now knows that they are settled. */
+  lackingOf: (offered: OfferedEntry[]) => string[]
   /** Takes settled values as late accepts would be taken, never under a higher promise; how many were taken. */
   take: (cells: HandedEntry[]) => Promise<number>
 }
@@ -54,11 +70,25 @@
     }
     return out
   }
-  async function handOver(others: { id: string; held: Pick<PersistentLink, 'ask' | 'up'> }[]): Promise<void> {
+  /** Of these registers those that the other lacks, as it says; all of them where it can't be asked. */
+  async function lackedBy(held: HandoverLink, cells: HandedEntry[]): Promise<HandedEntry[] | undefined> {
+    if (cells.length === 0 || (held.peer()?.epoch ?? 0) < OFFER_LINK_VERSION) return cells
+    const offered: OfferedEntry[] = []
+    for (const { key, ballot } of cells) offered.push({ key, ballot })
+    const answer = readAs(HandoverOfferAnswer, await held.ask({ t: 'offer', cells: offered }, ROUND_TIMEOUT_MS))
+    if (answer.err) return undefined
+    const lacked = new Set(answer.val.lacks)
+    function isLacked(cell: HandedEntry): boolean {
+      return lacked.has(cell.key)
+    }
+    return cells.filter(isLacked)
+  }
+  async function handOver(others: { id: string; held: HandoverLink }[]): Promise<void> {
     for (const other of others) {
       const list = missed.get(other.id)
       if (!list || !other.held.up()) continue
-      const cells = settledOf(list)
+      const cells = await lackedBy(other.held, settledOf(list))
+      if (!cells) continue
       const got = (await other.held.ask({ t: 'handover', cells }, ROUND_TIMEOUT_MS)) as HandoverAnswer
       if (!got?.ok) continue
       // What was settled while we handed over is in the list still.
@@ -67,6 +97,15 @@
       metrics.add('claynotch_core_handovers_total')
     }
   }
+  function lackingOf(offered: OfferedEntry[]): string[] {
+    const lacks: string[] = []
+    for (const { key, ballot } of offered) {
+      const mine = store.entries().get(key)
+      if (mine && compareBallots(mine.ballot, ballot) >= 0) learn(key, ballot)
+      else lacks.push(key)
+    }
+    return lacks
+  }
   async function take(cells: HandedEntry[]): Promise<number> {
     let took = 0
     for (const { key, ballot, value } of cells) {
@@ -81,5 +120,5 @@
     if (took > 0) metrics.add('claynotch_core_taken_over_total', [], took)
     return took
   }
-  return { added, removed, missedBy, handOver, take }
+  return { added, removed, missedBy, handOver, lackingOf, take }
 }
--- a/packages/register/src/messages.ts
+++ b/packages/register/src/messages.ts
@@ -67,6 +67,12 @@
 ])
 export type Subscribe = t.TypeOf<typeof Subscribe>
 
+/** What a core could hand over: registers with the ballots of their settled values. */
+const HandoverOffer = t.type({ t: t.literal('offer'), cells: t.array(t.type({ key: t.string, ballot: Ballot })) })
+
+/** The registers of an offer that the core asked lacks, or has at a lower ballot. */
+export const HandoverOfferAnswer = t.type({ ok: t.literal(true), lacks: t.array(t.string) })
+
 export const CoreMessage = t.union([
   t.intersection([t.type({ t: t.literal('prepare'), key: t.string, ballot: Ballot }), Have, At]),
   // The value, or what changed since the one accepted at base.
@@ -79,6 +85,7 @@
     t: t.literal('handover'),
     cells: t.array(t.type({ key: t.string, ballot: Ballot, value: RegisterValueCodec })),
   }),
+  HandoverOffer,
   t.type({ t: t.literal('state') }),
   t.intersection([t.type({ t: t.literal('keys') }), At]),
   t.intersection([t.type({ t: t.literal('members') }), At]),
