--- a/packages/fleet/src/test/handover-offer.test.ts
+++ b/packages/fleet/src/test/handover-offer.test.ts
@@ -1,5 +1,5 @@
 import t, { type Test } from 'tap'
-import { makeMetrics, type World } from '@claynotch/base'
+import { makeMetrics, type Hello, type World } from '@claynotch/base'
 import { compareBallots, type Ballot, type RegisterEntry } from '@claynotch/register'
 import { makeHandover, type Handover, type HandoverLink } from '@claynotch/register/dist/handover.js'
 import { makeSim } from '../sim.js'
@@ -18,13 +18,14 @@
   const learnt: string[] = []
   for (const [key, number] of held)
     entries.set(key, { ballot: ballotOf(number), value: { turn: number, body: `${key}${number}` } } as RegisterEntry)
-  const store = {
-    entries: () => entries,
-    accept: (key: string, ballot: Ballot, value: unknown) => {
-      entries.set(key, { ballot, value } as RegisterEntry)
-      return Promise.resolve({ ok: true })
-    },
+  function all(): Map<string, RegisterEntry> {
+    return entries
   }
+  function accept(key: string, ballot: Ballot, value: unknown): Promise<{ ok: true }> {
+    entries.set(key, { ballot, value } as RegisterEntry)
+    return Promise.resolve({ ok: true })
+  }
+  const store = { entries: all, accept }
   function learn(key: string): void {
     learnt.push(key)
   }
@@ -42,7 +43,13 @@
     if (one.t === 'offer') return { ok: true, lacks: core.handover.lackingOf(one.cells) }
     return { ok: true, took: await core.handover.take(one.cells as never) }
   }
-  return { ask, up: () => true, peer: () => ({ t: 'hello', kind: 'core', node: 'c2', epoch: version, least: 2 }) }
+  function up(): boolean {
+    return true
+  }
+  function peer(): Hello {
+    return { t: 'hello', kind: 'core', node: 'c2', epoch: version, least: 2 }
+  }
+  return { ask, up, peer }
 }
 function keysOf(asked: Asked): string[] {
   return asked.cells.map(keyOf)
