--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -20,7 +20,7 @@
 } from '@claynotch/base'
 import { startFailover, startRouteMoves } from '@claynotch/failover'
 import { makeOperatorEdge, type Credential, type Edit } from '@claynotch/operator'
-import { startPeers, type Peers, type Summary } from '@claynotch/peer'
+import { startPeers, type Summary } from '@claynotch/peer'
 import {
   CoreSet,
   CORESET_KEY,
@@ -260,13 +260,11 @@
   function proxyReport(): ProxyReport | undefined {
     return proxy.report()
   }
-  // The first summary goes out while its sender is being started.
-  let peers: Peers | undefined
   function summariesNow(): Summary[] {
-    return peers?.hints() ?? []
+    return peers.hints()
   }
   function instanceFailing(): void {
-    peers?.ring()
+    peers.ring()
     failover.ring()
   }
   function summaryHeard(summary: Summary): void {
@@ -325,8 +323,7 @@
     mostVoters: settings.mostVoters ?? MAX_VOTERS,
   }
   if (mayHoldDuties) startCoreSetDuty(world, coreSetView, stop)
-  const started = await startPeers(world, settings.peer, stop, membership.peers, summarySource, metrics, summaryHeard)
-  peers = started
+  const peers = await startPeers(world, settings.peer, stop, membership.peers, summarySource, metrics, summaryHeard)
 
   // --- instances, operators and the platform ---
 
@@ -401,7 +398,7 @@
     await pause(world, 20)
     stop.fire()
     proxy.close()
-    await Promise.all([http?.close(), listener?.close(), started.close()])
+    await Promise.all([http?.close(), listener?.close(), peers.close()])
   }
   function apply(next: AgentReload): void {
     ;({ seeds, platform, operators } = next)
--- a/packages/agent/src/summary-source.ts
+++ b/packages/agent/src/summary-source.ts
@@ -62,7 +62,7 @@
     }
     return out
   }
-  function all(): Omit<Summary, 'seen' | 'bad'> {
+  function all(heard: Summary[]): Omit<Summary, 'seen' | 'bad'> {
     noteDuties()
     // Without a lease what is known of leaders and instances may have been passed long ago; what the proxy measured stands.
     const hasLease = view.hasLease()
@@ -73,17 +73,17 @@
       num: ++number,
       moving: hasLease ? moving() : [],
       leaving: hasLease ? view.instances.leaving() : [],
-      tries: triesWorthTelling(),
+      tries: triesWorthTelling(heard),
     }
   }
   /**
    * Firsts and retries of the groups in which this node retries, or in which so many are retried over all nodes that the cap on
    * them may bind. Where nobody retries, how much is sent is of no use to anyone.
    */
-  function triesWorthTelling(): Summary['tries'] {
+  function triesWorthTelling(heard: Summary[]): Summary['tries'] {
     const mine = view.report()?.tries ?? []
     const retriesOf = new Map<string, number>()
-    for (const { tries } of view.summaries())
+    for (const { tries } of heard)
       for (const [group, , retries] of tries) retriesOf.set(group, (retriesOf.get(group) ?? 0) + retries)
     function isWorthTelling([group, , retries]: [string, number, number]): boolean {
       return retries > 0 || (retriesOf.get(group) ?? 0) > RETRIES_WORTH_TELLING
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -45,9 +45,9 @@
 
 // proxy: it feeds a proxy.
 export type Peer = { node: string; addr: Address; proxy: boolean }
-// What a node says to all; and what of its seen it says to one node.
+// What a node says to all, by what it heard of the others; and what of its seen it says to one node.
 export type Saying = {
-  all: () => Omit<Summary, 'seen' | 'bad'>
+  all: (heard: Summary[]) => Omit<Summary, 'seen' | 'bad'>
   seenFor: (node: string) => { seen: [string, number][]; bad: [string, number][] }
 }
 
@@ -109,7 +109,7 @@
     return spacing <= SUMMARY_INTERVAL_MS ? least : Math.max(least, spacing)
   }
   function send(): void {
-    const sum = mine.all()
+    const sum = mine.all(hints())
     const now = world.now()
     const text = JSON.stringify([sum.moving, sum.leaving])
     if (text !== said) again = SUMMARY_REPEATS
