--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1160,4 +1160,18 @@
     seeds: [1, 1],
     edits: [['proxy/dist/pool.js', 'c.shapes.clear();', '']],
   },
+  {
+    name: 'failures-by-few',
+    rule: 'what fails is told by every node',
+    test: 'summary-source.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/summary-source.js', 'bad.length > 0 || isWitness(node)', 'isWitness(node)']],
+  },
+  {
+    name: 'witnesses-all',
+    rule: 'what a holder of a duty hears of good answers is bounded',
+    test: 'summary-source.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/summary-source.js', 'bad.length > 0 || isWitness(node)', 'true']],
+  },
 ]
