--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1174,4 +1174,14 @@
     seeds: [1, 1],
     edits: [['agent/dist/summary-source.js', 'bad.length > 0 || isWitness(node)', 'true']],
   },
+  {
+    name: 'config-unheeded',
+    rule: 'CONFIG: a front that learns of no newer version works on by the one it has',
+    test: 'platform/dist/test/configmodel.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['agent/dist/register-cache.js', 'if (k && compareBallots(h.ballot, k.ballot) <= 0) {', 'if (k) {'],
+      ['agent/dist/register-cache.js', 'if (mine && compareBallots(mine.ballot, push.ballot) >= 0)', 'if (mine)'],
+    ],
+  },
 ]
