--- a/review/lib/parts.mjs
+++ b/review/lib/parts.mjs
@@ -568,14 +568,14 @@
       c.mode = rest[0] ?? 'WRITE'
       c.writes = []
       c.epoch = this.term
-      this.svc.onRun?.(this, { id, text, first: true })
+      this.svc.onRun?.(this, { id, text, first: true, conn: c })
       return this.done(c, `b.${stampOf(id + this.id)}`)
     }
     if (kind !== 'READ' && kind !== 'WRITE' && verb !== 'COMMIT') return this.error(c, 'MALFORMED')
     await this.slot()
     try {
       if (!this.up) return
-      this.svc.onRun?.(this, { id, text, first: c.state === 'I' })
+      this.svc.onRun?.(this, { id, text, first: c.state === 'I', conn: c })
       const stamp = `s.${stampOf(id + this.id)}`
       if (kind === 'READ') return this.done(c, stamp, ['x'])
       if (kind === 'WRITE' && c.state === 'T') {
