--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -5,15 +5,15 @@
 import { fileURLToPath } from 'node:url'
 import * as p from '../lib/parts.mjs'
 
-const SERVICES = 12
-// Half of the services are hit at a time.
-const PLACES = 2
+const SERVICES = 24
+// A quarter of the services is hit at a time.
+const PLACES = 4
 const PAUSE_MS = 5000
 const DRAIN_MS = 7000
 const DOWN_MS = 7000
 
 await p.runCase(dirname(fileURLToPath(import.meta.url)), async (own) => {
-  const fleet = new p.Fleet({ cores: 5, fronts: 6 })
+  const fleet = new p.Fleet({ cores: 3, fronts: 6 })
   own(fleet)
   await fleet.plan()
   const services = []
@@ -48,6 +48,8 @@
 
   // One client for each service writes, one statement after another.
   let over = false
+  // The services that are hit next have the busiest clients.
+  let busiest = 0
   const acked = new Map()
   const counts = new Map()
   async function client(svc, k) {
@@ -66,12 +68,12 @@
       counts.set(got.end, (counts.get(got.end) ?? 0) + 1)
       if (got.end === 'COMPLETE') acked.set(id, { svc, at: p.now(), place: got.place })
       p.note(`client of ${svc.name} at ${front.name}: ${id} ${got.end} ${got.place ?? ''}`)
-      if (got.end !== 'COMPLETE') await p.sleep(100)
+      if (got.end !== 'COMPLETE' || k % PLACES !== busiest) await p.sleep(100)
     }
     session?.close()
   }
   const clients = services.map(client)
-  await p.sleep(5000)
+  await p.sleep(3000)
   if (acked.size === 0) return 2
 
   // A replica leaves in order; its log is passed to a new instance at its address.
@@ -91,6 +93,8 @@
     await next.restart()
   }
   for (let place = 0; place < PLACES; place++) {
+    busiest = place
+    await p.sleep(2000)
     const hit = services.filter((_, k) => k % PLACES === place)
     const leaving = hit.map((svc) => leave(svc, svc.instances[1]))
     await p.sleep(1000)
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -4,14 +4,14 @@
 import { fileURLToPath } from 'node:url'
 import * as p from '../lib/parts.mjs'
 
-const SERVICES = 12
-// Places: the primary and one replica of half of the services stand in each.
-const PLACES = 2
-const PAUSE_MS = 6000
+const SERVICES = 24
+// Places: the primary and one replica of a quarter of the services stand in each.
+const PLACES = 4
+const PAUSE_MS = 5000
 const DOWN_MS = 7000
 
 await p.runCase(dirname(fileURLToPath(import.meta.url)), async (own) => {
-  const fleet = new p.Fleet({ cores: 5, fronts: 6 })
+  const fleet = new p.Fleet({ cores: 3, fronts: 6 })
   own(fleet)
   await fleet.plan()
   const services = []
@@ -46,6 +46,8 @@
 
   // One client for each service writes, one statement after another.
   let over = false
+  // The services that are hit next have the busiest clients.
+  let busiest = 0
   const acked = new Map()
   const counts = new Map()
   async function client(svc, k) {
@@ -64,15 +66,17 @@
       counts.set(got.end, (counts.get(got.end) ?? 0) + 1)
       if (got.end === 'COMPLETE') acked.set(id, { svc, at: p.now(), place: got.place })
       p.note(`client of ${svc.name} at ${front.name}: ${id} ${got.end} ${got.place ?? ''}`)
-      if (got.end !== 'COMPLETE') await p.sleep(100)
+      if (got.end !== 'COMPLETE' || k % PLACES !== busiest) await p.sleep(100)
     }
     session?.close()
   }
   const clients = services.map(client)
-  await p.sleep(5000)
+  await p.sleep(3000)
   if (acked.size === 0) return 2
 
   for (let place = 0; place < PLACES; place++) {
+    busiest = place
+    await p.sleep(2000)
     const hit = []
     if (p.TROUBLE)
       for (const [k, svc] of services.entries())
