--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -3,7 +3,7 @@
 // that the instance promoted meanwhile lacks breaks LOST.
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import * as p from '../lib/parts.mjs'
+import * as p from '../parts.mjs'
 
 const SERVICES = 24
 // A quarter of the services is hit at a time.
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -2,7 +2,7 @@
 // back with their logs seconds later. An acknowledged write that the instance promoted meanwhile lacks breaks LOST.
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import * as p from '../lib/parts.mjs'
+import * as p from '../parts.mjs'
 
 const SERVICES = 24
 // Places: the primary and one replica of a quarter of the services stand in each.
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -5,7 +5,7 @@
 import { rmSync, mkdirSync } from 'node:fs'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import * as p from '../lib/parts.mjs'
+import * as p from '../parts.mjs'
 
 const RECOVERY_MS = 12000
 const MEASURED_MS = 20000
--- a/review/lib/parts.mjs
+++ b/review/parts.mjs
@@ -9,7 +9,7 @@
 import { dirname, join, resolve } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-const root = resolve(dirname(fileURLToPath(import.meta.url)), '../..')
+const root = resolve(dirname(fileURLToPath(import.meta.url)), '..')
 export const TROUBLE = process.env.TROUBLE !== '0'
 const began = performance.now()
 export const now = () => performance.now() - began
