--- a/packages/failover/src/group-instances.ts
+++ b/packages/failover/src/group-instances.ts
@@ -29,12 +29,22 @@
   list: () => InstanceStatus[]
   /** Those that don't leave, without the one of that name. */
   staying: (without?: string) => InstanceStatus[]
+  /** Whether a commit is acknowledged only once a replica has received it too. */
+  isSynchronous: () => boolean
+  /**
+   * Those that may be promoted. With synchronous commits one that leaves is among them: it receives commits until it ends, and
+   * may be the only replica that holds the last ones.
+   */
+  electable: () => InstanceStatus[]
   get: (name: string) => InstanceStatus | undefined
   addressOf: (name: string, recorded: string) => string
   /** Notes who is there now, and since when. */
   remember: () => void
   probe: (targets: Target[], options?: ProbeOptions) => Promise<Probed[]>
-  /** The most caught-up; among equals one at home, the old leader only where it is strictly ahead of all others. */
+  /**
+   * The most caught-up; among equals one at home. The old leader, and one that leaves, only where it is strictly ahead of all
+   * others.
+   */
   furthest: (probed: Probed[], old: string | undefined) => Probed | undefined
   /** Tells one to follow; nothing rests on it, as no proxy sends it writes any more. */
   demote: (who: Target, epoch: number) => Promise<Status | undefined>
@@ -60,6 +70,12 @@
     for (const instance of list()) if (!instance.leaving && instance.name !== without) out.push(instance)
     return out
   }
+  function isSynchronous(): boolean {
+    return (configured()?.sync ?? 0) > 0
+  }
+  function electable(): InstanceStatus[] {
+    return isSynchronous() ? list() : staying()
+  }
   function get(name: string): InstanceStatus | undefined {
     for (const instance of list()) if (instance.name === name) return instance
     return undefined
@@ -102,8 +118,12 @@
     const instance = get(name)
     return instance !== undefined && homeZones().includes(instance.area)
   }
+  function isLeaving(name: string): boolean {
+    return get(name)?.leaving === true
+  }
   function goesBefore(a: string, b: string, old: string | undefined): boolean {
     if (a === old || b === old) return b === old
+    if (isLeaving(a) !== isLeaving(b)) return isLeaving(b)
     if (isHome(a) !== isHome(b)) return isHome(a)
     const by = (firstSeen.get(a) ?? 0) - (firstSeen.get(b) ?? 0)
     return Math.abs(by) > NEWER_INSTANCE_MS ? by > 0 : a < b
@@ -144,6 +164,8 @@
   return {
     list,
     staying,
+    isSynchronous,
+    electable,
     get,
     addressOf: addressIn,
     remember,
--- a/packages/failover/src/promotion.ts
+++ b/packages/failover/src/promotion.ts
@@ -1,6 +1,7 @@
 import {
   CANDIDATE_TIMEOUT_MS,
   FAILOVER_INTERVAL_MS,
+  MISSING_COMMITS_WAIT_MS,
   PROMOTION_DONE_DELAY_MS,
   PROMOTION_REFUSED_DELAY_MS,
   PROMOTION_UNCLEAR_DELAY_MS,
@@ -15,7 +16,7 @@
 
 // From the end of one leader to the next: the phases stop and promote.
 
-/** The furthest of those that stay; the old leader, unless it is left as planned, only where nobody else answers. */
+/** The furthest of those that may be promoted; the old leader, unless it is left as planned, only where nobody else answers. */
 async function chooseCandidate(
   { instances }: GroupContext,
   old: string | undefined,
@@ -23,7 +24,7 @@
 ): Promise<Probed | undefined> {
   const others: InstanceStatus[] = []
   const olds: InstanceStatus[] = []
-  for (const instance of instances.staying()) (instance.name === old && !planned ? olds : others).push(instance)
+  for (const instance of instances.electable()) (instance.name === old && !planned ? olds : others).push(instance)
   // Which one is furthest is looked at once more when all have stopped; the one that doesn't answer isn't waited for now.
   return (
     instances.furthest(await instances.probe(others), old) ??
@@ -76,6 +77,17 @@
   return `promoted behind: commits up to ${seen.epoch}/${seen.position} were seen, the furthest instance has ${mark.epoch}/${mark.position}`
 }
 
+/** Whether a leader that is replaced as planned still holds commits that its replicas lack, and may yet send them. */
+function isAwaitingReplicas(
+  { world, instances }: GroupContext,
+  record: GroupRecord,
+  best: Probed,
+  memory: GroupMemory,
+): boolean {
+  if (!instances.isSynchronous() || record.planned !== true || best.name !== record.old) return false
+  return world.now() - memory.since < MISSING_COMMITS_WAIT_MS
+}
+
 /** The stop phase: once no proxy can write any more, the furthest instance is made the candidate for good. */
 export async function awaitStop(
   context: GroupContext,
@@ -85,13 +97,14 @@
 ): Promise<boolean> {
   const { world, view, group, instances, write } = context
   if (!(await haveStopped(world, view, groupKey(group), version, memory.since))) return false
-  const old = record.planned ? undefined : record.old
-  const probed = await instances.probe(instances.staying(), { suspect: old })
-  const best = instances.furthest(probed, old)
+  const suspect = record.planned ? undefined : record.old
+  const probed = await instances.probe(instances.electable(), { suspect })
+  const best = instances.furthest(probed, instances.isSynchronous() ? record.old : suspect)
   if (!best) return false
+  memory.intervalMs = FAILOVER_INTERVAL_MS / 2
+  if (isAwaitingReplicas(context, record, best, memory)) return false
   const highest = await instances.highestCommit()
   const missing = highest && comparePositions(best.status.mark, highest) < 0 ? highest : undefined
-  memory.intervalMs = FAILOVER_INTERVAL_MS / 2
   if (missing && world.now() - memory.since < instances.missingCommitsWait()) return false
   const mine = probed.find(isCandidate)
   function isCandidate(one: Probed): boolean {
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1183,4 +1183,11 @@
       ['agent/dist/register-cache.js', 'if (mine && compareBallots(mine.ballot, push.ballot) >= 0)', 'if (mine)'],
     ],
   },
+  {
+    name: 'leaving-not-asked',
+    rule: 'LOST: a replica that leaves may hold the last acknowledged commits',
+    test: 'promotion-safety.test.js',
+    seeds: [1, 1],
+    edits: [['failover/dist/group-instances.js', 'return isSynchronous() ? list() : staying();', 'return staying();']],
+  },
 ]
