--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -340,6 +340,11 @@
 // ms. How long a move waits for commits that nodes saw acknowledged to turn up at some instance,
 // before it goes on without them and says so: a crashed leader's restart takes about this long.
 export const MISSING_COMMITS_WAIT_MS = 3000
+// ms. A replica that nobody has heard for this long is no longer waited for with synchronous commits, once another holds all
+// that the leader holds: longer than a restart, or a partition that heals by itself.
+export const REPLICA_ABSENCE_MS = 20000
+// ms. Interval at which the holder tells which replicas it waits for.
+export const PROMOTION_WAIT_LOG_INTERVAL_MS = 5000
 // ms. A node that heard the leader within this speaks against suspicion.
 export const GOOD_OBSERVATION_MS = 1500
 // ms. Limit of the POST /promotion call; past it the outcome is unclear and STATUS decides.
--- a/packages/failover/src/group-instances.ts
+++ b/packages/failover/src/group-instances.ts
@@ -31,11 +31,6 @@
   staying: (without?: string) => InstanceStatus[]
   /** Whether a commit is acknowledged only once a replica has received it too. */
   isSynchronous: () => boolean
-  /**
-   * Those that may be promoted. With synchronous commits one that leaves is among them: it receives commits until it ends, and
-   * may be the only replica that holds the last ones.
-   */
-  electable: () => InstanceStatus[]
   get: (name: string) => InstanceStatus | undefined
   addressOf: (name: string, recorded: string) => string
   /** Notes who is there now, and since when. */
@@ -73,9 +68,6 @@
   function isSynchronous(): boolean {
     return (configured()?.sync ?? 0) > 0
   }
-  function electable(): InstanceStatus[] {
-    return isSynchronous() ? list() : staying()
-  }
   function get(name: string): InstanceStatus | undefined {
     for (const instance of list()) if (instance.name === name) return instance
     return undefined
@@ -165,7 +157,6 @@
     list,
     staying,
     isSynchronous,
-    electable,
     get,
     addressOf: addressIn,
     remember,
--- a/packages/failover/src/group-memory.ts
+++ b/packages/failover/src/group-memory.ts
@@ -1,4 +1,5 @@
 import type { GroupRecord } from '@claynotch/register'
+import { noAbsence, type ReplicaAbsence } from './replica-absence.js'
 
 /**
  * What the holder of a group's duty remembers between looks. It is lost with the process, and nothing rests on it but how long
@@ -22,6 +23,10 @@
   probed?: { at: number; isWell: boolean }
   /** The latest promotion call for this record, and how long the next one waits. */
   called?: { at: number; pauseMs: number }
+  /** Replicas that haven't been heard, under this leader. */
+  absence: ReplicaAbsence
+  /** When it was last told which replicas are waited for. */
+  waitLoggedAt?: number
   /** ms between looks while it waits for instances. */
   intervalMs?: number
 }
@@ -36,6 +41,7 @@
     tookOverAt: undefined,
     candidateOkAt: 0,
     isSuspected: false,
+    absence: noAbsence(),
   }
 }
 
@@ -56,5 +62,6 @@
     tookOverAt: kept ? kept.tookOverAt : isHolderGone ? now : undefined,
     candidateOkAt: now,
     isSuspected: kept ? kept.isSuspected : false,
+    absence: kept ? kept.absence : noAbsence(),
   }
 }
--- a/packages/failover/src/leader-watch.ts
+++ b/packages/failover/src/leader-watch.ts
@@ -14,6 +14,7 @@
 import type { GroupMemory } from './group-memory.js'
 import { replaceAsPlanned } from './planned-replacement.js'
 import { stopForCandidate } from './promotion.js'
+import { trackReplicas } from './replica-tracking.js'
 
 // The steady phase: the leader is watched by what nodes tell, and asked itself where they say that it is in trouble.
 
@@ -143,6 +144,7 @@
   memory: GroupMemory,
 ): Promise<boolean> {
   const { world, view, group, instances } = context
+  if (await trackReplicas(context, version, record, memory)) return true
   if (await handleRivals(context, version, record, memory)) return true
   const name = record.leader as string
   const leader = { name, addr: instances.addressOf(name, record.addr as string) }
--- a/packages/failover/src/promotion.ts
+++ b/packages/failover/src/promotion.ts
@@ -5,26 +5,43 @@
   PROMOTION_DONE_DELAY_MS,
   PROMOTION_REFUSED_DELAY_MS,
   PROMOTION_UNCLEAR_DELAY_MS,
+  PROMOTION_WAIT_LOG_INTERVAL_MS,
 } from '@claynotch/base'
 import { comparePositions, type LogPosition } from '@claynotch/instance'
 import type { PromotionEnd } from '@claynotch/host'
-import { groupKey, type GroupRecord, type InstanceStatus } from '@claynotch/register'
+import { groupKey, type GroupRecord } from '@claynotch/register'
 import { haveStopped, leaderEpochOf } from './failover-view.js'
 import type { GroupContext } from './group-context.js'
 import type { Probed, Target } from './group-instances.js'
 import type { GroupMemory } from './group-memory.js'
+import { replicasOf, unheardOf } from './replicas.js'
 
 // From the end of one leader to the next: the phases stop and promote.
 
+/** The leader that this record replaces, or would. */
+function oldLeaderOf(record: GroupRecord): string | undefined {
+  return record.old ?? record.leader
+}
+
+/**
+ * Those that may be promoted. With synchronous commits all that may hold an acknowledged commit are asked, one that leaves too:
+ * it receives commits until it ends, and may be the only replica that holds the last ones.
+ */
+function electable({ instances }: GroupContext, record: GroupRecord): Target[] {
+  return instances.isSynchronous() ? replicasOf(record, instances.list(), undefined) : instances.staying()
+}
+
 /** The furthest of those that may be promoted; the old leader, unless it is left as planned, only where nobody else answers. */
 async function chooseCandidate(
-  { instances }: GroupContext,
-  old: string | undefined,
+  context: GroupContext,
+  record: GroupRecord,
   planned: boolean,
 ): Promise<Probed | undefined> {
-  const others: InstanceStatus[] = []
-  const olds: InstanceStatus[] = []
-  for (const instance of instances.electable()) (instance.name === old && !planned ? olds : others).push(instance)
+  const { instances } = context
+  const old = oldLeaderOf(record)
+  const others: Target[] = []
+  const olds: Target[] = []
+  for (const instance of electable(context, record)) (instance.name === old && !planned ? olds : others).push(instance)
   // Which one is furthest is looked at once more when all have stopped; the one that doesn't answer isn't waited for now.
   return (
     instances.furthest(await instances.probe(others), old) ??
@@ -41,8 +58,8 @@
   to?: Probed,
 ): Promise<boolean> {
   const { view, write } = context
-  const old = record.old ?? record.leader
-  const candidate = to ?? (await chooseCandidate(context, old, planned))
+  const old = oldLeaderOf(record)
+  const candidate = to ?? (await chooseCandidate(context, record, planned))
   if (!candidate) return false
   const { status } = candidate
   const next: GroupRecord = {
@@ -55,10 +72,19 @@
     candidateAddr: candidate.addr,
     planned,
     ...(old !== undefined ? { old } : {}),
+    ...replicasWithOld(context, record),
   }
   return (await write(version, next)) === true
 }
 
+/** What the record says of replicas once the leader is one of those that are asked. */
+function replicasWithOld({ instances }: GroupContext, record: GroupRecord): Pick<GroupRecord, 'replicas'> {
+  if (!instances.isSynchronous()) return {}
+  const { leader: name, addr } = record
+  const old = name === undefined || addr === undefined ? [] : [{ name, addr }]
+  return { replicas: replicasOf({ replicas: [...(record.replicas ?? []), ...old] }, instances.list(), undefined) }
+}
+
 /** Says that the furthest instance lacks commits that were seen acknowledged; the note for the record. */
 function noteMissing(
   { world, view, group }: GroupContext,
@@ -88,6 +114,37 @@
   return world.now() - memory.since < MISSING_COMMITS_WAIT_MS
 }
 
+/** Tells, at an interval, which replicas keep the promotion waiting, and up to which commit clients were told to be done. */
+async function logWait({ world, view, group, instances }: GroupContext, unheard: Target[], memory: GroupMemory) {
+  const now = world.now()
+  if (now - (memory.waitLoggedAt ?? -Infinity) < PROMOTION_WAIT_LOG_INTERVAL_MS) return
+  memory.waitLoggedAt = now
+  const seen = await instances.highestCommit()
+  view.metrics.add('claynotch_duty_promotion_waits_total', [['group', group]])
+  const names: string[] = []
+  for (const { name } of unheard) names.push(name)
+  world.log.warn('promotion-waits', {
+    group,
+    replicas: names.join(' '),
+    seen: seen && `${seen.epoch}/${seen.position}`,
+  })
+}
+
+/** Whether one that didn't answer may hold an acknowledged commit that nobody who answered holds. */
+async function isCommitUnheard(
+  context: GroupContext,
+  record: GroupRecord,
+  probed: Probed[],
+  memory: GroupMemory,
+): Promise<boolean> {
+  const { instances } = context
+  if (!instances.isSynchronous()) return false
+  const unheard = unheardOf(record, instances.list(), probed)
+  if (unheard.length === 0) return false
+  await logWait(context, unheard, memory)
+  return true
+}
+
 /** The stop phase: once no proxy can write any more, the furthest instance is made the candidate for good. */
 export async function awaitStop(
   context: GroupContext,
@@ -98,10 +155,11 @@
   const { world, view, group, instances, write } = context
   if (!(await haveStopped(world, view, groupKey(group), version, memory.since))) return false
   const suspect = record.planned ? undefined : record.old
-  const probed = await instances.probe(instances.electable(), { suspect })
+  const probed = await instances.probe(electable(context, record), { suspect })
   const best = instances.furthest(probed, instances.isSynchronous() ? record.old : suspect)
   if (!best) return false
   memory.intervalMs = FAILOVER_INTERVAL_MS / 2
+  if (await isCommitUnheard(context, record, probed, memory)) return false
   if (isAwaitingReplicas(context, record, best, memory)) return false
   const highest = await instances.highestCommit()
   const missing = highest && comparePositions(best.status.mark, highest) < 0 ? highest : undefined
@@ -189,7 +247,7 @@
 }
 
 async function recordPromoted(
-  { view, write }: GroupContext,
+  { view, instances, write }: GroupContext,
   version: number,
   record: GroupRecord,
   leader: Target,
@@ -205,6 +263,7 @@
     addr: leader.addr,
     ...(term === undefined ? {} : { term }),
     ...(note ? { note } : {}),
+    ...(instances.isSynchronous() ? { replicas: replicasOf(record, instances.list(), leader.name) } : {}),
   })
   return isWritten === true
 }
--- a/packages/fleet/src/test/promotion-safety.test.ts
+++ b/packages/fleet/src/test/promotion-safety.test.ts
@@ -31,5 +31,86 @@
   c.equal(group.promotions[0].position, 5, 'with all commits')
 }
 
+// Guards against review case 2: the primary and a replica crash together, and the third one was promoted without their commits.
+async function holdersOfLastCommitsAreDown(c: Test): Promise<void> {
+  for (const back of ['i-1', 'i-2']) {
+    const group = makeReplicatedGroup(3, ['i-1', 'i-2', 'i-3'])
+    await group.begin()
+    for (let k = 0; k < 8; k++) group.commit(['i-2', 'i-3'])
+    // The cores were told of this commit, and not of the next two.
+    group.reported.position = 8
+    for (let k = 0; k < 2; k++) group.commit(['i-2'])
+    group.crash('i-1')
+    group.crash('i-2')
+    await group.wait(15000)
+    c.strictSame(group.promotions, [], `nobody is promoted until ${back} is back`)
+    c.ok(group.sim.lines.some(tellsOfWait), 'and the log says who is waited for')
+    group.restart(back)
+    await group.wait(3000)
+    c.equal(group.leader()?.name, back)
+    c.equal(group.leader()?.position, group.acknowledged(), 'it leads with all commits')
+    c.equal(group.record()?.phase, 'steady')
+  }
+  function tellsOfWait(line: string): boolean {
+    return line.includes('promotion-waits') && line.includes('i-2') && line.includes('1/8')
+  }
+}
+
+// One that is too busy to tell, or that only the leader reaches, may hold the last commits as well as one that is down.
+async function holderDoesNotAnswer(c: Test): Promise<void> {
+  for (const how of ['isBusy', 'isCutOff'] as const) {
+    const group = makeReplicatedGroup(4, ['i-1', 'i-2', 'i-3'])
+    await group.begin()
+    for (let k = 0; k < 8; k++) group.commit(['i-2', 'i-3'])
+    for (let k = 0; k < 2; k++) group.commit(['i-2'])
+    const holder = group.instances.get('i-2')!
+    holder[how] = true
+    await group.wait(6000)
+    group.crash('i-1')
+    await group.wait(10000)
+    c.strictSame(group.promotions, [], `${how}: nobody is promoted`)
+    holder[how] = false
+    await group.wait(3000)
+    c.strictSame(group.promotions[0], { name: 'i-2', position: 10, acknowledged: 10 }, `${how}: it is promoted`)
+  }
+}
+
+// A new instance at a replica's address has its log, and is asked in its place.
+async function replicaIsReplaced(c: Test): Promise<void> {
+  const group = makeReplicatedGroup(5, ['i-1', 'i-2', 'i-3'])
+  await group.begin()
+  for (let k = 0; k < 10; k++) group.commit(['i-2'])
+  const old = group.instances.get('i-2')!
+  old.hasSignedOff = true
+  group.crash('i-2')
+  group.crash('i-1')
+  await group.wait(8000)
+  c.strictSame(group.promotions, [], 'nobody is promoted while its log is nowhere')
+  group.add('i-4', old.addr, old.position)
+  await group.wait(3000)
+  c.strictSame(group.promotions[0], { name: 'i-4', position: 10, acknowledged: 10 })
+}
+
+// A replica that is gone for good is not waited for, once another holds what it may have held.
+async function replicaIsGone(c: Test): Promise<void> {
+  for (const isBehind of [false, true]) {
+    const group = makeReplicatedGroup(6, ['i-1', 'i-2', 'i-3'])
+    await group.begin()
+    for (let k = 0; k < 10; k++) group.commit(['i-2'])
+    group.crash('i-2')
+    await group.wait(10000)
+    if (!isBehind) group.commit(['i-3'])
+    await group.wait(30000)
+    group.crash('i-1')
+    await group.wait(5000)
+    if (isBehind) c.strictSame(group.promotions, [], 'the last one lacks commits: nobody is promoted')
+    else c.strictSame(group.promotions[0], { name: 'i-3', position: 11, acknowledged: 11 }, 'the last one holds all')
+  }
+}
+
 void t.test('a leaving replica that holds the last commits is promoted first', leavingReplicaHoldsLastCommits)
 void t.test('a leader that leaves is replaced by one that has caught up', leavingLeaderIsAhead)
+void t.test('nobody is promoted while all who hold the last commits are down', holdersOfLastCommitsAreDown)
+void t.test('nobody is promoted while a replica that may hold them does not answer', holderDoesNotAnswer)
+void t.test("a new instance at a replica's address is asked in its place", replicaIsReplaced)
+void t.test('a replica that is gone for good is dropped once another holds all', replicaIsGone)
--- a/packages/register/src/group-record.ts
+++ b/packages/register/src/group-record.ts
@@ -28,6 +28,9 @@
     // term: where instances number their leaders by themselves, the number in which the leader, or the old one, leads.
     // Never above epoch, which only we count.
     term: t.number,
+    // replicas: where commits are synchronous, the instances that may hold an acknowledged commit which no other one holds, but
+    // for the leader. In stop and promote the old leader is among them.
+    replicas: t.array(t.type({ name: t.string, addr: t.string })),
   }),
 ])
 export type GroupRecord = t.TypeOf<typeof GroupRecord>
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1188,6 +1188,26 @@
     rule: 'LOST: a replica that leaves may hold the last acknowledged commits',
     test: 'promotion-safety.test.js',
     seeds: [1, 1],
-    edits: [['failover/dist/group-instances.js', 'return isSynchronous() ? list() : staying();', 'return staying();']],
+    edits: [
+      [
+        'failover/dist/promotion.js',
+        'return instances.isSynchronous() ? replicasOf(record, instances.list(), undefined) : instances.staying();',
+        'return instances.staying();',
+      ],
+    ],
+  },
+  {
+    name: 'unheard-not-waited',
+    rule: 'LOST: a replica that did not answer may hold the last acknowledged commits',
+    test: 'promotion-model.test.js',
+    seeds: [1, 1],
+    edits: [['failover/dist/promotion.js', 'if (unheard.length === 0)', 'if (unheard.length >= 0)']],
+  },
+  {
+    name: 'absent-dropped-early',
+    rule: 'LOST: a replica that is gone is dropped only once another holds all that it may have held',
+    test: 'promotion-safety.test.js',
+    seeds: [1, 1],
+    edits: [['failover/dist/replica-tracking.js', 'let isHeldTwice = false;', 'let isHeldTwice = true;']],
   },
 ]
