--- a/packages/failover/src/group-instances.ts
+++ b/packages/failover/src/group-instances.ts
@@ -139,10 +139,8 @@
     return status.ok && status.val.name === who.name ? status.val : undefined
   }
   function missingCommitsWait(): number {
-    const sync = configured()?.sync
-    if (sync === undefined) return MISSING_COMMITS_WAIT_MS
-    // Followers hold each commit before it is told: it turns up. Without that, the loss is accepted where it is asked for.
-    return sync > 0 ? Infinity : 0
+    // Where it is said that no follower holds a commit when it is acknowledged, the loss is accepted.
+    return configured()?.sync === undefined ? MISSING_COMMITS_WAIT_MS : 0
   }
   async function highestCommit(): Promise<LogPosition | undefined> {
     const read = await view.askMembers()
--- a/packages/failover/src/promotion.ts
+++ b/packages/failover/src/promotion.ts
@@ -145,6 +145,16 @@
   return true
 }
 
+/**
+ * A commit that was seen acknowledged and that the furthest instance seems to lack. With synchronous commits there is none, as
+ * all that may hold one were asked: proxies then see only the end of the leader's log, which is ahead of what is acknowledged.
+ */
+async function commitMissingAt({ instances }: GroupContext, best: Probed): Promise<LogPosition | undefined> {
+  if (instances.isSynchronous()) return undefined
+  const highest = await instances.highestCommit()
+  return highest && comparePositions(best.status.mark, highest) < 0 ? highest : undefined
+}
+
 /** The stop phase: once no proxy can write any more, the furthest instance is made the candidate for good. */
 export async function awaitStop(
   context: GroupContext,
@@ -161,8 +171,7 @@
   memory.intervalMs = FAILOVER_INTERVAL_MS / 2
   if (await isCommitUnheard(context, record, probed, memory)) return false
   if (isAwaitingReplicas(context, record, best, memory)) return false
-  const highest = await instances.highestCommit()
-  const missing = highest && comparePositions(best.status.mark, highest) < 0 ? highest : undefined
+  const missing = await commitMissingAt(context, best)
   if (missing && world.now() - memory.since < instances.missingCommitsWait()) return false
   const mine = probed.find(isCandidate)
   function isCandidate(one: Probed): boolean {
--- a/packages/fleet/src/test/promotion-safety.test.ts
+++ b/packages/fleet/src/test/promotion-safety.test.ts
@@ -108,9 +108,25 @@
   }
 }
 
+// Guards against review case 4: with several writers the end of the leader's log is ahead of every acknowledged commit; it was
+// waited for without end, though no replica ever had it.
+async function reportedEndWasNeverReplicated(c: Test): Promise<void> {
+  const group = makeReplicatedGroup(7, ['i-1', 'i-2', 'i-3'])
+  await group.begin()
+  for (let k = 0; k < 8; k++) group.commit(['i-2', 'i-3'])
+  for (let k = 0; k < 3; k++) group.commit([])
+  group.reported.position = 11
+  group.crash('i-1')
+  await group.wait(3000)
+  c.equal(group.acknowledged(), 8)
+  c.equal(group.promotions[0]?.position, 8, 'one that holds every acknowledged commit is promoted')
+  c.equal(group.record()?.phase, 'steady')
+}
+
 void t.test('a leaving replica that holds the last commits is promoted first', leavingReplicaHoldsLastCommits)
 void t.test('a leader that leaves is replaced by one that has caught up', leavingLeaderIsAhead)
 void t.test('nobody is promoted while all who hold the last commits are down', holdersOfLastCommitsAreDown)
 void t.test('nobody is promoted while a replica that may hold them does not answer', holderDoesNotAnswer)
 void t.test("a new instance at a replica's address is asked in its place", replicaIsReplaced)
 void t.test('a replica that is gone for good is dropped once another holds all', replicaIsGone)
+void t.test('commits that no replica received are not waited for', reportedEndWasNeverReplicated)
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1210,4 +1210,18 @@
     seeds: [1, 1],
     edits: [['failover/dist/replica-tracking.js', 'let isHeldTwice = false;', 'let isHeldTwice = true;']],
   },
+  {
+    name: 'end-of-log-waited',
+    rule: 'RECOVER: commits that no replica received are not waited for',
+    test: 'promotion-safety.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['failover/dist/promotion.js', 'if (instances.isSynchronous()) return undefined;', ''],
+      [
+        'failover/dist/group-instances.js',
+        'return configured()?.sync === undefined ? MISSING_COMMITS_WAIT_MS : 0;',
+        'return Infinity;',
+      ],
+    ],
+  },
 ]
