--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -24,6 +24,7 @@
 import {
   CoreSet,
   CORESET_KEY,
+  hasDeparted,
   makeProposer,
   type Committed,
   type HeldValue,
@@ -41,6 +42,7 @@
 import { makeCoreLinks } from './core-links.js'
 import { startCoreSetDuty } from './core-set-duty.js'
 import { readCoreStatus } from './core-status.js'
+import { makeDepartures } from './departures.js'
 import { makeInstanceReports } from './instance-reports.js'
 import { makeInstanceTable } from './instance-table.js'
 import { makeKnownConfiguration } from './known-configuration.js'
@@ -141,7 +143,11 @@
   }
   // --- the lease, and what its renewals tell and bring ---
 
-  const instances = makeInstanceTable(world)
+  const instances = makeInstanceTable(world, isDeparted)
+  function isDeparted(group: string, name: string): boolean {
+    return hasDeparted(recordOf(group), name)
+  }
+  const departures = makeDepartures({ node, proposer, recordOf, learn: registers.learn })
   const reports = makeInstanceReports(world)
   const mayHoldDuties = settings.http !== undefined
   const membership = makeMembership(world, node, mayHoldDuties, links, metrics)
@@ -359,6 +365,7 @@
     lease,
     instances,
     reports,
+    departures,
     proxy,
     proposer,
     renewNow,
--- a/packages/agent/src/control-service.ts
+++ b/packages/agent/src/control-service.ts
@@ -5,6 +5,7 @@
 import type { CoreSet, Proposer } from '@claynotch/register'
 import type { ControlService } from './adapter.js'
 import { makeConfigurationService } from './configuration-service.js'
+import type { Departures } from './departures.js'
 import type { InstanceReports } from './instance-reports.js'
 import type { Heard, InstanceTable } from './instance-table.js'
 import type { LeaseRenewal } from './lease-renewal.js'
@@ -15,6 +16,7 @@
   lease: LeaseRenewal
   instances: InstanceTable
   reports: InstanceReports
+  departures: Departures
   proxy: ProxyLink
   proposer: Proposer
   /** Has the next renewal begin now. */
@@ -52,6 +54,7 @@
     return heard.isKept
   }
   function instanceLeft(name: string): boolean {
+    parts.departures.signedOff(name, instances.get(name))
     const heard = instances.signOff(name)
     world.log.info('instance-signed-off', { instance: name })
     return pass(name, heard)
@@ -60,11 +63,16 @@
     if (parts.stop.fired()) return 'draining'
     return lease.isValid() ? undefined : 'no valid term'
   }
-  /** Why an announcement can't be acknowledged, as no majority has been told of it. */
+  /** Why an announcement can't be acknowledged, as no majority has been told of it, or none keeps a sign-off. */
   async function reportFailure(name: string): Promise<string | undefined> {
     const why = notReady()
     if (why !== undefined) return why
-    if (!(await reports.acknowledged(name, CHANGE_ANSWER_TIMEOUT_MS))) return 'no majority of cores could be told of it'
+    const [isTold, isKept] = await Promise.all([
+      reports.acknowledged(name, CHANGE_ANSWER_TIMEOUT_MS),
+      parts.departures.keep(name),
+    ])
+    if (!isTold) return 'no majority of cores could be told of it'
+    if (!isKept) return 'no majority of cores could store it'
     return notReady()
   }
   /** The lease ran out. A process that has just started, and never had one, may still reach the cores. */
--- a/packages/agent/src/instance-table.ts
+++ b/packages/agent/src/instance-table.ts
@@ -66,7 +66,8 @@
   return next.leaving !== old?.leaving || next.role !== old.role || next.addr !== old.addr || next.group !== old.group
 }
 
-export function makeInstanceTable(world: World): InstanceTable {
+/** isDeparted: whether the group's record says that the instance signed off. */
+export function makeInstanceTable(world: World, isDeparted: (group: string, name: string) => boolean): InstanceTable {
   const own = new Map<string, HeardStatus>()
   const known = new Map<string, KnownStatus>()
 
@@ -77,20 +78,26 @@
     for (const [name, { aliveAt }] of known)
       if (now - aliveAt > ANNOUNCEMENT_LIFETIME_MS && !own.has(name)) known.delete(name)
   }
+  /** A sign-off that is in the record stands, whatever was heard since. */
+  function withDeparture(status: InstanceStatus): InstanceStatus {
+    if (hasSignedOff(status) || !isDeparted(status.group, status.name)) return status
+    return { ...status, leaving: true, sequence: SIGNED_OFF_SEQUENCE }
+  }
   function list(group?: string): InstanceStatus[] {
     expire()
     const now = world.now()
     const out: InstanceStatus[] = []
     for (const { status, at } of known.values())
-      if (group === undefined || status.group === group) out.push({ ...status, age: now - at })
+      if (group === undefined || status.group === group) out.push({ ...withDeparture(status), age: now - at })
     return out
   }
   function get(name: string): InstanceStatus | undefined {
-    return known.get(name)?.status
+    const status = known.get(name)?.status
+    return status && withDeparture(status)
   }
   function leaving(): string[] {
     const out: string[] = []
-    for (const { status } of known.values()) if (status.leaving) out.push(status.name)
+    for (const { status } of known.values()) if (withDeparture(status).leaving) out.push(status.name)
     return out
   }
   function ownNow(): Iterable<HeardStatus> {
--- a/packages/failover/src/planned-replacement.ts
+++ b/packages/failover/src/planned-replacement.ts
@@ -6,7 +6,7 @@
   LEASE_DURATION_MS,
 } from '@claynotch/base'
 import { comparePositions } from '@claynotch/instance'
-import { groupKey, type GroupRecord, type InstanceStatus } from '@claynotch/register'
+import { groupKey, hasDeparted, type GroupRecord, type InstanceStatus } from '@claynotch/register'
 import { haveStopped, leaderEpochOf, recordedEpochOf } from './failover-view.js'
 import type { GroupContext } from './group-context.js'
 import type { Probed, Target } from './group-instances.js'
@@ -39,7 +39,8 @@
 function isAskedFor({ instances }: GroupContext, record: GroupRecord): boolean {
   if (record.wish) return true
   const leader = record.leader as string
-  return instances.get(leader)?.leaving === true && instances.staying(leader).length > 0
+  const isLeaving = instances.get(leader)?.leaving === true || hasDeparted(record, leader)
+  return isLeaving && instances.staying(leader).length > 0
 }
 
 /** Begins the replacement of a leader that is well, where one is asked for. */
--- a/packages/failover/src/promotion.ts
+++ b/packages/failover/src/promotion.ts
@@ -9,7 +9,7 @@
 } from '@claynotch/base'
 import { comparePositions, type LogPosition } from '@claynotch/instance'
 import type { PromotionEnd } from '@claynotch/host'
-import { groupKey, type GroupRecord } from '@claynotch/register'
+import { departedOf, groupKey, type GroupRecord } from '@claynotch/register'
 import { haveStopped, leaderEpochOf } from './failover-view.js'
 import type { GroupContext } from './group-context.js'
 import type { Probed, Target } from './group-instances.js'
@@ -73,6 +73,7 @@
     planned,
     ...(old !== undefined ? { old } : {}),
     ...replicasWithOld(context, record),
+    ...departedOf(record),
   }
   return (await write(version, next)) === true
 }
@@ -272,6 +273,7 @@
     addr: leader.addr,
     ...(term === undefined ? {} : { term }),
     ...(note ? { note } : {}),
+    ...departedOf(record),
     ...(instances.isSynchronous() ? { replicas: replicasOf(record, instances.list(), leader.name) } : {}),
   })
   return isWritten === true
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -60,6 +60,9 @@
   let leaving = new Set<string>()
   let moving = new Map<string, number>()
   let tries = new Map<string, { firsts: number; retries: number }>()
+  // departed: instances that signed off, by the groups' records; departedOf: the same by group.
+  const departed = new Set<string>()
+  const departedOf = new Map<string, string[]>()
   const goneSince = new Map<string, number>()
   let live = 1
   let node = ''
@@ -96,6 +99,7 @@
         world.log.info('configuration-applied', { epoch: mine.epoch, turn: c.turn })
       } else if (groupOf(c.key) !== undefined) {
         const rec = c.body as GroupRecord
+        takeDeparted(groupOf(c.key) as string, rec, old === undefined)
         world.log.info('group-applied', {
           group: groupOf(c.key),
           phase: rec.phase,
@@ -118,6 +122,18 @@
     for (const name of goneSince.keys()) if (!gone(name)) goneSince.delete(name)
     signal.notify()
   }
+  /** isFirst: nothing is known of when they signed off, so their time to get work may be over. */
+  function takeDeparted(group: string, record: GroupRecord, isFirst: boolean): void {
+    const names = record.departed ?? []
+    for (const name of departedOf.get(group) ?? []) if (!names.includes(name)) departed.delete(name)
+    departedOf.set(group, names)
+    for (const name of names) {
+      if (departed.has(name)) continue
+      departed.add(name)
+      const since = isFirst ? -Infinity : world.now()
+      goneSince.set(name, Math.min(goneSince.get(name) ?? Infinity, since))
+    }
+  }
   function halt(): void {
     halted = true
     for (const c of cells.values()) c.until = 0
@@ -165,7 +181,7 @@
     return sights
   }
   function gone(name: string): boolean {
-    return leaving.has(name) || sights.get(name)?.leaving === true
+    return leaving.has(name) || departed.has(name) || sights.get(name)?.leaving === true
   }
   function goneFor(name: string): number {
     const at = goneSince.get(name)
--- a/packages/register/src/group-record.ts
+++ b/packages/register/src/group-record.ts
@@ -5,7 +5,8 @@
 // - epoch grows only; each epoch has at most one candidate and so at most one leader;
 // - leader is set in the phases steady and drain only, and only there may writes go to it;
 // - a record in phase promote says that POST /promotion may have been sent for its candidate;
-// - only the holder writes; each new holder raises fence first.
+// - only the holder writes, each new holder raises fence first; but a sign-off (departed) is added by whoever acknowledges it,
+//   and a wish by whoever takes it from an operator.
 // Phases: steady -> (drain ->) stop -> promote -> steady.
 export const GroupRecord = t.intersection([
   t.type({
@@ -31,10 +32,30 @@
     // replicas: where commits are synchronous, the instances that may hold an acknowledged commit which no other one holds, but
     // for the leader. In stop and promote the old leader is among them.
     replicas: t.array(t.type({ name: t.string, addr: t.string })),
+    // departed: names of the latest instances that signed off without having announced before that they leave. They may serve on
+    // for a while, and get no new work.
+    departed: t.array(t.string),
   }),
 ])
 export type GroupRecord = t.TypeOf<typeof GroupRecord>
 
+/** Names that are kept in departed: more than instances of one group sign off within the time that one serves on. */
+const DEPARTED_KEPT = 16
+
+export function hasDeparted(record: GroupRecord | undefined, name: string): boolean {
+  return record?.departed?.includes(name) === true
+}
+
+/** The record with one more instance that signed off. */
+export function withDeparted(record: GroupRecord, name: string): GroupRecord {
+  return { ...record, departed: [...(record.departed ?? []), name].slice(-DEPARTED_KEPT) }
+}
+
+/** What a record says of instances that signed off: it outlives the leader. */
+export function departedOf({ departed }: GroupRecord): Pick<GroupRecord, 'departed'> {
+  return departed === undefined ? {} : { departed }
+}
+
 const PREFIX = 'group/'
 export function groupKey(name: string): string {
   return PREFIX + name
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1224,4 +1224,11 @@
       ],
     ],
   },
+  {
+    name: 'sign-off-in-memory',
+    rule: 'DRAIN: an acknowledged sign-off is on the disks of a majority',
+    test: 'platform/dist/test/sign-off.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/departures.js', 'owed.set(name, before.group);', 'void before;']],
+  },
 ]
