--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -292,6 +292,15 @@
 // --- policies ---
 // steps of the Lua machine. A policy that matches by a few comparisons takes under 100; 10000 take about a millisecond.
 export const MAX_POLICY_STEPS = 10000
+// count. Questions of one client connection that wait for an answer; past it, it isn't read on.
+export const CLIENT_QUESTIONS_LIMIT = 64
+// bytes. The same by size. One question may be longer by itself.
+export const CLIENT_QUESTIONS_LIMIT_BYTES = 256 * 1024
+// bytes. Answers that one client connection hasn't read; past it none of its questions is taken up.
+export const CLIENT_UNREAD_ANSWERS_LIMIT_BYTES = 1024 * 1024
+// bytes. Both for all client connections of a process: a third of the memory that it is started with. A connection that would
+// go past it is ended.
+export const ALL_CLIENTS_MEMORY_LIMIT_BYTES = 64 * 1024 * 1024
 // bytes. Longest policy.
 export const POLICY_LIMIT_BYTES = 16384
 
--- a/packages/proxy/src/adapter.ts
+++ b/packages/proxy/src/adapter.ts
@@ -10,10 +10,16 @@
 import { takeProbe, type Probes } from '@claynotch/host'
 import { httpInstance, type InstanceAdapter } from '@claynotch/instance'
 import { readDeadline, readWord, writeVerdict } from '@claynotch/requester'
+import type { ClientMemory } from './client-memory.js'
 import type { Sessions } from './sessions.js'
 
 // How a proxy speaks with its peers, chosen when the process starts.
-export type ClientAdapter = (world: World, addr: Address, sessions: Sessions) => Promise<HttpListener>
+export type ClientAdapter = (
+  world: World,
+  addr: Address,
+  sessions: Sessions,
+  memory: ClientMemory,
+) => Promise<HttpListener>
 // Answers who asks whether this process is well; undefined: no such path.
 export type HealthCheckAdapter = (ask: HttpRequest, probes: Probes) => HttpResponse | undefined
 export type ProxyAdapters = { instance: InstanceAdapter; requester: ClientAdapter; probes: HealthCheckAdapter }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -25,6 +25,7 @@
 import { CONFIG_KEY, lendable } from '@claynotch/operator'
 import { AgentFeed, groupOf, type ProxyReport } from '@claynotch/register'
 import { provedWithin } from './freshness.js'
+import { makeClientMemory } from './client-memory.js'
 import { makeRunner, type Runner } from './interpret.js'
 import { makePool, type Pool } from './pool.js'
 import { makeSessions, type Sessions } from './sessions.js'
@@ -72,7 +73,8 @@
   }
   // The requester's address is bound before the agent is dialled: a second proxy of this machine fails
   // here, so an agent never feeds one while another may still work.
-  const http = await edges.requester(world, set.listen, sessions)
+  const clientMemory = makeClientMemory(metrics)
+  const http = await edges.requester(world, set.listen, sessions, clientMemory)
   function admin(ask: HttpRequest): HttpResponse {
     return edges.probes(ask, { ready, metrics: metrics }) ?? { status: 404, body: { why: 'no such path' } }
   }
@@ -170,6 +172,7 @@
       const rec = state.group(g)?.record
       if (rec && rec.phase !== 'steady') moving.push([g, rec.epoch])
     }
+    metrics.set('claynotch_client_memory_bytes', [], clientMemory.totalBytes())
     metrics.set('claynotch_ready', [], ready() === undefined ? 1 : 0)
     for (const [g] of runner.groups()) metrics.set('claynotch_transactions', [['group', g]], sessions.transactions(g))
     const word: ProxyReport = {
