Split the steps of a call: its type, admission and the choice of its instance in files of their own

interpret.ts goes from 758 lines to 530. call.ts: what is kept for a call; admission.ts: how many calls of a route and a tenant are on their way; target-selection.ts: which instance a call goes to.

Checked: proxy and platform tests that use them (lanes, drain, noroute, lend, teams, path, changes, parts, found, codes, answers, sessionmodel).

--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -2,81 +2,35 @@
   BACKOFF_BASE_MS,
   BACKOFF_SHARE,
   QUEUE_TIMEOUT_SHARE,
-  PROMOTION_WAIT_SHARE,
   ATTEMPT_TIMEOUT_SHARE,
   RETRY_AFTER_BREAKER_S,
   RETRY_AFTER_OVERLOAD_S,
-  OTHER_ZONE_LOAD_COST,
   RETRY_AFTER_PROMOTION_S,
   CHECK_OUT_TIMEOUT_MS,
-  RETRY_BUDGET_MS,
   MIN_DIAL_TIMEOUT_MS,
   DIAL_TIMEOUT_MS,
-  LEAVING_GRACE_MS,
   makeSignal,
   makeFlag,
   pause,
   ATTEMPT_TIMEOUT_MS,
   MAX_ATTEMPTS,
   WAKE_UP_JITTER_MS,
-  type Flag,
   type Metrics,
   type World,
-  type Result,
 } from '@claynotch/base'
-import type { StatementResult, InstanceAdapter, LogPosition, RequestError } from '@claynotch/instance'
-import { guardOf, isShareBelowOne, lendable } from '@claynotch/operator'
+import type { InstanceAdapter, LogPosition } from '@claynotch/instance'
+import { isShareBelowOne, lendable } from '@claynotch/operator'
 import { refusal, type Verdict } from '@claynotch/requester'
-import { floorOf, isForeign, isFresh, needOf, provedWithin, type Token } from './freshness.js'
-import type { CheckedOutConnection, ConnectionRequirements, Pool } from './pool.js'
+import { isForeign, isFresh, type Token } from './freshness.js'
+import { makeAdmission } from './admission.js'
+import { needFor, type Call, type Settled } from './call.js'
+import type { CheckedOutConnection, Pool } from './pool.js'
 import { backoff, makeAlert, makeBreaker, makeTokens, type Alert, type Breaker, type Tokens } from './retry.js'
-import type { Kind, LaneRules, Rules, Step } from './rules.js'
-import type { Known, State } from './state.js'
+import type { Step } from './rules.js'
+import type { State } from './state.js'
+import { makeTargetSelection } from './target-selection.js'
 import type { Instance, Watch } from './watch.js'
 
-// One call on its way. Kept for it: its deadline, its sends, its last trouble, and what became of each send.
-// Invariants: ran is 'no' only while nothing of it can have run at an instance; a write whose ran is
-// 'maybe' is never sent again; a pending place, a loan and a probe are each given up exactly once;
-// lane and need are those of rules, and nothing is sent while rules are not the ones in force.
-export type Call = {
-  kind: Kind
-  rules: Rules
-  lane: LaneRules
-  need: ConnectionRequirements
-  token: Token | undefined
-  mustLead: boolean
-  body: { text?: string; shape?: string; args: unknown[]; id?: string }
-  // find: the call's lane in other rules. hold: until when it waits for a leader or a connection;
-  // moveHold: for a leader, while one is known to be on its way. behind: followers that
-  // said in this call that they lack the place.
-  find: (rules: Rules) => LaneRules | undefined
-  hold: number
-  moveHold: number
-  behind: Set<string>
-  deadline: number
-  byCaller: boolean
-  gone: Flag
-  sends: number
-  waited: boolean
-  ran: 'no' | 'maybe'
-  last: RequestError | undefined
-  probe: boolean
-  target?: { instance: Instance; epoch: number; floor: LogPosition | undefined }
-  loan?: CheckedOutConnection
-  got?: Result<StatementResult, RequestError>
-  asked: number
-  // place: the lane and team that this call is counted under as pending.
-  place?: { lane: string; team: string }
-}
-
-export type Settled = {
-  verdict: Verdict
-  mark?: LogPosition
-  loan?: CheckedOutConnection
-  epoch?: number
-  instance?: string
-}
-
 export type Tools = { breaker: Breaker; tokens: Tokens; alert: Alert }
 
 export type Runner = {
@@ -109,12 +63,12 @@
   stopping: () => boolean,
 ): Runner {
   const tools = new Map<string, Tools>()
-  const pending = new Map<string, number>()
-  const byTeam = new Map<string, number>()
+  const admission = makeAdmission(metrics)
   const writes = new Map<string, number>()
   const begun = new Set<Call>()
   const highs = new Map<string, LogPosition>()
   const quiet = makeSignal()
+  const targets = makeTargetSelection(world, state, watch, edge, metrics)
 
   function toolsOf(group: string): Tools {
     let got = tools.get(group)
@@ -203,7 +157,7 @@
     if (!lane && !state.valid())
       return refusal('UNAVAILABLE', 'this node holds no valid term', true, RETRY_AFTER_PROMOTION_S)
     if (!lane) return { ...refusal('NOT_FOUND', `the lane ${call.lane.name} was dropped`, false), lacks: 'lane' }
-    give(call)
+    admission.release(call)
     if (lane.group !== call.lane.group) {
       if (call.probe) toolsOf(call.lane.group).breaker.note(false, true)
       call.probe = false
@@ -214,14 +168,6 @@
     call.need = needFor(lane, rules, call.need)
     return 'start'
   }
-  function give(call: Call): void {
-    const { place } = call
-    if (!place) return
-    delete call.place
-    pending.set(place.lane, (pending.get(place.lane) ?? 1) - 1)
-    byTeam.set(place.team, (byTeam.get(place.team) ?? 1) - 1)
-  }
-
   function gate(call: Call): Turn {
     if (stopping()) return refusal('UNAVAILABLE', 'this node is stopping', true, RETRY_AFTER_OVERLOAD_S)
     if (!state.valid()) return refusal('UNAVAILABLE', 'this node holds no valid term', true, RETRY_AFTER_PROMOTION_S)
@@ -230,34 +176,6 @@
     if (call.gone.fired()) return refusal('ABORTED', 'the requester went away', false)
     return undefined
   }
-  function take(call: Call, most: number): Turn {
-    const now = pending.get(call.lane.name) ?? 0
-    if (now >= most) {
-      metrics.add('claynotch_refused_pending_total', [['lane', call.lane.name]])
-      return refusal(
-        'RESOURCE_EXHAUSTED',
-        `the lane ${call.lane.name} has ${now} calls pending`,
-        true,
-        RETRY_AFTER_OVERLOAD_S,
-      )
-    }
-    const { team } = call.lane
-    const quota = call.rules.pending.get(team)
-    const theirs = byTeam.get(team) ?? 0
-    if (quota !== undefined && theirs >= quota) {
-      metrics.add('claynotch_refused_quota_total', [['team', team]])
-      return refusal(
-        'RESOURCE_EXHAUSTED',
-        `the team ${team} has its ${quota} calls on this node`,
-        true,
-        RETRY_AFTER_OVERLOAD_S,
-      )
-    }
-    byTeam.set(team, theirs + 1)
-    pending.set(call.lane.name, now + 1)
-    call.place = { lane: call.lane.name, team }
-    return undefined
-  }
   function breakerStep(call: Call): Turn {
     if (call.probe) return undefined
     const { breaker } = toolsOf(call.lane.group)
@@ -282,80 +200,6 @@
     await wake.wait()
     unwatch()
   }
-  function leaderNow(call: Call): { instance: Instance; epoch: number } | undefined {
-    const known = state.group(call.lane.group)
-    if (!known || world.now() >= known.until) return undefined
-    const rec = known.record
-    const calm = rec.phase === 'steady' || (rec.phase === 'drain' && call.kind === 'read')
-    if (!calm || rec.leader === undefined) return undefined
-    const instance = watch.get(rec.leader)
-    if (!instance || !watch.usable(instance, false)) return undefined
-    if (stopsHere(call)) return undefined
-    const writes = call.kind === 'write' || call.kind === 'begin write'
-    if (writes && !guarded(call.lane.group, rec.leader, rec.epoch)) return undefined
-    // A leaving leader still leads until its successor does, but not for ever.
-    if (state.goneFor(rec.leader) > LEAVING_GRACE_MS) return undefined
-    watch.usable(instance, true)
-    return { instance, epoch: rec.epoch }
-  }
-  // A lane under move takes no writes and no transactions, and in its last phase no reads either.
-  function stopsHere(call: Call): boolean {
-    if (call.lane.move === 'ease') return call.kind === 'begin read'
-    return call.lane.move === 'held' || (call.lane.move !== undefined && call.kind !== 'read')
-  }
-  // Whether some follower is proved to hold what the leader had within the group's guard, where it has one.
-  function guarded(group: string, leader: string, epoch: number): boolean {
-    const guard = guardOf(state.config(), group)
-    if (guard === undefined) return true
-    const samples = watch.get(leader)?.samples ?? []
-    for (const one of watch.all().values()) {
-      if (one.group !== group || one.name === leader || !one.mark || one.doubt) continue
-      const age = provedWithin(samples, epoch, one.mark, world.now())
-      if (age !== undefined && age <= guard) return true
-    }
-    metrics.add('claynotch_guard_waits_total', [['group', group]])
-    return false
-  }
-  function followerNow(
-    call: Call,
-    known: Known,
-    step: { within: number; own: boolean },
-  ): { instance: Instance; epoch: number; floor: LogPosition } | undefined {
-    const rec = known.record
-    if (rec.leader === undefined || world.now() >= known.until || stopsHere(call)) return undefined
-    // A transaction begun now would be cut when the drain ends; it waits for the next leader.
-    if (rec.phase === 'drain' && call.kind === 'begin read') return undefined
-    const need = needNow(call.lane.group, step, call.token)
-    if (need === undefined) return undefined
-    let best: Instance | undefined
-    let least = Infinity
-    for (const one of watch.all().values()) {
-      if (
-        one.group !== call.lane.group ||
-        one.name === rec.leader ||
-        !watch.usable(one, false) ||
-        state.gone(one.name) ||
-        call.behind.has(one.name)
-      )
-        continue
-      // Where followers are sampled, what they hold is known; else each proves it itself, on the send.
-      if (edge.sampler && (!one.mark || one.status?.role !== 'follower' || !isFresh(one.mark, need, edge.exact)))
-        continue
-      // The own area first, then the least usage.
-      const cost = one.usage + (one.area === state.area() ? 0 : OTHER_ZONE_LOAD_COST)
-      if (cost < least) {
-        least = cost
-        best = one
-      }
-    }
-    if (!best) return undefined
-    // A leader in the own area is nearer than any follower elsewhere, as long as it has no more to do.
-    const head = watch.get(rec.leader)
-    if (head && rec.phase === 'steady' && head.area === state.area() && head.usage < least && watch.usable(head, false))
-      return undefined
-    watch.usable(best, true)
-    return { instance: best, epoch: rec.epoch, floor: need }
-  }
   async function aim(call: Call, step: Extract<Step, { op: 'aim' }>): Promise<Turn> {
     let waited = false
     kept(call)
@@ -365,13 +209,13 @@
       if (world.now() >= call.deadline) return exhausted(call)
       const known = state.group(call.lane.group)
       if (step.at === 'fresh' && !call.mustLead && !isForeign(call.token, call.lane.group) && known) {
-        const got = followerNow(call, known, step)
+        const got = targets.followerFor(call, known, step)
         if (got) {
           call.target = got
           break
         }
       }
-      const lead = leaderNow(call)
+      const lead = targets.leaderFor(call)
       if (lead) {
         call.target = { ...lead, floor: undefined }
         break
@@ -615,7 +459,7 @@
           turn = gate(call)
           break
         case 'take':
-          turn = take(call, step.pending)
+          turn = admission.admit(call, step.pending)
           break
         case 'breaker':
           turn = breakerStep(call)
@@ -639,7 +483,7 @@
       else break
     }
     turn = honest(call, turn)
-    give(call)
+    admission.release(call)
     if (call.probe && turn.outcome !== 'done') toolsOf(call.lane.group).breaker.note(false, true)
     metrics.add('claynotch_calls_total', [
       ['lane', call.lane.name],
@@ -663,20 +507,6 @@
   function isAim(step: Step): boolean {
     return step.op === 'aim'
   }
-  function needNow(
-    group: string,
-    fresh: { within: number; own: boolean },
-    token: Token | undefined,
-  ): LogPosition | undefined {
-    const rec = state.group(group)?.record
-    const head = rec?.leader !== undefined ? watch.get(rec.leader) : undefined
-    if (!rec || !head) return undefined
-    return needOf(
-      floorOf(head.samples, rec.epoch, fresh.within, world.now()),
-      rec.epoch,
-      fresh.own && token?.group === group ? token.mark : undefined,
-    )
-  }
   function groups(): Map<string, Tools> {
     return tools
   }
@@ -692,67 +522,9 @@
     holdWrite,
     opening,
     kept,
-    needNow,
+    needNow: targets.requiredPosition,
     highs: highsNow,
     sawWrite,
     quiet,
   }
 }
-
-// What a call of the lane needs in force on its connection.
-function needFor(
-  lane: LaneRules,
-  rules: Rules,
-  has: { settings: [string, string][]; shapes: Map<string, string> },
-): ConnectionRequirements {
-  return {
-    database: lane.database,
-    settings: has.settings,
-    shapes: has.shapes,
-    team: lane.team,
-    share: rules.shares.get(lane.team) ?? 1,
-  }
-}
-
-export function makeCall(
-  world: World,
-  kind: Kind,
-  lane: LaneRules,
-  rules: Rules,
-  parts: {
-    settings: [string, string][]
-    shapes: Map<string, string>
-    token: Token | undefined
-    mustLead: boolean
-    body: Call['body']
-    find: Call['find']
-    ms: number | undefined
-    gone: Flag
-  },
-): Call {
-  const now = world.now()
-  const byCaller = parts.ms !== undefined && parts.ms < RETRY_BUDGET_MS
-  const budget = Math.min(RETRY_BUDGET_MS, parts.ms ?? RETRY_BUDGET_MS, lane.limit ?? RETRY_BUDGET_MS)
-  return {
-    kind,
-    rules,
-    lane,
-    token: parts.token,
-    mustLead: parts.mustLead,
-    body: parts.body,
-    gone: parts.gone,
-    byCaller,
-    need: needFor(lane, rules, parts),
-    find: parts.find,
-    hold: now + (lane.aim === undefined ? budget : lane.aim * QUEUE_TIMEOUT_SHARE),
-    moveHold: now + (lane.aim === undefined ? budget : budget * PROMOTION_WAIT_SHARE),
-    behind: new Set(),
-    deadline: now + budget,
-    sends: 0,
-    waited: false,
-    ran: 'no',
-    last: undefined,
-    probe: false,
-    asked: now,
-  }
-}
