--- a/packages/failover/src/replicas.ts
+++ b/packages/failover/src/replicas.ts
@@ -11,13 +11,16 @@
   return a.name < b.name ? -1 : a.name > b.name ? 1 : 0
 }
 
-/** Whoever has the replica's log now: itself, or a new instance at its address, which has taken the log up. */
+/**
+ * Whoever has the replica's log now: itself, or a new instance at its address, which has taken the log up. One that leaves or
+ * signed off is no new instance: it may be the one before.
+ */
 function logHolderOf(replica: Replica, announced: InstanceStatus[]): string {
   let successor: string | undefined
-  for (const status of announced) {
-    const { name, addr } = status
-    if (name === replica.name && !hasSignedOff(status)) return name
-    if (name !== replica.name && addr === replica.addr) successor = name
+  for (const { name, addr, leaving } of announced) {
+    if (leaving) continue
+    if (name === replica.name) return name
+    if (addr === replica.addr) successor = name
   }
   return successor ?? replica.name
 }
@@ -31,16 +34,17 @@
   announced: InstanceStatus[],
   leader: string | undefined,
 ): Replica[] {
-  const out = new Map<string, Replica>()
-  for (const replica of record.replicas ?? [])
-    if (logHolderOf(replica, announced) === replica.name) out.set(replica.name, replica)
+  const known = new Map<string, Replica>()
+  for (const replica of record.replicas ?? []) known.set(replica.name, replica)
   for (const status of announced) {
     const { name, addr } = status
     // One that signed off is asked for as long as the record names it.
-    if (out.has(name) || !hasSignedOff(status)) out.set(name, { name, addr })
+    if (known.has(name) || !hasSignedOff(status)) known.set(name, { name, addr })
   }
-  if (leader !== undefined) out.delete(leader)
-  return [...out.values()].sort(byName)
+  const out: Replica[] = []
+  for (const replica of known.values())
+    if (replica.name !== leader && logHolderOf(replica, announced) === replica.name) out.push(replica)
+  return out.sort(byName)
 }
 
 export function isSameList(a: Replica[] | undefined, b: Replica[]): boolean {
--- a/packages/fleet/src/test/promotion-safety.test.ts
+++ b/packages/fleet/src/test/promotion-safety.test.ts
@@ -91,6 +91,31 @@
   c.strictSame(group.promotions[0], { name: 'i-4', position: 10, acknowledged: 10 })
 }
 
+// Guards against what the soak found with seed 16: the new instance was silent for longer than its announcement lives, the one
+// before it at its address was still known as signed off, and was taken for its successor.
+async function successorIsDown(c: Test): Promise<void> {
+  for (const ends of ['hasSignedOff', 'isLeaving'] as const) {
+    const group = makeReplicatedGroup(8, ['i-1', 'i-2', 'i-3'])
+    await group.begin()
+    for (let k = 0; k < 5; k++) group.commit(['i-2', 'i-3'])
+    const old = group.instances.get('i-2')!
+    old.isLeaving = true
+    await group.wait(1000)
+    old[ends] = true
+    group.crash('i-2')
+    group.add('i-4', old.addr, old.position)
+    await group.wait(2000)
+    for (let k = 0; k < 5; k++) group.commit(['i-4'])
+    group.crash('i-4')
+    group.crash('i-1')
+    await group.wait(15000)
+    c.strictSame(group.promotions, [], `${ends}: nobody is promoted while it is down`)
+    group.restart('i-4')
+    await group.wait(3000)
+    c.strictSame(group.promotions[0], { name: 'i-4', position: 10, acknowledged: 10 }, `${ends}: it is promoted`)
+  }
+}
+
 // A replica that is gone for good is not waited for, once another holds what it may have held.
 async function replicaIsGone(c: Test): Promise<void> {
   for (const isBehind of [false, true]) {
@@ -128,5 +153,6 @@
 void t.test('nobody is promoted while all who hold the last commits are down', holdersOfLastCommitsAreDown)
 void t.test('nobody is promoted while a replica that may hold them does not answer', holderDoesNotAnswer)
 void t.test("a new instance at a replica's address is asked in its place", replicaIsReplaced)
+void t.test('one that ended is not taken for the successor of the new instance at its address', successorIsDown)
 void t.test('a replica that is gone for good is dropped once another holds all', replicaIsGone)
 void t.test('commits that no replica received are not waited for', reportedEndWasNeverReplicated)
--- a/packages/fleet/src/test/replicated-group.ts
+++ b/packages/fleet/src/test/replicated-group.ts
@@ -22,7 +22,7 @@
 const NODE = 'holder'
 /** ms from a promotion call until the instance leads. */
 const PROMOTION_MS = 200
-/** ms after its crash for which an instance still counts as announced. */
+/** ms after its crash for which an instance still counts as announced; one that leaves does for the whole of a test. */
 const ANNOUNCED_MS = 3500
 const INSTANCE_ERROR: Result<Status, string> = Err('no answer')
 
@@ -135,7 +135,7 @@
 
   function isAnnounced(instance: ModelInstance): boolean {
     if (instance.isUp && !instance.isCutOff) return true
-    return instance.hasSignedOff || sim.now() - instance.silentSince < ANNOUNCED_MS
+    return instance.hasSignedOff || instance.isLeaving || sim.now() - instance.silentSince < ANNOUNCED_MS
   }
   function instancesOf(): InstanceStatus[] {
     const out: InstanceStatus[] = []
