Count no samples of before a route came to its group (move-lagging)

Cause: the position that a follower must hold was taken from samples that the new group's leader gave before the move, when it lacked the last commits of the old group.

Ruled out: counting no sample of before the present rules, which sends all bounded reads to the leaders after each configuration change.

Fix: a node keeps from when it has known each route to be of its group; older samples prove nothing for that route.

--- a/packages/fleet/src/test/parts.test.ts
+++ b/packages/fleet/src/test/parts.test.ts
@@ -274,9 +274,22 @@
 function hasConfig(h: { config?: unknown }): boolean {
   return h.config !== undefined
 }
+// Guards against move-lagging: a route's commits of before its move are in no sample that the new group's leader gave before it.
+function samplesBeforeMove(c: Test): void {
+  const samples: Sample[] = [
+    { asked: 100, reign: 2, mark: { epoch: 2, position: 7 } },
+    { asked: 300, reign: 2, mark: { epoch: 2, position: 9 } },
+  ]
+  c.strictSame(floorOf(samples, 2, 1000, 400), { epoch: 2, position: 7 }, 'a route that was always here')
+  c.strictSame(floorOf(samples, 2, 1000, 400, 200), { epoch: 2, position: 9 }, 'one that came at 200')
+  c.equal(floorOf(samples, 2, 1000, 400, 350), undefined, 'one that came after all samples')
+  c.end()
+}
+
 void t.test('freshness: the proof against the whole history', freshness)
 void t.test('data file: torn ends are cut, damage is seen', dataFile)
 void t.test('configuration: all findings at once, with their places', configuration)
 void t.test('decisions: random changes against a plain model', decisions)
 void t.test('retry: pauses, tokens, breaker', retry)
 void t.test('duties: keys cut over live nodes', duties)
+void t.test('samples of before a route came to a group prove nothing of it', samplesBeforeMove)
--- a/packages/proxy/src/freshness.ts
+++ b/packages/proxy/src/freshness.ts
@@ -7,11 +7,18 @@
 export type Sample = { asked: number; reign: number; mark: LogPosition }
 
 // The place that every commit older than now - within lies at or under: the least among the samples of this reign that
-// are young enough to prove it. undefined: none is.
-export function floorOf(samples: Sample[], reign: number, within: number, now: number): LogPosition | undefined {
+// are young enough to prove it. undefined: none is. since: a route came to the group then, and the commits that it brought from
+// another group are in no sample that was asked before.
+export function floorOf(
+  samples: Sample[],
+  reign: number,
+  within: number,
+  now: number,
+  since = 0,
+): LogPosition | undefined {
   let least: LogPosition | undefined
   for (const s of samples) {
-    if (s.reign !== reign || s.asked < now - within) continue
+    if (s.reign !== reign || s.asked < now - within || s.asked < since) continue
     if (least === undefined || comparePositions(s.mark, least) < 0) least = s.mark
   }
   return least
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -21,14 +21,14 @@
 import type { InstanceAdapter, LogPosition } from '@claynotch/instance'
 import { isShareBelowOne, lendable } from '@claynotch/operator'
 import { refusal, type Verdict } from '@claynotch/requester'
-import { isForeign, isFresh, type Token } from './freshness.js'
+import { isForeign, isFresh } from './freshness.js'
 import { makeAdmission } from './admission.js'
 import { needFor, type Call, type Settled } from './call.js'
 import type { CheckedOutConnection, Pool } from './pool.js'
 import { backoff, makeAlert, makeBreaker, makeTokens, type Alert, type Breaker, type Tokens } from './retry.js'
 import type { Step } from './rules.js'
 import type { State } from './state.js'
-import { makeTargetSelection } from './target-selection.js'
+import { makeTargetSelection, type TargetSelection } from './target-selection.js'
 import type { Instance, Watch } from './watch.js'
 
 export type Tools = { breaker: Breaker; tokens: Tokens; alert: Alert }
@@ -47,7 +47,7 @@
   opening: (group: string, lane: string | undefined, kind: 'begin read' | 'begin write') => number
   kept: (call: Call) => void
   // The position that a follower must hold for a read that begins now; undefined: it can't be proved.
-  needNow: (group: string, fresh: { within: number; own: boolean }, token: Token | undefined) => LogPosition | undefined
+  needNow: TargetSelection['requiredPosition']
   highs: () => Map<string, LogPosition>
   sawWrite: (group: string, mark: LogPosition) => void
   quiet: ReturnType<typeof makeSignal>
--- a/packages/proxy/src/rules.ts
+++ b/packages/proxy/src/rules.ts
@@ -16,9 +16,12 @@
 export type Kind = 'read' | 'write' | 'begin read' | 'begin write'
 // limit: ms that one statement may take. aim: ms that a call should be answered within. sends: most sends of a call.
 // move: the phase of the move that the lane is in, from where it stops anything.
+// groupSince: from when (local time, ms) this node has known the lane to be of this group and not of another; 0 where it never knew
+// it to be of another.
 export type LaneRules = {
   name: string
   group: string
+  groupSince: number
   team: string
   database: string
   pending: number
@@ -43,7 +46,20 @@
   policy: { policy: Policy; fallback: string } | undefined
 }
 
-export function compile(config: Config, epoch: number, moves: Move[], since: number): Rules {
+function groupSinceOf(lane: string, group: string, now: number, previous: Rules | undefined): number {
+  const before = previous?.lanes.get(lane)
+  if (!before) return 0
+  return before.group === group ? before.groupSince : now
+}
+
+/** previous: the rules that these replace. */
+export function compile(
+  config: Config,
+  epoch: number,
+  moves: Move[],
+  since: number,
+  previous: Rules | undefined = undefined,
+): Rules {
   const lanes = new Map<string, LaneRules>()
   const bases = new Map<string, LaneRules>()
   for (const lane of config.lanes) {
@@ -74,6 +90,7 @@
     const one: LaneRules = {
       name: lane.name,
       group: lane.group,
+      groupSince: groupSinceOf(lane.name, lane.group, since, previous),
       team: lane.team ?? '',
       database: lane.database,
       pending,
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -309,7 +309,8 @@
     // A bound that was changed meanwhile holds from now on.
     const lane = state.rules()?.lanes.get(tx.lane)
     const fresh = tx.fresh && ((lane && freshOf(lane)) ?? tx.fresh)
-    const need = fresh ? runner.needNow(tx.group, fresh, s.token) : undefined
+    const groupSince = lane?.group === tx.group ? lane.groupSince : 0
+    const need = fresh ? runner.needNow(tx.group, fresh, s.token, groupSince) : undefined
     if (fresh && need === undefined) return over(s, tx, 'UNAVAILABLE', 'the follower can no longer be proved fresh')
     tx.ran = true
     if (tx.kind === 'write') runner.holdWrite(tx.group, tx.lane, 1)
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -92,7 +92,8 @@
         const mine = configFor(body, area)
         // A turn that only kept a decision leaves the rules as they are.
         const next = `${mine.epoch} ${JSON.stringify(mine.moves)}`
-        if (next !== made) rules = mine.config ? compile(mine.config, mine.epoch, mine.moves, world.now()) : undefined
+        if (next !== made)
+          rules = mine.config ? compile(mine.config, mine.epoch, mine.moves, world.now(), rules) : undefined
         made = next
         for (const m of mine.moves)
           if (m.phase === 'quiet' || m.phase === 'held') for (const lane of m.lanes) shut.set(lane, world.now())
--- a/packages/proxy/src/target-selection.ts
+++ b/packages/proxy/src/target-selection.ts
@@ -19,8 +19,16 @@
   leaderFor: (call: Call) => LeaderTarget | undefined
   /** The least loaded follower that is fresh enough, or that proves it itself; undefined: the leader is to be asked. */
   followerFor: (call: Call, known: Known, freshness: Freshness) => FollowerTarget | undefined
-  /** The position that a follower must hold for a read that begins now; undefined: it can't be proved. */
-  requiredPosition: (group: string, freshness: Freshness, token: Token | undefined) => LogPosition | undefined
+  /**
+   * The position that a follower must hold for a read that begins now; undefined: it can't be proved. groupSince: from when its
+   * route has been of this group.
+   */
+  requiredPosition: (
+    group: string,
+    freshness: Freshness,
+    token: Token | undefined,
+    groupSince?: number,
+  ) => LogPosition | undefined
 }
 
 export function makeTargetSelection(
@@ -73,7 +81,7 @@
     if (rec.leader === undefined || world.now() >= known.until || stopsHere(call)) return undefined
     // A transaction begun now would be cut when the drain ends; it waits for the next leader.
     if (rec.phase === 'drain' && call.kind === 'begin read') return undefined
-    const need = requiredPosition(call.lane.group, step, call.token)
+    const need = requiredPosition(call.lane.group, step, call.token, call.lane.groupSince)
     if (need === undefined) return undefined
     let best: Instance | undefined
     let least = Infinity
@@ -108,12 +116,13 @@
     group: string,
     fresh: { within: number; own: boolean },
     token: Token | undefined,
+    groupSince = 0,
   ): LogPosition | undefined {
     const rec = state.group(group)?.record
     const head = rec?.leader !== undefined ? watch.get(rec.leader) : undefined
     if (!rec || !head) return undefined
     return needOf(
-      floorOf(head.samples, rec.epoch, fresh.within, world.now()),
+      floorOf(head.samples, rec.epoch, fresh.within, world.now(), groupSince),
       rec.epoch,
       fresh.own && token?.group === group ? token.mark : undefined,
     )
