--- a/packages/proxy/src/client-memory.ts
+++ b/packages/proxy/src/client-memory.ts
@@ -8,12 +8,12 @@
 
 export type ClientAccount = {
   /**
-   * Says what the connection holds now: questions that came and are not answered yet, the bytes of these and of the beginning of a
+   * Says what the connection holds now: whole questions that are not answered yet, the bytes of these and of the beginning of a
    * further one, and the bytes of answers that the client has not read. false: all connections together hold too much, and this
    * one is to be ended.
    */
   set: (questions: number, questionBytes: number, unreadBytes: number) => boolean
-  /** Whether more is to be read from the connection. */
+  /** Whether more is to be read from the connection. A single question may be as long as the wire allows, and is read to its end. */
   mayRead: () => boolean
   /** Whether its next question may be taken up. */
   mayAnswer: () => boolean
@@ -47,6 +47,7 @@
       return false
     }
     function mayRead(): boolean {
+      if (questions === 0) return true
       return questions <= CLIENT_QUESTIONS_LIMIT && questionBytes <= CLIENT_QUESTIONS_LIMIT_BYTES
     }
     function mayAnswer(): boolean {
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1238,6 +1238,13 @@
     seeds: [1, 1],
     edits: [['proxy/dist/client-memory.js', '&& questionBytes <= CLIENT_QUESTIONS_LIMIT_BYTES', '']],
   },
+  {
+    name: 'long-question-stops-reading',
+    rule: 'silence: a question as long as the wire allows is answered',
+    test: 'platform/dist/test/client-memory.test.js',
+    seeds: [1, 1],
+    edits: [['proxy/dist/client-memory.js', 'if (questions === 0)', 'if (false)']],
+  },
   {
     name: 'client-answers-unbounded',
     rule: 'Fault: answers that a client does not read are bounded',
