--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -301,6 +301,16 @@
 // bytes. Both for all client connections of a process: a third of the memory that it is started with. A connection that would
 // go past it is ended.
 export const ALL_CLIENTS_MEMORY_LIMIT_BYTES = 64 * 1024 * 1024
+// bytes. What a client set and prepared in one session; past it SET and PREPARE are refused.
+export const SESSION_STATE_LIMIT_BYTES = 256 * 1024
+// bytes. The same for all sessions of a process.
+export const ALL_SESSION_STATE_LIMIT_BYTES = 32 * 1024 * 1024
+// bytes. What each value or prepared statement takes beside its texts.
+export const SESSION_STATE_ENTRY_BYTES = 100
+// bytes. A pooled connection with longer settings in force is not kept idle.
+export const IDLE_CONNECTION_SETTINGS_LIMIT_BYTES = 16 * 1024
+// count. The same by statements that were prepared on it.
+export const IDLE_CONNECTION_SHAPES_LIMIT = 256
 // bytes. Longest policy.
 export const POLICY_LIMIT_BYTES = 16384
 
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -1,5 +1,7 @@
 import { createHash } from 'node:crypto'
 import {
+  IDLE_CONNECTION_SETTINGS_LIMIT_BYTES,
+  IDLE_CONNECTION_SHAPES_LIMIT,
   loop,
   makeFlag,
   RESET_TIMEOUT_MS,
@@ -79,6 +81,13 @@
   return true
 }
 
+/** Whether what is in force on it is little enough to be kept in memory while nobody uses it. */
+function isWorthKeeping({ set, shapes }: Conn): boolean {
+  let bytes = 0
+  for (const [name, value] of set) bytes += name.length + value.length
+  return bytes <= IDLE_CONNECTION_SETTINGS_LIMIT_BYTES && shapes.size <= IDLE_CONNECTION_SHAPES_LIMIT
+}
+
 function shapeId(text: string): string {
   return `s${createHash('sha1').update(text).digest('hex').slice(0, 20)}`
 }
@@ -258,7 +267,7 @@
       usageOf(p, need.team, -1)
       const isKept = need.closesAfterUse !== true || p.waiters.length > 0
       const hasRoom = places.get(instance) === p && count(p) < p.limit
-      if (clean && conn.port.alive() && hasRoom && isKept && !stop.fired()) {
+      if (clean && conn.port.alive() && hasRoom && isKept && isWorthKeeping(conn) && !stop.fired()) {
         conn.idleSince = world.now()
         p.idle.push(conn)
       } else conn.port.close()
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -16,12 +16,13 @@
 } from '@claynotch/base'
 import type { StatementResult, InstanceAdapter, RequestError } from '@claynotch/instance'
 import { AUTO } from '@claynotch/operator'
-import { refusal, type Kind, type Verdict, type Word } from '@claynotch/requester'
+import { refusal, type Verdict, type Word } from '@claynotch/requester'
 import { isForeign, isFresh, readToken, writeToken, type Token } from './freshness.js'
 import { makeCall } from './call.js'
 import type { Runner } from './interpret.js'
 import type { CheckedOutConnection } from './pool.js'
 import type { LaneRules, Rules } from './rules.js'
+import { makeSessionMemory, type SessionState } from './session-state.js'
 import type { State } from './state.js'
 
 // An open transaction. Invariants: its loan is its own until it ends; statements run on that connection alone;
@@ -42,9 +43,6 @@
   stray: number | undefined
 }
 
-// kind undefined: each statement by the shape says its own.
-type Shape = { text: string; kind: Kind | undefined }
-
 // lane undefined: matched by the database, anew for each call.
 // Invariants: idle sessions hold no connection; busy is true while one call of the session runs, and a second is refused;
 // token is its last write's place, in the group that took it; mustLead is set after a write of unknown end, until a read at the leader;
@@ -55,8 +53,7 @@
   lane: string | undefined
   database: string
   team: string
-  settings: [string, string][]
-  shapes: Map<string, Shape>
+  state: SessionState
   token: Token | undefined
   mustLead: boolean
   busy: boolean
@@ -92,6 +89,7 @@
   const all = new Map<string, Session>()
   // counts: open sessions by team.
   const counts = new Map<string, number>()
+  const memory = makeSessionMemory(metrics)
   const prefix = Math.floor(world.random() * 2 ** 40).toString(36)
   let next = 0
   let counted = 0
@@ -141,6 +139,7 @@
     if (s.dead) return
     s.dead = true
     all.delete(s.id)
+    s.state.close()
     teamCount(s.team, -1)
     if (s.transaction && !s.busy) void rollBack(s)
   }
@@ -206,14 +205,19 @@
         true,
         RETRY_AFTER_OVERLOAD_S,
       )
+    const own = memory.open()
+    for (const [name, value] of settings) {
+      if (own.set(name, value)) continue
+      own.close()
+      return tooMuchState()
+    }
     const id = `${prefix}-${++next}-${Math.floor(world.random() * 2 ** 40).toString(36)}`
     all.set(id, {
       id,
       lane: name,
       database,
       team: lane.team,
-      settings,
-      shapes: new Map(),
+      state: own,
       token,
       mustLead: false,
       busy: false,
@@ -300,7 +304,7 @@
   ): Promise<Verdict> {
     const why = lapsed(tx)
     if (why) return over(s, tx, 'UNAVAILABLE', why)
-    const shape = word.body.shape !== undefined ? s.shapes.get(word.body.shape) : undefined
+    const shape = word.body.shape !== undefined ? s.state.prepared(word.body.shape) : undefined
     if (word.body.shape !== undefined && !shape) return noShape(word.body.shape)
     const kind = word.body.kind ?? shape?.kind ?? 'write'
     if (kind === 'write' && tx.kind === 'read')
@@ -402,18 +406,22 @@
   function noShape(name: string): Verdict {
     return { ...refusal('NOT_FOUND', `no shape is named ${name}`, false), lacks: 'shape' }
   }
+  function tooMuchState(): Verdict {
+    return refusal('RESOURCE_EXHAUSTED', 'the session holds too many values and prepared statements', false)
+  }
   // In an open transaction the setting is put in force at once, as its statements run on that connection alone.
   async function setting(s: Session, tx: Transaction | undefined, name: string, value: string): Promise<Verdict> {
     if (tx) {
       const why = lapsed(tx)
       if (why) return over(s, tx, 'UNAVAILABLE', why)
+      const before = s.state.value(name)
+      if (!s.state.set(name, value)) return tooMuchState()
       const bad = await tx.loan.setting(name, value)
-      if (bad) return troubled(s, tx, bad)
+      if (!bad) return { outcome: 'done' }
+      s.state.restore(name, before)
+      return troubled(s, tx, bad)
     }
-    const next: [string, string][] = []
-    for (const pair of s.settings) if (pair[0] !== name) next.push(pair)
-    s.settings = [...next, [name, value]]
-    return { outcome: 'done' }
+    return s.state.set(name, value) ? { outcome: 'done' } : tooMuchState()
   }
 
   async function onSession(s: Session, word: Word, ms: number | undefined, gone: Flag): Promise<Verdict> {
@@ -427,10 +435,11 @@
     }
     switch (word.w) {
       case 'shape':
-        s.shapes.set(word.body.name, { text: word.body.text, kind: word.body.kind })
-        return { outcome: 'done' }
+        return s.state.prepare(word.body.name, { text: word.body.text, kind: word.body.kind })
+          ? { outcome: 'done' }
+          : tooMuchState()
       case 'unshape':
-        return s.shapes.delete(word.name) ? { outcome: 'done' } : noShape(word.name)
+        return s.state.deallocate(word.name) ? { outcome: 'done' } : noShape(word.name)
       case 'set':
         return await setting(s, tx, word.name, word.value)
       case 'commit':
@@ -448,7 +457,8 @@
     if (word.w !== 'statement' && word.w !== 'begin') return refusal('INVALID_ARGUMENT', 'not a session call', false)
     const found = laneOf(s.lane, s.database)
     if (!found) return noLane(s.lane ?? s.database)
-    const shape = word.w === 'statement' && word.body.shape !== undefined ? s.shapes.get(word.body.shape) : undefined
+    const shape =
+      word.w === 'statement' && word.body.shape !== undefined ? s.state.prepared(word.body.shape) : undefined
     if (word.w === 'statement' && word.body.shape !== undefined && !shape) return noShape(word.body.shape)
     const kind = word.body.kind ?? shape?.kind ?? 'write'
     const { id } = word
@@ -467,7 +477,7 @@
       return findLane(rules, s.lane, s.database)
     }
     const call = makeCall(world, word.w === 'begin' ? `begin ${kind}` : kind, found.lane, found.rules, {
-      settings: s.settings,
+      settings: s.state.settings(),
       shapes,
       token: s.token,
       mustLead: s.mustLead,
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1245,6 +1245,20 @@
     seeds: [1, 1],
     edits: [['proxy/dist/client-memory.js', 'if (questions === 0)', 'if (false)']],
   },
+  {
+    name: 'session-state-unbounded',
+    rule: 'Fault: what a client sets and prepares in its session is bounded',
+    test: 'platform/dist/test/session-state.test.js',
+    seeds: [1, 1],
+    edits: [['proxy/dist/session-state.js', 'if (bytes > 0 && isTooMuch)', 'if (false)']],
+  },
+  {
+    name: 'idle-connection-keeps-values',
+    rule: 'Fault: idle connections to instances hold little of what clients set',
+    test: 'platform/dist/test/session-state.test.js',
+    seeds: [1, 1],
+    edits: [['proxy/dist/pool.js', '&& isWorthKeeping(conn)', '']],
+  },
   {
     name: 'client-answers-unbounded',
     rule: 'Fault: answers that a client does not read are bounded',
