Close client connections that begin no session, and bound how many a proxy holds

Found by reading, after the soak's floods: a connection that said nothing was held for good, and 20,000 were taken where the platform gives a process 4,200 descriptors, so that connections to instances and to the agent had none left. One that hasn't begun its session within 10 s is closed; client connections have three quarters of the descriptors that the settings file names. Not shown on a real process: the soak sets no limit on descriptors.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -292,6 +292,10 @@
 // --- policies ---
 // steps of the Lua machine. A policy that matches by a few comparisons takes under 100; 10000 take about a millisecond.
 export const MAX_POLICY_STEPS = 10000
+// ratio. Of a proxy's descriptors: what client connections may have; the rest is for instances, the agent and files.
+export const CLIENT_DESCRIPTORS_SHARE = 0.75
+// ms. A client connection that hasn't begun its session by then is closed.
+export const SESSION_START_TIMEOUT_MS = 10000
 // count. Questions of one client connection that wait for an answer; past it, it isn't read on.
 export const CLIENT_QUESTIONS_LIMIT = 64
 // bytes. The same by size. One question may be longer by itself.
--- a/packages/base/src/streams.ts
+++ b/packages/base/src/streams.ts
@@ -1,12 +1,18 @@
 import type { Duplex } from 'node:stream'
-import { DRAIN_TAIL_MS, MAX_EDGE_CONNECTIONS, CONNECTION_GRACE_MS } from './constants.js'
+import { CONNECTION_GRACE_MS, DRAIN_TAIL_MS, MAX_EDGE_CONNECTIONS, SESSION_START_TIMEOUT_MS } from './constants.js'
 import type { HttpListener } from './http-server.js'
 import { makeFlag, noop, pause } from './waiting.js'
 import type { Address, World } from './world.js'
 
 // A listener for connections that each are one long talk, with the same planned end as the HTTP edge's.
 // resting: nothing is asked and nothing is open, so that an end harms nobody; late: though it may have come to ask. end: says its last and closes.
-export type ConnectionHandler = { resting: (late?: boolean) => boolean; end: () => void; gone: () => void }
+// hasBegun: the other side has said what it came for; one that doesn't within SESSION_START_TIMEOUT_MS is closed.
+export type ConnectionHandler = {
+  resting: (late?: boolean) => boolean
+  hasBegun: () => boolean
+  end: () => void
+  gone: () => void
+}
 // answered: to be called after each answer, so that a planned end can come right then. busy: by how many more questions.
 export type ConnectionSlot = { busy: (by: number) => void; answered: () => void }
 
@@ -38,7 +44,12 @@
     }
     const talk = open(stream, { busy: count, answered })
     talks.set(stream, talk)
+    function closeUnlessBegun(): void {
+      if (!talk.hasBegun()) stream.destroy()
+    }
+    const cancelStart = world.later(SESSION_START_TIMEOUT_MS, closeUnlessBegun)
     function over(): void {
+      cancelStart()
       talks.delete(stream)
       talk.gone()
     }
--- a/packages/proxy/src/adapter.ts
+++ b/packages/proxy/src/adapter.ts
@@ -13,10 +13,13 @@
 import type { ClientMemory } from './client-memory.js'
 import type { Sessions } from './sessions.js'
 
+/** connections: held at most; further ones are closed at once. */
+export type ClientListenOptions = { addr: Address; connections: number }
+
 // How a proxy speaks with its peers, chosen when the process starts.
 export type ClientAdapter = (
   world: World,
-  addr: Address,
+  options: ClientListenOptions,
   sessions: Sessions,
   memory: ClientMemory,
 ) => Promise<HttpListener>
@@ -24,7 +27,7 @@
 export type HealthCheckAdapter = (ask: HttpRequest, probes: Probes) => HttpResponse | undefined
 export type ProxyAdapters = { instance: InstanceAdapter; requester: ClientAdapter; probes: HealthCheckAdapter }
 
-function httpRequester(world: World, addr: Address, sessions: Sessions): Promise<HttpListener> {
+function httpRequester(world: World, options: ClientListenOptions, sessions: Sessions): Promise<HttpListener> {
   async function handle(ask: HttpRequest): Promise<HttpResponse> {
     const word = readWord(ask)
     if (word.err) return badInput(word.val.status, word.val.why, word.val.findings)
@@ -32,6 +35,6 @@
     if (ms.err) return badInput(400, 'not understood', ms.val)
     return writeVerdict(await sessions.run(word.val, ms.val, ask.gone))
   }
-  return serveHttp(world, addr, handle)
+  return serveHttp(world, options.addr, handle, { lines: options.connections })
 }
 export const ownAdapters: ProxyAdapters = { instance: httpInstance, requester: httpRequester, probes: takeProbe }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,4 +1,5 @@
 import {
+  CLIENT_DESCRIPTORS_SHARE,
   DRAIN_TIMEOUT_MS,
   DRAIN_TAIL_MS,
   makeHello,
@@ -8,6 +9,7 @@
   makeFlag,
   makeMetrics,
   makeSignal,
+  MAX_EDGE_CONNECTIONS,
   PROXY_REPORT_INTERVAL_MS,
   NOT_READY_NOTICE_MS,
   pause,
@@ -35,7 +37,8 @@
 
 // listen: requesters. admin: the platform's probes. agent: the agent's link on this machine.
 // grace: ms that it is given from being told to stop, open transactions half of them.
-export type ProxySettings = { listen: Address; admin: Address; agent: Address; grace?: number }
+// descriptors: that the process may have open.
+export type ProxySettings = { listen: Address; admin: Address; agent: Address; grace?: number; descriptors?: number }
 
 export type Proxy = {
   stop: () => Promise<void>
@@ -74,7 +77,10 @@
   // The requester's address is bound before the agent is dialled: a second proxy of this machine fails
   // here, so an agent never feeds one while another may still work.
   const clientMemory = makeClientMemory(metrics)
-  const http = await edges.requester(world, set.listen, sessions, clientMemory)
+  const connections =
+    set.descriptors === undefined ? MAX_EDGE_CONNECTIONS : Math.floor(set.descriptors * CLIENT_DESCRIPTORS_SHARE)
+  const listen = { addr: set.listen, connections }
+  const http = await edges.requester(world, listen, sessions, clientMemory)
   function admin(ask: HttpRequest): HttpResponse {
     return edges.probes(ask, { ready, metrics: metrics }) ?? { status: 404, body: { why: 'no such path' } }
   }
