Split sessions: the session, its transactions, and the table of sessions in files of their own

Names: isBusy, isClosed, lastUsedAt, mustReadLeader, connection, isAtLeader, hasRun, begunAt, freshness, disallowedSince in place of busy, dead, last, mustLead, loan, lead, ran, begun, fresh, stray; the reasons for which a transaction is over are one function each. Behaviour as before; mutants name the new places.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -250,6 +250,8 @@
 export const MAX_SESSIONS = 4000
 // ms. A session unused for this long is closed (sessions stay open and idle for hours).
 export const SESSION_IDLE_TIMEOUT_MS = 8 * 3600 * 1000
+// ms. Interval at which open transactions are looked at for whether they are to end.
+export const SESSION_SWEEP_INTERVAL_MS = 250
 // ms. An open transaction that hears nothing from its requester for this long is rolled back.
 export const TRANSACTION_IDLE_TIMEOUT_MS = 10000
 // count. Calls pending per lane at most; more are refused at once.
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -65,7 +65,7 @@
         'if (!known || world.now() >= known.until || known.record.epoch !== epoch)',
         'if (!known || known.record.epoch !== epoch)',
       ],
-      ['proxy/dist/sessions.js', 'if (!known || world.now() >= known.until)\n', 'if (!known)\n'],
+      ['proxy/dist/transactions.js', 'if (!known || world.now() >= known.until)\n', 'if (!known)\n'],
       [
         'proxy/dist/target-selection.js',
         'if (!known || world.now() >= known.until)\n            return undefined;\n        const rec = known.record;\n        const calm',
@@ -86,11 +86,7 @@
         'lead ? stands(group, epoch) && (!edge.exact || mark.epoch === epoch) && counted : isFresh(mark, floor, edge.exact)',
         'true',
       ],
-      [
-        'proxy/dist/sessions.js',
-        'if (!runner.stands(tx.group, tx.epoch) || (edge.exact && got.val.mark.epoch !== tx.epoch) || !state.counts(tx.lane, tx.group, tx.begun))',
-        'if (false)',
-      ],
+      ['proxy/dist/transactions.js', 'if (!stillStands(tx, got.val.mark))', 'if (false)'],
     ],
   },
   {
@@ -238,8 +234,8 @@
     edits: [
       [
         'proxy/dist/sessions.js',
-        "if (word.w === 'statement' && tx)",
-        "if (word.w === 'statement' && tx && word.body.kind === 'read')",
+        'if (tx) return await transactions.statement',
+        "if (tx && request.body.kind === 'read') return await transactions.statement",
       ],
     ],
   },
@@ -291,7 +287,11 @@
     scenario: 'deaf-follower',
     seeds: [1, 8],
     edits: [
-      ['proxy/dist/sessions.js', 'if (need !== undefined && !isFresh(got.val.mark, need, edge.exact))', 'if (false)'],
+      [
+        'proxy/dist/transactions.js',
+        'if (need !== undefined && !isFresh(got.val.mark, need, edge.exact))',
+        'if (false)',
+      ],
     ],
   },
   {
@@ -308,8 +308,8 @@
     seeds: [1, 8],
     edits: [
       [
-        'proxy/dist/sessions.js',
-        'if (tx.stray !== undefined && world.now() - tx.stray > DRAIN_TIMEOUT_MS)',
+        'proxy/dist/transactions.js',
+        'if (tx.disallowedSince !== undefined && now - tx.disallowedSince > DRAIN_TIMEOUT_MS)',
         'if (false)',
       ],
     ],
@@ -375,7 +375,7 @@
     rule: 'an open transaction goes on at a leaving instance',
     scenario: 'leaving-through',
     seeds: [1, 12],
-    edits: [['proxy/dist/sessions.js', 'if (state.goneFor(tx.loan.instance) > LEAVING_GRACE_MS)', 'if (false)']],
+    edits: [['proxy/dist/transactions.js', 'if (state.goneFor(instance) > LEAVING_GRACE_MS)', 'if (false)']],
   },
   {
     name: 'caps',
@@ -1105,7 +1105,7 @@
     rule: 'a transaction that was busy when its node stopped ends with its call',
     test: 'platform/dist/test/stopping.test.js',
     seeds: [1, 1],
-    edits: [['proxy/dist/sessions.js', 'if (whyCut !== undefined)', 'if (false)']],
+    edits: [['proxy/dist/transactions.js', 'if (whyCut !== undefined)', 'if (false)']],
   },
   {
     name: 'rotation-below-quorum',
