--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -1,10 +1,14 @@
 // Bundles the daemons for the users' platform into target/, one file for all roles: a start loads one file, not hundreds.
+//   node tools/bundle.js [dist: from the compiled build, as it is, and not from the sources]
 import { build } from 'esbuild'
 import { readdirSync, existsSync } from 'node:fs'
 
+const [folder, ending] = process.argv[2] === 'dist' ? ['dist', 'js'] : ['src', 'ts']
 const alias = new Map()
-for (const name of readdirSync('packages'))
-  if (existsSync(`packages/${name}/src/index.ts`)) alias.set(`@claynotch/${name}`, `./packages/${name}/src/index.ts`)
+for (const name of readdirSync('packages')) {
+  const index = `packages/${name}/${folder}/index.${ending}`
+  if (existsSync(index)) alias.set(`@claynotch/${name}`, `./${index}`)
+}
 // ts-results is imported as Node sees it, by its default; its module form has none, and its other form can't be bundled.
 const results = { name: 'results', setup }
 function setup(build) {
@@ -21,7 +25,7 @@
   build.onLoad({ filter: /.*/, namespace: 'results' }, load)
 }
 await build({
-  entryPoints: ['platform/src/main.ts'],
+  entryPoints: [`platform/${folder}/main.${ending}`],
   outfile: 'target/claynotch.mjs',
   bundle: true,
   platform: 'node',
--- a/tools/mutants.js
+++ b/tools/mutants.js
@@ -1,8 +1,8 @@
 // Shows that the checks are not empty: takes one guard out of a copy of the build, runs the scenario that
 // is meant to catch it, or the test named instead (its seeds are those of random histories), and expects findings. A mutant that no seed catches, or
 // with everySeed one that any seed misses, is reported as MISSED, exit 1.
-//   node tools/mutants.js [name, or on:platform, or --check: only whether each guard stands in the build]
-import { spawn } from 'node:child_process'
+//   node tools/mutants.js [name, or on:platform, on:soak, or --check: only whether each guard stands in the build]
+import { spawn, spawnSync } from 'node:child_process'
 import {
   cpSync,
   existsSync,
@@ -20,6 +20,12 @@
 
 const root = resolve(new URL('..', import.meta.url).pathname)
 const only = process.argv[2]
+/** ms that one run may take. */
+const LIMIT_MS = 120_000
+const SOAK_LIMIT_MS = 300_000
+const WORKERS = 6
+/** Soaks have a dozen processes each. */
+const SOAK_WORKERS = 3
 
 function copyBuild() {
   const dir = mkdtempSync(join(tmpdir(), 'claynotch-mutant-'))
@@ -80,22 +86,27 @@
   return faults
 }
 
-function sweep(dir, m, seed) {
-  const own = [
-    join(dir, 'packages/fleet/dist/main.js'),
-    'sweep',
-    '--only',
-    m.scenario,
-    '--from',
-    String(seed),
-    '--to',
-    String(seed),
-  ]
-  const platform = [join(dir, 'platform/dist/test/sweep.js'), m.scenario, String(seed), String(seed)]
-  const test = testOf(dir, m)
-  const args = m.test ? [test] : m.on === 'platform' ? platform : own
+/** A soak runs the bundle with the commands of the deploy file, from the folder that holds both. */
+function bundle(dir) {
+  cpSync(join(root, 'deploy'), join(dir, 'deploy'), { recursive: true })
+  const { status, stderr } = spawnSync(process.execPath, [join(root, 'tools/bundle.js'), 'dist'], { cwd: dir })
+  if (status !== 0) throw new Error(`no bundle: ${stderr}`)
+}
+
+function argumentsOf(dir, m, seed, slot) {
+  if (m.soak)
+    return [join(dir, 'platform/dist/test/soak/main.js'), '--seed', String(seed), '--slot', String(slot), ...m.soak]
+  if (m.test) return [testOf(dir, m)]
+  if (m.on === 'platform') return [join(dir, 'platform/dist/test/sweep.js'), m.scenario, String(seed), String(seed)]
+  const seeds = ['--from', String(seed), '--to', String(seed)]
+  return [join(dir, 'packages/fleet/dist/main.js'), 'sweep', '--only', m.scenario, ...seeds]
+}
+
+function sweep(dir, m, seed, slot) {
+  const args = argumentsOf(dir, m, seed, slot)
   function start(done) {
     const child = spawn(process.execPath, args, {
+      cwd: m.soak ? dir : process.cwd(),
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, UV_USE_IO_URING: '0', HISTORIES: '1', HISTORIES_FROM: String(seed) },
     })
@@ -103,10 +114,11 @@
     function take(b) {
       out += b
     }
+    // A soak that is interrupted ends the processes that it started.
     function late() {
-      child.kill('SIGKILL')
+      child.kill(m.soak ? 'SIGINT' : 'SIGKILL')
     }
-    const timer = setTimeout(late, 120000)
+    const timer = setTimeout(late, m.soak ? SOAK_LIMIT_MS : LIMIT_MS)
     function end(code) {
       clearTimeout(timer)
       done({ code, out })
@@ -118,13 +130,14 @@
   return new Promise(start)
 }
 
-async function judge(m) {
+async function judge(m, slot) {
   const dir = copyBuild()
   try {
     patch(dir, m)
+    if (m.soak) bundle(dir)
     let first = { m, seed: undefined, found: '' }
     for (let seed = m.seeds[0]; seed <= m.seeds[1]; seed++) {
-      const got = await sweep(dir, m, seed)
+      const got = await sweep(dir, m, seed, slot)
       const found = got.out.split('\n').filter(m.test ? isFailed : isFinding)
       if (found.length === 0) {
         if (m.everySeed === true) return { m, seed: undefined, found: '' }
@@ -150,26 +163,33 @@
 
 const list = mutants.filter(isWanted)
 function isWanted(m) {
-  return only === undefined || m.name === only || (only === 'on:platform' && m.on === 'platform')
+  return (
+    only === undefined ||
+    m.name === only ||
+    (only === 'on:platform' && m.on === 'platform') ||
+    (only === 'on:soak' && m.soak)
+  )
 }
 let caught = 0
 let missed = 0
-async function worker() {
+async function worker(slot) {
   for (;;) {
     const m = list.shift()
     if (!m) return
-    const got = await judge(m)
+    const got = await judge(m, slot)
     if (got.seed === undefined) {
       missed++
-      process.stdout.write(`MISSED ${m.name} (${m.scenario ?? m.test}, seeds ${m.seeds.join(' to ')})\n`)
+      process.stdout.write(`MISSED ${m.name} (${m.scenario ?? m.test ?? 'soak'}, seeds ${m.seeds.join(' to ')})\n`)
     } else {
       caught++
-      process.stdout.write(`caught ${m.name} (${m.scenario ?? m.test}, seed ${got.seed}): ${got.found.slice(0, 200)}\n`)
+      process.stdout.write(
+        `caught ${m.name} (${m.scenario ?? m.test ?? 'soak'}, seed ${got.seed}): ${got.found.slice(0, 200)}\n`,
+      )
     }
   }
 }
 const workers = []
-for (let k = 0; k < 6; k++) workers.push(worker())
+for (let k = 0; k < (only === 'on:soak' ? SOAK_WORKERS : WORKERS); k++) workers.push(worker(k))
 await Promise.all(workers)
 process.stdout.write(`${caught} passed, ${missed} failed\n`)
 process.exit(missed === 0 ? 0 : 1)
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1275,4 +1275,66 @@
     seeds: [1, 1],
     edits: [['proxy/dist/client-memory.js', 'total <= ALL_CLIENTS_MEMORY_LIMIT_BYTES', 'true']],
   },
+  {
+    name: 'soak-unheard-not-waited',
+    rule: 'LOST: a replica that did not answer may hold the last acknowledged commits (review case 2)',
+    soak: ['--seconds', '25', '--draw', 'primary-and-replica-crash'],
+    seeds: [1, 3],
+    edits: [['failover/dist/promotion.js', 'if (unheard.length === 0)', 'if (unheard.length >= 0)']],
+  },
+  {
+    name: 'soak-leaving-not-asked',
+    rule: 'LOST: a replica that leaves may hold the last acknowledged commits (review case 1)',
+    soak: ['--seconds', '25', '--draw', 'primary-crash-beside-leaving-replica'],
+    seeds: [1, 3],
+    edits: [
+      [
+        'failover/dist/promotion.js',
+        'return instances.isSynchronous() ? replicasOf(record, instances.list(), undefined) : instances.staying();',
+        'return instances.staying();',
+      ],
+      ['failover/dist/promotion.js', 'if (unheard.length === 0)', 'if (unheard.length >= 0)'],
+    ],
+  },
+  {
+    name: 'soak-sign-off-in-memory',
+    rule: 'DRAIN: an acknowledged sign-off outlives every process (review case 3)',
+    soak: ['--seconds', '25', '--draw', 'sign-off-first,cores-kill'],
+    seeds: [1, 3],
+    edits: [['agent/dist/departures.js', 'owed.set(name, before.group)', 'void before.group']],
+  },
+  {
+    name: 'soak-end-of-log-waited',
+    rule: 'RECOVER: a lost primary is replaced (review case 4)',
+    soak: ['--seconds', '25', '--draw', 'primary-lost'],
+    seeds: [1, 3],
+    edits: [
+      ['failover/dist/promotion.js', 'if (instances.isSynchronous()) return undefined;', ''],
+      [
+        'failover/dist/group-instances.js',
+        'return configured()?.sync === undefined ? MISSING_COMMITS_WAIT_MS : 0;',
+        'return Infinity;',
+      ],
+    ],
+  },
+  {
+    name: 'soak-values-unbounded',
+    rule: 'Fault: what a client sets is bounded (incident 36)',
+    soak: ['--seconds', '15', '--draw', 'value-flood'],
+    seeds: [1, 3],
+    edits: [['proxy/dist/session-state.js', 'if (bytes > 0 && isTooMuch)', 'if (false)']],
+  },
+  {
+    name: 'soak-questions-unbounded',
+    rule: 'Fault: what a client sends ahead is bounded (review case 5)',
+    soak: ['--seconds', '15', '--draw', 'question-flood'],
+    seeds: [1, 3],
+    edits: [
+      [
+        'proxy/dist/client-memory.js',
+        'return questions <= CLIENT_QUESTIONS_LIMIT && questionBytes <= CLIENT_QUESTIONS_LIMIT_BYTES;',
+        'return true;',
+      ],
+    ],
+  },
 ]
