--- a/tools/mutants.js
+++ b/tools/mutants.js
@@ -165,7 +165,7 @@
 function isWanted(m) {
   return (
     only === undefined ||
-    m.name === only ||
+    only.split(',').includes(m.name) ||
     (only === 'on:platform' && m.on === 'platform') ||
     (only === 'on:soak' && m.soak)
   )
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1299,7 +1299,7 @@
   {
     name: 'soak-sign-off-in-memory',
     rule: 'DRAIN: an acknowledged sign-off outlives every process (review case 3)',
-    soak: ['--seconds', '25', '--draw', 'sign-off-first,cores-kill'],
+    soak: ['--seconds', '15', '--draw', 'primary-sign-off-then-cores-kill'],
     seeds: [1, 3],
     edits: [['agent/dist/departures.js', 'owed.set(name, before.group)', 'void before.group']],
   },
@@ -1307,7 +1307,8 @@
     name: 'soak-end-of-log-waited',
     rule: 'RECOVER: a lost primary is replaced (review case 4)',
     soak: ['--seconds', '25', '--draw', 'primary-lost'],
-    seeds: [1, 3],
+    // Both replicas are behind in this plan, so that the end of the log is ahead of them.
+    seeds: [7, 7],
     edits: [
       ['failover/dist/promotion.js', 'if (instances.isSynchronous()) return undefined;', ''],
       [
