Reset a pooled connection with many prepared statements in place of closing it

Test: lend.test.ts, the same connection throughout, never more than the limit and one. Mutant connection-shapes-unbounded; the mutants of strays follow the renamed variable.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -315,8 +315,8 @@
 export const SESSION_STATE_ENTRY_BYTES = 100
 // bytes. A pooled connection with longer settings in force is not kept idle.
 export const IDLE_CONNECTION_SETTINGS_LIMIT_BYTES = 16 * 1024
-// count. The same by statements that were prepared on it.
-export const IDLE_CONNECTION_SHAPES_LIMIT = 256
+// count. A pooled connection with more prepared statements is reset before its next use.
+export const CONNECTION_SHAPES_LIMIT = 256
 // bytes. Longest policy.
 export const POLICY_LIMIT_BYTES = 16384
 
--- a/packages/fleet/src/test/lend.test.ts
+++ b/packages/fleet/src/test/lend.test.ts
@@ -1,5 +1,14 @@
 import t, { type Test } from 'tap'
-import { makeSignal, makeFlag, makeMetrics, Ok, pause, type Result, type World } from '@claynotch/base'
+import {
+  CONNECTION_SHAPES_LIMIT,
+  makeSignal,
+  makeFlag,
+  makeMetrics,
+  Ok,
+  pause,
+  type Result,
+  type World,
+} from '@claynotch/base'
 import type {
   StatementResult,
   InstanceAdapter,
@@ -135,6 +144,29 @@
 }
 void t.test('the pool against a plain model of connections', lends)
 
+// Statements that clients prepare on a pooled connection are bounded: it is reset, and not opened anew.
+async function preparedStatementsAreBounded(c: Test): Promise<void> {
+  async function run(world: World): Promise<void> {
+    const lines: Line[] = []
+    const pool = makePool(world, modelEdge(lines, 3), makeFlag(), makeMetrics())
+    let most = 0
+    for (let k = 0; k < 4 * CONNECTION_SHAPES_LIMIT; k++) {
+      const text = `READ q${k}`
+      const need = { database: 'd', settings: [], shapes: new Map([['s', text]]), team: '', share: 1 }
+      const got = await pool.borrow(who, 1, need, { free: 200, dial: 100 }, makeFlag())
+      if (got.err) throw new Error(got.val.why)
+      const line = ports.get(got.val.port) as Line
+      if (line.shapes.get(got.val.shapeId(text)) !== text) throw new Error(`${text} is not in force`)
+      most = Math.max(most, line.shapes.size)
+      got.val.end(true)
+    }
+    c.equal(lines.length, 1, 'the same connection throughout')
+    c.equal(most, CONNECTION_SHAPES_LIMIT + 1)
+  }
+  await inWorld(run)
+}
+void t.test('prepared statements of a pooled connection', preparedStatementsAreBounded)
+
 // Fewer connections than proxies: one that is given back is open for nobody, so that others can have it.
 async function closesAfterUse(c: Test): Promise<void> {
   async function run(world: World): Promise<void> {
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import {
+  CONNECTION_SHAPES_LIMIT,
   IDLE_CONNECTION_SETTINGS_LIMIT_BYTES,
-  IDLE_CONNECTION_SHAPES_LIMIT,
   loop,
   makeFlag,
   RESET_TIMEOUT_MS,
@@ -81,11 +81,11 @@
   return true
 }
 
-/** Whether what is in force on it is little enough to be kept in memory while nobody uses it. */
-function isWorthKeeping({ set, shapes }: Conn): boolean {
+/** Whether the settings in force on it are short enough to be kept in memory while nobody uses it. */
+function isWorthKeeping({ set }: Conn): boolean {
   let bytes = 0
   for (const [name, value] of set) bytes += name.length + value.length
-  return bytes <= IDLE_CONNECTION_SETTINGS_LIMIT_BYTES && shapes.size <= IDLE_CONNECTION_SHAPES_LIMIT
+  return bytes <= IDLE_CONNECTION_SETTINGS_LIMIT_BYTES
 }
 
 function shapeId(text: string): string {
@@ -160,9 +160,9 @@
     need: ConnectionRequirements,
     want: Map<string, string>,
   ): Promise<RequestError | undefined> {
-    let stray = false
-    for (const name of c.set.keys()) if (!want.has(name)) stray = true
-    if (stray) {
+    let isResetDue = c.shapes.size > CONNECTION_SHAPES_LIMIT
+    for (const name of c.set.keys()) if (!want.has(name)) isResetDue = true
+    if (isResetDue) {
       const clear = await c.port.reset(RESET_TIMEOUT_MS)
       if (clear.err) return { ...clear.val, reach: 'none' }
       c.set.clear()
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -108,7 +108,7 @@
     scenario: 'answers-lost',
     seeds: [1, 6],
     edits: [
-      ['proxy/dist/pool.js', 'if (stray) {', 'if (false) {'],
+      ['proxy/dist/pool.js', 'if (isResetDue) {', 'if (false) {'],
       ['proxy/dist/pool.js', 'if (c.set.get(name) !== value)', 'if (!c.set.has(name))'],
     ],
   },
@@ -580,7 +580,7 @@
     rule: "PINNED: another session's values",
     scenario: 'calm',
     seeds: [1, 3],
-    edits: [['proxy/dist/pool.js', 'stray = true', 'stray = false']],
+    edits: [['proxy/dist/pool.js', 'isResetDue = true', 'isResetDue = false']],
   },
   {
     on: 'platform',
@@ -1143,7 +1143,7 @@
     rule: "PINNED: another session's values",
     test: 'platform/dist/test/sessionmodel.test.js',
     seeds: [1, 1],
-    edits: [['proxy/dist/pool.js', 'stray = true', 'stray = false']],
+    edits: [['proxy/dist/pool.js', 'isResetDue = true', 'isResetDue = false']],
   },
   {
     name: 'session-ended',
@@ -1252,6 +1252,13 @@
     seeds: [1, 1],
     edits: [['proxy/dist/session-state.js', 'if (bytes > 0 && isTooMuch)', 'if (false)']],
   },
+  {
+    name: 'connection-shapes-unbounded',
+    rule: 'Fault: statements that clients prepare on a pooled connection are bounded',
+    test: 'lend.test.js',
+    seeds: [1, 1],
+    edits: [['proxy/dist/pool.js', 'c.shapes.size > CONNECTION_SHAPES_LIMIT', 'false']],
+  },
   {
     name: 'idle-connection-keeps-values',
     rule: 'Fault: idle connections to instances hold little of what clients set',
