--- a/packages/fleet/src/test/promotion-safety.test.ts
+++ b/packages/fleet/src/test/promotion-safety.test.ts
@@ -116,6 +116,23 @@
   }
 }
 
+// Guards against what the soak found with seed 614: a replica was lost for good, the leader left and ended, and the instance that took
+// up its log was announced before the record was written. It holds all that was acknowledged, and nobody else need be waited for.
+async function leadersLogWasTakenUp(c: Test): Promise<void> {
+  const group = makeReplicatedGroup(9, ['i-1', 'i-2', 'i-3'])
+  await group.begin()
+  for (let k = 0; k < 5; k++) group.commit(['i-2', 'i-3'])
+  group.crash('i-2')
+  const old = group.instances.get('i-1')!
+  await group.wait(1000)
+  old.hasSignedOff = true
+  group.crash('i-1')
+  group.add('i-4', old.addr, old.position)
+  await group.wait(15000)
+  c.equal(group.promotions[0]?.position, 5, 'one that holds every acknowledged commit is promoted')
+  c.equal(group.record()?.phase, 'steady')
+}
+
 // A replica that is gone for good is not waited for, once another holds what it may have held.
 async function replicaIsGone(c: Test): Promise<void> {
   for (const isBehind of [false, true]) {
@@ -156,3 +173,4 @@
 void t.test('one that ended is not taken for the successor of the new instance at its address', successorIsDown)
 void t.test('a replica that is gone for good is dropped once another holds all', replicaIsGone)
 void t.test('commits that no replica received are not waited for', reportedEndWasNeverReplicated)
+void t.test('the log of a leader that left was taken up by a new instance', leadersLogWasTakenUp)
