--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -12,13 +12,14 @@
   type Result,
 } from '@claynotch/base'
 import { compilePolicy } from './policy.js'
+import { findSharedKeys, Tenant } from './tenants.js'
 
 // The operator's configuration.
 // reads: 'leader', every read goes to the leader; else within ms, and own (a session reads its own writes).
 const Reads = t.union([t.literal('leader'), t.intersection([t.type({ within: Ms }), t.partial({ own: t.boolean })])])
 // path: tells lanes of one database apart; of those that have one, no two may have database and path alike.
 // limit: ms that one statement may take. aim: ms that a call should be answered within. sends: most sends of a call.
-// rank: who is served first where there isn't enough for all, 0 before 1.
+// rank: who is served first where there isn't enough for all, 0 before 1. public: nobody is asked for a key.
 // label, here and below: the operator's own words on it, kept as they are, given back and read by nobody.
 const Lane = t.intersection([
   t.type({ name: Name, database: Name, group: Name, reads: Reads }),
@@ -30,6 +31,7 @@
     aim: Ms,
     sends: Count,
     rank: Whole,
+    public: t.boolean,
     label: t.unknown,
   }),
 ])
@@ -50,7 +52,8 @@
   // transactionIdle: ms; an open transaction that rests for longer may be ended.
   t.partial({ transactionIdle: Ms, label: t.unknown }),
   // policy: a Lua text that matches calls for the lane 'auto' to lanes; fallback: the lane where it fails.
-  t.partial({ teams: t.array(Team), policy: t.type({ lua: t.string, fallback: Name }) }),
+  // tenants: whose keys the routes that aren't public ask for; without them no key is asked for.
+  t.partial({ teams: t.array(Team), tenants: t.array(Tenant), policy: t.type({ lua: t.string, fallback: Name }) }),
 ])
 export type Config = t.TypeOf<typeof Config>
 export type Lane = t.TypeOf<typeof Lane>
@@ -110,6 +113,8 @@
     ...twins(config.groups, '/groups'),
     ...twins(config.lanes, '/lanes'),
     ...twins(config.teams ?? [], '/teams'),
+    ...twins(config.tenants ?? [], '/tenants'),
+    ...findSharedKeys(config.tenants ?? []),
   ]
   const groups = new Set<string>()
   for (const g of config.groups) groups.add(g.name)
@@ -156,7 +161,7 @@
 
 // --- changes ---
 
-const What = t.union([t.literal('lane'), t.literal('group'), t.literal('team')])
+const What = t.union([t.literal('lane'), t.literal('group'), t.literal('team'), t.literal('tenant')])
 const Edit = t.union([
   t.type({ op: t.literal('put'), what: What, value: t.unknown }),
   // loose: nothing is wrong where none has that name.
@@ -200,6 +205,7 @@
     ['lane', from.lanes],
     ['group', from.groups],
     ['team', from.teams ?? []],
+    ...(from.tenants ? [['tenant', from.tenants] as [string, { name: string }[]]] : []),
   ])
   const out: Finding[] = []
   for (const [k, e] of edits.entries()) {
@@ -234,6 +240,7 @@
     groups: lists.get('group'),
     lanes: lists.get('lane'),
     teams: lists.get('team'),
+    ...(lists.has('tenant') ? { tenants: lists.get('tenant') } : {}),
     ...(policy ? { policy } : {}),
   })
 }
--- /dev/null
+++ b/packages/quota/src/index.ts
@@ -0,0 +1,1 @@
+export * from './messages.js'
