--- a/packages/agent/src/proxy-link.ts
+++ b/packages/agent/src/proxy-link.ts
@@ -1,5 +1,5 @@
 import { LEASE_DURATION_MS, readAs, type Hello, type Link, type Metrics, type World } from '@claynotch/base'
-import { CONFIG_KEY, inForce, type Body } from '@claynotch/operator'
+import { CONFIG_KEY, withoutTenantLabels, inForce, type Body } from '@claynotch/operator'
 import type { Summary } from '@claynotch/peer'
 import {
   CORESET_KEY,
@@ -55,9 +55,9 @@
 
 type LinkedProxy = { link: Link; sent: Map<string, number>; report: ProxyReport | undefined; reportedAt: number }
 
-/** Past changes and decisions are no matter of the proxy's. */
+/** Past changes and decisions are no matter of the proxy's, nor are keys in plain text. */
 function fedBody(key: string, value: RegisterValue): unknown {
-  return key === CONFIG_KEY ? inForce(value.body as Body) : value.body
+  return key === CONFIG_KEY ? withoutTenantLabels(inForce(value.body as Body)) : value.body
 }
 
 function hasNewFailure(report: ProxyReport, old: ProxyReport | undefined): boolean {
--- a/packages/instance/src/adapter.ts
+++ b/packages/instance/src/adapter.ts
@@ -63,7 +63,8 @@
   close: () => void
 }
 
-export type InstanceAddress = { name: string; group: string; addr: Address }
+// tenant: in whose name a connection is opened, where the wire carries one.
+export type InstanceAddress = { name: string; group: string; addr: Address; tenant?: string }
 
 // A held line on which an instance is asked for its status again and again.
 export type StatusSampler = { status: () => Promise<Result<Status, string>>; alive: () => boolean; close: () => void }
--- a/packages/operator/src/against.ts
+++ b/packages/operator/src/against.ts
@@ -1,6 +1,6 @@
 import type { Finding } from '@claynotch/base'
 import { lendable, type Config, type Move } from './config.js'
-import type { Tenant } from './tenants.js'
+import { withoutLabels } from './tenants.js'
 
 // A configuration against the fleet as it is. What is read of the fleet is what any agent tells on
 // GET /configuration, /members and /groups.
@@ -22,14 +22,6 @@
   return out
 }
 
-/** A tenant's label has its keys in plain text, which nobody else is shown. */
-function withoutLabels(tenants: Tenant[] = []): Tenant[] {
-  return tenants.map(withoutLabel)
-}
-function withoutLabel({ label: _label, ...tenant }: Tenant): Tenant {
-  return tenant
-}
-
 // What would change, one line each.
 export function differences(now: Config | null, next: Config): string[] {
   const out: string[] = []
--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -12,7 +12,7 @@
   type Result,
 } from '@claynotch/base'
 import { compilePolicy } from './policy.js'
-import { findSharedKeys, Tenant } from './tenants.js'
+import { findSharedKeys, Tenant, withoutLabels } from './tenants.js'
 
 // The operator's configuration.
 // reads: 'leader', every read goes to the leader; else within ms, and own (a session reads its own writes).
@@ -320,6 +320,19 @@
   return { ...body, streams: [], history: [] }
 }
 
+function withoutKeys<T extends Config | null>(config: T): T {
+  return config?.tenants ? { ...config, tenants: withoutLabels(config.tenants) } : config
+}
+/** The body without the tenants' labels, which hold their keys in plain text. */
+export function withoutTenantLabels(body: Body): Body {
+  const { stage } = body
+  return {
+    ...body,
+    config: withoutKeys(body.config),
+    ...(stage ? { stage: { ...stage, prior: withoutKeys(stage.prior) } } : {}),
+  }
+}
+
 export const CONFIG_KEY = 'configuration'
 export function emptyBody(): Body {
   return { epoch: 0, config: null, streams: [], history: [] }
--- a/packages/operator/src/tenants.ts
+++ b/packages/operator/src/tenants.ts
@@ -59,3 +59,11 @@
   for (const tenant of tenants) for (const key of tenant.keys) out.set(key, tenant)
   return out
 }
+
+/** Without the labels, which hold the keys in plain text. */
+export function withoutLabels(tenants: Tenant[] = []): Tenant[] {
+  return tenants.map(withoutLabel)
+}
+function withoutLabel({ label: _label, ...tenant }: Tenant): Tenant {
+  return tenant
+}
--- a/packages/proxy/src/call.ts
+++ b/packages/proxy/src/call.ts
@@ -16,11 +16,13 @@
 // One call on its way. Kept for it: its deadline, its sends, its last trouble, and what became of each send.
 // Invariants: ran is 'no' only while nothing of it can have run at an instance; a write whose ran is
 // 'maybe' is never sent again; a pending place, a loan and a probe are each given up exactly once;
-// lane and need are those of rules, and nothing is sent while rules are not the ones in force.
+// lane and need (with the tenant that its connection is for) are those of rules, and nothing is sent while rules are not the ones in force.
 export type Call = {
   kind: Kind
   rules: Rules
   lane: LaneRules
+  /** Hash of the key that the client came with. */
+  keyHash: string | undefined
   need: ConnectionRequirements
   token: Token | undefined
   mustLead: boolean
@@ -61,13 +63,15 @@
   lane: LaneRules,
   rules: Rules,
   has: { settings: [string, string][]; shapes: Map<string, string> },
+  tenant: string | undefined,
 ): ConnectionRequirements {
   return {
     database: lane.database,
     settings: has.settings,
     shapes: has.shapes,
-    team: lane.team,
+    team: tenant ?? lane.team,
     share: rules.shares.get(lane.team) ?? 1,
+    ...(tenant !== undefined ? { tenant } : {}),
   }
 }
 
@@ -81,6 +85,8 @@
     shapes: Map<string, string>
     token: Token | undefined
     mustLead: boolean
+    keyHash: string | undefined
+    tenant: string | undefined
     body: Call['body']
     find: Call['find']
     ms: number | undefined
@@ -94,12 +100,13 @@
     kind,
     rules,
     lane,
+    keyHash: parts.keyHash,
     token: parts.token,
     mustLead: parts.mustLead,
     body: parts.body,
     gone: parts.gone,
     byCaller,
-    need: needFor(lane, rules, parts),
+    need: needFor(lane, rules, parts, parts.tenant),
     find: parts.find,
     hold: now + (lane.aim === undefined ? budget : lane.aim * QUEUE_TIMEOUT_SHARE),
     moveHold: now + (lane.aim === undefined ? budget : budget * PROMOTION_WAIT_SHARE),
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -23,6 +23,7 @@
 import { refusal, type Verdict } from '@claynotch/requester'
 import { isForeign, isFresh } from './freshness.js'
 import { makeAdmission } from './admission.js'
+import { denial, identify } from './identity.js'
 import { needFor, type Call, type Settled } from './call.js'
 import type { CheckedOutConnection, Pool } from './pool.js'
 import { backoff, makeAlert, makeBreaker, makeTokens, type Alert, type Breaker, type Tokens } from './retry.js'
@@ -157,6 +158,8 @@
     if (!lane && !state.valid())
       return refusal('UNAVAILABLE', 'this node holds no valid term', true, RETRY_AFTER_PROMOTION_S)
     if (!lane) return { ...refusal('NOT_FOUND', `the lane ${call.lane.name} was dropped`, false), lacks: 'lane' }
+    const identity = identify(rules, lane, call.keyHash)
+    if (!identity.isAllowed) return denial(state)
     admission.release(call)
     if (lane.group !== call.lane.group) {
       if (call.probe) toolsOf(call.lane.group).breaker.note(false, true)
@@ -165,7 +168,7 @@
     metrics.add('claynotch_calls_rematched_total', [['lane', lane.name]])
     call.rules = rules
     call.lane = lane
-    call.need = needFor(lane, rules, call.need)
+    call.need = needFor(lane, rules, call.need, identity.tenant)
     return 'start'
   }
   function gate(call: Call): Turn {
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -21,6 +21,8 @@
   shapes: Map<string, string>
   team: string
   share: number
+  /** In whose name the connection must have been opened. */
+  tenant?: string
   /** The connection isn't kept idle, as there are fewer of them than proxies: who gives it back closes it. */
   closesAfterUse?: boolean
 }
@@ -28,9 +30,16 @@
 // Invariants:
 // - a connection has at most one borrower, from lend() to back() or drop();
 // - lent + idle + opening never passes the limit given by the configuration for this node;
+// - a connection is lent to the tenant alone in whose name it was opened;
 // - only a connection known to be clean is lent again; whatever ended unclear is closed;
 // - set holds exactly the settings, and shapes the shapes, that were put in force and answered for.
-type Conn = { port: InstanceConnection; set: Map<string, string>; shapes: Set<string>; idleSince: number }
+type Conn = {
+  port: InstanceConnection
+  tenant: string | undefined
+  set: Map<string, string>
+  shapes: Set<string>
+  idleSince: number
+}
 
 export type CheckedOutConnection = {
   port: InstanceConnection
@@ -135,8 +144,8 @@
     p.waiters.splice(p.waiters.indexOf(best), 1)
     best.wake.fire()
   }
-  // First one that has just what is wanted, then one with nothing to take back, then any.
-  function pick(p: Place, want: Map<string, string>): Conn | undefined {
+  // Of the tenant's, first one that has just what is wanted, then one with nothing to take back, then any.
+  function pick(p: Place, want: Map<string, string>, tenant: string | undefined): Conn | undefined {
     let any = -1
     let bare = -1
     for (let k = p.idle.length - 1; k >= 0; k--) {
@@ -147,6 +156,7 @@
         if (bare > k) bare--
         continue
       }
+      if (c.tenant !== tenant) continue
       if (sameSettings(c.set, want)) return p.idle.splice(k, 1)[0]
       if (c.set.size === 0) bare = k
       any = k
@@ -154,6 +164,16 @@
     const at = bare >= 0 ? bare : any
     return at >= 0 ? p.idle.splice(at, 1)[0] : undefined
   }
+  /** One to lend; 'open': a new one may be opened, in place of another tenant's idle one where there is no room for more. */
+  function takeIdle(p: Place, want: Map<string, string>, need: ConnectionRequirements): Conn | 'open' | undefined {
+    const found = pick(p, want, need.tenant)
+    if (found) return found
+    if (count(p) >= p.limit && p.idle.length > 0) {
+      p.idle.shift()?.port.close()
+      metrics.add('claynotch_pool_tenant_changes_total')
+    }
+    return count(p) < p.limit ? 'open' : undefined
+  }
   // Puts the settings in force. false: unclear, the connection must go.
   async function prepare(
     c: Conn,
@@ -206,17 +226,22 @@
     const want = wantedOf(need, edge.named)
     p.limit = limit
     const end = world.now() + waits.free
+    const asTenant = need.tenant === undefined ? who : { ...who, tenant: need.tenant }
     let c: Conn | undefined
+    let isWoken = false
     for (;;) {
       // Those who wait already are not overtaken by one who just came.
-      c = p.waiters.length === 0 || p.idle.length > p.waiters.length ? pick(p, want) : undefined
-      if (c) {
+      const mayTake = isWoken || p.waiters.length === 0 || p.idle.length > p.waiters.length
+      isWoken = false
+      const found = mayTake ? takeIdle(p, want, need) : undefined
+      if (found !== undefined && found !== 'open') {
+        c = found
         p.lent++
         break
       }
       if (count(p) < limit) {
         p.opening++
-        const got = await edge.open(world, who, waits.dial)
+        const got = await edge.open(world, asTenant, waits.dial)
         p.opening--
         if (got.err) {
           metrics.add('claynotch_pool_dials_failed_total', [['instance', instance]])
@@ -224,7 +249,7 @@
           return got
         }
         metrics.add('claynotch_pool_dials_total', [['instance', instance]])
-        c = { port: got.val, set: new Map(), shapes: new Set(), idleSince: 0 }
+        c = { port: got.val, tenant: need.tenant, set: new Map(), shapes: new Set(), idleSince: 0 }
         p.lent++
         break
       }
@@ -249,13 +274,7 @@
       unwatch()
       const at = p.waiters.indexOf(mine)
       if (at >= 0) p.waiters.splice(at, 1)
-      else if (p.idle.length > 0) {
-        c = pick(p, want)
-        if (c) {
-          p.lent++
-          break
-        }
-      }
+      else isWoken = p.idle.length > 0
     }
     usageOf(p, need.team, 1)
     const conn = c
--- a/packages/proxy/src/rules.ts
+++ b/packages/proxy/src/rules.ts
@@ -1,5 +1,13 @@
 import { MAX_QUEUED_CALLS } from '@claynotch/base'
-import { compilePolicy, moveOf, type Config, type Move, type Policy } from '@claynotch/operator'
+import {
+  compilePolicy,
+  moveOf,
+  tenantsByKey,
+  type Config,
+  type Move,
+  type Policy,
+  type Tenant,
+} from '@claynotch/operator'
 
 // The way of a request: a short list of steps, compiled from the configuration for each lane and kind of call.
 // The interpreter (interpret.ts) runs them in order; judge ends the call or goes back to aim.
@@ -29,6 +37,8 @@
   aim: number | undefined
   sends: number | undefined
   programs: Map<Kind, Step[]>
+  /** Nobody is asked for a key. */
+  isPublic: boolean
   move: Exclude<Move['phase'], 'copy'> | undefined
 }
 // share, sessions and pending by team; a lane without a team belongs to the team ''.
@@ -43,6 +53,8 @@
   sessions: Map<string, number>
   pending: Map<string, number>
   transactionIdle: number | undefined
+  /** By the hash of each of their keys; undefined: no key is asked for. */
+  tenants: Map<string, Tenant> | undefined
   policy: { policy: Policy; fallback: string } | undefined
 }
 
@@ -98,6 +110,7 @@
       aim: lane.aim,
       sends: lane.sends,
       programs,
+      isPublic: lane.public === true,
       move: phase === 'copy' ? undefined : phase,
     }
     lanes.set(lane.name, one)
@@ -122,6 +135,7 @@
     sessions,
     pending,
     transactionIdle: config.transactionIdle,
+    tenants: tenantsByKey(config.tenants),
     policy: config.policy && policy?.ok ? { policy: policy.val, fallback: config.policy.fallback } : undefined,
   }
 }
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -19,6 +19,9 @@
   kind: 'read' | 'write'
   lane: string
   database: string
+  keyHash: string | undefined
+  /** For whom its connection was opened. */
+  tenant: string | undefined
   group: string
   epoch: number
   isAtLeader: boolean
@@ -42,6 +45,8 @@
   /** undefined: matched by the database, anew for each call. */
   lane: string | undefined
   database: string
+  /** Hash of the key that it was opened with. Whose key that is, each operation looks up anew. */
+  keyHash: string | undefined
   team: string
   state: SessionState
   token: Token | undefined
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -11,10 +11,11 @@
   type World,
 } from '@claynotch/base'
 import type { InstanceAdapter } from '@claynotch/instance'
-import { AUTO } from '@claynotch/operator'
+import { AUTO, hashKey } from '@claynotch/operator'
 import { refusal, type Kind, type Verdict, type Word } from '@claynotch/requester'
 import { makeCall, type Call, type Settled } from './call.js'
 import { isForeign, readToken, writeToken, type Token } from './freshness.js'
+import { denial, identify } from './identity.js'
 import type { Runner } from './interpret.js'
 import type { LaneRules, Rules } from './rules.js'
 import { makeSessionMemory, type PreparedStatement } from './session-state.js'
@@ -50,6 +51,10 @@
   return { ...id, ...(text !== undefined ? { text } : { shape: shape! }), args: args ?? [] }
 }
 
+function hashOf(key: string | undefined): string | undefined {
+  return key === undefined ? undefined : hashKey(key)
+}
+
 /** Only the shape that a call uses is put in force for it; a transaction's statements carry their texts. */
 function shapesFor(body: Call['body'], shape: PreparedStatement | undefined): Map<string, string> {
   return new Map(body.shape !== undefined && shape ? [[body.shape, shape.text]] : [])
@@ -158,6 +163,8 @@
     const found = laneOf(name, database)
     if (!found) return noLane(name ?? database)
     const { lane, rules } = found
+    const keyHash = hashOf(body.key)
+    if (!identify(rules, lane, keyHash).isAllowed) return denial(state)
     const token = tokenOf(body.token)
     if (token === 'bad') return badToken()
     const refused = whyFull(lane.team, rules.sessions.get(lane.team))
@@ -173,6 +180,7 @@
       id,
       lane: name,
       database,
+      keyHash,
       team: lane.team,
       state: sessionState,
       token,
@@ -205,6 +213,8 @@
       kind,
       lane: call.lane.name,
       database: call.lane.database,
+      keyHash: call.keyHash,
+      tenant: call.need.tenant,
       disallowedSince: undefined,
       group: call.lane.group,
       epoch: settled.epoch!,
@@ -236,6 +246,8 @@
   ): Promise<Verdict> {
     const found = laneOf(session.lane, session.database)
     if (!found) return noLane(session.lane ?? session.database)
+    const identity = identify(found.rules, found.lane, session.keyHash)
+    if (!identity.isAllowed) return denial(state)
     const shapeName = request.w === 'statement' ? request.body.shape : undefined
     const shape = shapeName !== undefined ? session.state.prepared(shapeName) : undefined
     if (shapeName !== undefined && !shape) return noSuchShape(shapeName)
@@ -249,6 +261,8 @@
       shapes: shapesFor(body, shape),
       token: session.token,
       mustLead: session.mustReadLeader,
+      keyHash: session.keyHash,
+      tenant: identity.tenant,
       body,
       find,
       ms,
@@ -309,6 +323,9 @@
     const name = matchLane(body.lane, body.kind, body.database ?? '', settings)
     const found = laneOf(name, '')
     if (!found) return noLane(name)
+    const keyHash = hashOf(body.key)
+    const identity = identify(found.rules, found.lane, keyHash)
+    if (!identity.isAllowed) return denial(state)
     function find(rules: Rules): LaneRules | undefined {
       return rules.lanes.get(name)
     }
@@ -319,6 +336,8 @@
       shapes: new Map(),
       token,
       mustLead: false,
+      keyHash,
+      tenant: identity.tenant,
       body: { text: body.text, args: body.args ?? [] },
       find,
       ms,
--- a/packages/proxy/src/transactions.ts
+++ b/packages/proxy/src/transactions.ts
@@ -14,6 +14,7 @@
 import type { InstanceAdapter, RequestError, StatementResult } from '@claynotch/instance'
 import { refusal, type Verdict, type Word } from '@claynotch/requester'
 import { isFresh } from './freshness.js'
+import { identify } from './identity.js'
 import type { Runner } from './interpret.js'
 import type { LaneRules } from './rules.js'
 import type { PreparedStatement } from './session-state.js'
@@ -124,6 +125,14 @@
     if (tx.freshness && !freshnessOf(lane)) return `reads of the lane ${tx.lane} go to the leader now`
     return undefined
   }
+  /** Why its client may not go on with it, if so: at once, as its connection is in the name of a tenant that the key had. */
+  function whyDenied(tx: Transaction): string | undefined {
+    const rules = state.rules()
+    const lane = rules?.lanes.get(tx.lane)
+    if (!rules || !lane) return undefined
+    const identity = identify(rules, lane, tx.keyHash)
+    return identity.isAllowed && identity.tenant === tx.tenant ? undefined : 'the key was taken away'
+  }
   /** Why the configuration ends this transaction, if so: it has had its time since the route changed. */
   function whyOverByConfiguration(tx: Transaction): string | undefined {
     const why = whyDisallowed(tx)
@@ -151,7 +160,7 @@
     if (state.goneFor(instance) > LEAVING_GRACE_MS) return `the instance ${instance} leaves`
     // A move's fence went by meanwhile: nothing of this transaction may count any more.
     if (!state.counts(tx.lane, tx.group, tx.begunAt)) return `the lane ${tx.lane} was moved`
-    const why = whyOverByConfiguration(tx) ?? whyOverByGroup(tx)
+    const why = whyDenied(tx) ?? whyOverByConfiguration(tx) ?? whyOverByGroup(tx)
     if (why !== undefined) return why
     return tx.connection.port.alive() ? undefined : 'the connection to the instance broke'
   }
--- a/packages/requester/src/index.ts
+++ b/packages/requester/src/index.ts
@@ -16,7 +16,7 @@
 const KindShape = t.union([t.literal('read'), t.literal('write')])
 export const OpenBody = t.intersection([
   t.type({ lane: Name }),
-  t.partial({ settings: t.array(Pair), token: t.string, database: Name }),
+  t.partial({ settings: t.array(Pair), token: t.string, database: Name, key: t.string }),
 ])
 export const ShapeBody = t.type({ name: Name, text: t.string })
 export const BeginBody = t.partial({ kind: KindShape })
@@ -26,11 +26,11 @@
 ])
 export const CallBody = t.intersection([
   t.type({ lane: Name, kind: KindShape, text: t.string }),
-  t.partial({ args: t.array(t.unknown), settings: t.array(Pair), token: t.string, database: Name }),
+  t.partial({ args: t.array(t.unknown), settings: t.array(Pair), token: t.string, database: Name, key: t.string }),
 ])
 const Empty = t.partial({})
 
-// lane undefined: the lane is matched by the database, anew for each call. id: the requester's own mark of a statement,
+// key: the client's own, which tells whose it is. lane undefined: the lane is matched by the database, anew for each call. id: the requester's own mark of a statement,
 // handed on to the instance. kind of a shape: what its statements do; a statement by shape may then leave its kind out.
 export type Kind = 'read' | 'write'
 export type Word =
