--- a/packages/fleet/src/test/lend.test.ts
+++ b/packages/fleet/src/test/lend.test.ts
@@ -23,14 +23,20 @@
 
 // Lending on an edge that nobody samples: a plain model of an instance's connection beside the real pool and watch.
 
-type Line = { values: Map<string, string>; shapes: Map<string, string>; open: boolean; lent: boolean }
+type Line = {
+  tenant: string | undefined
+  values: Map<string, string>
+  shapes: Map<string, string>
+  open: boolean
+  lent: boolean
+}
 const none: Result<StatementResult, RequestError> = Ok({ rows: [], mark: { epoch: 0, position: 0 } })
 
 // slow: ms that opening a connection takes; an opening that is given less fails as late.
 function modelEdge(lines: Line[], slow: number): InstanceAdapter {
   async function open(
     world: World,
-    _who: InstanceAddress,
+    { tenant }: InstanceAddress,
     ms: number,
   ): Promise<Result<InstanceConnection, RequestError>> {
     await pause(world, Math.min(ms, slow))
@@ -40,7 +46,7 @@
         err: true,
         val: { reach: 'none', class: 'UNAVAILABLE', transient: true, why: 'dial timeout' },
       } as never
-    const line: Line = { values: new Map(), shapes: new Map(), open: true, lent: false }
+    const line: Line = { tenant, values: new Map(), shapes: new Map(), open: true, lent: false }
     lines.push(line)
     async function done(): Promise<Result<StatementResult, RequestError>> {
       await pause(world, 1)
@@ -144,6 +150,53 @@
 }
 void t.test('the pool against a plain model of connections', lends)
 
+// Tenants share the room for connections, and no connection.
+async function keepsTenantsApart(c: Test): Promise<void> {
+  async function run(world: World): Promise<void> {
+    const rnd = makeRandom(11)
+    const lines: Line[] = []
+    const pool = makePool(world, modelEdge(lines, 3), makeFlag(), makeMetrics())
+    let wrong = 0
+    let most = 0
+    let served = 0
+    async function borrower(): Promise<void> {
+      for (let k = 0; k < 80; k++) {
+        const number = Math.floor(rnd() * 6)
+        const tenant = number === 0 ? undefined : `tenant${number}`
+        const need: ConnectionRequirements = {
+          database: 'd',
+          settings: [],
+          shapes: new Map(),
+          team: tenant ?? '',
+          share: 1,
+          ...(tenant !== undefined ? { tenant } : {}),
+        }
+        const got = await pool.borrow(who, 4, need, { free: 200, dial: 100 }, makeFlag())
+        if (got.err) continue
+        served++
+        const line = ports.get(got.val.port) as Line
+        if (line.lent || !line.open || line.tenant !== tenant) wrong++
+        line.lent = true
+        let open = 0
+        for (const one of lines) if (one.open) open++
+        most = Math.max(most, open)
+        await pause(world, rnd() * 10)
+        line.lent = false
+        got.val.end(rnd() < 0.95)
+      }
+    }
+    const all: Promise<void>[] = []
+    for (let k = 0; k < 8; k++) all.push(borrower())
+    await Promise.all(all)
+    c.equal(wrong, 0, 'each connection is lent to the tenant alone in whose name it was opened')
+    c.ok(most <= 4, `${most} connections open at most`)
+    c.equal(served, 8 * 80, 'nobody is kept waiting by idle connections of others')
+    c.ok(lines.length < served, `${lines.length} connections opened for ${served} loans`)
+  }
+  await inWorld(run)
+}
+void t.test('a pooled connection lent to another tenant than it was opened for', keepsTenantsApart)
+
 // Statements that clients prepare on a pooled connection are bounded: it is reset, and not opened anew.
 async function preparedStatementsAreBounded(c: Test): Promise<void> {
   async function run(world: World): Promise<void> {
