--- a/packages/operator/src/against.ts
+++ b/packages/operator/src/against.ts
@@ -1,5 +1,6 @@
 import type { Finding } from '@claynotch/base'
 import { lendable, type Config, type Move } from './config.js'
+import { withoutLabels } from './tenants.js'
 
 // A configuration against the fleet as it is. What is read of the fleet is what any agent tells on
 // GET /configuration, /members and /groups.
@@ -31,6 +32,7 @@
     ['group', now?.groups ?? [], next.groups],
     ['lane', now?.lanes ?? [], next.lanes],
     ['team', now?.teams ?? [], next.teams ?? []],
+    ['tenant', withoutLabels(now?.tenants), withoutLabels(next.tenants)],
   ]
   for (const [kind, a, b] of kinds) {
     const old = names(a)
