--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -169,6 +169,8 @@
 export const SUMMARY_SPACING_MS = 50
 // count. Beats on which a change is told, as datagrams are lost now and then.
 export const SUMMARY_REPEATS = 3
+// count. Nodes whose newest summary is kept.
+export const MAX_HEARD_SUMMARIES = 256
 // ms. A summary older than this is no longer a hint: two slow ones may be lost.
 export const SUMMARY_LIFETIME_MS = 5000
 // ms. What a node saw of instances is told on each beat, and past this it says nothing of them any more.
--- /dev/null
+++ b/packages/peer/src/summary.ts
@@ -0,0 +1,47 @@
+import * as t from 'io-ts'
+import { decode, readAs, SUMMARY_VERSION, type Metrics } from '@claynotch/base'
+
+/**
+ * What one node tells another of itself in a datagram. Hints only: nothing that must hold rests on them, so a lost, late, doubled or
+ * foreign one does no harm.
+ *
+ * num: grows with each summary of a node. seen: [instance, ms since its last good reply to this node]. moving: [group, epoch] that this
+ * node knows to be under promotion. leaving: instances that drain. tries: [group, first sends, retries] within the last window. bad:
+ * [instance, ms since the first send that failed there or still waits, with no sign of life after it].
+ */
+export const Summary = t.intersection([
+  t.type({
+    v: t.number,
+    node: t.string,
+    area: t.string,
+    num: t.number,
+    seen: t.array(t.tuple([t.string, t.number])),
+    moving: t.array(t.tuple([t.string, t.number])),
+    leaving: t.array(t.string),
+    tries: t.array(t.tuple([t.string, t.number, t.number])),
+  }),
+  t.partial({ bad: t.array(t.tuple([t.string, t.number])) }),
+])
+export type Summary = t.TypeOf<typeof Summary>
+
+/** The part of a summary that is the same for every receiver. */
+export type CommonSummary = Omit<Summary, 'seen' | 'bad'>
+
+/** Reads a datagram. Other versions are ignored and are no errors: a newer program may speak beside us. */
+export function readSummary(bytes: Uint8Array, metrics: Metrics): Summary | undefined {
+  let body: unknown
+  try {
+    body = decode(bytes)
+  } catch {
+    metrics.add('claynotch_summary_garbage_total')
+    return undefined
+  }
+  if ((body as { v?: unknown } | null)?.v !== SUMMARY_VERSION) {
+    metrics.add('claynotch_summary_other_epoch_total')
+    return undefined
+  }
+  const summary = readAs(Summary, body)
+  if (summary.ok) return summary.val
+  metrics.add('claynotch_summary_garbage_total')
+  return undefined
+}
