Tell why clients are refused for their keys: removed, unknown, learnt late, or no lease to tell by

A proxy now counts refusals by reason (claynotch_keys_refused_total), tells of them at once and then once in 10 s for each reason (keys-refused, with the tenant and version where the key was removed), tells when keys that it refused become known (keys-known-late) and when it begins to work by changed keys (keys-changed). No line and no label holds a key or its hash; hashes of at most 1,000 keys each are kept. What clients are told is unchanged; denial() has moved from identity.ts to key-refusals.ts.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -246,6 +246,10 @@
 export const EXHAUSTION_WINDOW_MS = 30000
 
 // --- sessions ---
+// ms. Interval at which a proxy tells of clients that it refused for their keys, by reason.
+export const KEY_REFUSAL_LOG_INTERVAL_MS = 10000
+// count. Keys that a proxy refused or saw removed, of which it keeps the hashes to tell why a client is refused.
+export const MAX_KEYS_REMEMBERED = 1000
 // count. Open sessions a proxy holds at most.
 export const MAX_SESSIONS = 4000
 // ms. A session unused for this long is closed (sessions stay open and idle for hours).
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,6 +1,7 @@
 export * from './proxy.js'
 export * from './freshness.js'
 export * from './pool.js'
+export * from './key-refusals.js'
 export * from './rules.js'
 export * from './retry.js'
 export * from './state.js'
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -23,7 +23,8 @@
 import { refusal, type Verdict } from '@claynotch/requester'
 import { isForeign, isFresh } from './freshness.js'
 import { makeAdmission } from './admission.js'
-import { denial, identify } from './identity.js'
+import { identify } from './identity.js'
+import { makeKeyRefusals, type KeyRefusals } from './key-refusals.js'
 import { needFor, type Call, type Settled } from './call.js'
 import type { CheckedOutConnection, Pool } from './pool.js'
 import { backoff, makeAlert, makeBreaker, makeTokens, type Alert, type Breaker, type Tokens } from './retry.js'
@@ -52,6 +53,7 @@
   highs: () => Map<string, LogPosition>
   sawWrite: (group: string, mark: LogPosition) => void
   quiet: ReturnType<typeof makeSignal>
+  keys: KeyRefusals
 }
 
 export function makeRunner(
@@ -69,6 +71,7 @@
   const begun = new Set<Call>()
   const highs = new Map<string, LogPosition>()
   const quiet = makeSignal()
+  const keys = makeKeyRefusals(world, state, metrics)
   const targets = makeTargetSelection(world, state, watch, edge, metrics)
 
   function toolsOf(group: string): Tools {
@@ -159,7 +162,7 @@
       return refusal('UNAVAILABLE', 'this node holds no valid term', true, RETRY_AFTER_PROMOTION_S)
     if (!lane) return { ...refusal('NOT_FOUND', `the lane ${call.lane.name} was dropped`, false), lacks: 'lane' }
     const identity = identify(rules, lane, call.keyHash)
-    if (!identity.isAllowed) return denial(state)
+    if (!identity.isAllowed) return keys.deny(lane, call.keyHash)
     admission.release(call)
     if (lane.group !== call.lane.group) {
       if (call.probe) toolsOf(call.lane.group).breaker.note(false, true)
@@ -529,5 +532,6 @@
     highs: highsNow,
     sawWrite,
     quiet,
+    keys,
   }
 }
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -15,7 +15,7 @@
 import { refusal, type Kind, type Verdict, type Word } from '@claynotch/requester'
 import { makeCall, type Call, type Settled } from './call.js'
 import { isForeign, readToken, writeToken, type Token } from './freshness.js'
-import { denial, identify } from './identity.js'
+import { identify } from './identity.js'
 import type { Runner } from './interpret.js'
 import type { LaneRules, Rules } from './rules.js'
 import { makeSessionMemory, type PreparedStatement } from './session-state.js'
@@ -127,6 +127,7 @@
     if (session.transaction && !session.isBusy) void transactions.rollBack(session)
   }
   function sweep(): void {
+    runner.keys.look()
     for (const session of all.values()) {
       transactions.endIfOver(session)
       if (!session.isBusy && world.now() - session.lastUsedAt > SESSION_IDLE_TIMEOUT_MS) close(session)
@@ -164,7 +165,7 @@
     if (!found) return noLane(name ?? database)
     const { lane, rules } = found
     const keyHash = hashOf(body.key)
-    if (!identify(rules, lane, keyHash).isAllowed) return denial(state)
+    if (!identify(rules, lane, keyHash).isAllowed) return runner.keys.deny(lane, keyHash)
     const token = tokenOf(body.token)
     if (token === 'bad') return badToken()
     const refused = whyFull(lane.team, rules.sessions.get(lane.team))
@@ -247,7 +248,7 @@
     const found = laneOf(session.lane, session.database)
     if (!found) return noLane(session.lane ?? session.database)
     const identity = identify(found.rules, found.lane, session.keyHash)
-    if (!identity.isAllowed) return denial(state)
+    if (!identity.isAllowed) return runner.keys.deny(found.lane, session.keyHash)
     const shapeName = request.w === 'statement' ? request.body.shape : undefined
     const shape = shapeName !== undefined ? session.state.prepared(shapeName) : undefined
     if (shapeName !== undefined && !shape) return noSuchShape(shapeName)
@@ -325,7 +326,7 @@
     if (!found) return noLane(name)
     const keyHash = hashOf(body.key)
     const identity = identify(found.rules, found.lane, keyHash)
-    if (!identity.isAllowed) return denial(state)
+    if (!identity.isAllowed) return runner.keys.deny(found.lane, keyHash)
     function find(rules: Rules): LaneRules | undefined {
       return rules.lanes.get(name)
     }
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -607,7 +607,7 @@
     edits: [
       [
         'proxy/dist/sessions.js',
-        'if (!identity.isAllowed)\n            return denial(state);\n        const shapeName',
+        'if (!identity.isAllowed)\n            return runner.keys.deny(found.lane, session.keyHash);\n        const shapeName',
         'const shapeName',
       ],
     ],
@@ -624,7 +624,7 @@
     rule: 'CONFIG: DENIED is told without a lease',
     test: 'platform/dist/test/tenant-keys.test.js',
     seeds: [1, 1],
-    edits: [['proxy/dist/identity.js', 'if (!state.valid())', 'if (false)']],
+    edits: [['proxy/dist/key-refusals.js', "if (!state.valid())\n            return 'no-lease';", '']],
   },
   {
     name: 'platform-key-shared',
