A removal of a tenant that isn't there no longer asks everybody for a key

What callers saw: in a configuration without tenants an Update with removals.tenants naming nobody was acknowledged, and from then on every client was told DENIED, and tenants: [] was read back. Cause: a loose drop (the platform's removals) set the list of its kind even where nothing was dropped, so an absent list of tenants became an empty one, under which no key is known. Ruled out: lanes, groups and teams, whose lists are always there. Now a list is only set where something was dropped from it. The test, in tenant-keys.test.ts, fails before (3 of 3 nodes deny, 3 of 3 cores read back an empty list) and holds after.

--- a/packages/operator/src/config.ts
+++ b/packages/operator/src/config.ts
@@ -227,9 +227,9 @@
     } else {
       const left: { name: string }[] = []
       for (const one of list) if (one.name !== e.name) left.push(one)
-      if (left.length === list.length && e.loose !== true)
-        out.push({ place: `/edits/${k}/name`, what: `no ${e.what} is named ${e.name}` })
-      lists.set(e.what, left)
+      // Where nothing is dropped the list stays as it is: a configuration without tenants isn't one with an empty list of them.
+      if (left.length < list.length) lists.set(e.what, left)
+      else if (e.loose !== true) out.push({ place: `/edits/${k}/name`, what: `no ${e.what} is named ${e.name}` })
     }
   }
   if (out.length > 0) return Err(out)
