Table cache: lock record, readers and writers under leases, with a model test

The paper's five operations on a compare-and-set value, as pure transitions; leases as lengths of time; the last read lease, the holder and a fencing token stay in the record. A writer announces a change first, so that readers that don't answer run out of their leases while all others serve, then locks with little patience and gives the lock back where a reader fails in it. Not yet on the ordinary path.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -16,6 +16,19 @@
 // ms. A voter heard within this is expected to answer: each is asked at least every second round, and one answer may be lost.
 export const VOTER_RECENCY_MS = 1900
 
+// --- table cache ---
+// share. How far any two clocks of the fleet run apart: what LEASE_CLOCK_SLACK_MS is of LEASE_DURATION_MS.
+export const CLOCK_DRIFT_LIMIT = 0.04
+// ms. A writer that holds a table's lock waits for readers in touch for this long at first, some ten times the way there and
+// back, and twice as long with each lock that it had to give back.
+export const LOCK_PATIENCE_MS = 200
+// ms. A writer asks who acknowledged its lock at this interval: no reader in touch serves meanwhile.
+export const LOCK_POLL_INTERVAL_MS = 20
+// ms. The same for its announcement, and for a lock that another writer holds: nobody but the operator waits.
+export const ANNOUNCEMENT_POLL_INTERVAL_MS = 100
+// ms. A change that could not be made by then is dropped by its writer; operators expect an end within 6 s.
+export const TABLE_CHANGE_TIMEOUT_MS = 6000
+
 // --- register ---
 // ms. A proposer's prepare must end within this of its first byte, else the round is void.
 // An emptied core waits it out (times two for clocks that run apart) before it votes again.
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1345,4 +1345,68 @@
       ],
     ],
   },
+  {
+    name: 'table-served-past-lease',
+    rule: 'CONFIG: a node serves a table only while its lease holds (table cache, 1)',
+    test: 'table-cache-model.test.js',
+    seeds: [1, 1],
+    edits: [['table-cache/dist/reader.js', 'return now < leaseEndsAt;', 'return true;']],
+  },
+  {
+    name: 'table-served-while-locked',
+    rule: 'CONFIG: a locked table is served by nobody (table cache, 1)',
+    test: 'table-cache-model.test.js',
+    seeds: [1, 1],
+    edits: [['table-cache/dist/reader.js', "if (lock.lockType !== 'READ')", 'if (false)']],
+  },
+  {
+    name: 'table-no-wait',
+    rule: 'CONFIG: a writer waits past the last read lease (table cache, 2)',
+    test: 'table-cache-model.test.js',
+    seeds: [1, 1],
+    edits: [['table-cache/dist/writer.js', 'if (hasPassed(world.now() - since, value.lock.readLeaseMs))', 'if (true)']],
+  },
+  {
+    name: 'table-drift-ignored',
+    rule: 'CONFIG: a writer waits for clocks that run slower (table cache, 2)',
+    test: 'table-cache-model.test.js',
+    seeds: [1, 1],
+    edits: [['table-cache/dist/lease-times.js', 'leaseMs * (1 + CLOCK_DRIFT_LIMIT)', 'leaseMs']],
+  },
+  {
+    name: 'table-any-holder',
+    rule: 'CONFIG: a change is made only under a lock that its writer holds (table cache, 3)',
+    test: 'table-cache-model.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['table-cache/dist/lock-record.js', 'if (record.holder !== holder || record.token !== token)', 'if (false)'],
+    ],
+  },
+  {
+    name: 'table-orphan-early',
+    rule: 'CONFIG: an orphaned lock is cleared only after its lease (table cache, 4)',
+    test: 'table-cache-model.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['table-cache/dist/lock-record.js', 'if (!hasPassed(elapsedMs, record.leaseMs))', 'if (false)'],
+      [
+        'table-cache/dist/orphan-watch.js',
+        'if (!orphan || !hasPassed(world.now() - orphan.at, orphan.leaseMs))',
+        'if (!orphan)',
+      ],
+    ],
+  },
+  {
+    name: 'table-orphan-any-token',
+    rule: 'CONFIG: the lock that is cleared is the one whose lease passed (table cache, 4)',
+    test: 'table-cache-model.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'table-cache/dist/lock-record.js',
+        "if (record.token !== token)\n        return Err('held by another');\n    if (!hasPassed(elapsedMs",
+        'if (!hasPassed(elapsedMs',
+      ],
+    ],
+  },
 ]
