--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -22,6 +22,11 @@
 // ms. A writer that holds a table's lock waits for readers in touch for this long at first, some ten times the way there and
 // back, and twice as long with each lock that it had to give back.
 export const LOCK_PATIENCE_MS = 200
+// ms. A reader that hasn't acknowledged an announcement by then is suspended: many times the way there and back, and half a
+// renewal, by which most find what they weren't pushed.
+export const ANNOUNCEMENT_PATIENCE_MS = 300
+// ms. A writer's claim on the lock lasts this much longer than what it has to wait for: its commits, and the patience above.
+export const CLAIM_MARGIN_MS = 1000
 // ms. A writer asks who acknowledged its lock at this interval: no reader in touch serves meanwhile.
 export const LOCK_POLL_INTERVAL_MS = 20
 // ms. The same for its announcement, and for a lock that another writer holds: nobody but the operator waits.
--- a/packages/fleet/src/tablemodel/processes.ts
+++ b/packages/fleet/src/tablemodel/processes.ts
@@ -15,7 +15,9 @@
   life: number
   speed: number
   state: ProcessState
-  isCutOff: boolean
+  /** Nothing leaves it; nothing reaches it. */
+  isMute: boolean
+  isDeaf: boolean
   missed: (() => void)[]
   world: World
 }
@@ -83,7 +85,7 @@
       wire: nowhere,
       disk: { read: nowhere, append: nowhere, replace: nowhere, cut: nowhere },
     }
-    const process: Process = { node, life, speed, state: 'up', isCutOff: false, missed: [], world }
+    const process: Process = { node, life, speed, state: 'up', isMute: false, isDeaf: false, missed: [], world }
     return process
   }
   function freeze(process: Process): void {
--- a/packages/table-cache/src/reader.ts
+++ b/packages/table-cache/src/reader.ts
@@ -1,5 +1,5 @@
 import type { World } from '@claynotch/base'
-import { lockForRead, renewLease, type LockRecord } from './lock-record.js'
+import { isBarred, lockForRead, renewLease, type LockRecord } from './lock-record.js'
 import type { TableEdit, TableStore, TableValue } from './table-store.js'
 
 /**
@@ -18,15 +18,17 @@
   serve: <R>(use: (table: T, version: number) => R) => R | undefined
 }
 
-/** Whether a table may be served now under this record. leaseEndsAt: on the same clock as now. */
-export function mayServe(lock: LockRecord, leaseEndsAt: number, now: number): boolean {
+/** Whether a reader may serve a table now under this record. leaseEndsAt: on the same clock as now. */
+export function mayServe(lock: LockRecord, reader: string, leaseEndsAt: number, now: number): boolean {
   if (lock.lockType !== 'READ') return false
+  if (isBarred(lock, reader)) return false
   return now < leaseEndsAt
 }
 
-/** acknowledge: tells the store's keepers that nothing older than this version is served here any more. */
+/** name: of the node, as the record has it. acknowledge: tells the store's keepers that nothing older than this version is served here any more. */
 export function makeTableReader<T>(
   world: World,
+  name: string,
   store: TableStore<T>,
   readLeaseMs: number,
   acknowledge: (version: number) => void,
@@ -61,7 +63,7 @@
     return true
   }
   function serve<R>(use: (table: T, version: number) => R): R | undefined {
-    if (!held || !mayServe(held.lock, leaseEndsAt, world.now())) return undefined
+    if (!held || !mayServe(held.lock, name, leaseEndsAt, world.now())) return undefined
     return use(held.table, held.version)
   }
   return { hear, renew, serve }
--- a/packages/table-cache/src/writer.ts
+++ b/packages/table-cache/src/writer.ts
@@ -1,5 +1,7 @@
 import {
+  ANNOUNCEMENT_PATIENCE_MS,
   ANNOUNCEMENT_POLL_INTERVAL_MS,
+  CLAIM_MARGIN_MS,
   LOCK_PATIENCE_MS,
   LOCK_POLL_INTERVAL_MS,
   pause,
@@ -7,12 +9,15 @@
   type World,
 } from '@claynotch/base'
 import { hasPassed } from './lease-times.js'
-import { isHeldBy, lockForWrite, writeAndUnlock } from './lock-record.js'
+import { barredOf, isHeldBy, lockForWrite, suspend, withClaim, writeAndUnlock } from './lock-record.js'
 import { makeOrphanWatch } from './orphan-watch.js'
 import type { TableEdit, TableStore, TableValue } from './table-store.js'
 
-/** What a change comes to on a table: its verdict, and the table that it makes; none where it changes nothing. */
-export type Judgement<T, V> = { verdict: V; table?: T }
+/**
+ * What a change comes to on a table: its verdict, and the table that it makes; none where it changes nothing. isNote: readers
+ * work by both tables alike, so it is written without the lock.
+ */
+export type Judgement<T, V> = { verdict: V; table?: T; isNote?: boolean }
 
 /** Pure, and asked anew for each table: it finds its own earlier effect and says then what it said before. */
 export type TableChange<T, V> = (table: T) => Judgement<T, V>
@@ -22,8 +27,8 @@
   /** Names this life of this node. */
   name: string
   store: TableStore<T>
-  /** Whether each reader that may hold a lease acknowledged this version or a later one; false too where that isn't known. */
-  haveAcknowledged: (version: number) => Promise<boolean>
+  /** Readers that may hold a lease and didn't acknowledge this version or a later one; undefined: not all are known. */
+  missing: (version: number) => Promise<string[] | undefined>
 }
 
 /**
@@ -37,12 +42,15 @@
   change: <V>(change: TableChange<T, V>) => Promise<V | undefined>
 }
 
-/** One change that has no verdict yet. judge: the table that it makes, if any; settle: the verdict of the last judging stands. */
-type Pending<T> = { judge: (table: T) => T | undefined; settle: () => void; drop: () => void; endsAt: number }
+/** One change that has no verdict yet. settle: the verdict of the last judging stands. */
+type Pending<T> = { judge: (table: T) => Judgement<T, unknown>; settle: () => void; drop: () => void; endsAt: number }
 
 /** A lock that this writer holds. since: local time (ms) at which it knew it committed. */
 type HeldLock<T> = { holder: string; value: TableValue<T>; since: number }
 
+/** waited: suspended readers whose leases are over, as long as nobody is admitted after this many admissions. */
+type Announced = { holder: string; waited: string[]; admissions: number }
+
 type AttemptEnd = 'written' | 'readers' | 'blocked'
 
 export function makeTableWriter<T>(world: World, view: WriterView<T>): TableWriter<T> {
@@ -50,16 +58,18 @@
   const orphans = makeOrphanWatch(world, store)
   const pending = new Set<Pending<T>>()
   let isWorking = false
+  // claimed: another writer's claim, and since when (local time, ms) it is known here.
+  let claimed: { holder: string; leaseMs: number; at: number } | undefined
   let attempts = 0
 
   // --- changes that wait ---
 
   function pendingOf<V>(change: TableChange<T, V>, done: (verdict: V | undefined) => void): Pending<T> {
     let verdict: V | undefined
-    function judge(table: T): T | undefined {
+    function judge(table: T): Judgement<T, V> {
       const judgement = change(table)
       verdict = judgement.verdict
-      return judgement.table
+      return judgement
     }
     function settle(): void {
       done(verdict)
@@ -82,50 +92,116 @@
       one.drop()
     }
   }
-  /** Tells those that change nothing on the present table; whether it could be read. */
+  /** Ends those that need no lock, as readers don't see what they change; whether this writer may try to lock. */
   async function settleUnlocked(): Promise<boolean> {
     const asked = [...pending]
     const now = await store.read()
     if (!now) return false
     orphans.see(now)
     const idle: Pending<T>[] = []
-    for (const one of asked) if (one.judge(now.table) === undefined) idle.push(one)
+    const notes: Pending<T>[] = []
+    for (const one of asked) {
+      const { table, isNote } = one.judge(now.table)
+      if (table === undefined) idle.push(one)
+      else if (isNote) notes.push(one)
+    }
     settleAll(idle)
-    return true
+    return (notes.length === 0 || (await writeNotes(notes))) && !isTaken(now)
+  }
+  /** The lock stays as it is, whoever holds it. */
+  async function writeNotes(notes: Pending<T>[]): Promise<boolean> {
+    let written: Pending<T>[] = []
+    function edit({ lock, table }: TableValue<T>): ReturnType<TableEdit<T>> {
+      written = []
+      let next = table
+      for (const one of notes) {
+        const judgement = one.judge(next)
+        // The table changed meanwhile, and this one would now change it too.
+        if (judgement.table !== undefined && !judgement.isNote) continue
+        next = judgement.table ?? next
+        written.push(one)
+      }
+      return next === table ? undefined : { lock, table: next }
+    }
+    const committed = await store.change(edit)
+    if (committed.done) settleAll(written)
+    return committed.done
   }
 
   // --- the lock ---
 
-  /** A version with nothing new: who doesn't acknowledge it is waited for while all others serve. */
-  async function announce(): Promise<boolean> {
-    let isBlocked = false
-    function edit({ lock, table }: TableValue<T>): ReturnType<TableEdit<T>> {
-      isBlocked = lock.lockType === 'WRITE'
-      return isBlocked ? undefined : { lock, table }
+  /** Whether another writer holds the lock, or is about to. */
+  function isTaken({ lock }: TableValue<T>): boolean {
+    if (lock.lockType === 'WRITE') return true
+    const { claim } = lock
+    if (!claim || claim.holder.startsWith(`${view.name}#`)) return false
+    if (claimed?.holder !== claim.holder || claimed.leaseMs !== claim.leaseMs) claimed = { ...claim, at: world.now() }
+    return !hasPassed(world.now() - claimed.at, claim.leaseMs)
+  }
+  /** A version that changes nothing but the lock: the claim, and these readers suspended. */
+  async function commitClaim(
+    holder: string,
+    leaseMs: number,
+    readers: string[],
+  ): Promise<{ value: TableValue<T>; since: number } | undefined> {
+    let isFree = false
+    function edit(now: TableValue<T>): ReturnType<TableEdit<T>> {
+      const suspended = suspend(now.lock, readers)
+      isFree = suspended.ok && !isTaken(now)
+      return suspended.ok && isFree ? { lock: withClaim(suspended.val, holder, leaseMs), table: now.table } : undefined
     }
     const committed = await store.change(edit)
-    if (!committed.done) return false
+    if (!committed.done) return undefined
     orphans.see(committed.value)
-    if (isBlocked) return false
-    return await awaitReaders(committed.value, world.now(), Infinity, ANNOUNCEMENT_POLL_INTERVAL_MS)
+    return isFree ? { value: committed.value, since: world.now() } : undefined
   }
   /**
-   * Whether no reader serves a version before this one any more. since: local time (ms) after its commit. waitMs: how long this
-   * may wait for it; the last read lease is over by some time.
+   * Readers that may serve a version before this one; none once the last read lease is over. since: local time (ms) after its
+   * commit. waitMs: how long this may wait for there to be none.
    */
-  async function awaitReaders(value: TableValue<T>, since: number, waitMs: number, pollMs: number): Promise<boolean> {
+  async function awaitReaders(
+    { value, since }: { value: TableValue<T>; since: number },
+    waitMs: number,
+    pollMs: number,
+  ): Promise<string[] | undefined> {
+    const { excluded = [], readLeaseMs } = value.lock
+    function isNotExcluded(reader: string): boolean {
+      return !excluded.includes(reader)
+    }
     for (;;) {
-      if (hasPassed(world.now() - since, value.lock.readLeaseMs)) return true
-      if (await view.haveAcknowledged(value.version)) return true
-      if (world.now() - since >= waitMs) return false
+      if (hasPassed(world.now() - since, readLeaseMs)) return []
+      const missing = (await view.missing(value.version))?.filter(isNotExcluded)
+      if (missing?.length === 0) return []
+      if (world.now() - since >= waitMs) return missing
       await pause(world, pollMs)
     }
   }
-  async function lock(patienceMs: number): Promise<HeldLock<T> | undefined> {
+  /**
+   * A version with nothing new. Readers that don't acknowledge it are suspended, and their leases waited out, while all others
+   * serve. Undefined: another holds the lock, or it is not known.
+   */
+  async function announce(): Promise<Announced | undefined> {
     const holder = `${view.name}#${++attempts}`
+    const announced = await commitClaim(holder, CLAIM_MARGIN_MS, [])
+    if (!announced) return undefined
+    let missing = await awaitReaders(announced, ANNOUNCEMENT_PATIENCE_MS, LOCK_POLL_INTERVAL_MS)
+    while (missing === undefined) {
+      await pause(world, ANNOUNCEMENT_POLL_INTERVAL_MS)
+      missing = await awaitReaders(announced, ANNOUNCEMENT_PATIENCE_MS, ANNOUNCEMENT_POLL_INTERVAL_MS)
+    }
+    if (missing.length === 0) return { holder, waited: [], admissions: 0 }
+    const suspended = await commitClaim(holder, announced.value.lock.readLeaseMs + CLAIM_MARGIN_MS, missing)
+    if (!suspended) return undefined
+    await awaitReaders(suspended, Infinity, ANNOUNCEMENT_POLL_INTERVAL_MS)
+    const { lock } = suspended.value
+    return { holder, waited: lock.suspended ?? [], admissions: lock.admissions ?? 0 }
+  }
+  async function lock({ holder, waited, admissions }: Announced, patienceMs: number): Promise<HeldLock<T> | undefined> {
     function edit({ lock, table }: TableValue<T>): ReturnType<TableEdit<T>> {
       if (isHeldBy(lock, holder)) return undefined
-      const locked = lockForWrite(lock, holder, 2 * patienceMs)
+      // Who was admitted since, and suspended again, may have a new lease.
+      const isStill = (lock.admissions ?? 0) === admissions
+      const locked = lockForWrite(lock, holder, 2 * patienceMs, isStill ? waited : [])
       return locked.ok ? { lock: locked.val, table } : undefined
     }
     const committed = await store.change(edit)
@@ -136,13 +212,14 @@
   }
   /** Change and unlock in one: what the pending changes make of the table, or the table as it is to give the lock back. */
   async function unlock({ holder, value }: HeldLock<T>, changes: Pending<T>[]): Promise<boolean> {
+    const missing = barredOf(value.lock).length > 0 ? await view.missing(value.version) : []
     let isHeld = false
     function edit(now: TableValue<T>): ReturnType<TableEdit<T>> {
-      const unlocked = writeAndUnlock(now.lock, holder, value.lock.token)
+      const unlocked = writeAndUnlock(now.lock, holder, value.lock.token, missing)
       isHeld = unlocked.ok
       if (unlocked.err) return undefined
       let { table } = now
-      for (const one of changes) table = one.judge(table) ?? table
+      for (const one of changes) table = one.judge(table).table ?? table
       return { lock: unlocked.val, table }
     }
     const committed = await store.change(edit)
@@ -151,10 +228,12 @@
     return isHeld
   }
   async function attempt(patienceMs: number): Promise<AttemptEnd> {
-    if (!(await announce())) return 'blocked'
-    const held = await lock(patienceMs)
+    const announced = await announce()
+    if (!announced) return 'blocked'
+    const held = await lock(announced, patienceMs)
     if (!held) return 'blocked'
-    if (!(await awaitReaders(held.value, held.since, patienceMs, LOCK_POLL_INTERVAL_MS))) {
+    const missing = await awaitReaders(held, patienceMs, LOCK_POLL_INTERVAL_MS)
+    if (missing?.length !== 0) {
       await unlock(held, [])
       return 'readers'
     }
@@ -169,9 +248,9 @@
     for (;;) {
       dropLate()
       if (pending.size === 0) return
-      const isRead = await settleUnlocked()
+      const isFree = await settleUnlocked()
       if (pending.size === 0) return
-      const end = isRead ? await attempt(patienceMs) : 'blocked'
+      const end = isFree ? await attempt(patienceMs) : 'blocked'
       if (end === 'readers') patienceMs *= 2
       if (end === 'blocked' && !(await orphans.clearIfDue())) await pause(world, ANNOUNCEMENT_POLL_INTERVAL_MS)
     }
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1364,7 +1364,7 @@
     rule: 'CONFIG: a writer waits past the last read lease (table cache, 2)',
     test: 'table-cache-model.test.js',
     seeds: [1, 1],
-    edits: [['table-cache/dist/writer.js', 'if (hasPassed(world.now() - since, value.lock.readLeaseMs))', 'if (true)']],
+    edits: [['table-cache/dist/writer.js', 'if (hasPassed(world.now() - since, readLeaseMs))', 'if (true)']],
   },
   {
     name: 'table-drift-ignored',
@@ -1409,4 +1409,29 @@
       ],
     ],
   },
+  {
+    name: 'table-served-barred',
+    rule: 'CONFIG: a reader that was suspended serves nothing (table cache, 1)',
+    test: 'table-cache-model.test.js',
+    seeds: [1, 1],
+    edits: [['table-cache/dist/reader.js', 'if (isBarred(lock, reader))', 'if (false)']],
+  },
+  {
+    name: 'table-suspended-unwaited',
+    rule: 'CONFIG: the lease of a reader that is suspended is waited out (table cache, 2)',
+    test: 'table-cache-model.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['table-cache/dist/writer.js', 'await awaitReaders(suspended, Infinity, ANNOUNCEMENT_POLL_INTERVAL_MS);', ''],
+    ],
+  },
+  {
+    name: 'table-writers-fight',
+    rule: 'silence: one writer at a time gets a change through (table cache)',
+    test: 'table-cache-model.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['table-cache/dist/writer.js', 'return !hasPassed(world.now() - claimed.at, claim.leaseMs);', 'return false;'],
+    ],
+  },
 ]
