--- a/packages/agent/src/agent-settings.ts
+++ b/packages/agent/src/agent-settings.ts
@@ -1,6 +1,7 @@
 import type { Address, Metrics } from '@claynotch/base'
 import type { Credential } from '@claynotch/operator'
-import type { CorePlace, CoreSet, RegisterValue } from '@claynotch/register'
+import type { CorePlace, CoreSet, QuotaHandler, RegisterValue } from '@claynotch/register'
+import type { QuotaTolerance } from './quota-limits.js'
 
 export type AgentSettings = {
   node: string
@@ -15,8 +16,14 @@
   seeds: Address[]
   /** The core set where this process knows it by itself; it is asked before the seeds. */
   coreSet?: () => CoreSet
-  /** The core machine that runs in this process, which is told each later set. */
-  core?: { place: () => CorePlace; adopt: (next: CoreSet) => Promise<void> }
+  /** The core machine that runs in this process, which is told each later set, and passes questions about quotas on. */
+  core?: {
+    place: () => CorePlace
+    adopt: (next: CoreSet) => Promise<void>
+    serveQuotas: (handler: QuotaHandler) => void
+  }
+  /** Default: nothing above the limits. */
+  quota?: QuotaTolerance
   /** Default: MAX_VOTERS. */
   mostVoters?: number
   /** Where promotion calls go. */
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -21,6 +21,7 @@
 import { startFailover, startRouteMoves } from '@claynotch/failover'
 import { makeOperatorEdge, type Credential, type Edit } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
+import type { QuotaAnswer, QuotaQuestion } from '@claynotch/quota'
 import {
   CoreSet,
   CORESET_KEY,
@@ -51,6 +52,8 @@
 import { checkMoves } from './move-check.js'
 import { makeOperatorViews } from './operator-views.js'
 import { makeProxyLink } from './proxy-link.js'
+import { startQuotaHolders } from './quota-holder.js'
+import { startQuotaRelay } from './quota-relay.js'
 import { makeRegisterCache } from './register-cache.js'
 import { makeRenewalMessages } from './renewal-messages.js'
 import { makeSubscription, sourcesOf } from './subscription.js'
@@ -248,7 +251,7 @@
       proxyCount: membership.proxyCount,
     },
     metrics,
-    { applied: acknowledgements.applied, instanceFailing },
+    { applied: acknowledgements.applied, instanceFailing, quotaAsked },
   )
   const summarySource = makeSummarySource(world, {
     node,
@@ -266,6 +269,16 @@
   function proxyReport(): ProxyReport | undefined {
     return proxy.report()
   }
+  const relay =
+    settings.link !== undefined
+      ? startQuotaRelay(world, { node, registers, membership, links, isWithoutProxy }, stop, metrics)
+      : undefined
+  async function quotaAsked(question: QuotaQuestion): Promise<QuotaAnswer> {
+    return relay ? await relay.ask(question) : { ok: true, grants: [] }
+  }
+  function isWithoutProxy(): boolean {
+    return !proxy.isLinked() && world.now() > proxy.fedUntil()
+  }
   function summariesNow(): Summary[] {
     return peers.hints()
   }
@@ -329,6 +342,22 @@
     mostVoters: settings.mostVoters ?? MAX_VOTERS,
   }
   if (mayHoldDuties) startCoreSetDuty(world, coreSetView, stop)
+  if (settings.core) {
+    const { place, serveQuotas } = settings.core
+    const quotaView = {
+      node,
+      life,
+      place,
+      proposer,
+      registers,
+      membership,
+      coreSet: links.coreSet,
+      config,
+      dutyUntil,
+      tolerance: settings.quota ?? { overshoot: 0, slack: 0 },
+    }
+    serveQuotas(startQuotaHolders(world, quotaView, stop, registerChanged, metrics).answer)
+  }
   const peers = await startPeers(world, settings.peer, stop, membership.peers, summarySource, metrics, summaryHeard)
 
   // --- instances, operators and the platform ---
--- a/packages/agent/src/operator-views.ts
+++ b/packages/agent/src/operator-views.ts
@@ -1,4 +1,4 @@
-import { CORESET_KEY, groupKey, type GroupRecord, type Proposer, type RegisterValue } from '@claynotch/register'
+import { groupKey, isFedToProxies, type GroupRecord, type Proposer, type RegisterValue } from '@claynotch/register'
 import type { InstanceTable } from './instance-table.js'
 import type { Membership } from './membership.js'
 import type { ProxyLink } from './proxy-link.js'
@@ -37,7 +37,7 @@
     const out: { key: string; has: number; present: number }[] = []
     for (const [key, { value }] of registers.all()) {
       const has = acknowledged.get(key) ?? 0
-      if (key !== CORESET_KEY && has < value.turn) out.push({ key, has, present: value.turn })
+      if (isFedToProxies(key) && has < value.turn) out.push({ key, has, present: value.turn })
     }
     return out
   }
--- a/packages/agent/src/proxy-link.ts
+++ b/packages/agent/src/proxy-link.ts
@@ -1,8 +1,9 @@
 import { LEASE_DURATION_MS, readAs, type Hello, type Link, type Metrics, type World } from '@claynotch/base'
 import { CONFIG_KEY, withoutTenantLabels, inForce, type Body } from '@claynotch/operator'
 import type { Summary } from '@claynotch/peer'
+import { QuotaQuestion, type QuotaAnswer } from '@claynotch/quota'
 import {
-  CORESET_KEY,
+  isFedToProxies,
   ProxyReport,
   type AgentFeed,
   type FedEntry,
@@ -28,6 +29,8 @@
   applied: (key: string, version: number) => void
   /** An instance began to fail as this machine's proxy sees it. */
   instanceFailing: () => void
+  /** The proxy asks what its tenants may use. */
+  quotaAsked: (question: QuotaQuestion) => Promise<QuotaAnswer>
 }
 
 /**
@@ -48,7 +51,7 @@
   report: () => ProxyReport | undefined
   /** ms since the report came. */
   reportAge: () => number
-  accept: (peer: Hello, link: Link) => (message: unknown) => undefined
+  accept: (peer: Hello, link: Link) => (message: unknown) => unknown
   lost: (peer: Hello, link: Link) => void
   close: () => void
 }
@@ -99,8 +102,7 @@
   function entriesFor(to: LinkedProxy): FedEntry[] {
     const out: FedEntry[] = []
     for (const [key, { value, currentUntil }] of view.registers()) {
-      // The voters are the agent's matter alone.
-      if (key === CORESET_KEY) continue
+      if (!isFedToProxies(key)) continue
       const until = Math.min(currentUntil, view.leaseExpiresAt())
       const isNew = (to.sent.get(key) ?? 0) < value.turn
       out.push({ key, turn: value.turn, until, ...(isNew ? { body: fedBody(key, value) } : {}) })
@@ -147,7 +149,9 @@
     const mine: LinkedProxy = { link, sent: new Map(), report: undefined, reportedAt: 0 }
     proxy = mine
     world.log.info('proxy-connected', { node: view.node })
-    function handle(message: unknown): undefined {
+    function handle(message: unknown): Promise<QuotaAnswer> | undefined {
+      const question = readAs(QuotaQuestion, message)
+      if (question.ok) return proxy === mine ? events.quotaAsked(question.val) : undefined
       const report = readAs(ProxyReport, message)
       if (report.err) {
         metrics.add('claynotch_link_garbage_total')
--- /dev/null
+++ b/packages/agent/src/quota-holder.ts
@@ -0,0 +1,268 @@
+import {
+  LEASE_RENEWAL_INTERVAL_MS,
+  loop,
+  QUOTA_SLOTS,
+  QUOTA_WINDOW_MS,
+  readAs,
+  ROUND_TIMEOUT_MS,
+  type Flag,
+  type Metrics,
+  type Signal,
+  type World,
+} from '@claynotch/base'
+import { holderOf } from '@claynotch/failover'
+import { CONFIG_KEY, type Config } from '@claynotch/operator'
+import { makeLedger, type HolderQuestion, type Ledger, type QuotaAnswer, type QuotaGrant } from '@claynotch/quota'
+import {
+  hasCore,
+  QuotaHolder,
+  quotaKey,
+  quotaSlotOf,
+  votersOf,
+  type CorePlace,
+  type CoreSet,
+  type Proposer,
+  type QuotaHandler,
+  type QuotaRefusal,
+  type RegisterValue,
+} from '@claynotch/register'
+import type { Membership, MembersRead } from './membership.js'
+import { quotaLimits, type QuotaTolerance } from './quota-limits.js'
+import { makeTakeover, type Takeover } from './quota-takeover.js'
+import type { RegisterCache } from './register-cache.js'
+
+// Counts what tenants may use, in agents beside a core that votes: docs/design/quotas.md. Front machines ask over their link to that core.
+
+export type QuotaHolderView = {
+  node: string
+  life: string
+  /** The core in this process. */
+  place: () => CorePlace
+  proposer: Proposer
+  registers: RegisterCache
+  membership: Membership
+  coreSet: () => CoreSet
+  config: () => Config | undefined
+  /** Up to when this node may hold duties. */
+  dutyUntil: () => number
+  tolerance: QuotaTolerance
+}
+
+/**
+ * One slot that this node holds.
+ *
+ * Invariants: there is one for as long as the register names this life of this node, from when that became known here; ledger counts
+ * at least what every proxy may use that told of it under this term.
+ */
+type HeldSlot = {
+  term: number
+  since: number
+  ledger: Ledger
+  takeover: Takeover
+  isReady: boolean
+  /** Given up: answers nothing more, whether the register says so already or not. */
+  isReleased: boolean
+}
+
+export type QuotaHolders = {
+  answer: QuotaHandler
+  /** What is out of one tenant, where this node counts it. */
+  out: (tenant: string) => number | undefined
+}
+
+type TimedRead = { got: MembersRead | undefined; beganAt: number }
+
+const REFUSED: QuotaRefusal = { ok: false }
+const NOBODY = ''
+
+function readHolder(value: RegisterValue | undefined): QuotaHolder | undefined {
+  const holder = value ? readAs(QuotaHolder, value.body) : undefined
+  return holder?.ok ? holder.val : undefined
+}
+function isSame(a: QuotaHolder | undefined, b: QuotaHolder | undefined): boolean {
+  return a?.holder === b?.holder && a?.life === b?.life && a?.term === b?.term
+}
+function hasProxy(member: { proxy: boolean }): boolean {
+  return member.proxy
+}
+function nodesOf(members: { node: string }[]): Set<string> {
+  const out = new Set<string>()
+  for (const { node } of members) out.add(node)
+  return out
+}
+
+export function startQuotaHolders(
+  world: World,
+  view: QuotaHolderView,
+  stop: Flag,
+  changed: Signal,
+  metrics: Metrics,
+): QuotaHolders {
+  const { node, life, registers, membership } = view
+  const held = new Map<number, HeldSlot>()
+  // holdersBefore: whom this node's latest claim of a slot was to replace, for the log.
+  const holdersBefore = new Map<number, string>()
+
+  // --- the register ---
+
+  function namesThisLife(holder: QuotaHolder | undefined): holder is QuotaHolder {
+    return holder?.holder === node && holder.life === life
+  }
+  /** Whether the register has changed from the one to the other. */
+  async function change(slot: number, before: QuotaHolder | undefined, next: QuotaHolder): Promise<boolean> {
+    const key = quotaKey(slot)
+    const tag = `${node}~${life}~${next.term}~${world.now()}`
+    function edit(now: RegisterValue | undefined): { body: unknown; tag: string } | undefined {
+      return isSame(readHolder(now), before) ? { body: next, tag } : undefined
+    }
+    const beganAt = world.now()
+    const committed = await view.proposer.change(key, edit, ROUND_TIMEOUT_MS)
+    if (!committed.done || !committed.value) return false
+    registers.learn(key, committed.value, committed.ballot, beganAt)
+    return committed.value.tag === tag
+  }
+  function votes(): boolean {
+    return hasCore(votersOf(view.coreSet()), view.place().id)
+  }
+  function isCandidate(slot: number): boolean {
+    const candidates: string[] = []
+    const voters = votersOf(view.coreSet())
+    for (const member of membership.list())
+      if (member.core && hasCore(voters, member.core.id)) candidates.push(member.node)
+    return votes() && holderOf(quotaKey(slot), candidates) === node
+  }
+  /** Whether the holder named there holds no lease any more, as a majority shows that has forgotten nobody. */
+  function isGone(before: QuotaHolder, read: MembersRead | undefined): boolean {
+    if (read?.isComplete !== true) return false
+    for (const member of read.members) if (member.node === before.holder && member.life === before.life) return false
+    return true
+  }
+  async function claim(slot: number): Promise<void> {
+    const before = readHolder(registers.value(quotaKey(slot)))
+    // An earlier life of this node has ended with its process.
+    const isFree = !before || before.holder === NOBODY || before.holder === node
+    // The read begins after the holder became known: one that came meanwhile would be missing in an earlier one.
+    if (!isFree && !isGone(before, await membership.read())) return
+    holdersBefore.set(slot, before?.holder ?? NOBODY)
+    await change(slot, before, { holder: node, life, term: (before?.term ?? 0) + 1 })
+  }
+  /** No front machine asks a core that doesn't vote. */
+  async function release(slot: number, one: HeldSlot): Promise<void> {
+    one.isReleased = true
+    const mine = { holder: node, life, term: one.term }
+    const isDone = await change(slot, mine, { holder: NOBODY, life: NOBODY, term: one.term })
+    if (isDone) world.log.info('quota-slot-released', { slot, term: one.term })
+  }
+
+  // --- the slots that this node holds ---
+
+  function follow(slot: number): void {
+    const holder = readHolder(registers.value(quotaKey(slot)))
+    const one = held.get(slot)
+    if (!namesThisLife(holder)) held.delete(slot)
+    else if (one?.term !== holder.term) {
+      const since = world.now()
+      const { term } = holder
+      world.log.info('quota-slot-claimed', { slot, term, before: holdersBefore.get(slot) ?? NOBODY })
+      held.set(slot, {
+        term,
+        since,
+        ledger: makeLedger(world.now, QUOTA_WINDOW_MS),
+        takeover: makeTakeover(world.now, since, term === 1),
+        isReady: false,
+        isReleased: false,
+      })
+    }
+    metrics.set('claynotch_quota_holder', [['slot', String(slot)]], held.has(slot) ? 1 : 0)
+  }
+  function judgeReady(slot: number, one: HeldSlot): void {
+    if (one.isReady || !one.takeover.isOver()) return
+    one.isReady = true
+    world.log.info('quota-slot-ready', { slot, term: one.term, ms: Math.round(world.now() - one.since) })
+  }
+  /** Nodes of the ledger that hold no lease any more can use nothing of what they had. */
+  async function tend(one: HeldSlot, read: () => Promise<TimedRead>): Promise<void> {
+    const listed = nodesOf(membership.list())
+    const proxies = nodesOf(membership.list().filter(hasProxy))
+    function isMissing(name: string): boolean {
+      return !listed.has(name)
+    }
+    one.takeover.listed(proxies)
+    const missing = one.ledger.nodes().filter(isMissing)
+    if (missing.length === 0 && !one.takeover.needsRead(proxies)) return
+    const { got, beganAt } = await read()
+    if (got?.isComplete !== true) return
+    one.takeover.read(nodesOf(got.members.filter(hasProxy)), beganAt)
+    const present = nodesOf(got.members)
+    for (const name of missing) if (!present.has(name)) one.ledger.gone(name, beganAt)
+  }
+  /** Who holds the slot, as far as this node has a part in it. */
+  async function settle(slot: number): Promise<void> {
+    follow(slot)
+    if (!held.has(slot) && isCandidate(slot)) {
+      await claim(slot)
+      follow(slot)
+    }
+    const one = held.get(slot)
+    if (one && (one.isReleased || !votes())) await release(slot, one)
+  }
+  async function readMembers(): Promise<TimedRead> {
+    const beganAt = world.now()
+    return { got: await membership.read(), beganAt }
+  }
+  async function look(): Promise<void> {
+    if (view.config()?.tenants === undefined || world.now() >= view.dutyUntil()) return
+    for (let slot = 0; slot < QUOTA_SLOTS; slot++) await settle(slot)
+    // One read of the members serves all slots.
+    let reading: Promise<TimedRead> | undefined
+    function read(): Promise<TimedRead> {
+      reading ??= readMembers()
+      return reading
+    }
+    for (const [slot, one] of held) {
+      await tend(one, read)
+      judgeReady(slot, one)
+    }
+  }
+
+  // --- questions ---
+
+  /** Whether this node holds the slot now, by its lease and by a register that is known to be current. */
+  function mayAnswer(slot: number, one: HeldSlot): boolean {
+    const known = registers.all().get(quotaKey(slot))
+    const holder = readHolder(known?.value)
+    if (one.isReleased || !votes() || !namesThisLife(holder) || holder.term !== one.term) return false
+    return world.now() < Math.min(known?.currentUntil ?? 0, view.dutyUntil())
+  }
+  function isConfigurationCurrent(): boolean {
+    return world.now() < (registers.all().get(CONFIG_KEY)?.currentUntil ?? 0)
+  }
+  function count(question: HolderQuestion, grants: QuotaGrant[]): void {
+    const wanted = new Map<string, number>()
+    for (const [tenant, , , want] of question.lines) wanted.set(tenant, want)
+    metrics.add('claynotch_quota_grants_total', [], grants.length)
+    for (const [tenant, allowance] of grants)
+      if (allowance < (wanted.get(tenant) ?? 0)) metrics.add('claynotch_quota_growth_refused_total')
+  }
+  function answer(question: HolderQuestion, asker: string): QuotaAnswer | QuotaRefusal {
+    const one = held.get(question.slot)
+    const config = view.config()
+    if (!one || !config || question.term !== one.term || !mayAnswer(question.slot, one)) return REFUSED
+    if (asker !== question.node) return REFUSED
+    for (const [tenant] of question.lines) if (quotaSlotOf(tenant) !== question.slot) return REFUSED
+    one.takeover.heard(question.node, question.life)
+    if (!one.takeover.isAlone()) return REFUSED
+    const mayGrow = one.takeover.isOver() && isConfigurationCurrent()
+    const grants = one.ledger.report(question, question.lines, quotaLimits(config, view.tolerance), mayGrow)
+    one.takeover.told(question.node)
+    count(question, grants)
+    return { ok: true, grants }
+  }
+  function out(tenant: string): number | undefined {
+    const slot = quotaSlotOf(tenant)
+    const one = held.get(slot)
+    return one && mayAnswer(slot, one) ? one.ledger.liability(tenant) : undefined
+  }
+  void loop(world, 'quota-holder', LEASE_RENEWAL_INTERVAL_MS, stop, look, changed)
+  return { answer, out }
+}
--- /dev/null
+++ b/packages/agent/src/quota-takeover.ts
@@ -0,0 +1,92 @@
+import { LEASE_CLOCK_SLACK_MS, LEASE_DURATION_MS, QUOTA_WINDOW_MS } from '@claynotch/base'
+
+/**
+ * ms. The holder before grants nothing any more once so much has passed since a later term was committed: what it knows of the register
+ * is current for no longer than a lease.
+ */
+const OLD_HOLDER_END_MS = LEASE_DURATION_MS + 2 * LEASE_CLOCK_SLACK_MS
+/** ms. What was sent before is out of every window once so much has passed, by any of two clocks that run apart. */
+const SETTLED_MS = QUOTA_WINDOW_MS + 2 * LEASE_CLOCK_SLACK_MS
+
+/** A front machine of which it isn't known yet what its proxy may use. at: when this life of the proxy was heard of first. */
+type Owing = { life: string | undefined; at: number; hasTold: boolean }
+
+/**
+ * What a new holder waits for, as it knows nothing of what its predecessor granted.
+ *
+ * Invariants:
+ * - isAlone: no holder of an earlier term answers any more. What a proxy tells before that may be overtaken by such an answer.
+ * - isOver: whatever was granted under earlier terms is known, or can't be used and has left every window. It stays so.
+ */
+export type Takeover = {
+  isAlone: () => boolean
+  isOver: () => boolean
+  /** The proxy of that life, on that node, asked; whether it was answered or not. */
+  heard: (node: string, life: string) => void
+  /** What it holds is known, as it was answered. */
+  told: (node: string) => void
+  /** Nodes with a proxy as renewals tell of them, which may be late. */
+  listed: (nodes: ReadonlySet<string>) => void
+  /** Nodes with a proxy as a complete read shows them that was begun then. */
+  read: (nodes: ReadonlySet<string>, beganAt: number) => void
+  /** A complete read would bring it further, given what is listed. */
+  needsRead: (listed: ReadonlySet<string>) => boolean
+}
+
+/** since: when the claim was known to be committed. isFirst: there was no holder before, so that nothing is out. */
+export function makeTakeover(now: () => number, since: number, isFirst: boolean): Takeover {
+  const owing = new Map<string, Owing>()
+  // quietSince: no node that owed an answer is known to have gone since, and the nodes are known as of then.
+  let quietSince: number | undefined
+  // isClosed: whoever comes from now on had no lease when only this holder could grant.
+  let isClosed = false
+  let isDone = isFirst
+
+  function isAlone(): boolean {
+    return isFirst || now() >= since + OLD_HOLDER_END_MS
+  }
+  function expect(nodes: ReadonlySet<string>): void {
+    if (isClosed) return
+    for (const node of nodes) if (!owing.has(node)) owing.set(node, { life: undefined, at: now(), hasTold: false })
+  }
+  function forget(present: ReadonlySet<string>): void {
+    for (const [node, { hasTold }] of owing) {
+      if (present.has(node)) continue
+      owing.delete(node)
+      // It may have used what it held until just now.
+      if (!hasTold) quietSince = now()
+    }
+  }
+  function read(nodes: ReadonlySet<string>, beganAt: number): void {
+    quietSince ??= now()
+    expect(nodes)
+    if (isFirst || beganAt >= since + OLD_HOLDER_END_MS) isClosed = true
+    forget(nodes)
+  }
+  function heard(node: string, life: string): void {
+    const old = owing.get(node)
+    if (old?.life === life || (isClosed && !old)) return
+    // An earlier life may have used what it held until just now.
+    owing.set(node, { life, at: now(), hasTold: false })
+  }
+  function told(node: string): void {
+    const one = owing.get(node)
+    if (one) one.hasTold = true
+  }
+  function isSettled({ at, hasTold }: Owing): boolean {
+    return hasTold && now() >= at + SETTLED_MS
+  }
+  function isOver(): boolean {
+    if (isDone) return true
+    if (!isClosed || quietSince === undefined || now() < quietSince + SETTLED_MS) return false
+    isDone = [...owing.values()].every(isSettled)
+    return isDone
+  }
+  function needsRead(listed: ReadonlySet<string>): boolean {
+    if (isDone) return false
+    if (quietSince === undefined || (isAlone() && !isClosed)) return true
+    for (const [node, { hasTold }] of owing) if (!hasTold && !listed.has(node)) return true
+    return false
+  }
+  return { isAlone, isOver, heard, told, listed: expect, read, needsRead }
+}
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -131,13 +131,15 @@
 export const LINK_SILENCE_MS = 3000
 // number. Version of the internal links; see docs/wire.md for the rule on mixed versions.
 // 2: renewals tell what changed; no program of epoch 1 can read them. 3: values as deltas, pushes to subscribers alone.
-// 4: a core offers what it could hand over, and hands over what the other lacks.
-export const LINK_VERSION = 4
+// 4: a core offers what it could hand over, and hands over what the other lacks. 5: quotas are asked for.
+export const LINK_VERSION = 5
 export const MIN_LINK_VERSION = 2
 // number. The least epoch of a link on which values may be told as deltas.
 export const DELTA_LINK_VERSION = 3
 // number. The least version of a link on which a handover is offered first.
 export const OFFER_LINK_VERSION = 4
+// number. The least version of a link on which a core is asked for tenants' quotas.
+export const QUOTA_LINK_VERSION = 5
 
 // --- agent and proxy ---
 // ms. Beat on which a proxy tells its agent what it sees.
@@ -384,6 +386,17 @@
 // call that waits is still served within its budget.
 export const MOVE_PAUSE_LIMIT_MS = 8000
 
+// --- quotas of tenants (docs/design/quotas.md) ---
+// count. Parts of the tenants, each with a holder of its own: the holder of one is lost without the others.
+export const QUOTA_SLOTS = 4
+// ms. Operations of a tenant are counted within every span of this length.
+export const QUOTA_WINDOW_MS = 5000
+// ms. A holder that doesn't answer a front machine within this is left out of the answer to its proxy: many times the way between two
+// zones, and a share of the time that an operation without an allowance may wait.
+export const QUOTA_ANSWER_TIMEOUT_MS = 250
+// ms. Interval at which an agent looks whether a new holder is to be told that no proxy works on this machine.
+export const QUOTA_ABSENCE_INTERVAL_MS = 1000
+
 // --- settings ---
 // ms. Beat on which a settings file is looked at, for changes without a signal.
 export const SETTINGS_INTERVAL_MS = 1000
--- a/packages/claynotch/src/machine.ts
+++ b/packages/claynotch/src/machine.ts
@@ -1,5 +1,12 @@
 import { parseAddr, type Address, type World } from '@claynotch/base'
-import { ownAdapters, startAgent, type Agent, type AgentAdapters, type AgentSettings } from '@claynotch/agent'
+import {
+  ownAdapters,
+  startAgent,
+  type Agent,
+  type AgentAdapters,
+  type AgentSettings,
+  type QuotaTolerance,
+} from '@claynotch/agent'
 import { foundersOf, startCore, type Core, type CoreSet } from '@claynotch/register'
 import { BUILD } from './build.js'
 
@@ -16,6 +23,7 @@
   data: string
   platform?: Address
   mostVoters?: number
+  quota?: QuotaTolerance
 }
 export type CoreMachine = {
   core: Core
@@ -52,9 +60,10 @@
       http: set.http,
       seeds,
       coreSet: core.coreSet,
-      core: { place: core.place, adopt: core.adopt },
+      core: { place: core.place, adopt: core.adopt, serveQuotas: core.serveQuotas },
       ...(set.platform !== undefined ? { platform: set.platform } : {}),
       ...(set.mostVoters !== undefined ? { mostVoters: set.mostVoters } : {}),
+      ...(set.quota ? { quota: set.quota } : {}),
       build: BUILD,
     },
     edges,
--- a/packages/fleet/src/simfleet.ts
+++ b/packages/fleet/src/simfleet.ts
@@ -58,7 +58,7 @@
           peer: `${box.machine.ip}:7002`,
           seeds,
           coreSet: core.coreSet,
-          core: { place: core.place, adopt: core.adopt },
+          core: { place: core.place, adopt: core.adopt, serveQuotas: core.serveQuotas },
           build: 'sim',
         })
       function handle(ask: HttpRequest): HttpResponse {
--- a/packages/register/src/core-messages.ts
+++ b/packages/register/src/core-messages.ts
@@ -1,5 +1,6 @@
 import { readAs, type Hello, type Link, type Metrics, type World } from '@claynotch/base'
 import { compareBallots, type Ballot } from './ballot.js'
+import type { HolderQuestion, QuotaAnswer } from '@claynotch/quota'
 import type { CoreFounding } from './core-founding.js'
 import type { CoreSetFollower } from './core-set-follower.js'
 import type { Delta } from './delta.js'
@@ -25,6 +26,8 @@
   founding: CoreFounding
   state: () => CoreState
   learn: (key: string, ballot: Ballot) => void
+  /** What the holder of quotas beside this core says; undefined: there is none. */
+  quota: () => QuotaHandler | undefined
   /** An operator's word that everything is to begin anew, whatever agents remember. */
   foundAnew: boolean
   metrics: Metrics
@@ -35,7 +38,13 @@
   lost: (peer: Hello, link: Link) => void
 }
 
-type VoterMessage = Exclude<CoreMessage, { t: 'state' | 'seeds' | 'set' }>
+/** Answers a question about quotas. asker: the node at the other end of the link that it came over. */
+export type QuotaHandler = (question: HolderQuestion, asker: string) => QuotaAnswer | QuotaRefusal
+/** This node doesn't count the slot under that term, or not now. */
+export type QuotaRefusal = { ok: false }
+const REFUSED: QuotaRefusal = { ok: false }
+
+type VoterMessage = Exclude<CoreMessage, { t: 'state' | 'seeds' | 'set' | 'quota' }>
 
 const ABSENT = { ok: false, absent: true }
 
@@ -148,6 +157,8 @@
       case 'set':
         await follower.adopt(message.set)
         return { ok: true }
+      case 'quota':
+        return view.quota()?.(message, peer.node) ?? REFUSED
       default:
         break
     }
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -14,7 +14,7 @@
 import { compareBallots, type Ballot } from './ballot.js'
 import { makeCommittedBallots } from './committed-ballots.js'
 import { makeCoreFounding } from './core-founding.js'
-import { makeCoreMessages } from './core-messages.js'
+import { makeCoreMessages, type QuotaHandler } from './core-messages.js'
 import { makeCorePeers } from './core-peers.js'
 import { idsOf, makeCoreSetFollower, type CoreSetFollower } from './core-set-follower.js'
 import { askSeeds, type CorePlace, type CoreSet } from './core-set.js'
@@ -62,6 +62,8 @@
   coreSet: () => CoreSet
   /** Takes a set that was chosen; an older one, or another than an operator gave, changes nothing. */
   adopt: (next: CoreSet) => Promise<void>
+  /** From now on questions about quotas are answered by this; until then they are refused. */
+  serveQuotas: (handler: QuotaHandler) => void
 }
 
 /** ms. Interval at which a voter that doesn't serve takes its next step, and the gauges are set. */
@@ -149,9 +151,17 @@
     founding,
     state,
     learn,
+    quota: quotaNow,
     foundAnew: settings.foundAnew === true,
     metrics,
   })
+  let quotaHandler: QuotaHandler | undefined
+  function quotaNow(): QuotaHandler | undefined {
+    return quotaHandler
+  }
+  function serveQuotas(handler: QuotaHandler): void {
+    quotaHandler = handler
+  }
   const firstSet = firstSetOf(settings, store)
   if (firstSet) await follower.join(firstSet)
 
@@ -240,5 +250,6 @@
     coreSet: follower.coreSet,
     place,
     adopt: follower.adopt,
+    serveQuotas,
   }
 }
--- a/packages/register/src/messages.ts
+++ b/packages/register/src/messages.ts
@@ -1,4 +1,5 @@
 import { MAX_ANNOUNCEMENT_DELAY_MS } from '@claynotch/base'
+import { HolderQuestion } from '@claynotch/quota'
 import * as t from 'io-ts'
 import { Ballot } from './ballot.js'
 import { CorePlace, CoreSet } from './core-set.js'
@@ -94,6 +95,7 @@
   t.type({ t: t.literal('leave'), node: t.string, life: t.string }),
   t.type({ t: t.literal('ack'), num: t.number, key: t.string, turn: t.number }),
   LeaseRenewal,
+  HolderQuestion,
 ])
 export type CoreMessage = t.TypeOf<typeof CoreMessage>
 
--- a/packages/register/src/proxy-messages.ts
+++ b/packages/register/src/proxy-messages.ts
@@ -1,8 +1,15 @@
 import * as t from 'io-ts'
+import { CORESET_KEY } from './core-set.js'
 import { InstanceStatus } from './messages.js'
+import { isQuotaKey } from './quota-register.js'
 
 // What an agent and its proxy say to each other over loopback: registers fed one way, notes the other.
 
+/** Which machines vote, and who counts quotas, is the agents' matter alone. */
+export function isFedToProxies(key: string): boolean {
+  return key !== CORESET_KEY && !isQuotaKey(key)
+}
+
 // One register as it is fed. until: monotonic time of this machine up to which the proxy may work by this
 // turn; body is left out where the proxy has acknowledged the turn already.
 export const FedEntry = t.intersection([
