--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -290,6 +290,8 @@
 export const RETRY_AFTER_OVERLOAD_S = 1
 export const RETRY_AFTER_PROMOTION_S = 2
 export const RETRY_AFTER_BREAKER_S = 3
+// s. Retry-After for operations beyond their tenant's limit: some of what it used has left the window by then.
+export const RETRY_AFTER_QUOTA_S = 1
 
 // --- policies ---
 // steps of the Lua machine. A policy that matches by a few comparisons takes under 100; 10000 take about a millisecond.
@@ -384,6 +386,42 @@
 // call that waits is still served within its budget.
 export const MOVE_PAUSE_LIMIT_MS = 8000
 
+// --- quotas of tenants (docs/design/quotas.md) ---
+// ms. Operations of a tenant are counted within every span of this length.
+export const QUOTA_WINDOW_MS = 5000
+// ms. The span in which a proxy counts what it sends: the rule's, and 4 % for clocks that run apart, and the way to an instance.
+export const QUOTA_METER_WINDOW_MS = 5250
+// ms. Operations sent this close to each other may be counted as one lot, by the time of its last.
+export const QUOTA_METER_GRAIN_MS = 10
+// ms. Interval at which a proxy tells what its tenants hold, use and want, while there is anything to tell.
+export const QUOTA_REPORT_INTERVAL_MS = 500
+// ms. The same for a proxy that holds nothing: a new holder waits until it has heard that.
+export const QUOTA_IDLE_REPORT_INTERVAL_MS = 1000
+// ms. The least time between two questions of a proxy. Short beside what an operation may wait, and it gathers those that come at once.
+export const QUOTA_QUESTION_SPACING_MS = 10
+// ms. Until a question is asked that can wait a little: most of an allowance is used, or some of one can be told back.
+export const QUOTA_SOON_MS = 50
+// ms. A question that wasn't answered by then is given up: longer than an agent waits for a holder.
+export const QUOTA_QUESTION_TIMEOUT_MS = 500
+// ms. Until the next question, after one that nobody answered.
+export const QUOTA_QUESTION_RETRY_MS = 100
+// ms. A tenant that was given less than it wants isn't asked for again sooner; what has no allowance is refused at once.
+export const QUOTA_DENIAL_MS = 200
+// ms. An allowance that wasn't used for two windows is given back.
+export const QUOTA_IDLE_MS = 10000
+// ratio. Of an allowance: what is left of it when more is asked for.
+export const QUOTA_LOW_SHARE = 0.25
+// operations. A smaller allowance isn't asked for before it is used up: it would be with each operation.
+export const QUOTA_MIN_LOW_ALLOWANCE = 4
+// ratio. Of what a proxy wants: what it is given beside it, so that it needn't ask for each operation.
+export const QUOTA_EXTRA_SHARE = 0.25
+// ratio. Of what nobody wants: what proxies may have as extras. The rest is free for those that begin to want.
+export const QUOTA_SPARE_SHARE = 0.5
+// operations. What a holder answers where there is no limit.
+export const QUOTA_UNLIMITED = 1_000_000_000
+// ms. A refused tenant is logged no more often.
+export const QUOTA_LOG_INTERVAL_MS = 5000
+
 // --- settings ---
 // ms. Beat on which a settings file is looked at, for changes without a signal.
 export const SETTINGS_INTERVAL_MS = 1000
--- a/packages/proxy/src/call.ts
+++ b/packages/proxy/src/call.ts
@@ -7,6 +7,7 @@
   type World,
 } from '@claynotch/base'
 import type { LogPosition, RequestError, StatementResult } from '@claynotch/instance'
+import type { Reservation } from '@claynotch/quota'
 import type { Verdict } from '@claynotch/requester'
 import type { Token } from './freshness.js'
 import type { CheckedOutConnection, ConnectionRequirements } from './pool.js'
@@ -15,7 +16,7 @@
 
 // One call on its way. Kept for it: its deadline, its sends, its last trouble, and what became of each send.
 // Invariants: ran is 'no' only while nothing of it can have run at an instance; a write whose ran is
-// 'maybe' is never sent again; a pending place, a loan and a probe are each given up exactly once;
+// 'maybe' is never sent again; a pending place, a loan, a reservation and a probe are each given up exactly once;
 // lane and need (with the tenant that its connection is for) are those of rules, and nothing is sent while rules are not the ones in force.
 export type Call = {
   kind: Kind
@@ -46,6 +47,8 @@
   loan?: CheckedOutConnection
   got?: Result<StatementResult, RequestError>
   asked: number
+  /** Of the tenant's limit, for the next send. */
+  reservation?: Reservation
   // place: the lane and team that this call is counted under as pending.
   place?: { lane: string; team: string }
 }
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -26,6 +26,7 @@
 import { denial, identify } from './identity.js'
 import { needFor, type Call, type Settled } from './call.js'
 import type { CheckedOutConnection, Pool } from './pool.js'
+import type { QuotaStep } from './quota-step.js'
 import { backoff, makeAlert, makeBreaker, makeTokens, type Alert, type Breaker, type Tokens } from './retry.js'
 import type { Step } from './rules.js'
 import type { State } from './state.js'
@@ -60,6 +61,7 @@
   watch: Watch,
   pool: Pool,
   edge: InstanceAdapter,
+  quota: QuotaStep,
   metrics: Metrics,
   stopping: () => boolean,
 ): Runner {
@@ -295,7 +297,8 @@
     if (
       old ||
       (floor === undefined && !stands(call.lane.group, epoch)) ||
-      ((writes || begins) && state.group(call.lane.group)?.record.phase !== 'steady')
+      ((writes || begins) && state.group(call.lane.group)?.record.phase !== 'steady') ||
+      !quota.sent(call)
     ) {
       loan.end(true)
       delete call.loan
@@ -470,6 +473,9 @@
         case 'aim':
           turn = await aim(call, step)
           break
+        case 'quota':
+          turn = await quota.reserve(call)
+          break
         case 'borrow':
           turn = await borrow(call)
           break
@@ -487,6 +493,7 @@
     }
     turn = honest(call, turn)
     admission.release(call)
+    quota.release(call)
     if (call.probe && turn.outcome !== 'done') toolsOf(call.lane.group).breaker.note(false, true)
     metrics.add('claynotch_calls_total', [
       ['lane', call.lane.name],
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -30,6 +30,7 @@
 import { makeClientMemory } from './client-memory.js'
 import { makeRunner, type Runner } from './interpret.js'
 import { makePool, type Pool } from './pool.js'
+import { makeQuotaStep } from './quota-step.js'
 import { makeSessions, type Sessions } from './sessions.js'
 import { ownAdapters, type ProxyAdapters } from './adapter.js'
 import { makeState, type State } from './state.js'
@@ -63,7 +64,11 @@
   }
   const watch = startWatch(world, state, edges.instance, stop, metrics)
   const pool = makePool(world, edges.instance, stop, metrics)
-  const runner = makeRunner(world, state, watch, pool, edges.instance, metrics, stopping)
+  function askAgent(message: unknown, ms: number): Promise<unknown> {
+    return agent.ask(message, ms)
+  }
+  const quota = makeQuotaStep(world, state, askAgent, life, metrics, stop)
+  const runner = makeRunner(world, state, watch, pool, edges.instance, quota, metrics, stopping)
   const sessions = makeSessions(world, state, runner, edges.instance, metrics, stop, stopping)
   // acked: turns applied in full; a drain counts only once no transaction and no write is left open.
   const acked = new Map<string, number>()
--- a/packages/proxy/src/rules.ts
+++ b/packages/proxy/src/rules.ts
@@ -17,6 +17,7 @@
   | { op: 'breaker' } // the group's breaker lets it pass
   | { op: 'aim'; at: 'leader' } // the group's leader, waited for while a promotion is under way
   | { op: 'aim'; at: 'fresh'; within: number; own: boolean } // a follower proved fresh enough, else the leader
+  | { op: 'quota' } // within what the tenant may run
   | { op: 'borrow' } // one connection, with the session's settings and shapes in force
   | { op: 'send' }
   | { op: 'judge' }
@@ -94,6 +95,7 @@
         { op: 'take', pending },
         { op: 'breaker' },
         aim,
+        { op: 'quota' },
         { op: 'borrow' },
         { op: 'send' },
         { op: 'judge' },
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -26,6 +26,8 @@
   config: () => Config | undefined
   // Whether the configuration's term runs.
   valid: () => boolean
+  // Since when (local time, ms) that term has run without a break, if it runs.
+  leasedSince: () => number
   // Whether this node holds a share of the instances' connections.
   share: () => boolean
   // Live members that have a proxy, at least 1.
@@ -148,6 +150,9 @@
     const c = cells.get(CONFIG_KEY)
     return c !== undefined && world.now() < c.until
   }
+  function leasedSince(): number {
+    return unbroken
+  }
   function share(): boolean {
     // Shares by the live proxies need no register: whoever has a term has one.
     const size = config()?.proxies ?? 0
@@ -215,6 +220,7 @@
     rules: rulesNow,
     config,
     valid,
+    leasedSince,
     share,
     live: liveNow,
     group,
--- /dev/null
+++ b/packages/quota/src/allocation.ts
@@ -0,0 +1,37 @@
+import { QUOTA_EXTRA_SHARE, QUOTA_SPARE_SHARE } from '@claynotch/base'
+
+/** How the limit of one tenant is divided among proxies. Pure arithmetic: it says what a proxy should have, not what is free. */
+
+/** need: operations that it wants or used within a window. held: what it may run now. answered: what it was answered last. */
+export type Claim = { need: number; held: number; answered: number }
+
+/** All together want more than there is: in proportion to need, in whole operations. */
+function proportionalShare(mine: Claim, others: Claim[], available: number, allNeeds: number): number {
+  const exact = (available * mine.need) / allNeeds
+  const sure = Math.floor(exact)
+  let takenByOthers = 0
+  for (const other of others) takenByOthers += Math.max(other.answered, Math.floor((available * other.need) / allNeeds))
+  // What rounding leaves goes to who asks first, once each of the others has its whole operations.
+  const left = Math.max(0, Math.floor(available - takenByOthers - sure))
+  return Math.min(Math.ceil(exact), sure + left)
+}
+
+/** There is enough for all: what it needs, and some more of what nobody needs. */
+function ampleShare(mine: Claim, others: Claim[], available: number, allNeeds: number): number {
+  const spare = Math.floor((available - allNeeds) * QUOTA_SPARE_SHARE)
+  let extrasOfOthers = 0
+  for (const other of others) extrasOfOthers += Math.max(0, other.answered - other.need)
+  const isActive = mine.need > 0 || mine.held > 0
+  const extra = isActive ? 1 + Math.ceil(mine.need * QUOTA_EXTRA_SHARE) : 0
+  return mine.need + Math.min(extra, Math.max(0, spare - extrasOfOthers))
+}
+
+/** What a proxy should have of the operations that are available to all. */
+export function shareOf(mine: Claim, others: Claim[], available: number): number {
+  let allNeeds = mine.need
+  for (const other of others) allNeeds += other.need
+  if (available <= 0) return 0
+  return allNeeds > available
+    ? proportionalShare(mine, others, available, allNeeds)
+    : ampleShare(mine, others, available, allNeeds)
+}
--- a/packages/quota/src/messages.ts
+++ b/packages/quota/src/messages.ts
@@ -13,21 +13,30 @@
 export const QuotaGrant = t.tuple([t.string, t.number])
 export type QuotaGrant = t.TypeOf<typeof QuotaGrant>
 
-/** life: of the proxy. */
-export const QuotaQuestion = t.type({ t: t.literal('quota'), life: t.string, lines: t.array(QuotaLine) })
+/**
+ * Names all that the proxy holds, uses or wants. life: of the proxy. askedAt: ms by the machine's clock, which its proxies and its
+ * agent share: of two questions of a machine the later one counts, in whatever order they arrive.
+ */
+export const QuotaQuestion = t.type({
+  t: t.literal('quota'),
+  life: t.string,
+  askedAt: t.number,
+  lines: t.array(QuotaLine),
+})
 export type QuotaQuestion = t.TypeOf<typeof QuotaQuestion>
 
 /** A tenant that isn't named keeps what it has. */
 export const QuotaAnswer = t.type({ ok: t.literal(true), grants: t.array(QuotaGrant) })
 export type QuotaAnswer = t.TypeOf<typeof QuotaAnswer>
 
-/** The same to a holder. term: of the register that names it, as the asker knows it. */
+/** The same to a holder, life and askedAt as the proxy told them. term: of the register that names it, as the asker knows it. */
 export const HolderQuestion = t.type({
   t: t.literal('quota'),
   slot: t.number,
   term: t.number,
   node: t.string,
   life: t.string,
+  askedAt: t.number,
   lines: t.array(QuotaLine),
 })
 export type HolderQuestion = t.TypeOf<typeof HolderQuestion>
