--- a/packages/agent/src/quota-holder.ts
+++ b/packages/agent/src/quota-holder.ts
@@ -2,7 +2,7 @@
   LEASE_RENEWAL_INTERVAL_MS,
   loop,
   QUOTA_SLOTS,
-  QUOTA_WINDOW_MS,
+  QUOTA_METER_WINDOW_MS,
   readAs,
   ROUND_TIMEOUT_MS,
   type Flag,
@@ -167,7 +167,7 @@
       held.set(slot, {
         term,
         since,
-        ledger: makeLedger(world.now, QUOTA_WINDOW_MS),
+        ledger: makeLedger(world.now, QUOTA_METER_WINDOW_MS),
         takeover: makeTakeover(world.now, since, term === 1),
         isReady: false,
         isReleased: false,
@@ -234,6 +234,7 @@
     if (one.isReleased || !votes() || !namesThisLife(holder) || holder.term !== one.term) return false
     return world.now() < Math.min(known?.currentUntil ?? 0, view.dutyUntil())
   }
+  /** By an older configuration a tenant might be given more than it may have now. */
   function isConfigurationCurrent(): boolean {
     return world.now() < (registers.all().get(CONFIG_KEY)?.currentUntil ?? 0)
   }
@@ -248,12 +249,16 @@
     const one = held.get(question.slot)
     const config = view.config()
     if (!one || !config || question.term !== one.term || !mayAnswer(question.slot, one)) return REFUSED
-    if (asker !== question.node) return REFUSED
+    if (asker !== question.node || !isConfigurationCurrent()) return REFUSED
     for (const [tenant] of question.lines) if (quotaSlotOf(tenant) !== question.slot) return REFUSED
     one.takeover.heard(question.node, question.life)
     if (!one.takeover.isAlone()) return REFUSED
-    const mayGrow = one.takeover.isOver() && isConfigurationCurrent()
-    const grants = one.ledger.report(question, question.lines, quotaLimits(config, view.tolerance), mayGrow)
+    const grants = one.ledger.report(
+      question,
+      question.lines,
+      quotaLimits(config, view.tolerance),
+      one.takeover.isOver(),
+    )
     one.takeover.told(question.node)
     count(question, grants)
     return { ok: true, grants }
--- a/packages/agent/src/quota-takeover.ts
+++ b/packages/agent/src/quota-takeover.ts
@@ -1,12 +1,12 @@
-import { LEASE_CLOCK_SLACK_MS, LEASE_DURATION_MS, QUOTA_WINDOW_MS } from '@claynotch/base'
+import { LEASE_CLOCK_SLACK_MS, LEASE_DURATION_MS, QUOTA_METER_WINDOW_MS } from '@claynotch/base'
 
 /**
  * ms. The holder before grants nothing any more once so much has passed since a later term was committed: what it knows of the register
  * is current for no longer than a lease.
  */
 const OLD_HOLDER_END_MS = LEASE_DURATION_MS + 2 * LEASE_CLOCK_SLACK_MS
-/** ms. What was sent before is out of every window once so much has passed, by any of two clocks that run apart. */
-const SETTLED_MS = QUOTA_WINDOW_MS + 2 * LEASE_CLOCK_SLACK_MS
+/** ms. What was sent before is out of every window once so much has passed. */
+const SETTLED_MS = QUOTA_METER_WINDOW_MS
 
 /** A front machine of which it isn't known yet what its proxy may use. at: when this life of the proxy was heard of first. */
 type Owing = { life: string | undefined; at: number; hasTold: boolean }
