--- a/packages/quota/src/allocation.ts
+++ b/packages/quota/src/allocation.ts
@@ -1,9 +1,17 @@
-import { QUOTA_EXTRA_SHARE, QUOTA_SPARE_SHARE } from '@claynotch/base'
+import { QUOTA_EXTRA_SHARE, QUOTA_METER_WINDOW_MS, QUOTA_REPORT_INTERVAL_MS, QUOTA_SPARE_SHARE } from '@claynotch/base'
 
 /** How the limit of one tenant is divided among proxies. Pure arithmetic: it says what a proxy should have, not what is free. */
 
-/** need: operations that it wants or used within a window. held: what it may run now. answered: what it was answered last. */
-export type Claim = { need: number; held: number; answered: number }
+/**
+ * need: operations that it wants or used within a window. used: of them, those that it ran or is about to. held: what it may run
+ * now. answered: what it was answered last. isIdle: it was asked for no more since its last report.
+ */
+export type Claim = { need: number; used: number; held: number; answered: number; isIdle: boolean }
+
+/** Operations that it is asked for between two reports. */
+function needPerReport(need: number): number {
+  return Math.round((need * QUOTA_REPORT_INTERVAL_MS) / QUOTA_METER_WINDOW_MS)
+}
 
 /** All together want more than there is: in proportion to need, in whole operations. */
 function proportionalShare(mine: Claim, others: Claim[], available: number, allNeeds: number): number {
@@ -13,7 +21,9 @@
   for (const other of others) takenByOthers += Math.max(other.answered, Math.floor((available * other.need) / allNeeds))
   // What rounding leaves goes to who asks first, once each of the others has its whole operations.
   const left = Math.max(0, Math.floor(available - takenByOthers - sure))
-  return Math.min(Math.ceil(exact), sure + left)
+  // What it can't use until its next report, another can.
+  const usable = Math.max(needPerReport(mine.need), mine.isIdle ? 0 : 1)
+  return Math.min(Math.ceil(exact), sure + left, mine.used + usable)
 }
 
 /** There is enough for all: what it needs, and some more of what nobody needs. */
--- a/packages/quota/src/ledger.ts
+++ b/packages/quota/src/ledger.ts
@@ -36,7 +36,7 @@
 }
 
 /** One tenant at one proxy. */
-type Account = Claim & { life: string; askedAt: number; used: number }
+type Account = Claim & { life: string; askedAt: number }
 /** What an ended proxy, or one whose lease is over, may have run within the last window. */
 type Cooling = { node: string; life: string; amount: number; until: number }
 /** ceiling: what the sum may not pass while nothing may grow: all that was told to this holder. */
@@ -115,7 +115,10 @@
     proxies.set(node, { life, askedAt, answeredAt: now() })
     return true
   }
-  /** The most that the proxy may have: what it should have, if so much is free. */
+  /**
+   * What the proxy should have, as far as so much is free. It may be less than it uses: then it runs nothing until enough of that
+   * has left the window, and is charged for what it holds until it tells less.
+   */
   function answerTo(book: Book, node: string, account: Account, limit: number): number {
     const others: Claim[] = []
     const apart = coolingApart(book)
@@ -127,7 +130,7 @@
     }
     const share = shareOf(account, others, limit - apart)
     const most = Math.max(account.held, Math.floor(limit - takenByOthers))
-    return Math.max(account.used, Math.min(share, most))
+    return Math.min(share, most)
   }
   function takeLine(
     { node, life, askedAt }: AskingProxy,
@@ -141,7 +144,10 @@
     if (known && known.askedAt >= askedAt) return undefined
     const isToldFirst = !known && !mayGrow
     const before = isToldFirst ? totalOf(book) : 0
-    const account: Account = { life, askedAt, held, used, need: Math.max(wanted, used), answered: 0 }
+    const need = Math.max(wanted, used)
+    // Operations leave the window by themselves: where the need rose, it was asked for more.
+    const isIdle = known !== undefined && need <= known.need
+    const account: Account = { life, askedAt, held, used, need, isIdle, answered: 0 }
     book.accounts.set(node, account)
     if (limit === undefined) {
       account.answered = QUOTA_UNLIMITED
