--- /dev/null
+++ b/packages/fleet/src/test/quota-guards.test.ts
@@ -0,0 +1,460 @@
+import t, { type Test } from 'tap'
+import type { Membership, MembersRead } from '@claynotch/agent/dist/membership.js'
+import { startQuotaHolders, type QuotaHolders } from '@claynotch/agent/dist/quota-holder.js'
+import { startQuotaRelay, type QuotaRelay } from '@claynotch/agent/dist/quota-relay.js'
+import { makeTakeover, type Takeover } from '@claynotch/agent/dist/quota-takeover.js'
+import type { KnownRegister, RegisterCache } from '@claynotch/agent/dist/register-cache.js'
+import type { CoreLinks } from '@claynotch/agent/dist/core-links.js'
+import {
+  LEASE_CLOCK_SLACK_MS,
+  LEASE_DURATION_MS,
+  makeFlag,
+  makeMetrics,
+  makeSignal,
+  pause,
+  QUOTA_ANSWER_TIMEOUT_MS,
+  QUOTA_LINK_VERSION,
+  QUOTA_METER_WINDOW_MS,
+  type Flag,
+  type World,
+} from '@claynotch/base'
+import { CONFIG_KEY, type Config } from '@claynotch/operator'
+import type { HolderQuestion, QuotaAnswer, QuotaLine } from '@claynotch/quota'
+import {
+  quotaKey,
+  quotaSlotOf,
+  type CoreSet,
+  type MemberEntry,
+  type Proposer,
+  type QuotaHolder,
+  type QuotaRefusal,
+  type RegisterEdit,
+  type RegisterValue,
+} from '@claynotch/register'
+import { makeSim } from '../sim.js'
+import { task } from './beside.js'
+
+t.setTimeout(120000)
+
+// The guards of quotas' holders and relays one by one: docs/design/quotas.md. Each test is named after what would go wrong.
+
+const ALONE_MS = LEASE_DURATION_MS + 2 * LEASE_CLOCK_SLACK_MS
+const TENANT = 'kiln'
+const SLOT = quotaSlotOf(TENANT)
+const LIMIT = 100
+
+// --- what a new holder waits for ---
+
+type Clock = { at: number }
+function takeoverAt(clock: Clock, isFirst = false): Takeover {
+  function now(): number {
+    return clock.at
+  }
+  return makeTakeover(now, clock.at, isFirst)
+}
+function nodes(...names: string[]): Set<string> {
+  return new Set(names)
+}
+/** All of them asked at once, and were known at once. */
+function claimed(clock: Clock, ...names: string[]): Takeover {
+  const takeover = takeoverAt(clock)
+  takeover.read(nodes(...names), clock.at)
+  for (const name of names) takeover.heard(name, 'one')
+  return takeover
+}
+function pass(clock: Clock, takeover: Takeover, ms: number, present: Set<string>): void {
+  for (let left = ms; left > 0; left -= 100) {
+    clock.at += Math.min(100, left)
+    takeover.listed(present)
+    if (takeover.needsRead(present)) takeover.read(present, clock.at)
+  }
+}
+
+function firstOfAll(c: Test): void {
+  const takeover = takeoverAt({ at: 0 }, true)
+  c.ok(takeover.isAlone() && takeover.isOver(), 'nothing is out that it would not know of')
+  c.end()
+}
+function oldHolder(c: Test): void {
+  const clock = { at: 1000 }
+  const takeover = claimed(clock, 'a')
+  clock.at += ALONE_MS - 1
+  c.notOk(takeover.isAlone(), 'the one before may still answer')
+  clock.at += 1
+  c.ok(takeover.isAlone())
+  c.end()
+}
+function oneWindow(c: Test): void {
+  const clock = { at: 1000 }
+  const takeover = claimed(clock, 'a')
+  pass(clock, takeover, ALONE_MS, nodes('a'))
+  takeover.told('a')
+  pass(clock, takeover, QUOTA_METER_WINDOW_MS - ALONE_MS - 1, nodes('a'))
+  c.notOk(takeover.isOver(), 'what proxies sent that ended before the claim is in a window yet')
+  pass(clock, takeover, 100, nodes('a'))
+  c.ok(takeover.isOver())
+  c.end()
+}
+function untold(c: Test): void {
+  const clock = { at: 1000 }
+  const takeover = claimed(clock, 'a', 'b')
+  pass(clock, takeover, ALONE_MS, nodes('a', 'b'))
+  takeover.told('a')
+  pass(clock, takeover, 60000, nodes('a', 'b'))
+  c.notOk(takeover.isOver(), 'b has not told what it holds')
+  takeover.told('b')
+  c.ok(takeover.isOver())
+  c.end()
+}
+function goneUntold(c: Test): void {
+  const clock = { at: 1000 }
+  const takeover = claimed(clock, 'a', 'b')
+  pass(clock, takeover, ALONE_MS, nodes('a', 'b'))
+  takeover.told('a')
+  pass(clock, takeover, 10000, nodes('a', 'b'))
+  pass(clock, takeover, QUOTA_METER_WINDOW_MS, nodes('a'))
+  c.notOk(takeover.isOver(), 'what b sent until its end is in a window yet')
+  pass(clock, takeover, 200, nodes('a'))
+  c.ok(takeover.isOver())
+  c.end()
+}
+function otherLife(c: Test): void {
+  const clock = { at: 1000 }
+  const takeover = claimed(clock, 'a')
+  pass(clock, takeover, ALONE_MS + 1000, nodes('a'))
+  takeover.heard('a', 'two')
+  takeover.told('a')
+  pass(clock, takeover, QUOTA_METER_WINDOW_MS - 100, nodes('a'))
+  c.notOk(takeover.isOver(), 'what its life before sent is in a window yet')
+  pass(clock, takeover, 200, nodes('a'))
+  c.ok(takeover.isOver())
+  c.end()
+}
+/** The holder before may have given to it until it ended. */
+function cameMeanwhile(c: Test): void {
+  const clock = { at: 1000 }
+  const takeover = claimed(clock, 'a')
+  pass(clock, takeover, ALONE_MS - 200, nodes('a'))
+  pass(clock, takeover, 400, nodes('a', 'b'))
+  takeover.told('a')
+  pass(clock, takeover, 60000, nodes('a', 'b'))
+  c.notOk(takeover.isOver(), 'b came while the one before answered, and has not told')
+  pass(clock, takeover, 60000, nodes('a', 'b', 'c'))
+  takeover.heard('b', 'one')
+  takeover.told('b')
+  pass(clock, takeover, QUOTA_METER_WINDOW_MS + 100, nodes('a', 'b', 'c'))
+  c.ok(takeover.isOver(), 'c has what this holder gave it, if anything')
+  c.end()
+}
+
+// --- holders ---
+
+/** Registers that all share: a change takes a moment, and is made on what stands there then. */
+type Shared = Map<string, RegisterValue>
+type Node = {
+  name: string
+  life: string
+  holders: QuotaHolders
+  known: Map<string, KnownRegister>
+  lease: { until: number }
+  reads: { next: MembersRead | undefined }
+  set: { now: CoreSet }
+}
+
+const CONFIG = { tenants: [{ name: TENANT, keys: [], rate: 16, burst: 20 }] } as unknown as Config
+
+function memberOf(name: string, life: string): MemberEntry {
+  const core = { id: `id-${name}`, addr: `${name}:1` }
+  return { node: name, life, area: 'a', addr: `${name}:2`, operator: '', build: '', proxy: false, core }
+}
+function frontOf(name: string): MemberEntry {
+  return { node: name, life: 'x', area: 'a', addr: `${name}:2`, operator: '', build: '', proxy: true }
+}
+function readOf(members: MemberEntry[], isComplete = true): MembersRead {
+  const out: MembersRead['members'] = []
+  for (const member of members) out.push({ ...member, acks: [], open: 0, highs: [] })
+  return { members: out, isComplete }
+}
+function bodyOf(shared: Shared): QuotaHolder | undefined {
+  return shared.get(quotaKey(SLOT))?.body as QuotaHolder | undefined
+}
+
+/** listed: the members as this node believes; each node is the first choice of its own list. */
+function startNode(world: World, shared: Shared, name: string, listed: MemberEntry[], stop: Flag): Node {
+  const life = `life-${name}`
+  const known = new Map<string, KnownRegister>()
+  const lease = { until: Infinity }
+  const reads: Node['reads'] = { next: readOf(listed) }
+  const set: Node['set'] = { now: { epoch: 1, cores: [{ id: `id-${name}`, addr: `${name}:1` }] } }
+  function learn(key: string, value: RegisterValue): void {
+    known.set(key, { value, ballot: [value.turn, ''], currentUntil: Infinity })
+  }
+  function all(): Map<string, KnownRegister> {
+    return known
+  }
+  function value(key: string): RegisterValue | undefined {
+    return known.get(key)?.value
+  }
+  async function change(key: string, edit: RegisterEdit): ReturnType<Proposer['change']> {
+    await pause(world, 5)
+    const now = shared.get(key)
+    const next = edit(now)
+    if (next) shared.set(key, { turn: (now?.turn ?? 0) + 1, ...next })
+    return { done: true, value: shared.get(key), ballot: [1, ''] }
+  }
+  function list(): MemberEntry[] {
+    return listed
+  }
+  async function read(): Promise<MembersRead | undefined> {
+    await pause(world, 1)
+    return reads.next
+  }
+  function place() {
+    return { id: `id-${name}`, addr: `${name}:1` }
+  }
+  function coreSet(): CoreSet {
+    return set.now
+  }
+  function config(): Config {
+    return CONFIG
+  }
+  function dutyUntil(): number {
+    return lease.until
+  }
+  learn(CONFIG_KEY, { turn: 1, tag: '', body: {} })
+  const holder = shared.get(quotaKey(SLOT))
+  if (holder) learn(quotaKey(SLOT), holder)
+  const registers = { all, value, learn } as unknown as RegisterCache
+  const membership = { list, read } as unknown as Membership
+  const proposer = { change } as unknown as Proposer
+  const tolerance = { overshoot: 0, slack: 0 }
+  const view = { node: name, life, place, proposer, registers, membership, coreSet, config, dutyUntil, tolerance }
+  const holders = startQuotaHolders(world, view, stop, makeSignal(), makeMetrics())
+  return { name, life, holders, known, lease, reads, set }
+}
+function question(term: number, more: Partial<HolderQuestion> = {}): HolderQuestion {
+  const lines: QuotaLine[] = [[TENANT, 0, 0, 5] as unknown as QuotaLine]
+  return { t: 'quota', slot: SLOT, term, node: 'front', life: 'p', askedAt: 1, lines, ...more }
+}
+function ask(node: Node, term: number, more: Partial<HolderQuestion> = {}): QuotaAnswer | QuotaRefusal {
+  return node.holders.answer(question(term, more), 'front')
+}
+
+/** Runs it in a simulated process, with registers of its own. */
+async function inSim(run: (world: World, shared: Shared, stop: Flag) => Promise<void>): Promise<void> {
+  const sim = makeSim(1)
+  const stop = makeFlag()
+  async function start(world: World): Promise<void> {
+    await run(world, new Map(), stop)
+    stop.fire()
+  }
+  await task(sim, sim.machine('m', '10.0.0.1'), start)
+}
+function namedAs(holder: string, term: number): RegisterValue {
+  return { turn: term, tag: '', body: { holder, life: `life-${holder}`, term } }
+}
+
+async function twoClaims(c: Test): Promise<void> {
+  async function run(world: World, shared: Shared, stop: Flag): Promise<void> {
+    const a = startNode(world, shared, 'a', [memberOf('a', 'life-a')], stop)
+    const b = startNode(world, shared, 'b', [memberOf('b', 'life-b')], stop)
+    for (const { reads } of [a, b]) reads.next = readOf([memberOf('a', 'life-a'), memberOf('b', 'life-b')])
+    await pause(world, 3000)
+    c.equal(bodyOf(shared)?.term, 1, 'one of them claimed the slot')
+    const answers = [ask(a, 1).ok, ask(b, 1).ok]
+    c.strictSame(answers.sort(), [false, true], 'one of them answers')
+  }
+  await inSim(run)
+}
+async function liveHolder(c: Test): Promise<void> {
+  async function run(world: World, shared: Shared, stop: Flag): Promise<void> {
+    shared.set(quotaKey(SLOT), namedAs('a', 3))
+    const b = startNode(world, shared, 'b', [memberOf('b', 'life-b')], stop)
+    b.reads.next = readOf([memberOf('a', 'life-a'), memberOf('b', 'life-b')])
+    await pause(world, 3000)
+    c.equal(bodyOf(shared)?.holder, 'a', 'a holds a lease')
+    b.reads.next = readOf([memberOf('b', 'life-b')], false)
+    await pause(world, 3000)
+    c.equal(bodyOf(shared)?.holder, 'a', 'some core may have forgotten a')
+    b.reads.next = undefined
+    await pause(world, 3000)
+    c.equal(bodyOf(shared)?.holder, 'a', 'no majority answered')
+    b.reads.next = readOf([memberOf('a', 'another life'), memberOf('b', 'life-b')])
+    await pause(world, 3000)
+    c.strictSame(bodyOf(shared), { holder: 'b', life: b.life, term: 4 }, 'that life of a has ended')
+  }
+  await inSim(run)
+}
+async function notNow(c: Test): Promise<void> {
+  async function run(world: World, shared: Shared, stop: Flag): Promise<void> {
+    const a = startNode(world, shared, 'a', [memberOf('a', 'life-a')], stop)
+    await pause(world, 2000)
+    c.ok(ask(a, 1).ok, 'it holds the slot')
+    c.notOk(ask(a, 2).ok, 'under another term')
+    c.notOk(a.holders.answer(question(1), 'another').ok, 'in the name of another node')
+    const stranger = 'kiln-of-another-slot'
+    c.not(quotaSlotOf(stranger), SLOT)
+    const lines = [[stranger, 0, 0, 5] as unknown as QuotaLine]
+    c.notOk(ask(a, 1, { lines }).ok, 'for a tenant that another counts')
+    a.lease.until = world.now()
+    c.notOk(ask(a, 1).ok, 'without a lease')
+    a.lease.until = Infinity
+    const register = a.known.get(quotaKey(SLOT))
+    if (!register) throw new Error('the register is not known')
+    register.currentUntil = world.now()
+    c.notOk(ask(a, 1).ok, 'while somebody else may be named')
+    register.currentUntil = Infinity
+    a.known.set(quotaKey(SLOT), { ...register, value: namedAs('b', 2) })
+    c.notOk(ask(a, 1).ok, 'once somebody else is named')
+    a.known.set(quotaKey(SLOT), register)
+    const configuration = a.known.get(CONFIG_KEY)
+    if (!configuration) throw new Error('the configuration is not known')
+    configuration.currentUntil = world.now()
+    c.notOk(ask(a, 1).ok, 'by a configuration that may be old')
+    configuration.currentUntil = Infinity
+    c.ok(ask(a, 1, { askedAt: 2 }).ok)
+  }
+  await inSim(run)
+}
+async function noVote(c: Test): Promise<void> {
+  async function run(world: World, shared: Shared, stop: Flag): Promise<void> {
+    const a = startNode(world, shared, 'a', [memberOf('a', 'life-a')], stop)
+    await pause(world, 2000)
+    a.set.now = { epoch: 2, cores: [{ id: 'id-other', addr: 'o:1' }] }
+    c.notOk(ask(a, 1).ok, 'nobody asks a core that does not vote')
+    await pause(world, 2000)
+    c.strictSame(bodyOf(shared), { holder: '', life: '', term: 1 }, 'the slot is given up')
+    a.set.now = { epoch: 3, cores: [{ id: 'id-a', addr: 'a:1' }] }
+    await pause(world, 2000)
+    c.equal(bodyOf(shared)?.term, 2, 'and claimed anew, as by any other')
+    c.notOk(ask(a, 1).ok)
+  }
+  await inSim(run)
+}
+async function noGrowth(c: Test): Promise<void> {
+  async function run(world: World, shared: Shared, stop: Flag): Promise<void> {
+    shared.set(quotaKey(SLOT), namedAs('gone', 1))
+    const members = [memberOf('b', 'life-b'), frontOf('front')]
+    const b = startNode(world, shared, 'b', members, stop)
+    await pause(world, 1000)
+    c.equal(bodyOf(shared)?.term, 2)
+    c.notOk(ask(b, 2).ok, 'the holder before may still answer')
+    const full = [[TENANT, LIMIT, 0, LIMIT] as unknown as QuotaLine]
+    await pause(world, ALONE_MS + 1000)
+    c.strictSame(
+      ask(b, 2, { askedAt: 2, lines: full }),
+      { ok: true, grants: [[TENANT, LIMIT]] },
+      'what it is told stands',
+    )
+    const none = [[TENANT, 0, 0, 5] as unknown as QuotaLine]
+    b.reads.next = readOf([...members, frontOf('other')])
+    const answer = b.holders.answer(question(2, { node: 'other', askedAt: 3, lines: none }), 'other')
+    c.strictSame(answer, { ok: true, grants: [[TENANT, 0]] }, 'and nothing new is given out')
+  }
+  await inSim(run)
+}
+
+// --- relays ---
+
+type Link = { asked: HolderQuestion[]; delay: number; grants: QuotaAnswer['grants'] }
+
+function startRelay(
+  world: World,
+  known: Map<string, KnownRegister>,
+  link: Link,
+  version: number,
+  stop: Flag,
+): QuotaRelay {
+  async function askLink(asked: HolderQuestion): Promise<unknown> {
+    link.asked.push(asked)
+    await pause(world, link.delay)
+    return { ok: true, grants: asked.lines.length > 0 ? link.grants : [] }
+  }
+  function up(): boolean {
+    return true
+  }
+  function peer(): { epoch: number } {
+    return { epoch: version }
+  }
+  function get(id: string): unknown {
+    return id === 'id-a' ? { link: { ask: askLink, up, peer } } : undefined
+  }
+  function all(): Map<string, KnownRegister> {
+    return known
+  }
+  function list(): MemberEntry[] {
+    return [memberOf('a', 'life-a')]
+  }
+  function isWithoutProxy(): boolean {
+    return false
+  }
+  const registers = { all } as unknown as RegisterCache
+  const membership = { list } as unknown as Membership
+  const links = { get } as unknown as CoreLinks
+  const view = { node: 'front', registers, membership, links, isWithoutProxy }
+  return startQuotaRelay(world, view, stop, makeMetrics())
+}
+function knownAs(holder: string, term: number, currentUntil = Infinity): Map<string, KnownRegister> {
+  return new Map([[quotaKey(SLOT), { value: namedAs(holder, term), ballot: [term, ''], currentUntil }]])
+}
+function proxyAsks(relay: QuotaRelay, lines: QuotaLine[]): Promise<QuotaAnswer> {
+  return relay.ask({ t: 'quota', life: 'p', askedAt: 1, lines })
+}
+const WANTED = [[TENANT, 0, 0, 5] as unknown as QuotaLine]
+
+async function lateAnswer(c: Test): Promise<void> {
+  async function run(world: World, _shared: Shared, stop: Flag): Promise<void> {
+    const link: Link = { asked: [], delay: 10, grants: [[TENANT, 5]] }
+    const relay = startRelay(world, knownAs('a', 1), link, QUOTA_LINK_VERSION, stop)
+    c.strictSame(await proxyAsks(relay, WANTED), { ok: true, grants: [[TENANT, 5]] })
+    link.delay = QUOTA_ANSWER_TIMEOUT_MS + 10
+    c.strictSame(await proxyAsks(relay, WANTED), { ok: true, grants: [] }, 'what came too late is dropped')
+  }
+  await inSim(run)
+}
+async function toldOnce(c: Test): Promise<void> {
+  async function run(world: World, _shared: Shared, stop: Flag): Promise<void> {
+    const link: Link = { asked: [], delay: 1, grants: [] }
+    const known = knownAs('a', 1)
+    const relay = startRelay(world, known, link, QUOTA_LINK_VERSION, stop)
+    await proxyAsks(relay, [])
+    await proxyAsks(relay, [])
+    c.equal(link.asked.length, 1, 'nothing to tell is told once')
+    known.set(quotaKey(SLOT), { value: namedAs('a', 2), ballot: [2, ''], currentUntil: Infinity })
+    await proxyAsks(relay, [])
+    c.equal(link.asked.length, 2, 'and under each term')
+    await relay.ask({ t: 'quota', life: 'another', askedAt: 1, lines: [] })
+    c.equal(link.asked.length, 3, 'and by each life of the proxy')
+  }
+  await inSim(run)
+}
+async function unasked(c: Test): Promise<void> {
+  async function run(world: World, _shared: Shared, stop: Flag): Promise<void> {
+    const link: Link = { asked: [], delay: 1, grants: [] }
+    const old = startRelay(world, knownAs('a', 1), link, QUOTA_LINK_VERSION - 1, stop)
+    await proxyAsks(old, WANTED)
+    c.equal(link.asked.length, 0, 'a core of an earlier version would close the link')
+    const behind = startRelay(world, knownAs('a', 1, world.now()), link, QUOTA_LINK_VERSION, stop)
+    await proxyAsks(behind, WANTED)
+    c.equal(link.asked.length, 0, 'somebody else may hold the slot')
+    const gone = startRelay(world, knownAs('unknown', 1), link, QUOTA_LINK_VERSION, stop)
+    c.strictSame(await proxyAsks(gone, WANTED), { ok: true, grants: [] }, 'a holder that is no member')
+  }
+  await inSim(run)
+}
+
+void t.test('the first holder of all waits for nobody', firstOfAll)
+void t.test('a new holder answers beside the one before', oldHolder)
+void t.test('what proxies ran that ended before a claim is overlooked', oneWindow)
+void t.test('a front machine that has not told is overlooked', untold)
+void t.test('what a front machine ran that went before it told is overlooked', goneUntold)
+void t.test('what an earlier life of a proxy ran is overlooked', otherLife)
+void t.test('a front machine that came during a takeover is overlooked', cameMeanwhile)
+void t.test('two claim a slot at once and both hold it', twoClaims)
+void t.test('a live holder is replaced', liveHolder)
+void t.test('a holder answers that may not', notNow)
+void t.test('a holder whose core does not vote keeps its slot', noVote)
+void t.test('a new holder gives out what it does not know to be free', noGrowth)
+void t.test('an answer that came too late is passed on', lateAnswer)
+void t.test('a proxy with nothing to tell is never heard of, or all the time', toldOnce)
+void t.test('a holder is asked that should not be', unasked)
