--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1345,4 +1345,220 @@
       ],
     ],
   },
+  {
+    name: 'quota-without-lease',
+    rule: 'QUOTA: a holder of quotas answers without a lease',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'agent/dist/quota-holder.js',
+        'return world.now() < Math.min(known?.currentUntil ?? 0, view.dutyUntil());',
+        'return world.now() < (known?.currentUntil ?? 0);',
+      ],
+    ],
+  },
+  {
+    name: 'quota-register-old',
+    rule: 'QUOTA: a holder of quotas answers while another may be named',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'agent/dist/quota-holder.js',
+        'return world.now() < Math.min(known?.currentUntil ?? 0, view.dutyUntil());',
+        'return world.now() < view.dutyUntil();',
+      ],
+    ],
+  },
+  {
+    name: 'quota-any-term',
+    rule: 'QUOTA: a holder of quotas answers under another term',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-holder.js', '|| question.term !== one.term ||', '||']],
+  },
+  {
+    name: 'quota-any-asker',
+    rule: "QUOTA: a node asks for another node's proxy",
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'agent/dist/quota-holder.js',
+        'if (asker !== question.node || !isConfigurationCurrent())',
+        'if (!isConfigurationCurrent())',
+      ],
+    ],
+  },
+  {
+    name: 'quota-old-configuration',
+    rule: 'QUOTA: limits by a configuration that may be old',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'agent/dist/quota-holder.js',
+        'if (asker !== question.node || !isConfigurationCurrent())',
+        'if (asker !== question.node)',
+      ],
+    ],
+  },
+  {
+    name: 'quota-any-slot',
+    rule: 'QUOTA: a tenant is counted by two holders',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-holder.js', 'if (quotaSlotOf(tenant) !== question.slot)', 'if (false)']],
+  },
+  {
+    name: 'quota-usurped',
+    rule: 'QUOTA: a live holder of quotas is replaced',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-holder.js', 'if (!isFree && !isGone(before, await membership.read()))', 'if (false)']],
+  },
+  {
+    name: 'quota-incomplete-read',
+    rule: 'QUOTA: a holder of quotas is replaced though some core may have forgotten it',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'agent/dist/quota-holder.js',
+        'if (read?.isComplete !== true) return false;',
+        'if (read === undefined) return false;',
+      ],
+    ],
+  },
+  {
+    name: 'quota-no-majority',
+    rule: 'QUOTA: a holder of quotas is replaced without a majority',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'agent/dist/quota-holder.js',
+        'if (read?.isComplete !== true) return false;',
+        'if (read === undefined) return true; if (read.isComplete !== true) return false;',
+      ],
+    ],
+  },
+  {
+    name: 'quota-claimed-over',
+    rule: 'QUOTA: of two claims of a slot the second counts too',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-holder.js', 'return isSame(readHolder(now), before) ?', 'return true ?']],
+  },
+  {
+    name: 'quota-kept-without-vote',
+    rule: 'QUOTA: a slot stays with a core that nobody asks',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-holder.js', 'if (one && (one.isReleased || !votes()))', 'if (false)']],
+  },
+  {
+    name: 'quota-grows-at-once',
+    rule: 'QUOTA: a new holder gives out what it does not know to be free',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'agent/dist/quota-holder.js',
+        'quotaLimits(config, view.tolerance), one.takeover.isOver())',
+        'quotaLimits(config, view.tolerance), true)',
+      ],
+    ],
+  },
+  {
+    name: 'quota-two-holders',
+    rule: 'QUOTA: a new holder answers beside the one before',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-holder.js', 'if (!one.takeover.isAlone())', 'if (false)']],
+  },
+  {
+    name: 'quota-window-not-awaited',
+    rule: 'QUOTA: what proxies ran that ended before a claim is overlooked',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'agent/dist/quota-takeover.js',
+        'quietSince === undefined || now() < quietSince + SETTLED_MS',
+        'quietSince === undefined',
+      ],
+    ],
+  },
+  {
+    name: 'quota-untold',
+    rule: 'QUOTA: a front machine that has not told is overlooked',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'agent/dist/quota-takeover.js',
+        'return hasTold && now() >= at + SETTLED_MS;',
+        'return now() >= at + SETTLED_MS;',
+      ],
+    ],
+  },
+  {
+    name: 'quota-other-life',
+    rule: 'QUOTA: what an earlier life of a proxy ran is overlooked',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-takeover.js', 'return hasTold && now() >= at + SETTLED_MS;', 'return hasTold;']],
+  },
+  {
+    name: 'quota-gone-untold',
+    rule: 'QUOTA: what a front machine ran that went before it told is overlooked',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-takeover.js', 'if (!hasTold) quietSince = now();', '']],
+  },
+  {
+    name: 'quota-came-meanwhile',
+    rule: 'QUOTA: a front machine that came during a takeover is overlooked',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-takeover.js', 'if (isFirst || beganAt >= since + OLD_HOLDER_END_MS)', 'if (true)']],
+  },
+  {
+    name: 'quota-late-answer',
+    rule: 'QUOTA: an answer that came too late is passed on',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-relay.js', 'if (answer.err || isLate)', 'if (answer.err)']],
+  },
+  {
+    name: 'quota-never-told',
+    rule: 'QUOTA: a proxy with nothing to tell is never heard of',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'agent/dist/quota-relay.js',
+        '(own.length === 0 && told.get(slot) === `${holder.term} ${life}`)',
+        'own.length === 0',
+      ],
+    ],
+  },
+  {
+    name: 'quota-asked-behind',
+    rule: 'QUOTA: a node that is behind asks a holder of long ago',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['agent/dist/quota-relay.js', 'if (holder.err || world.now() >= (known?.currentUntil ?? 0))', 'if (holder.err)'],
+    ],
+  },
+  {
+    name: 'quota-asked-of-old-core',
+    rule: 'QUOTA: a core of an earlier version is asked, and closes the link',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-relay.js', '(link.peer()?.epoch ?? 0) < QUOTA_LINK_VERSION', 'false']],
+  },
 ]
