--- a/packages/quota/src/allocation.ts
+++ b/packages/quota/src/allocation.ts
@@ -4,9 +4,9 @@
 
 /**
  * need: operations that it wants or used within a window. used: of them, those that it ran or is about to. held: what it may run
- * now. answered: what it was answered last. isIdle: it was asked for no more since its last report.
+ * now. answered: what it was answered last. waiting: of those that it needs, operations that wait for an allowance now.
  */
-export type Claim = { need: number; used: number; held: number; answered: number; isIdle: boolean }
+export type Claim = { need: number; used: number; held: number; answered: number; waiting: number }
 
 /** Operations that it is asked for between two reports. */
 function needPerReport(need: number): number {
@@ -22,7 +22,7 @@
   // What rounding leaves goes to who asks first, once each of the others has its whole operations.
   const left = Math.max(0, Math.floor(available - takenByOthers - sure))
   // What it can't use until its next report, another can.
-  const usable = Math.max(needPerReport(mine.need), mine.isIdle ? 0 : 1)
+  const usable = Math.max(needPerReport(mine.need), mine.waiting)
   return Math.min(Math.ceil(exact), sure + left, mine.used + usable)
 }
 
--- a/packages/quota/src/allowances.ts
+++ b/packages/quota/src/allowances.ts
@@ -72,7 +72,9 @@
   reserved: number
   waiters: Set<Waiter>
   lastWantedAt: number
-  /** Until then less than it wants is to be had. */
+  /** It was given less than it wants. */
+  isShort: boolean
+  /** Until then nothing more is to be had. */
   deniedUntil: number
   /** Refused since it was logged. */
   refused: number
@@ -102,6 +104,7 @@
         reserved: 0,
         waiters: new Set(),
         lastWantedAt: world.now(),
+        isShort: false,
         deniedUntil: -Infinity,
         refused: 0,
         loggedAt: -Infinity,
@@ -218,8 +221,8 @@
   // --- questions ---
 
   function isLow(account: Account): boolean {
-    const { allowance } = account
-    if (allowance < QUOTA_MIN_LOW_ALLOWANCE || world.now() < account.deniedUntil) return false
+    const { allowance, isShort } = account
+    if (allowance < QUOTA_MIN_LOW_ALLOWANCE || isShort) return false
     return allowance - usedOf(account) <= allowance * QUOTA_LOW_SHARE
   }
   function askWithin(ms: number): void {
@@ -239,7 +242,7 @@
     for (const [tenant, account] of accounts) {
       giveBackIdle(account)
       if (isForgettable(account)) accounts.delete(tenant)
-      else lines.push([tenant, heldOf(account), usedOf(account), account.wanted.count()])
+      else lines.push([tenant, heldOf(account), usedOf(account), account.wanted.count(), account.waiters.size])
     }
     return lines
   }
@@ -252,13 +255,17 @@
     metrics.set('claynotch_quota_allowance', [['tenant', tenant]], allowance)
     // What it can let go is told at once, as others may wait for it.
     if (allowance < held && used < held) askWithin(QUOTA_SOON_MS)
-    if (allowance < wanted) account.deniedUntil = world.now() + QUOTA_DENIAL_MS
+    account.isShort = allowance < wanted
     serveWaiters(account)
     refuseWaiters(account)
   }
   /** Those that the latest question was asked for too, and for whom there is nothing. */
   function refuseWaiters(account: Account): void {
-    for (const waiter of account.waiters) if (waiter.firstQuestion <= lastQuestion) waiter.settle(undefined)
+    for (const waiter of account.waiters) {
+      if (waiter.firstQuestion > lastQuestion) continue
+      waiter.settle(undefined)
+      account.deniedUntil = world.now() + QUOTA_DENIAL_MS
+    }
   }
   function applyGrants(grants: QuotaGrant[], lines: QuotaLine[]): void {
     const lineOf = new Map<string, QuotaLine>()
--- a/packages/quota/src/ledger.ts
+++ b/packages/quota/src/ledger.ts
@@ -134,7 +134,7 @@
   }
   function takeLine(
     { node, life, askedAt }: AskingProxy,
-    [tenant, held, used, wanted]: QuotaLine,
+    [tenant, held, used, wanted, waiting]: QuotaLine,
     limit: number | undefined,
     mayGrow: boolean,
   ): QuotaGrant | undefined {
@@ -145,9 +145,7 @@
     const isToldFirst = !known && !mayGrow
     const before = isToldFirst ? totalOf(book) : 0
     const need = Math.max(wanted, used)
-    // Operations leave the window by themselves: where the need rose, it was asked for more.
-    const isIdle = known !== undefined && need <= known.need
-    const account: Account = { life, askedAt, held, used, need, isIdle, answered: 0 }
+    const account: Account = { life, askedAt, held, used, need, waiting, answered: 0 }
     book.accounts.set(node, account)
     if (limit === undefined) {
       account.answered = QUOTA_UNLIMITED
--- a/packages/quota/src/messages.ts
+++ b/packages/quota/src/messages.ts
@@ -5,8 +5,9 @@
 /**
  * One tenant at one proxy. held: operations that it may run in any window by what it was granted. used: those that are reserved or
  * were sent within the last window. wanted: those that it was asked for within the last window, refused ones among them.
+ * waiting: those that wait for the answer.
  */
-export const QuotaLine = t.tuple([t.string, t.number, t.number, t.number])
+export const QuotaLine = t.tuple([t.string, t.number, t.number, t.number, t.number])
 export type QuotaLine = t.TypeOf<typeof QuotaLine>
 
 /** [tenant, operations that the proxy may run in any window from now on] */
