--- a/packages/agent/src/agent-settings.ts
+++ b/packages/agent/src/agent-settings.ts
@@ -1,6 +1,6 @@
 import type { Address, Metrics } from '@claynotch/base'
 import type { Credential } from '@claynotch/operator'
-import type { CorePlace, CoreSet, QuotaHandler, RegisterValue } from '@claynotch/register'
+import type { CorePlace, CoreSet, QuotaService, RegisterValue } from '@claynotch/register'
 import type { QuotaTolerance } from './quota-limits.js'
 
 export type AgentSettings = {
@@ -20,7 +20,7 @@
   core?: {
     place: () => CorePlace
     adopt: (next: CoreSet) => Promise<void>
-    serveQuotas: (handler: QuotaHandler) => void
+    serveQuotas: (service: QuotaService) => void
   }
   /** Default: nothing above the limits. */
   quota?: QuotaTolerance
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -52,12 +52,14 @@
 import { checkMoves } from './move-check.js'
 import { makeOperatorViews } from './operator-views.js'
 import { makeProxyLink } from './proxy-link.js'
+import { makeQuotaDirectory } from './quota-directory.js'
 import { startQuotaHolders } from './quota-holder.js'
 import { startQuotaRelay } from './quota-relay.js'
 import { makeRegisterCache } from './register-cache.js'
 import { makeRenewalMessages } from './renewal-messages.js'
 import { makeSubscription, sourcesOf } from './subscription.js'
 import { makeSummarySource } from './summary-source.js'
+import { makeTenantView } from './tenant-view.js'
 
 // The control side of one machine, put together: each part below has a file of its own and a state of its own.
 
@@ -269,10 +271,9 @@
   function proxyReport(): ProxyReport | undefined {
     return proxy.report()
   }
+  const directory = makeQuotaDirectory(world, registers, membership, links)
   const relay =
-    settings.link !== undefined
-      ? startQuotaRelay(world, { node, registers, membership, links, isWithoutProxy }, stop, metrics)
-      : undefined
+    settings.link !== undefined ? startQuotaRelay(world, { node, directory, isWithoutProxy }, stop, metrics) : undefined
   async function quotaAsked(question: QuotaQuestion): Promise<QuotaAnswer> {
     return relay ? await relay.ask(question) : { ok: true, grants: [] }
   }
@@ -356,7 +357,7 @@
       dutyUntil,
       tolerance: settings.quota ?? { overshoot: 0, slack: 0 },
     }
-    serveQuotas(startQuotaHolders(world, quotaView, stop, registerChanged, metrics).answer)
+    serveQuotas(startQuotaHolders(world, quotaView, stop, registerChanged, metrics))
   }
   const peers = await startPeers(world, settings.peer, stop, membership.peers, summarySource, metrics, summaryHeard)
 
@@ -385,7 +386,7 @@
   const operator = makeOperatorEdge(
     world,
     proposer,
-    { ...views, cores: readCores, hinders, body, news: registerChanged },
+    { ...views, tenants: makeTenantView(config, directory), cores: readCores, hinders, body, news: registerChanged },
     metrics,
     credentials,
   )
--- a/packages/agent/src/quota-holder.ts
+++ b/packages/agent/src/quota-holder.ts
@@ -22,8 +22,10 @@
   type CorePlace,
   type CoreSet,
   type Proposer,
-  type QuotaHandler,
   type QuotaRefusal,
+  type QuotaService,
+  type QuotaUseAnswer,
+  type QuotaUseQuestion,
   type RegisterValue,
 } from '@claynotch/register'
 import type { Membership, MembersRead } from './membership.js'
@@ -64,12 +66,6 @@
   isReleased: boolean
 }
 
-export type QuotaHolders = {
-  answer: QuotaHandler
-  /** What is out of one tenant, where this node counts it. */
-  out: (tenant: string) => number | undefined
-}
-
 type TimedRead = { got: MembersRead | undefined; beganAt: number }
 
 const REFUSED: QuotaRefusal = { ok: false }
@@ -97,7 +93,7 @@
   stop: Flag,
   changed: Signal,
   metrics: Metrics,
-): QuotaHolders {
+): QuotaService {
   const { node, life, registers, membership } = view
   const held = new Map<number, HeldSlot>()
   // holdersBefore: whom this node's latest claim of a slot was to replace, for the log.
@@ -263,11 +259,14 @@
     count(question, grants)
     return { ok: true, grants }
   }
-  function out(tenant: string): number | undefined {
-    const slot = quotaSlotOf(tenant)
+  function uses({ slot, term }: QuotaUseQuestion): QuotaUseAnswer | QuotaRefusal {
     const one = held.get(slot)
-    return one && mayAnswer(slot, one) ? one.ledger.liability(tenant) : undefined
+    if (!one || term !== one.term || !mayAnswer(slot, one)) return REFUSED
+    const out: QuotaGrant[] = []
+    for (const { name } of view.config()?.tenants ?? [])
+      if (quotaSlotOf(name) === slot) out.push([name, one.ledger.liability(name)])
+    return { ok: true, uses: out }
   }
   void loop(world, 'quota-holder', LEASE_RENEWAL_INTERVAL_MS, stop, look, changed)
-  return { answer, out }
+  return { answer, uses }
 }
--- a/packages/agent/src/quota-relay.ts
+++ b/packages/agent/src/quota-relay.ts
@@ -2,7 +2,6 @@
   loop,
   QUOTA_ABSENCE_INTERVAL_MS,
   QUOTA_ANSWER_TIMEOUT_MS,
-  QUOTA_LINK_VERSION,
   QUOTA_SLOTS,
   readAs,
   type Flag,
@@ -11,25 +10,18 @@
   type World,
 } from '@claynotch/base'
 import { QuotaAnswer, type HolderQuestion, type QuotaGrant, type QuotaLine, type QuotaQuestion } from '@claynotch/quota'
-import { QuotaHolder, quotaKey, quotaSlotOf } from '@claynotch/register'
-import type { CoreLinks } from './core-links.js'
-import type { Membership } from './membership.js'
-import type { RegisterCache } from './register-cache.js'
+import { quotaSlotOf } from '@claynotch/register'
+import type { QuotaDirectory } from './quota-directory.js'
 
 // Passes the questions of this machine's proxy to the holders of its tenants' slots: docs/design/quotas.md.
 
 export type QuotaRelayView = {
   node: string
-  registers: RegisterCache
-  membership: Membership
-  links: CoreLinks
+  directory: QuotaDirectory
   /** No proxy of this machine can be working. */
   isWithoutProxy: () => boolean
 }
 
-/** Who counts a slot now, as far as it is known here and can be asked. */
-type Holder = { term: number; link: PersistentLink }
-
 export type QuotaRelay = { ask: (question: QuotaQuestion) => Promise<QuotaAnswer> }
 
 /** The life of a proxy that isn't there, so that a holder knows that the one before has ended. */
@@ -50,20 +42,6 @@
   // told: the term and the proxy's life for which the holder of a slot last answered.
   const told = new Map<number, string>()
 
-  function holderOfSlot(slot: number): Holder | undefined {
-    const known = view.registers.all().get(quotaKey(slot))
-    const holder = readAs(QuotaHolder, known?.value.body)
-    // Whoever was replaced long ago isn't asked by a node that has just come back.
-    if (holder.err || world.now() >= (known?.currentUntil ?? 0)) return undefined
-    for (const { node, core } of view.membership.list()) {
-      if (node !== holder.val.holder || !core) continue
-      const link = view.links.get(core.id)?.link
-      // A core of an earlier version would close the link.
-      if (!link?.up() || (link.peer()?.epoch ?? 0) < QUOTA_LINK_VERSION) return undefined
-      return { term: holder.val.term, link }
-    }
-    return undefined
-  }
   async function askHolder(link: PersistentLink, question: HolderQuestion): Promise<QuotaGrant[]> {
     const askedAt = world.now()
     const answer = readAs(QuotaAnswer, await link.ask(question, QUOTA_ANSWER_TIMEOUT_MS))
@@ -79,9 +57,9 @@
     const asks: Promise<QuotaGrant[]>[] = []
     const split = bySlot(lines)
     for (let slot = 0; slot < QUOTA_SLOTS; slot++) {
-      const holder = holderOfSlot(slot)
+      const holder = view.directory.holderOf(slot)
       const own = split.get(slot) ?? []
-      if (!holder || (own.length === 0 && told.get(slot) === `${holder.term} ${life}`)) continue
+      if (!holder?.link || (own.length === 0 && told.get(slot) === `${holder.term} ${life}`)) continue
       const { term, link } = holder
       asks.push(askHolder(link, { t: 'quota', slot, term, node: view.node, life, askedAt, lines: own }))
     }
--- a/packages/claynotch/src/main.ts
+++ b/packages/claynotch/src/main.ts
@@ -117,12 +117,15 @@
       run: runApply,
     }),
     show: defineCommand({
-      meta: { name: 'show', description: 'Print configuration, history, decisions, members, cores, groups or moves' },
+      meta: {
+        name: 'show',
+        description: 'Print configuration, history, decisions, members, cores, groups, tenants or moves',
+      },
       args: {
         to,
         what: {
           type: 'positional',
-          description: 'configuration, history, decisions, members, cores, groups or moves',
+          description: 'configuration, history, decisions, members, cores, groups, tenants or moves',
           required: true,
         },
         json: { type: 'boolean', description: 'write JSON also where there is a text (cores)', default: false },
--- a/packages/claynotch/src/verbs.ts
+++ b/packages/claynotch/src/verbs.ts
@@ -133,7 +133,7 @@
 }
 
 export async function show(args: { to: string; what: string; json?: boolean }): Promise<void> {
-  const known = ['configuration', 'history', 'decisions', 'members', 'cores', 'groups', 'moves']
+  const known = ['configuration', 'history', 'decisions', 'members', 'cores', 'groups', 'tenants', 'moves']
   if (!known.includes(args.what)) stopWith(2, `what: expected one of ${known.join(', ')}`)
   const got = await call(args.to, 'GET', `/${args.what}`)
   if (args.what === 'cores' && got.status === 200 && args.json !== true) {
--- a/packages/fleet/src/test/quota-guards.test.ts
+++ b/packages/fleet/src/test/quota-guards.test.ts
@@ -1,6 +1,7 @@
 import t, { type Test } from 'tap'
 import type { Membership, MembersRead } from '@claynotch/agent/dist/membership.js'
-import { startQuotaHolders, type QuotaHolders } from '@claynotch/agent/dist/quota-holder.js'
+import { makeQuotaDirectory } from '@claynotch/agent/dist/quota-directory.js'
+import { startQuotaHolders } from '@claynotch/agent/dist/quota-holder.js'
 import { startQuotaRelay, type QuotaRelay } from '@claynotch/agent/dist/quota-relay.js'
 import { makeTakeover, type Takeover } from '@claynotch/agent/dist/quota-takeover.js'
 import type { KnownRegister, RegisterCache } from '@claynotch/agent/dist/register-cache.js'
@@ -28,6 +29,7 @@
   type Proposer,
   type QuotaHolder,
   type QuotaRefusal,
+  type QuotaService,
   type RegisterEdit,
   type RegisterValue,
 } from '@claynotch/register'
@@ -153,7 +155,7 @@
 type Node = {
   name: string
   life: string
-  holders: QuotaHolders
+  holders: QuotaService
   known: Map<string, KnownRegister>
   lease: { until: number }
   reads: { next: MembersRead | undefined }
@@ -387,7 +389,8 @@
   const registers = { all } as unknown as RegisterCache
   const membership = { list } as unknown as Membership
   const links = { get } as unknown as CoreLinks
-  const view = { node: 'front', registers, membership, links, isWithoutProxy }
+  const directory = makeQuotaDirectory(world, registers, membership, links)
+  const view = { node: 'front', directory, isWithoutProxy }
   return startQuotaRelay(world, view, stop, makeMetrics())
 }
 function knownAs(holder: string, term: number, currentUntil = Infinity): Map<string, KnownRegister> {
--- a/packages/fleet/src/test/quota-holder-fleet.ts
+++ b/packages/fleet/src/test/quota-holder-fleet.ts
@@ -15,8 +15,8 @@
 import { startFrontAgent } from '@claynotch/claynotch'
 import type { Config, Tenant } from '@claynotch/operator'
 import { makeState } from '@claynotch/proxy/dist/state.js'
-import { makeAllowances, QuotaAnswer, type Allowances, type QuotaQuestion } from '@claynotch/quota'
-import { AgentFeed, startCore, type CorePlace, type QuotaHandler } from '@claynotch/register'
+import { makeAllowances, QuotaAnswer, type Allowances, type HolderQuestion, type QuotaQuestion } from '@claynotch/quota'
+import { AgentFeed, startCore, type CorePlace, type QuotaRefusal, type QuotaService } from '@claynotch/register'
 import { makeSim, type Machine, type Proc, type Sim } from '../sim.js'
 import { task } from './beside.js'
 
@@ -99,9 +99,9 @@
   }
 
   /** Notes each answer of a holder, on its way out. */
-  function observed(node: string, handler: QuotaHandler): QuotaHandler {
-    function handle(question: Parameters<QuotaHandler>[0], asker: string): ReturnType<QuotaHandler> {
-      const answer = handler(question, asker)
+  function observed(node: string, service: QuotaService): QuotaService {
+    function handle(question: HolderQuestion, asker: string): QuotaAnswer | QuotaRefusal {
+      const answer = service.answer(question, asker)
       const held = new Map<string, number>()
       for (const [tenant, holds] of question.lines) held.set(tenant, holds)
       let grown = 0
@@ -110,15 +110,15 @@
       answers.push({ at: sim.now(), slot: question.slot, term: question.term, node, isOk: answer.ok, grown })
       return answer
     }
-    return handle
+    return { ...service, answer: handle }
   }
   function startCoreAt(k: number): void {
     const box = cores[k]
     async function start(world: World): Promise<void> {
       const { ip } = box.machine
       const core = await startCore(world, { id: ip, cores: places, data: '/d' })
-      function serveQuotas(handler: QuotaHandler): void {
-        core.serveQuotas(observed(box.node, handler))
+      function serveQuotas(service: QuotaService): void {
+        core.serveQuotas(observed(box.node, service))
       }
       box.agent = await startAgent(
         world,
--- a/packages/fleet/src/test/quota-holder.test.ts
+++ b/packages/fleet/src/test/quota-holder.test.ts
@@ -1,6 +1,8 @@
 import t, { type Test } from 'tap'
-import type { Tenant } from '@claynotch/operator'
+import { requestOnce, type World } from '@claynotch/base'
+import type { Tenant, TenantLine } from '@claynotch/operator'
 import { quotaSlotOf } from '@claynotch/register'
+import { task } from './beside.js'
 import { limitOf, makeQuotaFleet, type QuotaCore, type QuotaFleet } from './quota-holder-fleet.js'
 
 t.setTimeout(600000)
@@ -27,9 +29,10 @@
 const HOT = hotTenants()
 /** Wants far less than it may have. */
 const CALM = 'calm'
+const KEY = 'c0ffee'.padEnd(64, '0')
 
 function tenants(rate = 12, burst = 20): Tenant[] {
-  const out: Tenant[] = [{ name: CALM, keys: [], rate: 40, burst: 40 }]
+  const out: Tenant[] = [{ name: CALM, keys: [KEY], rate: 40, burst: 40, label: 'its key' }]
   for (const name of HOT) out.push({ name, keys: [], rate, burst })
   return out
 }
@@ -97,6 +100,34 @@
     for (let slot = 0; slot < 4; slot++) c.equal(termsOf(fleet, slot), 1, `slot ${slot} never changed hands`)
   }
 }
+/** What GET /tenants says at some core machine. */
+async function readTenants(fleet: QuotaFleet): Promise<TenantLine[]> {
+  let body: unknown
+  async function get(world: World): Promise<void> {
+    const got = await requestOnce(world, '10.0.1.1:8000', 'GET', '/tenants', undefined, 2000)
+    if (got.ok) ({ body } = got.val)
+  }
+  await task(fleet.sim, fleet.sim.machine('reader', '10.0.6.2'), get)
+  return body as TenantLine[]
+}
+async function shown(c: Test): Promise<void> {
+  const fleet = await begin(1)
+  const lines = await readTenants(fleet)
+  c.equal(lines.length, tenants().length)
+  for (const { name, slot, holder, term, out } of lines) {
+    c.strictSame([slot, holder, term], [quotaSlotOf(name), fleet.holder(slot).node, 1], `who counts ${name}`)
+    const limit = name === CALM ? 240 : 80
+    c.ok(out !== undefined && out > 0 && out <= limit, `${name}: ${out} of ${limit} are out`)
+  }
+  const text = JSON.stringify(lines)
+  c.notOk(text.includes(KEY) || text.includes('label'), 'no key, and nothing that may hold one')
+  fleet.sim.kill(fleet.holder(SLOT).proc)
+  const after = (await readTenants(fleet)).find(isOfSlot)
+  c.ok(after && after.out === undefined, 'what is out is not told without its holder')
+  function isOfSlot(one: TenantLine): boolean {
+    return one.slot === SLOT
+  }
+}
 async function killed(c: Test): Promise<void> {
   for (const seed of SEEDS) {
     const fleet = await begin(seed)
@@ -238,6 +269,7 @@
 }
 
 void t.test('a calm fleet: every slot has one holder, and limits are used', calmly)
+void t.test('operators see who counts a tenant and what is out, and no key', shown)
 void t.test('a holder that is killed is replaced by one that gives out nothing too much', killed)
 void t.test('a holder that is cut off beside a front machine stops in time', isolated)
 void t.test('a holder that was frozen answers nothing by what it knew', frozen)
--- a/packages/operator/src/edge.ts
+++ b/packages/operator/src/edge.ts
@@ -28,6 +28,7 @@
 import { identify, stopCaller, type Credential } from './credentials.js'
 import { decide } from './decide.js'
 import { allDecisions, digestOf } from './kept.js'
+import type { TenantLine } from './tenants.js'
 
 // The operator's edge: numbered changes in, decisions out, and what there is to read.
 // 'unclear' is said where no majority settled the change in time, and where what is remembered can't tell: the same number
@@ -38,6 +39,7 @@
   // undefined: no set is known yet. Told without a majority too.
   cores: () => Promise<CoreStatus | undefined>
   groups: () => unknown
+  tenants: () => Promise<TenantLine[]>
   replace: (group: string, to: string | undefined) => Promise<{ ok: boolean; why: string }>
   // What stands against moves that a change asks for, in the fleet as it is.
   hinders: (edits: Edit[]) => Promise<Finding[]>
@@ -212,6 +214,8 @@
         const got = await reading.cores()
         return got === undefined ? noMajority() : { status: 200, body: got }
       }
+      case 'tenants':
+        return { status: 200, body: await reading.tenants() }
       case 'groups':
         return { status: 200, body: reading.groups() }
     }
--- a/packages/operator/src/tenants.ts
+++ b/packages/operator/src/tenants.ts
@@ -31,6 +31,20 @@
 ])
 export type Tenant = t.TypeOf<typeof Tenant>
 
+/**
+ * A tenant as GET /tenants tells it. slot, holder, term: who counts its operations. out: what all proxies together may run in one
+ * window, as far as the holder knows; undefined: it didn't answer.
+ */
+export type TenantLine = {
+  name: string
+  rate: number | undefined
+  burst: number | undefined
+  slot: number
+  holder: string | undefined
+  term: number | undefined
+  out: number | undefined
+}
+
 /** What stands for a key wherever it is compared. */
 export function hashKey(key: string): string {
   return createHash('sha256').update(key).digest('hex')
--- a/packages/register/src/core-messages.ts
+++ b/packages/register/src/core-messages.ts
@@ -9,6 +9,7 @@
 import type { Leases } from './leases.js'
 import { CoreMessage, type GetAnswer, type LeaseRenewal } from './messages.js'
 import type { DeltaChains, Pushes } from './pushes.js'
+import type { QuotaUseAnswer, QuotaUseQuestion } from './quota-register.js'
 import type { DeltaAnswer, Store, RegisterValue } from './register-store.js'
 import type { Renewals } from './renewals.js'
 
@@ -26,8 +27,8 @@
   founding: CoreFounding
   state: () => CoreState
   learn: (key: string, ballot: Ballot) => void
-  /** What the holder of quotas beside this core says; undefined: there is none. */
-  quota: () => QuotaHandler | undefined
+  /** The holder of quotas beside this core; undefined: there is none. */
+  quotas: () => QuotaService | undefined
   /** An operator's word that everything is to begin anew, whatever agents remember. */
   foundAnew: boolean
   metrics: Metrics
@@ -38,13 +39,16 @@
   lost: (peer: Hello, link: Link) => void
 }
 
-/** Answers a question about quotas. asker: the node at the other end of the link that it came over. */
-export type QuotaHandler = (question: HolderQuestion, asker: string) => QuotaAnswer | QuotaRefusal
+/** What an agent beside a core answers on the core's links. asker: the node at the other end of the link. */
+export type QuotaService = {
+  answer: (question: HolderQuestion, asker: string) => QuotaAnswer | QuotaRefusal
+  uses: (question: QuotaUseQuestion) => QuotaUseAnswer | QuotaRefusal
+}
 /** This node doesn't count the slot under that term, or not now. */
 export type QuotaRefusal = { ok: false }
 const REFUSED: QuotaRefusal = { ok: false }
 
-type VoterMessage = Exclude<CoreMessage, { t: 'state' | 'seeds' | 'set' | 'quota' }>
+type VoterMessage = Exclude<CoreMessage, { t: 'state' | 'seeds' | 'set' | 'quota' | 'quota-use' }>
 
 const ABSENT = { ok: false, absent: true }
 
@@ -158,7 +162,9 @@
         await follower.adopt(message.set)
         return { ok: true }
       case 'quota':
-        return view.quota()?.(message, peer.node) ?? REFUSED
+        return view.quotas()?.answer(message, peer.node) ?? REFUSED
+      case 'quota-use':
+        return view.quotas()?.uses(message) ?? REFUSED
       default:
         break
     }
--- a/packages/register/src/core.ts
+++ b/packages/register/src/core.ts
@@ -14,7 +14,7 @@
 import { compareBallots, type Ballot } from './ballot.js'
 import { makeCommittedBallots } from './committed-ballots.js'
 import { makeCoreFounding } from './core-founding.js'
-import { makeCoreMessages, type QuotaHandler } from './core-messages.js'
+import { makeCoreMessages, type QuotaService } from './core-messages.js'
 import { makeCorePeers } from './core-peers.js'
 import { idsOf, makeCoreSetFollower, type CoreSetFollower } from './core-set-follower.js'
 import { askSeeds, type CorePlace, type CoreSet } from './core-set.js'
@@ -63,7 +63,7 @@
   /** Takes a set that was chosen; an older one, or another than an operator gave, changes nothing. */
   adopt: (next: CoreSet) => Promise<void>
   /** From now on questions about quotas are answered by this; until then they are refused. */
-  serveQuotas: (handler: QuotaHandler) => void
+  serveQuotas: (service: QuotaService) => void
 }
 
 /** ms. Interval at which a voter that doesn't serve takes its next step, and the gauges are set. */
@@ -151,16 +151,16 @@
     founding,
     state,
     learn,
-    quota: quotaNow,
+    quotas: quotasNow,
     foundAnew: settings.foundAnew === true,
     metrics,
   })
-  let quotaHandler: QuotaHandler | undefined
-  function quotaNow(): QuotaHandler | undefined {
-    return quotaHandler
+  let quotas: QuotaService | undefined
+  function quotasNow(): QuotaService | undefined {
+    return quotas
   }
-  function serveQuotas(handler: QuotaHandler): void {
-    quotaHandler = handler
+  function serveQuotas(service: QuotaService): void {
+    quotas = service
   }
   const firstSet = firstSetOf(settings, store)
   if (firstSet) await follower.join(firstSet)
--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -25,7 +25,7 @@
 } from './messages.js'
 export * from './core-view.js'
 export * from './core.js'
-export type { QuotaHandler, QuotaRefusal } from './core-messages.js'
+export type { QuotaRefusal, QuotaService } from './core-messages.js'
 export type { CoreState } from './founding.js'
 export * from './group-record.js'
 export * from './quota-register.js'
--- a/packages/register/src/messages.ts
+++ b/packages/register/src/messages.ts
@@ -4,6 +4,7 @@
 import { Ballot } from './ballot.js'
 import { CorePlace, CoreSet } from './core-set.js'
 import { Delta } from './delta.js'
+import { QuotaUseQuestion } from './quota-register.js'
 
 // What is said to a core on a link. Answers are written beside each in docs/wire.md.
 export const RegisterValueCodec = t.type({ turn: t.number, tag: t.string, body: t.unknown })
@@ -96,6 +97,7 @@
   t.type({ t: t.literal('ack'), num: t.number, key: t.string, turn: t.number }),
   LeaseRenewal,
   HolderQuestion,
+  QuotaUseQuestion,
 ])
 export type CoreMessage = t.TypeOf<typeof CoreMessage>
 
--- a/packages/register/src/quota-register.ts
+++ b/packages/register/src/quota-register.ts
@@ -1,4 +1,5 @@
 import * as t from 'io-ts'
+import { QuotaGrant } from '@claynotch/quota'
 import { mixedHashOf, QUOTA_SLOTS } from '@claynotch/base'
 
 // Who counts what tenants use: tenants are spread over slots, and each slot has one holder (docs/design/quotas.md).
@@ -11,6 +12,13 @@
 export const QuotaHolder = t.type({ holder: t.string, life: t.string, term: t.number })
 export type QuotaHolder = t.TypeOf<typeof QuotaHolder>
 
+/** An operator wants to know what is out of each tenant of the slot. term: of the register that names the holder. */
+export const QuotaUseQuestion = t.type({ t: t.literal('quota-use'), slot: t.number, term: t.number })
+export type QuotaUseQuestion = t.TypeOf<typeof QuotaUseQuestion>
+/** [tenant, operations that all proxies together may run in one window, as far as the holder knows] */
+export const QuotaUseAnswer = t.type({ ok: t.literal(true), uses: t.array(QuotaGrant) })
+export type QuotaUseAnswer = t.TypeOf<typeof QuotaUseAnswer>
+
 const PREFIX = 'quota/'
 export function quotaKey(slot: number): string {
   return `${PREFIX}${slot}`
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1753,7 +1753,11 @@
     test: 'quota-guards.test.js',
     seeds: [1, 1],
     edits: [
-      ['agent/dist/quota-relay.js', 'if (holder.err || world.now() >= (known?.currentUntil ?? 0))', 'if (holder.err)'],
+      [
+        'agent/dist/quota-directory.js',
+        'if (holder.err || world.now() >= (known?.currentUntil ?? 0))',
+        'if (holder.err)',
+      ],
     ],
   },
   {
@@ -1761,6 +1765,6 @@
     rule: 'QUOTA: a core of an earlier version is asked, and closes the link',
     test: 'quota-guards.test.js',
     seeds: [1, 1],
-    edits: [['agent/dist/quota-relay.js', '(link.peer()?.epoch ?? 0) < QUOTA_LINK_VERSION', 'false']],
+    edits: [['agent/dist/quota-directory.js', '(link.peer()?.epoch ?? 0) >= QUOTA_LINK_VERSION', 'true']],
   },
 ]
