--- a/packages/register/src/messages.ts
+++ b/packages/register/src/messages.ts
@@ -1,8 +1,10 @@
 import { MAX_ANNOUNCEMENT_DELAY_MS } from '@claynotch/base'
+import { HolderQuestion } from '@claynotch/quota'
 import * as t from 'io-ts'
 import { Ballot } from './ballot.js'
 import { CorePlace, CoreSet } from './core-set.js'
 import { Delta } from './delta.js'
+import { QuotaUseQuestion } from './quota-register.js'
 
 // What is said to a core on a link. Answers are written beside each in docs/wire.md.
 export const RegisterValueCodec = t.type({ turn: t.number, tag: t.string, body: t.unknown })
@@ -94,6 +96,8 @@
   t.type({ t: t.literal('leave'), node: t.string, life: t.string }),
   t.type({ t: t.literal('ack'), num: t.number, key: t.string, turn: t.number }),
   LeaseRenewal,
+  HolderQuestion,
+  QuotaUseQuestion,
 ])
 export type CoreMessage = t.TypeOf<typeof CoreMessage>
 
