--- a/packages/fleet/src/test/quota-fleet.ts
+++ b/packages/fleet/src/test/quota-fleet.ts
@@ -124,14 +124,21 @@
     }
     for (const node of nodes) if (isMember(node)) holder.awaited.add(node.name)
   }
+  /** What a look shows is known a while later, as it is a read at a majority. */
   function lookAtMembers(): void {
-    if (!holder) return
-    for (const node of nodes) {
-      if (isMember(node)) continue
-      const mayHold = holder.ledger.nodes().includes(node.name) || holder.awaited.delete(node.name)
-      holder.told.delete(node.name)
-      if (mayHold) holder.ledger.gone(node.name)
+    const seenAt = sim.now()
+    const looker = holder
+    const absent: ModelNode[] = []
+    for (const node of nodes) if (!isMember(node)) absent.push(node)
+    function learn(): void {
+      if (looker && looker === holder) for (const node of absent) miss(looker, node, seenAt)
     }
+    sim.at(sim.random() * LOOK_MS, learn)
+  }
+  function miss(held: Holder, { name }: ModelNode, seenAt: number): void {
+    const wasAwaited = held.awaited.delete(name)
+    held.told.delete(name)
+    if (wasAwaited || held.ledger.nodes().includes(name)) held.ledger.gone(name, seenAt)
   }
   function mayGrow(held: Holder): boolean {
     if (held.isFirst) return true
