--- a/packages/fleet/src/test/quota-fleet.ts
+++ b/packages/fleet/src/test/quota-fleet.ts
@@ -34,7 +34,7 @@
   name: string
   machine: Machine
   /** The process of its proxy; undefined: none runs. */
-  proxy: { process: Proc; allowances: Allowances; stop: Flag; life: string } | undefined
+  proxy: { process: Proc; life: string } | undefined
   /** By the model's clock. */
   lease: { since: number; until: number }
   /** No question or answer comes through. */
@@ -205,7 +205,7 @@
         return ask(world, node, question)
       }
       const options = { life, isLeased, leasedSince, isActive, ask: askAgent }
-      node.proxy = { process, life, stop, allowances: makeAllowances(world, options, metrics, stop) }
+      const allowances = makeAllowances(world, options, metrics, stop)
       // At the rate of now.
       function next(): void {
         if (stop.fired()) return
@@ -214,12 +214,13 @@
         else world.later(pauseMs, come)
       }
       function come(): void {
-        void operate(world, node, stop)
+        void operate(world, node, allowances, stop)
         next()
       }
       world.later(sim.random() * RATE_LOOK_MS, next)
     }
     const process = sim.spawn(node.machine, `${node.name}-${life}`, begin)
+    node.proxy = { process, life }
   }
   function sentWithin(ms: number): number {
     let count = 0
@@ -227,9 +228,9 @@
     return count
   }
   /** Waits for a connection now and then, and now and then gets none. */
-  async function operate(world: World, node: ModelNode, stop: Flag): Promise<void> {
+  async function operate(world: World, node: ModelNode, allowances: Allowances, stop: Flag): Promise<void> {
     node.asked++
-    const reservation = await node.proxy!.allowances.reserve(TENANT, OPERATION_WAIT_MS, stop)
+    const reservation = await allowances.reserve(TENANT, OPERATION_WAIT_MS, stop)
     if (!reservation) {
       node.refused++
       if (sentWithin(QUOTA_WINDOW_MS) + 1 <= limitNow.value) node.refusedBelowLimit++
