--- a/packages/agent/src/quota-holder.ts
+++ b/packages/agent/src/quota-holder.ts
@@ -133,12 +133,18 @@
     for (const member of read.members) if (member.node === before.holder && member.life === before.life) return false
     return true
   }
+  /** As renewals tell, which is cheap and may be late. */
+  function isListed(holder: QuotaHolder): boolean {
+    for (const member of membership.list())
+      if (member.node === holder.holder && member.life === holder.life) return true
+    return false
+  }
   async function claim(slot: number): Promise<void> {
     const before = readHolder(registers.value(quotaKey(slot)))
     // An earlier life of this node has ended with its process.
     const isFree = !before || before.holder === NOBODY || before.holder === node
     // The read begins after the holder became known: one that came meanwhile would be missing in an earlier one.
-    if (!isFree && !isGone(before, await membership.read())) return
+    if (!isFree && (isListed(before) || !isGone(before, await membership.read()))) return
     holdersBefore.set(slot, before?.holder ?? NOBODY)
     await change(slot, before, { holder: node, life, term: (before?.term ?? 0) + 1 })
   }
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -398,7 +398,9 @@
 // ms. Operations sent this close to each other may be counted as one lot, by the time of its last.
 export const QUOTA_METER_GRAIN_MS = 10
 // ms. Interval at which a proxy tells what its tenants hold, use and want, while there is anything to tell.
-export const QUOTA_REPORT_INTERVAL_MS = 500
+export const QUOTA_REPORT_INTERVAL_MS = 2000
+// ms. The same while a tenant has less than it wants.
+export const QUOTA_SHORT_REPORT_INTERVAL_MS = 500
 // ms. The same for a proxy that holds nothing: a new holder waits until it has heard that.
 export const QUOTA_IDLE_REPORT_INTERVAL_MS = 1000
 // ms. The least time between two questions of a proxy. Short beside what an operation may wait, and it gathers those that come at once.
@@ -417,8 +419,8 @@
 export const QUOTA_LOW_SHARE = 0.25
 // operations. A smaller allowance isn't asked for before it is used up: it would be with each operation.
 export const QUOTA_MIN_LOW_ALLOWANCE = 4
-// ratio. Of what a proxy wants: what it is given beside it, so that it needn't ask for each operation.
-export const QUOTA_EXTRA_SHARE = 0.25
+// operations. The least that a proxy is given beside what it wants, where nobody needs it, so that it needn't ask for each.
+export const QUOTA_MIN_EXTRA = 4
 // ratio. Of what nobody wants: what proxies may have as extras. The rest is free for those that begin to want.
 export const QUOTA_SPARE_SHARE = 0.25
 // operations. What a holder answers where there is no limit.
--- a/packages/quota/src/allocation.ts
+++ b/packages/quota/src/allocation.ts
@@ -1,4 +1,9 @@
-import { QUOTA_EXTRA_SHARE, QUOTA_METER_WINDOW_MS, QUOTA_REPORT_INTERVAL_MS, QUOTA_SPARE_SHARE } from '@claynotch/base'
+import {
+  QUOTA_MIN_EXTRA,
+  QUOTA_METER_WINDOW_MS,
+  QUOTA_SHORT_REPORT_INTERVAL_MS,
+  QUOTA_SPARE_SHARE,
+} from '@claynotch/base'
 
 /** How the limit of one tenant is divided among proxies. Pure arithmetic: it says what a proxy should have, not what is free. */
 
@@ -10,7 +15,7 @@
 
 /** Operations that it is asked for between two reports. */
 function needPerReport(need: number): number {
-  return Math.floor((need * QUOTA_REPORT_INTERVAL_MS) / QUOTA_METER_WINDOW_MS)
+  return Math.floor((need * QUOTA_SHORT_REPORT_INTERVAL_MS) / QUOTA_METER_WINDOW_MS)
 }
 
 /** All together want more than there is: in proportion to need, in whole operations. */
@@ -26,14 +31,20 @@
   return Math.min(Math.ceil(exact), sure + left, mine.used + usable)
 }
 
-/** There is enough for all: what it needs, and some more of what nobody needs. */
+/**
+ * There is enough for all: what it needs, and as much again of what nobody needs, but half of what is left of that at the most. What
+ * it has already it keeps, as far as that is in proportion to what it needs: it would soon ask for it again.
+ */
 function ampleShare(mine: Claim, others: Claim[], available: number, allNeeds: number): number {
   const spare = Math.floor((available - allNeeds) * QUOTA_SPARE_SHARE)
   let extrasOfOthers = 0
   for (const other of others) extrasOfOthers += Math.max(0, other.answered - other.need)
+  const left = Math.max(0, spare - extrasOfOthers)
   const isActive = mine.need > 0 || mine.held > 0
-  const extra = isActive ? 1 + Math.ceil(mine.need * QUOTA_EXTRA_SHARE) : 0
-  return mine.need + Math.min(extra, Math.max(0, spare - extrasOfOthers))
+  const wanted = isActive ? Math.max(QUOTA_MIN_EXTRA, mine.need) : 0
+  const given = Math.min(wanted, Math.ceil(left / 2))
+  const kept = Math.min(mine.held - mine.need, 2 * wanted, left)
+  return mine.need + Math.max(given, kept)
 }
 
 /** What a proxy should have of the operations that are available to all. */
--- a/packages/quota/src/allowances.ts
+++ b/packages/quota/src/allowances.ts
@@ -13,6 +13,7 @@
   QUOTA_QUESTION_SPACING_MS,
   QUOTA_QUESTION_TIMEOUT_MS,
   QUOTA_REPORT_INTERVAL_MS,
+  QUOTA_SHORT_REPORT_INTERVAL_MS,
   QUOTA_SOON_MS,
   TIMED_OUT,
   withTimeout,
@@ -275,6 +276,10 @@
       if (line) applyGrant(grant, line)
     }
   }
+  function reportIntervalOf(lines: QuotaLine[]): number {
+    for (const { isShort } of accounts.values()) if (isShort) return QUOTA_SHORT_REPORT_INTERVAL_MS
+    return lines.length > 0 ? QUOTA_REPORT_INTERVAL_MS : QUOTA_IDLE_REPORT_INTERVAL_MS
+  }
   function isAnyoneWaiting(): boolean {
     for (const { waiters } of accounts.values()) if (waiters.size > 0) return true
     return false
@@ -285,7 +290,7 @@
     const askedUnder = leasedSince
     const question: QuotaQuestion = { t: 'quota', life: options.life, askedAt, lines }
     lastQuestion++
-    dueAt = askedAt + (lines.length > 0 ? QUOTA_REPORT_INTERVAL_MS : QUOTA_IDLE_REPORT_INTERVAL_MS)
+    dueAt = askedAt + reportIntervalOf(lines)
     metrics.add('claynotch_quota_questions_total')
     const grants = await withTimeout(world, QUOTA_QUESTION_TIMEOUT_MS, options.ask(question))
     if (grants === undefined || grants === TIMED_OUT) {
