--- a/packages/agent/src/quota-holder.ts
+++ b/packages/agent/src/quota-holder.ts
@@ -12,7 +12,14 @@
 } from '@claynotch/base'
 import { holderOf } from '@claynotch/failover'
 import { CONFIG_KEY, type Config } from '@claynotch/operator'
-import { makeLedger, type HolderQuestion, type Ledger, type QuotaAnswer, type QuotaGrant } from '@claynotch/quota'
+import {
+  makeLedger,
+  type HolderQuestion,
+  type Ledger,
+  type QuotaAnswer,
+  type QuotaGrant,
+  type QuotaLine,
+} from '@claynotch/quota'
 import {
   hasCore,
   QuotaHolder,
@@ -66,6 +73,18 @@
   isReleased: boolean
 }
 
+/** What isn't named stays as the proxy told it. Who wants more, or holds nothing, is told so. */
+function newsOf(lines: QuotaLine[], grants: QuotaGrant[]): QuotaGrant[] {
+  const unchanged = new Set<string>()
+  const granted = new Map(grants)
+  for (const [tenant, held, , wanted, waiting] of lines)
+    if (granted.get(tenant) === held && held > 0 && wanted <= held && waiting === 0) unchanged.add(tenant)
+  function isNews([tenant]: QuotaGrant): boolean {
+    return !unchanged.has(tenant)
+  }
+  return grants.filter(isNews)
+}
+
 type TimedRead = { got: MembersRead | undefined; beganAt: number }
 
 const REFUSED: QuotaRefusal = { ok: false }
@@ -257,7 +276,7 @@
     )
     one.takeover.told(question.node)
     count(question, grants)
-    return { ok: true, grants }
+    return { ok: true, grants: newsOf(question.lines, grants) }
   }
   function uses({ slot, term }: QuotaUseQuestion): QuotaUseAnswer | QuotaRefusal {
     const one = held.get(slot)
--- a/packages/agent/src/quota-relay.ts
+++ b/packages/agent/src/quota-relay.ts
@@ -12,6 +12,7 @@
 import { QuotaAnswer, type HolderQuestion, type QuotaGrant, type QuotaLine, type QuotaQuestion } from '@claynotch/quota'
 import { quotaSlotOf } from '@claynotch/register'
 import type { QuotaDirectory } from './quota-directory.js'
+import { makeToldLines, type ToldLines } from './quota-told.js'
 
 // Passes the questions of this machine's proxy to the holders of its tenants' slots: docs/design/quotas.md.
 
@@ -39,8 +40,8 @@
 }
 
 export function startQuotaRelay(world: World, view: QuotaRelayView, stop: Flag, metrics: Metrics): QuotaRelay {
-  // told: the term and the proxy's life for which the holder of a slot last answered.
-  const told = new Map<number, string>()
+  const told: ToldLines[] = []
+  for (let slot = 0; slot < QUOTA_SLOTS; slot++) told.push(makeToldLines(world.now))
 
   async function askHolder(link: PersistentLink, question: HolderQuestion): Promise<QuotaGrant[]> {
     const askedAt = world.now()
@@ -49,19 +50,20 @@
     const isLate = world.now() - askedAt > QUOTA_ANSWER_TIMEOUT_MS
     metrics.add('claynotch_quota_asks_total', [['end', isLate ? 'late' : answer.ok ? 'answered' : 'refused']])
     if (answer.err || isLate) return []
-    told.set(question.slot, `${question.term} ${question.life}`)
+    told[question.slot].answered(question.lines, answer.val.grants, question)
     return answer.val.grants
   }
-  /** A holder is asked for what the proxy tells, and once under each term where it tells nothing: it waits for all to have told. */
+  /** A holder is told what changed, and once under each term where there is nothing to tell: it waits for all to have told. */
   async function ask({ life, askedAt, lines }: QuotaQuestion): Promise<QuotaAnswer> {
     const asks: Promise<QuotaGrant[]>[] = []
     const split = bySlot(lines)
     for (let slot = 0; slot < QUOTA_SLOTS; slot++) {
       const holder = view.directory.holderOf(slot)
-      const own = split.get(slot) ?? []
-      if (!holder?.link || (own.length === 0 && told.get(slot) === `${holder.term} ${life}`)) continue
+      if (!holder?.link) continue
       const { term, link } = holder
-      asks.push(askHolder(link, { t: 'quota', slot, term, node: view.node, life, askedAt, lines: own }))
+      const due = told[slot].due(split.get(slot) ?? [], { term, life })
+      if (due.length === 0 && told[slot].knows({ term, life })) continue
+      asks.push(askHolder(link, { t: 'quota', slot, term, node: view.node, life, askedAt, lines: due }))
     }
     const grants = (await Promise.all(asks)).flat()
     return { ok: true, grants }
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -428,6 +428,8 @@
 // ms. A holder that doesn't answer a front machine within this is left out of the answer to its proxy: many times the way between two
 // zones, and a share of the time that an operation without an allowance may wait.
 export const QUOTA_ANSWER_TIMEOUT_MS = 250
+// ms. What a proxy holds and wants of a tenant is told again after no longer than this, though nothing of it changed.
+export const QUOTA_REFRESH_INTERVAL_MS = 1000
 // ms. Interval at which an agent looks whether a new holder is to be told that no proxy works on this machine.
 export const QUOTA_ABSENCE_INTERVAL_MS = 1000
 
