--- a/packages/fleet/src/test/quota-fleet.ts
+++ b/packages/fleet/src/test/quota-fleet.ts
@@ -34,7 +34,7 @@
   name: string
   machine: Machine
   /** The process of its proxy; undefined: none runs. */
-  proxy: { process: Proc; allowances: Allowances; stop: Flag; life: string } | undefined
+  proxy: { process: Proc; life: string } | undefined
   /** By the model's clock. */
   lease: { since: number; until: number }
   /** No question or answer comes through. */
@@ -124,14 +124,21 @@
     }
     for (const node of nodes) if (isMember(node)) holder.awaited.add(node.name)
   }
+  /** What a look shows is known a while later, as it is a read at a majority. */
   function lookAtMembers(): void {
-    if (!holder) return
-    for (const node of nodes) {
-      if (isMember(node)) continue
-      const mayHold = holder.ledger.nodes().includes(node.name) || holder.awaited.delete(node.name)
-      holder.told.delete(node.name)
-      if (mayHold) holder.ledger.gone(node.name)
+    const seenAt = sim.now()
+    const looker = holder
+    const absent: ModelNode[] = []
+    for (const node of nodes) if (!isMember(node)) absent.push(node)
+    function learn(): void {
+      if (looker && looker === holder) for (const node of absent) miss(looker, node, seenAt)
     }
+    sim.at(sim.random() * LOOK_MS, learn)
+  }
+  function miss(held: Holder, { name }: ModelNode, seenAt: number): void {
+    const wasAwaited = held.awaited.delete(name)
+    held.told.delete(name)
+    if (wasAwaited || held.ledger.nodes().includes(name)) held.ledger.gone(name, seenAt)
   }
   function mayGrow(held: Holder): boolean {
     if (held.isFirst) return true
@@ -198,7 +205,7 @@
         return ask(world, node, question)
       }
       const options = { life, isLeased, leasedSince, isActive, ask: askAgent }
-      node.proxy = { process, life, stop, allowances: makeAllowances(world, options, metrics, stop) }
+      const allowances = makeAllowances(world, options, metrics, stop)
       // At the rate of now.
       function next(): void {
         if (stop.fired()) return
@@ -207,12 +214,13 @@
         else world.later(pauseMs, come)
       }
       function come(): void {
-        void operate(world, node, stop)
+        void operate(world, node, allowances, stop)
         next()
       }
       world.later(sim.random() * RATE_LOOK_MS, next)
     }
     const process = sim.spawn(node.machine, `${node.name}-${life}`, begin)
+    node.proxy = { process, life }
   }
   function sentWithin(ms: number): number {
     let count = 0
@@ -220,9 +228,9 @@
     return count
   }
   /** Waits for a connection now and then, and now and then gets none. */
-  async function operate(world: World, node: ModelNode, stop: Flag): Promise<void> {
+  async function operate(world: World, node: ModelNode, allowances: Allowances, stop: Flag): Promise<void> {
     node.asked++
-    const reservation = await node.proxy!.allowances.reserve(TENANT, OPERATION_WAIT_MS, stop)
+    const reservation = await allowances.reserve(TENANT, OPERATION_WAIT_MS, stop)
     if (!reservation) {
       node.refused++
       if (sentWithin(QUOTA_WINDOW_MS) + 1 <= limitNow.value) node.refusedBelowLimit++
