Quotas: a new holder counts a proxy's life from when it heard of it, answered or not

Callers saw: after a holder was lost its tenants got nothing more for some 11 s. The ledger waited one window from a proxy's first question that it took, which the holder takes only once the one before has ended (2.7 s after its claim).

--- a/packages/agent/src/quota-holder.ts
+++ b/packages/agent/src/quota-holder.ts
@@ -268,12 +268,9 @@
     for (const [tenant] of question.lines) if (quotaSlotOf(tenant) !== question.slot) return REFUSED
     one.takeover.heard(question.node, question.life)
     if (!one.takeover.isAlone()) return REFUSED
-    const grants = one.ledger.report(
-      question,
-      question.lines,
-      quotaLimits(config, view.tolerance),
-      one.takeover.isOver(),
-    )
+    const proxy = { ...question, heardAt: one.takeover.heardAt(question.node) }
+    const limits = quotaLimits(config, view.tolerance)
+    const grants = one.ledger.report(proxy, question.lines, limits, one.takeover.isOver())
     one.takeover.told(question.node)
     count(question, grants)
     return { ok: true, grants: newsOf(question.lines, grants) }
--- a/packages/agent/src/quota-takeover.ts
+++ b/packages/agent/src/quota-takeover.ts
@@ -23,6 +23,8 @@
   isOver: () => boolean
   /** The proxy of that life, on that node, asked; whether it was answered or not. */
   heard: (node: string, life: string) => void
+  /** Since when no earlier life of the node's proxy can have used anything that isn't known. */
+  heardAt: (node: string) => number
   /** What it holds is known, as it was answered. */
   told: (node: string) => void
   /** Nodes with a proxy as renewals tell of them, which may be late. */
@@ -69,6 +71,9 @@
     // An earlier life may have used what it held until just now.
     owing.set(node, { life, at: now(), hasTold: false })
   }
+  function heardAt(node: string): number {
+    return owing.get(node)?.at ?? -Infinity
+  }
   function told(node: string): void {
     const one = owing.get(node)
     if (one) one.hasTold = true
@@ -88,5 +93,5 @@
     for (const [node, { hasTold }] of owing) if (!hasTold && !listed.has(node)) return true
     return false
   }
-  return { isAlone, isOver, heard, told, listed: expect, read, needsRead }
+  return { isAlone, isOver, heard, heardAt, told, listed: expect, read, needsRead }
 }
--- a/packages/quota/src/ledger.ts
+++ b/packages/quota/src/ledger.ts
@@ -2,8 +2,11 @@
 import { shareOf, type Claim } from './allocation.js'
 import type { QuotaGrant, QuotaLine } from './messages.js'
 
-/** Who asks. life: of the proxy on that node. askedAt: ms by the node's clock. */
-export type AskingProxy = { node: string; life: string; askedAt: number }
+/**
+ * Who asks. life: of the proxy on that node. askedAt: ms by the node's clock. heardAt: when this life was first heard of here, by the
+ * ledger's clock; with its first question, unless it is given.
+ */
+export type AskingProxy = { node: string; life: string; askedAt: number; heardAt?: number }
 
 /**
  * What each proxy may run of each tenant, as far as one holder knows. Pure: no I/O, its only clock is the one that it is given.
@@ -107,10 +110,10 @@
     }
   }
   /** Takes note of who asks; false: the question is late. */
-  function meet({ node, life, askedAt }: AskingProxy): boolean {
+  function meet({ node, life, askedAt, heardAt = now() }: AskingProxy): boolean {
     const known = proxies.get(node)
     if (known && (askedAt < known.askedAt || (askedAt === known.askedAt && life !== known.life))) return false
-    if (!known && isWaiting) growsFrom = now() + windowMs
+    if (!known && isWaiting) growsFrom = Math.max(growsFrom, heardAt + windowMs)
     if (known && known.life !== life) cool(node)
     proxies.set(node, { life, askedAt, answeredAt: now() })
     return true
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1666,11 +1666,7 @@
     test: 'quota-guards.test.js',
     seeds: [1, 1],
     edits: [
-      [
-        'agent/dist/quota-holder.js',
-        'quotaLimits(config, view.tolerance), one.takeover.isOver())',
-        'quotaLimits(config, view.tolerance), true)',
-      ],
+      ['agent/dist/quota-holder.js', 'question.lines, limits, one.takeover.isOver())', 'question.lines, limits, true)'],
     ],
   },
   {
