Quotas: a holder that doesn't answer holds up only its own tenants

Callers saw: while a holder stood still, each question of a proxy waited 250 ms for it, those for tenants of other holders too, and a tenant whose slot nobody held was asked for every 10 ms. Now nobody waits for a holder that was late, while others answer; it is asked one question at a time; and whoever was not answered for is asked for again after 100 ms.

--- a/packages/agent/src/quota-relay.ts
+++ b/packages/agent/src/quota-relay.ts
@@ -39,34 +39,57 @@
   return out
 }
 
+/**
+ * What is under way with the holder of one slot. pending: the question that it hasn't answered yet. isSlow: it didn't answer its last
+ * question in time, so that nobody waits for it while others answer.
+ */
+type SlotState = { told: ToldLines; pending: Promise<QuotaGrant[]> | undefined; isSlow: boolean }
+
 export function startQuotaRelay(world: World, view: QuotaRelayView, stop: Flag, metrics: Metrics): QuotaRelay {
-  const told: ToldLines[] = []
-  for (let slot = 0; slot < QUOTA_SLOTS; slot++) told.push(makeToldLines(world.now))
+  const slots: SlotState[] = []
+  for (let slot = 0; slot < QUOTA_SLOTS; slot++)
+    slots.push({ told: makeToldLines(world.now), pending: undefined, isSlow: false })
 
-  async function askHolder(link: PersistentLink, question: HolderQuestion): Promise<QuotaGrant[]> {
+  async function askHolder(state: SlotState, link: PersistentLink, question: HolderQuestion): Promise<QuotaGrant[]> {
     const askedAt = world.now()
-    const answer = readAs(QuotaAnswer, await link.ask(question, QUOTA_ANSWER_TIMEOUT_MS))
+    const got = await link.ask(question, QUOTA_ANSWER_TIMEOUT_MS)
     // A process that stood still may find an answer and the end of its time at once.
-    const isLate = world.now() - askedAt > QUOTA_ANSWER_TIMEOUT_MS
+    const isLate = got === undefined || world.now() - askedAt > QUOTA_ANSWER_TIMEOUT_MS
+    state.pending = undefined
+    state.isSlow = isLate
+    const answer = readAs(QuotaAnswer, got)
     metrics.add('claynotch_quota_asks_total', [['end', isLate ? 'late' : answer.ok ? 'answered' : 'refused']])
     if (answer.err || isLate) return []
-    told[question.slot].answered(question.lines, answer.val.grants, question)
+    state.told.answered(question.lines, answer.val.grants, question)
     return answer.val.grants
   }
-  /** A holder is told what changed, and once under each term where there is nothing to tell: it waits for all to have told. */
+  /** Asks the holder of the slot where there is anything to tell it; undefined: there is not, or it can't be asked. */
+  function askSlot(slot: number, lines: QuotaLine[], life: string, askedAt: number): Promise<QuotaGrant[]> | undefined {
+    const state = slots[slot]
+    const holder = view.directory.holderOf(slot)
+    if (!holder?.link || state.pending) return undefined
+    const { term, link } = holder
+    const due = state.told.due(lines, { term, life })
+    // Once under each term it is asked with nothing to tell: it waits for all to have told.
+    if (due.length === 0 && state.told.knows({ term, life })) return undefined
+    state.pending = askHolder(state, link, { t: 'quota', slot, term, node: view.node, life, askedAt, lines: due })
+    return state.pending
+  }
+  /** What came too late for the answer is dropped. */
   async function ask({ life, askedAt, lines }: QuotaQuestion): Promise<QuotaAnswer> {
-    const asks: Promise<QuotaGrant[]>[] = []
     const split = bySlot(lines)
-    for (let slot = 0; slot < QUOTA_SLOTS; slot++) {
-      const holder = view.directory.holderOf(slot)
-      if (!holder?.link) continue
-      const { term, link } = holder
-      const due = told[slot].due(split.get(slot) ?? [], { term, life })
-      if (due.length === 0 && told[slot].knows({ term, life })) continue
-      asks.push(askHolder(link, { t: 'quota', slot, term, node: view.node, life, askedAt, lines: due }))
+    const grants: QuotaGrant[] = []
+    async function take(asked: Promise<QuotaGrant[]>): Promise<void> {
+      grants.push(...(await asked))
+    }
+    const prompt: Promise<void>[] = []
+    const slow: Promise<void>[] = []
+    for (const [slot, { isSlow }] of slots.entries()) {
+      const asked = askSlot(slot, split.get(slot) ?? [], life, askedAt)
+      if (asked) (isSlow ? slow : prompt).push(take(asked))
     }
-    const grants = (await Promise.all(asks)).flat()
-    return { ok: true, grants }
+    await Promise.all(prompt.length > 0 ? prompt : slow)
+    return { ok: true, grants: [...grants] }
   }
   async function tellAbsence(): Promise<void> {
     if (view.isWithoutProxy()) await ask({ t: 'quota', life: NO_PROXY, askedAt: world.now(), lines: [] })
--- a/packages/fleet/src/test/quota-guards.test.ts
+++ b/packages/fleet/src/test/quota-guards.test.ts
@@ -357,17 +357,22 @@
 
 type Link = { asked: HolderQuestion[]; delay: number; grants: QuotaAnswer['grants'] }
 
+/** other: the link to the holder that is named 'b'. */
 function startRelay(
   world: World,
   known: Map<string, KnownRegister>,
   link: Link,
   version: number,
   stop: Flag,
+  other?: Link,
 ): QuotaRelay {
-  async function askLink(asked: HolderQuestion): Promise<unknown> {
-    link.asked.push(asked)
-    await pause(world, link.delay)
-    return { ok: true, grants: asked.lines.length > 0 ? link.grants : [] }
+  function askOver(to: Link): (asked: HolderQuestion) => Promise<unknown> {
+    async function askLink(asked: HolderQuestion): Promise<unknown> {
+      to.asked.push(asked)
+      await pause(world, to.delay)
+      return { ok: true, grants: asked.lines.length > 0 ? to.grants : [] }
+    }
+    return askLink
   }
   function up(): boolean {
     return true
@@ -376,13 +381,14 @@
     return { epoch: version }
   }
   function get(id: string): unknown {
-    return id === 'id-a' ? { link: { ask: askLink, up, peer } } : undefined
+    if (id === 'id-a') return { link: { ask: askOver(link), up, peer } }
+    return id === 'id-b' && other ? { link: { ask: askOver(other), up, peer } } : undefined
   }
   function all(): Map<string, KnownRegister> {
     return known
   }
   function list(): MemberEntry[] {
-    return [memberOf('a', 'life-a')]
+    return [memberOf('a', 'life-a'), memberOf('b', 'life-b')]
   }
   function isWithoutProxy(): boolean {
     return false
@@ -412,6 +418,38 @@
   }
   await inSim(run)
 }
+async function slowHolder(c: Test): Promise<void> {
+  const other = 'kiln-of-another-slot'
+  async function run(world: World, _shared: Shared, stop: Flag): Promise<void> {
+    const link: Link = { asked: [], delay: 1, grants: [[TENANT, 5]] }
+    const slow: Link = { asked: [], delay: 5000, grants: [[other, 5]] }
+    const known = knownAs('a', 1)
+    known.set(quotaKey(quotaSlotOf(other)), { value: namedAs('b', 1), ballot: [1, ''], currentUntil: Infinity })
+    const relay = startRelay(world, known, link, QUOTA_LINK_VERSION, stop, slow)
+    const wanted: QuotaLine[] = [...WANTED, [other, 0, 0, 5, 1]]
+    await proxyAsks(relay, wanted)
+    await pause(world, 6000)
+    let from = world.now()
+    c.strictSame((await proxyAsks(relay, wanted)).grants, [[TENANT, 5]])
+    c.ok(world.now() - from < 50, 'the others of its tenants are answered at once')
+    const count = slow.asked.length
+    await proxyAsks(relay, wanted)
+    c.equal(slow.asked.length, count, 'it is asked one question at a time')
+    slow.delay = 1
+    await pause(world, 6000)
+    await proxyAsks(relay, wanted)
+    await pause(world, 10)
+    from = world.now()
+    const { grants } = await proxyAsks(relay, wanted)
+    c.equal(grants.length, 2, 'once it answers it is waited for again')
+    slow.delay = 5000
+    await pause(world, 10)
+    from = world.now()
+    await proxyAsks(relay, [[other, 0, 0, 6, 1]])
+    c.ok(world.now() - from >= QUOTA_ANSWER_TIMEOUT_MS, 'and where nobody else is asked')
+  }
+  await inSim(run)
+}
 async function toldOnce(c: Test): Promise<void> {
   async function run(world: World, _shared: Shared, stop: Flag): Promise<void> {
     const link: Link = { asked: [], delay: 1, grants: [] }
@@ -492,6 +530,7 @@
 void t.test('a holder whose core does not vote keeps its slot', noVote)
 void t.test('a new holder gives out what it does not know to be free', noGrowth)
 void t.test('an answer that came too late is passed on', lateAnswer)
+void t.test('a slow holder holds up the tenants of all others', slowHolder)
 void t.test('a proxy with nothing to tell is never heard of, or all the time', toldOnce)
 void t.test('a holder is not told what changed, or what it may have to change', toldAnew)
 void t.test('a holder is asked that should not be', unasked)
--- a/packages/fleet/src/test/quota-holder.test.ts
+++ b/packages/fleet/src/test/quota-holder.test.ts
@@ -10,7 +10,10 @@
 // Who counts tenants' quotas, and what happens when it goes: docs/design/quotas.md. In each of these no tenant may pass its limit in
 // any window, no more than the limit may be out at any moment, and no holder may answer after one of a later term has.
 
-const SEEDS = [1]
+const COUNT = Number(process.env['HISTORIES'] ?? 1)
+const BASE = Number(process.env['HISTORIES_FROM'] ?? 1)
+const SEEDS: number[] = []
+for (let seed = BASE; seed < BASE + COUNT; seed++) SEEDS.push(seed)
 const SLOT = 0
 /** ms. From the loss of a holder until another one gives out allowances again. */
 const TAKEOVER_MS = 14000
--- a/packages/quota/src/allowances.ts
+++ b/packages/quota/src/allowances.ts
@@ -296,7 +296,8 @@
     // Granted under a lease that has lapsed meanwhile: the holder may have given it to others.
     if (!isLeaseUnbroken() || leasedSince !== askedUnder) return
     applyGrants(grants, lines)
-    if (isAnyoneWaiting()) askWithin(0)
+    // Whoever nobody answered for may be answered a little later.
+    if (isAnyoneWaiting()) askWithin(QUOTA_QUESTION_RETRY_MS)
   }
   function mayAsk(): boolean {
     return isLeaseUnbroken() && (accounts.size > 0 || options.isActive())
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1735,7 +1735,7 @@
     rule: 'QUOTA: a proxy with nothing to tell is never heard of',
     test: 'quota-guards.test.js',
     seeds: [1, 1],
-    edits: [['agent/dist/quota-relay.js', 'due.length === 0 && told[slot].knows({ term, life })', 'due.length === 0']],
+    edits: [['agent/dist/quota-relay.js', 'due.length === 0 && state.told.knows({ term, life })', 'due.length === 0']],
   },
   {
     name: 'quota-asked-behind',
@@ -1792,4 +1792,18 @@
     seeds: [1, 1],
     edits: [['agent/dist/quota-told.js', 'known.delete(line[0]);', '']],
   },
+  {
+    name: 'quota-slow-awaited',
+    rule: 'a slow holder of quotas holds up the tenants of all others',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-relay.js', '(isSlow ? slow : prompt)', 'prompt']],
+  },
+  {
+    name: 'quota-slow-flooded',
+    rule: 'a slow holder of quotas is asked all the time',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-relay.js', '|| state.pending', '']],
+  },
 ]
