--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -418,7 +418,7 @@
 // ratio. Of an allowance: what is left of it when more is asked for.
 export const QUOTA_LOW_SHARE = 0.25
 // operations. A smaller allowance isn't asked for before it is used up: it would be with each operation.
-export const QUOTA_MIN_LOW_ALLOWANCE = 4
+export const QUOTA_MIN_LOW_ALLOWANCE = 20
 // operations. The least that a proxy is given beside what it wants, where nobody needs it, so that it needn't ask for each.
 export const QUOTA_MIN_EXTRA = 4
 // ratio. Of what nobody wants: what proxies may have as extras. The rest is free for those that begin to want.
