--- a/packages/agent/src/quota-holder.ts
+++ b/packages/agent/src/quota-holder.ts
@@ -3,6 +3,7 @@
   loop,
   QUOTA_SLOTS,
   QUOTA_METER_WINDOW_MS,
+  QUOTA_RESERVE_RETURN_SHARE,
   readAs,
   ROUND_TIMEOUT_MS,
   type Flag,
@@ -14,6 +15,7 @@
 import { CONFIG_KEY, type Config } from '@claynotch/operator'
 import {
   makeLedger,
+  type AskingProxy,
   type HolderQuestion,
   type Ledger,
   type QuotaAnswer,
@@ -36,7 +38,7 @@
   type RegisterValue,
 } from '@claynotch/register'
 import type { Membership, MembersRead } from './membership.js'
-import { quotaLimits, type QuotaTolerance } from './quota-limits.js'
+import { quotaLimits, withoutReserve, type QuotaTolerance } from './quota-limits.js'
 import { makeTakeover, type Takeover } from './quota-takeover.js'
 import type { RegisterCache } from './register-cache.js'
 
@@ -69,6 +71,13 @@
   ledger: Ledger
   takeover: Takeover
   isReady: boolean
+  /** The register is known to say so, and no call of this node has asked for the opposite since. */
+  isReserveLent: boolean
+  isReserveKept: boolean
+  /** The reserve was kept when this node claimed the slot: it may be granted until the takeover is over. */
+  hasReserve: boolean
+  /** Some tenant needs more than its limit less the reserve. */
+  needsReserve: boolean
   /** Given up: answers nothing more, whether the register says so already or not. */
   isReleased: boolean
 }
@@ -95,7 +104,7 @@
   return holder?.ok ? holder.val : undefined
 }
 function isSame(a: QuotaHolder | undefined, b: QuotaHolder | undefined): boolean {
-  return a?.holder === b?.holder && a?.life === b?.life && a?.term === b?.term
+  return a?.holder === b?.holder && a?.life === b?.life && a?.term === b?.term && a?.reserve === b?.reserve
 }
 function hasProxy(member: { proxy: boolean }): boolean {
   return member.proxy
@@ -115,26 +124,31 @@
 ): QuotaService {
   const { node, life, registers, membership } = view
   const held = new Map<number, HeldSlot>()
-  // holdersBefore: whom this node's latest claim of a slot was to replace, for the log.
-  const holdersBefore = new Map<number, string>()
+  // holdersBefore: what this node's latest claim of a slot was to replace.
+  const holdersBefore = new Map<number, QuotaHolder | undefined>()
 
   // --- the register ---
 
   function namesThisLife(holder: QuotaHolder | undefined): holder is QuotaHolder {
     return holder?.holder === node && holder.life === life
   }
-  /** Whether the register has changed from the one to the other. */
-  async function change(slot: number, before: QuotaHolder | undefined, next: QuotaHolder): Promise<boolean> {
+  /** Changes the register where it stands as expected; whether it is known to stand so now. */
+  async function change(
+    slot: number,
+    isExpected: (now: QuotaHolder | undefined) => boolean,
+    next: QuotaHolder,
+  ): Promise<boolean> {
     const key = quotaKey(slot)
     const tag = `${node}~${life}~${next.term}~${world.now()}`
-    function edit(now: RegisterValue | undefined): { body: unknown; tag: string } | undefined {
-      return isSame(readHolder(now), before) ? { body: next, tag } : undefined
+    function edit(value: RegisterValue | undefined): { body: unknown; tag: string } | undefined {
+      const now = readHolder(value)
+      return !isSame(now, next) && isExpected(now) ? { body: next, tag } : undefined
     }
     const beganAt = world.now()
     const committed = await view.proposer.change(key, edit, ROUND_TIMEOUT_MS)
     if (!committed.done || !committed.value) return false
     registers.learn(key, committed.value, committed.ballot, beganAt)
-    return committed.value.tag === tag
+    return isSame(readHolder(committed.value), next)
   }
   function votes(): boolean {
     return hasCore(votersOf(view.coreSet()), view.place().id)
@@ -164,14 +178,23 @@
     const isFree = !before || before.holder === NOBODY || before.holder === node
     // The read begins after the holder became known: one that came meanwhile would be missing in an earlier one.
     if (!isFree && (isListed(before) || !isGone(before, await membership.read()))) return
-    holdersBefore.set(slot, before?.holder ?? NOBODY)
-    await change(slot, before, { holder: node, life, term: (before?.term ?? 0) + 1 })
+    function isBefore(now: QuotaHolder | undefined): boolean {
+      return isSame(now, before)
+    }
+    holdersBefore.set(slot, before)
+    // A new holder grants from the reserve until it knows what is out; where nothing was ever granted there is no need to.
+    const reserve = before ? 'lent' : 'kept'
+    await change(slot, isBefore, { holder: node, life, term: (before?.term ?? 0) + 1, reserve })
   }
   /** No front machine asks a core that doesn't vote. */
   async function release(slot: number, one: HeldSlot): Promise<void> {
     one.isReleased = true
-    const mine = { holder: node, life, term: one.term }
-    const isDone = await change(slot, mine, { holder: NOBODY, life: NOBODY, term: one.term })
+    const { term } = one
+    const reserve = one.isReserveKept ? 'kept' : 'lent'
+    const isDone = await change(slot, isMine, { holder: NOBODY, life: NOBODY, term, reserve })
+    function isMine(now: QuotaHolder | undefined): boolean {
+      return namesThisLife(now) && now.term === term
+    }
     if (isDone) world.log.info('quota-slot-released', { slot, term: one.term })
   }
 
@@ -183,14 +206,20 @@
     if (!namesThisLife(holder)) held.delete(slot)
     else if (one?.term !== holder.term) {
       const since = world.now()
-      const { term } = holder
-      world.log.info('quota-slot-claimed', { slot, term, before: holdersBefore.get(slot) ?? NOBODY })
+      const { term, reserve } = holder
+      const before = holdersBefore.get(slot)
+      const hasReserve = before?.reserve === 'kept'
+      world.log.info('quota-slot-claimed', { slot, term, before: before?.holder ?? NOBODY, hasReserve })
       held.set(slot, {
         term,
         since,
         ledger: makeLedger(world.now, QUOTA_METER_WINDOW_MS),
         takeover: makeTakeover(world.now, since, term === 1),
         isReady: false,
+        isReserveLent: reserve === 'lent',
+        isReserveKept: reserve === 'kept',
+        hasReserve,
+        needsReserve: false,
         isReleased: false,
       })
     }
@@ -217,6 +246,35 @@
     const present = nodesOf(got.members)
     for (const name of missing) if (!present.has(name)) one.ledger.gone(name, beganAt)
   }
+  async function setReserve(slot: number, { term }: HeldSlot, reserve: QuotaHolder['reserve']): Promise<boolean> {
+    function isMine(now: QuotaHolder | undefined): boolean {
+      return namesThisLife(now) && now.term === term
+    }
+    const isSet = await change(slot, isMine, { holder: node, life, term, reserve })
+    if (isSet) world.log.info('quota-reserve-changed', { slot, term, reserve })
+    return isSet
+  }
+  /** The reserve is lent while tenants need it: granted once the register says so, and given back before it says otherwise. */
+  async function tendReserve(slot: number, one: HeldSlot): Promise<void> {
+    const config = view.config()
+    if (!config || !one.takeover.isOver() || !mayAnswer(slot, one)) return
+    const limits = quotaLimits(config, view.tolerance)
+    function plain(tenant: string): number | undefined {
+      return withoutReserve(limits(tenant))
+    }
+    function nearlyPlain(tenant: string): number | undefined {
+      const limit = plain(tenant)
+      return limit === undefined ? undefined : limit * (one.needsReserve ? QUOTA_RESERVE_RETURN_SHARE : 1)
+    }
+    one.needsReserve = one.ledger.needs(nearlyPlain)
+    if (one.needsReserve && !one.isReserveLent) {
+      one.isReserveKept = false
+      one.isReserveLent = await setReserve(slot, one, 'lent')
+    } else if (!one.needsReserve && !one.isReserveKept && !one.ledger.exceeds(plain)) {
+      one.isReserveLent = false
+      one.isReserveKept = await setReserve(slot, one, 'kept')
+    }
+  }
   /** Who holds the slot, as far as this node has a part in it. */
   async function settle(slot: number): Promise<void> {
     follow(slot)
@@ -243,6 +301,7 @@
     for (const [slot, one] of held) {
       await tend(one, read)
       judgeReady(slot, one)
+      await tendReserve(slot, one)
     }
   }
 
@@ -266,6 +325,23 @@
     for (const [tenant, allowance] of grants)
       if (allowance < (wanted.get(tenant) ?? 0)) metrics.add('claynotch_quota_growth_refused_total')
   }
+  function reportTo(
+    one: HeldSlot,
+    proxy: AskingProxy,
+    lines: QuotaLine[],
+    limits: (tenant: string) => number | undefined,
+  ): QuotaGrant[] {
+    const isOver = one.takeover.isOver()
+    const isWhole = !isOver || (one.isReserveLent && one.needsReserve)
+    function limitOf(tenant: string): number | undefined {
+      return isWhole ? limits(tenant) : withoutReserve(limits(tenant))
+    }
+    function reserveOf(tenant: string): number {
+      const limit = one.hasReserve ? limits(tenant) : undefined
+      return limit === undefined ? 0 : limit - (withoutReserve(limit) ?? 0)
+    }
+    return one.ledger.report(proxy, lines, limitOf, isOver, reserveOf)
+  }
   function answer(question: HolderQuestion, asker: string): QuotaAnswer | QuotaRefusal {
     const one = held.get(question.slot)
     const config = view.config()
@@ -273,10 +349,8 @@
     if (asker !== question.node || !isConfigurationCurrent()) return REFUSED
     for (const [tenant] of question.lines) if (quotaSlotOf(tenant) !== question.slot) return REFUSED
     one.takeover.heard(question.node, question.life)
-    if (!one.takeover.isAlone()) return REFUSED
     const proxy = { ...question, heardAt: one.takeover.heardAt(question.node) }
-    const limits = quotaLimits(config, view.tolerance)
-    const grants = one.ledger.report(proxy, question.lines, limits, one.takeover.isOver())
+    const grants = reportTo(one, proxy, question.lines, quotaLimits(config, view.tolerance))
     one.takeover.told(question.node)
     count(question, grants)
     return { ok: true, grants: newsOf(question.lines, grants) }
--- a/packages/agent/src/quota-limits.ts
+++ b/packages/agent/src/quota-limits.ts
@@ -1,11 +1,11 @@
-import { QUOTA_WINDOW_MS } from '@claynotch/base'
+import { QUOTA_RESERVE_SHARE, QUOTA_WINDOW_MS } from '@claynotch/base'
 import type { Config, Tenant } from '@claynotch/operator'
 
 /** What more than a tenant's limit may run by the operator's word. overshoot: share of the limit; slack: operations in a window. */
 export type QuotaTolerance = { overshoot: number; slack: number }
 
-/** Half of what is tolerated is used; the other half is for clocks that run apart. */
-const USED_SHARE = 0.5
+/** ratio. Of what is tolerated; the rest is for clocks that run apart and for the way to an instance. */
+const USED_SHARE = 0.8
 
 function limitOf({ rate, burst = 0 }: Tenant, { overshoot, slack }: QuotaTolerance): number | undefined {
   if (rate === undefined) return undefined
@@ -22,3 +22,8 @@
   }
   return limitFor
 }
+
+/** The part of a limit that is granted while the reserve is kept. */
+export function withoutReserve(limit: number | undefined): number | undefined {
+  return limit === undefined ? undefined : Math.floor(limit * (1 - QUOTA_RESERVE_SHARE))
+}
--- a/packages/agent/src/quota-takeover.ts
+++ b/packages/agent/src/quota-takeover.ts
@@ -1,10 +1,5 @@
-import { LEASE_CLOCK_SLACK_MS, LEASE_DURATION_MS, QUOTA_METER_WINDOW_MS } from '@claynotch/base'
+import { QUOTA_METER_WINDOW_MS } from '@claynotch/base'
 
-/**
- * ms. The holder before grants nothing any more once so much has passed since a later term was committed: what it knows of the register
- * is current for no longer than a lease.
- */
-const OLD_HOLDER_END_MS = LEASE_DURATION_MS + 2 * LEASE_CLOCK_SLACK_MS
 /** ms. What was sent before is out of every window once so much has passed. */
 const SETTLED_MS = QUOTA_METER_WINDOW_MS
 
@@ -12,14 +7,11 @@
 type Owing = { life: string | undefined; at: number; hasTold: boolean }
 
 /**
- * What a new holder waits for, as it knows nothing of what its predecessor granted.
+ * What a new holder waits for, as it knows nothing of what its predecessor granted, who has no lease any more.
  *
- * Invariants:
- * - isAlone: no holder of an earlier term answers any more. What a proxy tells before that may be overtaken by such an answer.
- * - isOver: whatever was granted under earlier terms is known, or can't be used and has left every window. It stays so.
+ * Invariant: isOver: whatever was granted under earlier terms is known, or can't be used and has left every window. It stays so.
  */
 export type Takeover = {
-  isAlone: () => boolean
   isOver: () => boolean
   /** The proxy of that life, on that node, asked; whether it was answered or not. */
   heard: (node: string, life: string) => void
@@ -40,13 +32,10 @@
   const owing = new Map<string, Owing>()
   // quietSince: no node that owed an answer is known to have gone since, and the nodes are known as of then.
   let quietSince: number | undefined
-  // isClosed: whoever comes from now on had no lease when only this holder could grant.
+  // isClosed: whoever comes from now on had no lease when another holder could grant.
   let isClosed = false
   let isDone = isFirst
 
-  function isAlone(): boolean {
-    return isFirst || now() >= since + OLD_HOLDER_END_MS
-  }
   function expect(nodes: ReadonlySet<string>): void {
     if (isClosed) return
     for (const node of nodes) if (!owing.has(node)) owing.set(node, { life: undefined, at: now(), hasTold: false })
@@ -62,7 +51,7 @@
   function read(nodes: ReadonlySet<string>, beganAt: number): void {
     quietSince ??= now()
     expect(nodes)
-    if (isFirst || beganAt >= since + OLD_HOLDER_END_MS) isClosed = true
+    if (beganAt >= since) isClosed = true
     forget(nodes)
   }
   function heard(node: string, life: string): void {
@@ -89,9 +78,9 @@
   }
   function needsRead(listed: ReadonlySet<string>): boolean {
     if (isDone) return false
-    if (quietSince === undefined || (isAlone() && !isClosed)) return true
+    if (quietSince === undefined || !isClosed) return true
     for (const [node, { hasTold }] of owing) if (!hasTold && !listed.has(node)) return true
     return false
   }
-  return { isAlone, isOver, heard, heardAt, told, listed: expect, read, needsRead }
+  return { isOver, heard, heardAt, told, listed: expect, read, needsRead }
 }
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -398,7 +398,7 @@
 // ms. Operations sent this close to each other may be counted as one lot, by the time of its last.
 export const QUOTA_METER_GRAIN_MS = 10
 // ms. Interval at which a proxy tells what its tenants hold, use and want, while there is anything to tell.
-export const QUOTA_REPORT_INTERVAL_MS = 2000
+export const QUOTA_REPORT_INTERVAL_MS = 1000
 // ms. The same while a tenant has less than it wants.
 export const QUOTA_SHORT_REPORT_INTERVAL_MS = 500
 // ms. The same for a proxy that holds nothing: a new holder waits until it has heard that.
@@ -423,6 +423,10 @@
 export const QUOTA_MIN_EXTRA = 4
 // ratio. Of what nobody wants: what proxies may have as extras. The rest is free for those that begin to want.
 export const QUOTA_SPARE_SHARE = 0.25
+// ratio. Of a tenant's limit: what is kept for a new holder to grant at once, unless the tenant wants more than the rest.
+export const QUOTA_RESERVE_SHARE = 0.4
+// ratio. Of the rest: what tenants may want at the most for a reserve that was lent to be kept again.
+export const QUOTA_RESERVE_RETURN_SHARE = 0.9
 // operations. What a holder answers where there is no limit.
 export const QUOTA_UNLIMITED = 1_000_000_000
 // ms. A refused tenant is logged no more often.
--- a/packages/quota/src/ledger.ts
+++ b/packages/quota/src/ledger.ts
@@ -19,14 +19,18 @@
    * Takes all that one proxy holds, used and wants, and answers what it may run in any window from now on. A question that was
    * asked before another one of the node that was taken already is late: it changes nothing and is answered with nothing.
    * limitOf: operations of the whole fleet in one window; undefined: no limit. mayGrow: false as long as an earlier holder's
-   * allowances may not all have been told.
+   * allowances may not all have been told. reserveOf: operations of the tenant that may be granted all the same while nothing may grow.
    */
   report: (
     proxy: AskingProxy,
     lines: QuotaLine[],
     limitOf: (tenant: string) => number | undefined,
     mayGrow: boolean,
+    reserveOf?: (tenant: string) => number,
   ) => QuotaGrant[]
+  /** Whether some tenant's proxies together need more, or have more, than that. */
+  needs: (limitOf: (tenant: string) => number | undefined) => boolean
+  exceeds: (limitOf: (tenant: string) => number | undefined) => boolean
   /**
    * The node's lease is over: what its proxy had cools for one window, then it is free. seenAt: when the look at the members
    * began that showed it; a node that was answered since then has a lease again, and keeps what it has.
@@ -49,6 +53,10 @@
   return Math.max(held, used, answered)
 }
 
+function nothing(): number {
+  return 0
+}
+
 export function makeLedger(now: () => number, windowMs: number): Ledger {
   const books = new Map<string, Book>()
   const proxies = new Map<string, { life: string; askedAt: number; answeredAt: number }>()
@@ -140,6 +148,7 @@
     [tenant, held, used, wanted, waiting]: QuotaLine,
     limit: number | undefined,
     mayGrow: boolean,
+    reserve: number,
   ): QuotaGrant | undefined {
     const book = bookOf(tenant)
     dropCooled(book)
@@ -156,7 +165,7 @@
     }
     if (mayGrow) book.ceiling = limit
     else if (isToldFirst) book.ceiling += Math.max(0, totalOf(book) - before)
-    account.answered = answerTo(book, node, account, Math.min(limit, book.ceiling))
+    account.answered = answerTo(book, node, account, Math.min(limit, book.ceiling + (mayGrow ? 0 : reserve)))
     return [tenant, account.answered]
   }
 
@@ -165,13 +174,14 @@
     lines: QuotaLine[],
     limitOf: (tenant: string) => number | undefined,
     mayGrow: boolean,
+    reserveOf: (tenant: string) => number = nothing,
   ): QuotaGrant[] {
     isWaiting = !mayGrow
     if (!meet(proxy)) return []
     const isGrowing = mayGrow && now() >= growsFrom
     const grants: QuotaGrant[] = []
     for (const line of lines) {
-      const grant = takeLine(proxy, line, limitOf(line[0]), isGrowing)
+      const grant = takeLine(proxy, line, limitOf(line[0]), isGrowing, reserveOf(line[0]))
       if (grant) grants.push(grant)
     }
     return grants
@@ -190,5 +200,17 @@
     const book = books.get(tenant)
     return book ? totalOf(book) : 0
   }
-  return { report, gone, nodes, liability }
+  function needs(limitOf: (tenant: string) => number | undefined): boolean {
+    for (const [tenant, { accounts }] of books) {
+      let sum = 0
+      for (const { need } of accounts.values()) sum += need
+      if (sum > (limitOf(tenant) ?? Infinity)) return true
+    }
+    return false
+  }
+  function exceeds(limitOf: (tenant: string) => number | undefined): boolean {
+    for (const [tenant, book] of books) if (totalOf(book) > (limitOf(tenant) ?? Infinity)) return true
+    return false
+  }
+  return { report, needs, exceeds, gone, nodes, liability }
 }
--- a/packages/register/src/quota-register.ts
+++ b/packages/register/src/quota-register.ts
@@ -6,10 +6,17 @@
 
 /**
  * The body of the register 'quota/<slot>'. holder, life: the node that counts, and its agent's life; '' where the last holder gave the
- * slot up. term: fencing token of the holder.
- * Invariants: each claim raises the term by one; a claim is made only where the holder named before holds no lease any more.
+ * slot up. term: fencing token of the holder. reserve: the part of each limit that a new holder may grant at once, while it doesn't
+ * know yet what its predecessor granted.
+ * Invariants: each claim raises the term by one; a claim is made only where the holder named before holds no lease any more; while the
+ * reserve is kept, all that may run by what any holder granted is within the limits less the reserve.
  */
-export const QuotaHolder = t.type({ holder: t.string, life: t.string, term: t.number })
+export const QuotaHolder = t.type({
+  holder: t.string,
+  life: t.string,
+  term: t.number,
+  reserve: t.union([t.literal('kept'), t.literal('lent')]),
+})
 export type QuotaHolder = t.TypeOf<typeof QuotaHolder>
 
 /** An operator wants to know what is out of each tenant of the slot. term: of the register that names the holder. */
