Quotas: calls wait for an answer as long as their route aims at, and more is given ahead

Callers saw: of a fleet within its limits, operations refused or late while their proxy asked for an allowance.

--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -401,10 +401,13 @@
 export const QUOTA_REPORT_INTERVAL_MS = 500
 // ms. The same for a proxy that holds nothing: a new holder waits until it has heard that.
 export const QUOTA_IDLE_REPORT_INTERVAL_MS = 1000
-// ms. The least time between two questions of a proxy. Short beside what an operation may wait, and it gathers those that come at once.
-export const QUOTA_QUESTION_SPACING_MS = 10
+// ms. The least time from an answer to a proxy's next question. It gathers what comes at once.
+export const QUOTA_QUESTION_SPACING_MS = 2
 // ms. Until a question is asked that can wait a little: most of an allowance is used, or some of one can be told back.
 export const QUOTA_SOON_MS = 50
+// ratio. Of the time that a statement has: how long it waits for an allowance at most, and no longer than its route aims at. An
+// answer that there is none ends the wait at once, so that only those wait whose answer is on its way.
+export const QUOTA_WAIT_SHARE = 0.45
 // ms. A question that wasn't answered by then is given up: longer than an agent waits for a holder.
 export const QUOTA_QUESTION_TIMEOUT_MS = 500
 // ms. Until the next question, after one that nobody answered.
@@ -417,10 +420,14 @@
 export const QUOTA_LOW_SHARE = 0.25
 // operations. A smaller allowance isn't asked for before it is used up: it would be with each operation.
 export const QUOTA_MIN_LOW_ALLOWANCE = 4
-// ratio. Of what a proxy wants: what it is given beside it, so that it needn't ask for each operation.
-export const QUOTA_EXTRA_SHARE = 0.25
+// operations, and ratio of what a proxy wants: what it is given beside that, if there is so much for all, so that operations needn't
+// wait for an answer.
+export const QUOTA_LEAST_EXTRA = 2
+export const QUOTA_EXTRA_SHARE = 0.5
 // ratio. Of what nobody wants: what proxies may have as extras. The rest is free for those that begin to want.
-export const QUOTA_SPARE_SHARE = 0.25
+export const QUOTA_SPARE_SHARE = 0.75
+// ratio. The same where that isn't one operation for each proxy.
+export const QUOTA_THIN_SPARE_SHARE = 0.25
 // operations. What a holder answers where there is no limit.
 export const QUOTA_UNLIMITED = 1_000_000_000
 // ms. A refused tenant is logged no more often.
--- a/packages/proxy/src/quota-step.ts
+++ b/packages/proxy/src/quota-step.ts
@@ -1,7 +1,7 @@
 import {
   CHECK_OUT_TIMEOUT_MS,
-  QUEUE_TIMEOUT_SHARE,
   QUOTA_QUESTION_TIMEOUT_MS,
+  QUOTA_WAIT_SHARE,
   readAs,
   RETRY_AFTER_PROMOTION_S,
   RETRY_AFTER_QUOTA_S,
@@ -37,9 +37,8 @@
 
 /** ms that the call waits for an allowance. */
 function waitOf(call: Call, now: number): number {
-  const left = Math.max(1, call.deadline - now)
-  const { aim } = call.lane
-  return Math.min(left, aim === undefined ? CHECK_OUT_TIMEOUT_MS : aim * QUEUE_TIMEOUT_SHARE)
+  const most = Math.max(1, call.deadline - now) * QUOTA_WAIT_SHARE
+  return Math.min(most, call.lane.aim ?? CHECK_OUT_TIMEOUT_MS)
 }
 
 export function makeQuotaStep(
--- a/packages/quota/src/allocation.ts
+++ b/packages/quota/src/allocation.ts
@@ -1,4 +1,11 @@
-import { QUOTA_EXTRA_SHARE, QUOTA_METER_WINDOW_MS, QUOTA_REPORT_INTERVAL_MS, QUOTA_SPARE_SHARE } from '@claynotch/base'
+import {
+  QUOTA_EXTRA_SHARE,
+  QUOTA_LEAST_EXTRA,
+  QUOTA_METER_WINDOW_MS,
+  QUOTA_REPORT_INTERVAL_MS,
+  QUOTA_SPARE_SHARE,
+  QUOTA_THIN_SPARE_SHARE,
+} from '@claynotch/base'
 
 /** How the limit of one tenant is divided among proxies. Pure arithmetic: it says what a proxy should have, not what is free. */
 
@@ -26,14 +33,25 @@
   return Math.min(Math.ceil(exact), sure + left, mine.used + usable)
 }
 
+function isActive({ need, held }: Claim): boolean {
+  return need > 0 || held > 0
+}
+
 /** There is enough for all: what it needs, and some more of what nobody needs. */
 function ampleShare(mine: Claim, others: Claim[], available: number, allNeeds: number): number {
-  const spare = Math.floor((available - allNeeds) * QUOTA_SPARE_SHARE)
+  if (!isActive(mine)) return 0
+  const unneeded = available - allNeeds
   let extrasOfOthers = 0
-  for (const other of others) extrasOfOthers += Math.max(0, other.answered - other.need)
-  const isActive = mine.need > 0 || mine.held > 0
-  const extra = isActive ? 1 + Math.ceil(mine.need * QUOTA_EXTRA_SHARE) : 0
-  return mine.need + Math.min(extra, Math.max(0, spare - extrasOfOthers))
+  let active = 1
+  for (const other of others) {
+    extrasOfOthers += Math.max(0, other.answered - other.need)
+    if (isActive(other)) active++
+  }
+  const wished = QUOTA_LEAST_EXTRA + Math.ceil(mine.need * QUOTA_EXTRA_SHARE)
+  const each = Math.floor((unneeded * QUOTA_SPARE_SHARE) / active)
+  // Not one for each: few are given one, as whoever begins to want finds none free where the others have them.
+  const spare = Math.floor(unneeded * (each >= 1 ? QUOTA_SPARE_SHARE : QUOTA_THIN_SPARE_SHARE))
+  return mine.need + Math.min(wished, Math.max(1, each), Math.max(0, spare - extrasOfOthers))
 }
 
 /** What a proxy should have of the operations that are available to all. */
