--- a/packages/fleet/src/test/quota-holder.test.ts
+++ b/packages/fleet/src/test/quota-holder.test.ts
@@ -1,7 +1,8 @@
 import t, { type Test } from 'tap'
 import { requestOnce, type World } from '@claynotch/base'
 import type { Tenant, TenantLine } from '@claynotch/operator'
-import { quotaSlotOf } from '@claynotch/register'
+import { holderOf } from '@claynotch/failover'
+import { quotaKey, quotaSlotOf } from '@claynotch/register'
 import { task } from './beside.js'
 import { limitOf, makeQuotaFleet, type QuotaCore, type QuotaFleet } from './quota-holder-fleet.js'
 
@@ -175,6 +176,30 @@
       checkServed(c, fleet, `seed ${seed}, ${ms} ms`)
     }
 }
+/** The next in turn stands still while another claims the slot, and comes back at that moment. */
+async function twoClaims(c: Test): Promise<void> {
+  for (const seed of SEEDS)
+    for (const ms of [2400, 2700, 3000]) {
+      const fleet = await begin(seed)
+      const core = fleet.holder(SLOT)
+      const others = fleet.cores.filter(isOther)
+      fleet.sim.kill(core.proc)
+      await fleet.wait(100)
+      const late = holderOf(quotaKey(SLOT), others.map(nameOf))
+      for (const other of others) if (other.node === late) fleet.sim.freeze(other.proc)
+      await fleet.wait(ms)
+      for (const other of others) fleet.sim.thaw(other.proc)
+      await fleet.wait(TAKEOVER_MS + 8000)
+      checkBound(c, fleet, `seed ${seed}, ${ms} ms`)
+      checkServed(c, fleet, `seed ${seed}, ${ms} ms`)
+      function isOther(one: QuotaCore): boolean {
+        return one !== core
+      }
+    }
+}
+function nameOf(core: QuotaCore): string {
+  return core.node
+}
 async function silent(c: Test): Promise<void> {
   for (const seed of SEEDS) {
     const fleet = await begin(seed)
@@ -276,6 +301,7 @@
 void t.test('a holder that is killed is replaced by one that gives out nothing too much', killed)
 void t.test('a holder that is cut off beside a front machine stops in time', isolated)
 void t.test('a holder that was frozen answers nothing by what it knew', frozen)
+void t.test('two that claim a slot at about one time do not both hold it', twoClaims)
 void t.test('a front machine that never tells holds growth up, and is not overlooked', silent)
 void t.test('a front machine that goes before it told has used all that it had', lostBeforeTelling)
 void t.test('a proxy that is started anew before it told has used all that it had', anotherLife)
