--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -77,6 +77,7 @@
   const renewNow = makeSignal()
   // isCurrent: all that a majority showed since this life, or its last long silence, began is known here; no duty is held before.
   let isCurrent = false
+  let isLeaseGivenUp = false
   let { seeds, platform, operators } = settings
 
   // --- the cores and what they hold ---
@@ -296,9 +297,9 @@
 
   // --- duties ---
 
-  /** Up to when this node may hold duties: not before it knows what was committed while it was away. */
+  /** Up to when this node may hold duties: not before it knows what was committed while it was away, nor once it gave up its lease. */
   function dutyUntil(): number {
-    return isCurrent ? lease.expiresAt() : 0
+    return isCurrent && !isLeaseGivenUp ? lease.expiresAt() : 0
   }
   function platformNow(): Address | undefined {
     return platform
@@ -430,8 +431,8 @@
   async function end(): Promise<void> {
     await awaitProxy()
     // The lease is given up only when no proxy can be working under it; else it runs out by itself.
-    if (!proxy.isLinked() && world.now() > proxy.fedUntil())
-      for (const { link } of links.all().values()) link.tell({ t: 'leave', node, life })
+    isLeaseGivenUp = !proxy.isLinked() && world.now() > proxy.fedUntil()
+    if (isLeaseGivenUp) for (const { link } of links.all().values()) link.tell({ t: 'leave', node, life })
     await pause(world, 20)
     stop.fire()
     proxy.close()
