--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1724,7 +1724,7 @@
     edits: [['agent/dist/quota-takeover.js', 'if (isFirst || beganAt >= since + OLD_HOLDER_END_MS)', 'if (true)']],
   },
   {
-    name: 'quota-late-answer',
+    name: 'quota-relay-late-answer',
     rule: 'QUOTA: an answer that came too late is passed on',
     test: 'quota-guards.test.js',
     seeds: [1, 1],
