--- a/packages/agent/src/quota-holder.ts
+++ b/packages/agent/src/quota-holder.ts
@@ -3,6 +3,7 @@
   loop,
   QUOTA_SLOTS,
   QUOTA_METER_WINDOW_MS,
+  QUOTA_RESERVE_LEND_SHARE,
   QUOTA_RESERVE_RETURN_SHARE,
   readAs,
   ROUND_TIMEOUT_MS,
@@ -262,9 +263,10 @@
     function plain(tenant: string): number | undefined {
       return withoutReserve(limits(tenant))
     }
+    const share = one.needsReserve ? QUOTA_RESERVE_RETURN_SHARE : QUOTA_RESERVE_LEND_SHARE
     function nearlyPlain(tenant: string): number | undefined {
       const limit = plain(tenant)
-      return limit === undefined ? undefined : limit * (one.needsReserve ? QUOTA_RESERVE_RETURN_SHARE : 1)
+      return limit === undefined ? undefined : limit * share
     }
     one.needsReserve = one.ledger.needs(nearlyPlain)
     if (one.needsReserve && !one.isReserveLent) {
--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -429,9 +429,10 @@
 // ratio. The same where that isn't one operation for each proxy.
 export const QUOTA_THIN_SPARE_SHARE = 0.25
 // ratio. Of a tenant's limit: what is kept for a new holder to grant at once, unless the tenant wants more than the rest.
-export const QUOTA_RESERVE_SHARE = 0.4
-// ratio. Of the rest: what tenants may want at the most for a reserve that was lent to be kept again.
-export const QUOTA_RESERVE_RETURN_SHARE = 0.9
+export const QUOTA_RESERVE_SHARE = 0.25
+// ratio. Of the rest: what a tenant needs for the reserve to be lent, and at the most for it to be kept again.
+export const QUOTA_RESERVE_LEND_SHARE = 0.85
+export const QUOTA_RESERVE_RETURN_SHARE = 0.7
 // operations. What a holder answers where there is no limit.
 export const QUOTA_UNLIMITED = 1_000_000_000
 // ms. A refused tenant is logged no more often.
