--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -438,7 +438,7 @@
 // ms. A refused tenant is logged no more often.
 export const QUOTA_LOG_INTERVAL_MS = 5000
 // count. Parts of the tenants, each with a holder of its own: the holder of one is lost without the others.
-export const QUOTA_SLOTS = 4
+export const QUOTA_SLOTS = 2
 // ms. A holder that doesn't answer a front machine within this is left out of the answer to its proxy: many times the way between two
 // zones, and a share of the time that an operation without an allowance may wait.
 export const QUOTA_ANSWER_TIMEOUT_MS = 250
