Know the old leader's log at the instance that took it up, so that a lost replica isn't waited for

Cause: the record's list of stop and promote left the old leader out where a new instance was announced at its address by then, against the record's own invariant; so the answer of that instance could not count as the old leader's. Now it is always in the list with its address, and a log counts as heard where whoever is at its address answered. Ruled out: dropping the lost replica sooner; a new field for the address.

--- a/packages/failover/src/promotion.ts
+++ b/packages/failover/src/promotion.ts
@@ -14,7 +14,7 @@
 import type { GroupContext } from './group-context.js'
 import type { Probed, Target } from './group-instances.js'
 import type { GroupMemory } from './group-memory.js'
-import { replicasOf, unheardOf } from './replicas.js'
+import { replicasOf, replicasWithOld, unheardOf } from './replicas.js'
 
 // From the end of one leader to the next: the phases stop and promote.
 
@@ -72,20 +72,12 @@
     candidateAddr: candidate.addr,
     planned,
     ...(old !== undefined ? { old } : {}),
-    ...replicasWithOld(context, record),
+    ...(context.instances.isSynchronous() ? { replicas: replicasWithOld(record, context.instances.list()) } : {}),
     ...departedOf(record),
   }
   return (await write(version, next)) === true
 }
 
-/** What the record says of replicas once the leader is one of those that are asked. */
-function replicasWithOld({ instances }: GroupContext, record: GroupRecord): Pick<GroupRecord, 'replicas'> {
-  if (!instances.isSynchronous()) return {}
-  const { leader: name, addr } = record
-  const old = name === undefined || addr === undefined ? [] : [{ name, addr }]
-  return { replicas: replicasOf({ replicas: [...(record.replicas ?? []), ...old] }, instances.list(), undefined) }
-}
-
 /** Says that the furthest instance lacks commits that were seen acknowledged; the note for the record. */
 function noteMissing(
   { world, view, group }: GroupContext,
--- a/packages/failover/src/replicas.ts
+++ b/packages/failover/src/replicas.ts
@@ -53,6 +53,43 @@
   return true
 }
 
+/**
+ * Where the log of the leader that the record replaces, or would, is to be found: its name, and the address at which a new
+ * instance takes its log up.
+ */
+function oldLeaderOf(record: GroupRecord, announced: InstanceStatus[]): Replica | undefined {
+  const { leader, addr, old, replicas } = record
+  if (old !== undefined) return replicas?.find(isOld)
+  if (leader === undefined || addr === undefined) return undefined
+  return { name: leader, addr: announced.find(isLeader)?.addr ?? addr }
+
+  function isOld({ name }: Replica): boolean {
+    return name === old
+  }
+  function isLeader({ name }: InstanceStatus): boolean {
+    return name === leader
+  }
+}
+
+/**
+ * The list for the phases stop and promote. The old leader is always among them, also where a new instance has its log already:
+ * by its address that one is known to hold all that was acknowledged.
+ */
+export function replicasWithOld(record: GroupRecord, announced: InstanceStatus[]): Replica[] {
+  const old = oldLeaderOf(record, announced)
+  const others = replicasOf(record, announced, old?.name)
+  return old ? [...others, old].sort(byName) : others
+}
+
+/**
+ * Whether the replica's log was heard: itself, or whoever answered at its address. One instance at a time is at an address, and
+ * it has the log of all before it there.
+ */
+function isHeard(replica: Replica, probed: Probed[]): boolean {
+  for (const { name, addr } of probed) if (name === replica.name || addr === replica.addr) return true
+  return false
+}
+
 /**
  * Those of whom an answer is missing, as one of them may hold an acknowledged commit that nobody who answered holds. None where
  * the old leader itself answered, or a new instance with its log, as it holds all that it acknowledged.
@@ -62,12 +99,9 @@
   announced: InstanceStatus[],
   probed: Probed[],
 ): Target[] {
-  const heard = new Set<string>()
-  for (const { name } of probed) heard.add(name)
-  for (const replica of record.replicas ?? [])
-    if (replica.name === record.old && heard.has(logHolderOf(replica, announced))) return []
+  for (const replica of record.replicas ?? []) if (replica.name === record.old && isHeard(replica, probed)) return []
   const out: Target[] = []
-  for (const replica of replicasOf(record, announced, record.old)) if (!heard.has(replica.name)) out.push(replica)
+  for (const replica of replicasOf(record, announced, record.old)) if (!isHeard(replica, probed)) out.push(replica)
   return out
 }
 
--- a/packages/fleet/src/test/promotion-safety.test.ts
+++ b/packages/fleet/src/test/promotion-safety.test.ts
@@ -133,6 +133,36 @@
   c.equal(group.record()?.phase, 'steady')
 }
 
+// The same where the new instance with the leader's log announces that it leaves, or is the candidate and ends in its turn: the
+// place of the leader's log is known all the same.
+async function leadersLogIsKnownOn(c: Test): Promise<void> {
+  for (const how of ['leaves', 'candidateLeaves'] as const) {
+    const group = makeReplicatedGroup(9, ['i-1', 'i-2', 'i-3'])
+    await group.begin()
+    for (let k = 0; k < 5; k++) group.commit(['i-2', 'i-3'])
+    group.crash('i-2')
+    const old = group.instances.get('i-1')!
+    await group.wait(1000)
+    old.hasSignedOff = true
+    group.crash('i-1')
+    const heir = group.add('i-4', old.addr, old.position)
+    if (how === 'leaves') {
+      await group.wait(500)
+      heir.isLeaving = true
+    } else {
+      for (let k = 0; k < 1000 && group.record()?.phase !== 'promote'; k++) await group.wait(5)
+      c.equal(group.record()?.candidate, 'i-4')
+      heir.hasSignedOff = true
+      group.crash('i-4')
+      group.add('i-5', old.addr, old.position)
+    }
+    await group.wait(20000)
+    c.ok(group.leader()?.isUp, `${how}: an instance leads`)
+    c.equal(group.leader()?.position, 5, `${how}: with every acknowledged commit`)
+    c.equal(group.record()?.phase, 'steady')
+  }
+}
+
 // A replica that is gone for good is not waited for, once another holds what it may have held.
 async function replicaIsGone(c: Test): Promise<void> {
   for (const isBehind of [false, true]) {
@@ -174,3 +204,4 @@
 void t.test('a replica that is gone for good is dropped once another holds all', replicaIsGone)
 void t.test('commits that no replica received are not waited for', reportedEndWasNeverReplicated)
 void t.test('the log of a leader that left was taken up by a new instance', leadersLogWasTakenUp)
+void t.test("the place of the leader's log is known while its replacement goes on", leadersLogIsKnownOn)
--- a/packages/fleet/src/test/replicated-group.ts
+++ b/packages/fleet/src/test/replicated-group.ts
@@ -55,7 +55,9 @@
   /** Who was promoted, with the commits that it held then. */
   promotions: { name: string; position: number; acknowledged: number }[]
   add: (name: string, addr: string, position: number) => ModelInstance
-  /** The leader takes a commit, which only these replicas receive; acknowledged if there are any. */
+  /**
+   * The leader takes a commit, where proxies send it writes, which only these replicas receive; acknowledged if there are any.
+   */
   commit: (receivers: string[]) => void
   crash: (name: string) => void
   restart: (name: string) => void
@@ -99,9 +101,14 @@
     for (const one of instances.values()) if (one.isUp && one.role === 'leader' && one.term === term) return one
     return undefined
   }
+  /** The fence at the proxies: writes go to the leader that the record names, and to nobody while it is replaced. */
+  function isOpenFor({ name }: ModelInstance): boolean {
+    const { phase, leader: recorded } = record() ?? {}
+    return recorded === name && (phase === 'steady' || phase === 'drain')
+  }
   function commit(receivers: string[]): void {
     const from = leader()
-    if (!from) return
+    if (!from || !isOpenFor(from)) return
     from.position++
     let isReceived = false
     for (const name of receivers) {
--- a/packages/register/src/group-record.ts
+++ b/packages/register/src/group-record.ts
@@ -30,7 +30,7 @@
     // Never above epoch, which only we count.
     term: t.number,
     // replicas: where commits are synchronous, the instances that may hold an acknowledged commit which no other one holds, but
-    // for the leader. In stop and promote the old leader is among them.
+    // for the leader. In stop and promote the old leader is among them, also where a new instance has taken up its log.
     replicas: t.array(t.type({ name: t.string, addr: t.string })),
     // departed: names of the latest instances that signed off without having announced before that they leave. They may serve on
     // for a while, and get no new work.
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1203,6 +1203,26 @@
     seeds: [1, 1],
     edits: [['failover/dist/promotion.js', 'if (unheard.length === 0)', 'if (unheard.length >= 0)']],
   },
+  {
+    name: 'old-log-forgotten',
+    rule: "RECOVER: a new instance with the old leader's log is known to hold all that was acknowledged",
+    test: 'promotion-safety.test.js',
+    seeds: [1, 1],
+    edits: [['failover/dist/replicas.js', 'return old ? [...others, old].sort(byName) : others;', 'return others;']],
+  },
+  {
+    name: 'log-known-by-name-only',
+    rule: 'RECOVER: an answer at the address of a log counts for it, whoever gave it',
+    test: 'promotion-model.test.js',
+    seeds: [1, 1],
+    edits: [
+      [
+        'failover/dist/replicas.js',
+        'if (name === replica.name || addr === replica.addr)',
+        'if (name === replica.name)',
+      ],
+    ],
+  },
   {
     name: 'absent-dropped-early',
     rule: 'LOST: a replica that is gone is dropped only once another holds all that it may have held',
