--- a/packages/fleet/src/test/replicated-group.ts
+++ b/packages/fleet/src/test/replicated-group.ts
@@ -9,6 +9,7 @@
   type Committed,
   type GroupRecord,
   type InstanceStatus,
+  type Member,
   type Proposer,
   type RegisterEdit,
   type RegisterValue,
@@ -59,6 +60,18 @@
    * The leader takes a commit, where proxies send it writes, which only these replicas receive; acknowledged if there are any.
    */
   commit: (receivers: string[]) => void
+  /** The leader appends a commit of a proxy that may send it; its number. */
+  append: () => number
+  /** These replicas receive all that the leader has. */
+  replicate: (receivers: string[]) => void
+  /** Whether a replica of this leader has received a commit. */
+  isReplicated: (position: number) => boolean
+  /** A client was told that a commit is done. */
+  acknowledge: (position: number) => void
+  /** The members as a majority of cores knows them; one proxy that applies everything at once where it isn't set. */
+  members: { read: (() => MembersRead) | undefined }
+  /** The version of the group's record. */
+  version: () => number
   crash: (name: string) => void
   restart: (name: string) => void
   begin: () => Promise<void>
@@ -66,6 +79,8 @@
   sync: { value: 0 | 1 }
 }
 
+type MembersRead = { members: Member[]; isComplete: boolean }
+
 export function makeReplicatedGroup(seed: number, names: string[]): ReplicatedGroup {
   const sim = makeSim(seed, { keepLines: true })
   const instances = new Map<string, ModelInstance>()
@@ -75,6 +90,8 @@
   const sync: ReplicatedGroup['sync'] = { value: 1 }
   const stop = makeFlag()
   let acknowledged = 0
+  // The highest commit that a replica received from the present leader.
+  let replicated = 0
   let term = 1
 
   function add(name: string, addr: string, position: number): ModelInstance {
@@ -106,19 +123,32 @@
     const { phase, leader: recorded } = record() ?? {}
     return recorded === name && (phase === 'steady' || phase === 'drain')
   }
-  function commit(receivers: string[]): void {
+  function append(): number {
+    return ++leader()!.position
+  }
+  function replicate(receivers: string[]): void {
     const from = leader()
-    if (!from || !isOpenFor(from)) return
-    from.position++
-    let isReceived = false
+    if (!from) return
     for (const name of receivers) {
       const to = instances.get(name)
       if (!to?.isUp || to === from) continue
       to.position = from.position
       to.term = term
-      isReceived = true
+      replicated = from.position
     }
-    if (isReceived) acknowledged = from.position
+  }
+  function isReplicated(position: number): boolean {
+    return replicated >= position
+  }
+  function acknowledge(position: number): void {
+    acknowledged = Math.max(acknowledged, position)
+  }
+  function commit(receivers: string[]): void {
+    const from = leader()
+    if (!from || !isOpenFor(from)) return
+    const position = append()
+    replicate(receivers)
+    if (isReplicated(position)) acknowledge(position)
   }
   function crash(name: string): void {
     const instance = instances.get(name)!
@@ -192,6 +222,7 @@
       term++
       one!.role = 'leader'
       one!.term = term
+      replicated = 0
       promotions.push({ name, position: one!.position, acknowledged })
       for (const other of instances.values()) if (other.isUp && other !== one) follow(other)
     }
@@ -207,7 +238,9 @@
     if (next) registers.set(key, { turn: (now?.turn ?? 0) + 1, ...next })
     return done(key)
   }
-  function askMembers() {
+  const members: ReplicatedGroup['members'] = { read: undefined }
+  function askMembers(): Promise<MembersRead> {
+    if (members.read) return Promise.resolve(members.read())
     const acks: [string, number][] = []
     for (const [key, value] of registers) acks.push([key, value.turn])
     const highs: [string, number, number][] = []
@@ -261,6 +294,9 @@
   function record(): GroupRecord | undefined {
     return registers.get(groupKey(GROUP))?.body as GroupRecord | undefined
   }
+  function version(): number {
+    return registers.get(groupKey(GROUP))?.turn ?? 0
+  }
   async function wait(ms: number): Promise<void> {
     await sim.run(sim.now() + ms)
   }
@@ -285,6 +321,12 @@
     promotions,
     add,
     commit,
+    append,
+    replicate,
+    isReplicated,
+    acknowledge,
+    members,
+    version,
     crash,
     restart,
     begin,
