--- a/packages/fleet/src/test/quota-guards.test.ts
+++ b/packages/fleet/src/test/quota-guards.test.ts
@@ -155,6 +155,8 @@
   lease: { until: number }
   reads: { next: MembersRead | undefined }
   set: { now: CoreSet }
+  /** Whether no majority accepts a change. */
+  isCutOff: { now: boolean }
 }
 
 const CONFIG = { tenants: [{ name: TENANT, keys: [], rate: 16, burst: 20 }] } as unknown as Config
@@ -191,8 +193,10 @@
   function value(key: string): RegisterValue | undefined {
     return known.get(key)?.value
   }
+  const isCutOff = { now: false }
   async function change(key: string, edit: RegisterEdit): ReturnType<Proposer['change']> {
     await pause(world, 5)
+    if (isCutOff.now) return { done: false, why: 'no majority accepted' }
     const now = shared.get(key)
     const next = edit(now)
     if (next) shared.set(key, { turn: (now?.turn ?? 0) + 1, ...next })
@@ -226,7 +230,7 @@
   const tolerance = { overshoot: 0, slack: 0 }
   const view = { node: name, life, place, proposer, registers, membership, coreSet, config, dutyUntil, tolerance }
   const holders = startQuotaHolders(world, view, stop, makeSignal(), makeMetrics())
-  return { name, life, holders, known, lease, reads, set }
+  return { name, life, holders, known, lease, reads, set, isCutOff }
 }
 function question(term: number, more: Partial<HolderQuestion> = {}): HolderQuestion {
   const lines: QuotaLine[] = [[TENANT, 0, 0, 5, 0]]
@@ -382,6 +386,10 @@
       return held
     }
     c.equal(wants(500), LIMIT - RESERVE, 'the reserve stays')
+    a.isCutOff.now = true
+    await pause(world, 1000)
+    c.equal(wants(500), LIMIT - RESERVE, 'until the register says otherwise')
+    a.isCutOff.now = false
     await pause(world, 1000)
     c.equal(bodyOf(shared)?.reserve, 'lent', 'the tenant needs it')
     c.equal(wants(500), LIMIT)
