Quotas: a new holder is alone once a read after the claim shows that the one before has no lease

Found by reading: one that lost its lease may get it back between the read of the members and the claim of its slot, in a renewal round that some cores answered before the claim; it then knows of no later term for a lease.

--- a/packages/agent/src/quota-holder.ts
+++ b/packages/agent/src/quota-holder.ts
@@ -69,6 +69,8 @@
 type HeldSlot = {
   term: number
   since: number
+  /** The holder that was replaced, where this node claimed the slot. */
+  before: QuotaHolder | undefined
   ledger: Ledger
   takeover: Takeover
   isReady: boolean
@@ -210,12 +212,15 @@
       const { term, reserve } = holder
       const before = holdersBefore.get(slot)
       const hasReserve = before?.reserve === 'kept'
+      // An earlier life of this node has ended with its process.
+      const hasEnded = before?.holder === node || before?.holder === NOBODY
       world.log.info('quota-slot-claimed', { slot, term, before: before?.holder ?? NOBODY, hasReserve })
       held.set(slot, {
         term,
         since,
         ledger: makeLedger(world.now, QUOTA_METER_WINDOW_MS),
-        takeover: makeTakeover(world.now, since, term === 1),
+        takeover: makeTakeover(world.now, since, term === 1, hasEnded),
+        before,
         isReady: false,
         isReserveLent: reserve === 'lent',
         isReserveKept: reserve === 'kept',
@@ -243,6 +248,7 @@
     if (missing.length === 0 && !one.takeover.needsRead(proxies)) return
     const { got, beganAt } = await read()
     if (got?.isComplete !== true) return
+    if (one.before && isGone(one.before, got)) one.takeover.predecessorAbsent(beganAt)
     one.takeover.read(nodesOf(got.members.filter(hasProxy)), beganAt)
     const present = nodesOf(got.members)
     for (const name of missing) if (!present.has(name)) one.ledger.gone(name, beganAt)
@@ -351,6 +357,7 @@
     if (asker !== question.node || !isConfigurationCurrent()) return REFUSED
     for (const [tenant] of question.lines) if (quotaSlotOf(tenant) !== question.slot) return REFUSED
     one.takeover.heard(question.node, question.life)
+    if (!one.takeover.isAlone()) return REFUSED
     const proxy = { ...question, heardAt: one.takeover.heardAt(question.node) }
     const grants = reportTo(one, proxy, question.lines, quotaLimits(config, view.tolerance))
     one.takeover.told(question.node)
--- a/packages/fleet/src/test/quota-guards.test.ts
+++ b/packages/fleet/src/test/quota-guards.test.ts
@@ -9,6 +9,7 @@
 import {
   LEASE_CLOCK_SLACK_MS,
   LEASE_DURATION_MS,
+  LEASE_RENEWAL_TIMEOUT_MS,
   makeFlag,
   makeMetrics,
   makeSignal,
@@ -42,6 +43,7 @@
 // The guards of quotas' holders and relays one by one: docs/design/quotas.md. Each test is named after what would go wrong.
 
 const ALONE_MS = LEASE_DURATION_MS + 2 * LEASE_CLOCK_SLACK_MS
+const RENEWALS_MS = LEASE_RENEWAL_TIMEOUT_MS + LEASE_CLOCK_SLACK_MS
 const TENANT = 'kiln'
 const SLOT = quotaSlotOf(TENANT)
 /** Operations of CONFIG's tenant in one window, and the part of them that a new holder may grant at once. */
@@ -77,7 +79,41 @@
 
 function firstOfAll(c: Test): void {
   const takeover = takeoverAt({ at: 0 }, true)
-  c.ok(takeover.isOver(), 'nothing is out that it would not know of')
+  c.ok(takeover.isAlone() && takeover.isOver(), 'nothing is out that it would not know of')
+  c.end()
+}
+function oldHolder(c: Test): void {
+  const clock = { at: 1000 }
+  const takeover = claimed(clock, 'a')
+  clock.at += ALONE_MS - 1
+  c.notOk(takeover.isAlone(), 'the one before may still answer')
+  clock.at += 1
+  c.ok(takeover.isAlone())
+  c.end()
+}
+/** It may have renewed its lease just before the claim, in a round that some cores had answered before. */
+function oldHolderIsBack(c: Test): void {
+  const clock = { at: 1000 }
+  const takeover = claimed(clock, 'a')
+  clock.at += RENEWALS_MS - 1
+  takeover.predecessorAbsent(clock.at)
+  c.notOk(takeover.isAlone(), 'a renewal that was under way at the claim may not have reached all')
+  clock.at += 1
+  c.ok(takeover.needsRead(nodes('a')), 'another read shows it')
+  takeover.predecessorAbsent(clock.at - 1)
+  c.notOk(takeover.isAlone(), 'a read that was begun before that')
+  takeover.predecessorAbsent(clock.at)
+  c.ok(takeover.isAlone())
+  c.end()
+}
+function oldHolderHasEnded(c: Test): void {
+  const clock = { at: 1000 }
+  function now(): number {
+    return clock.at
+  }
+  const takeover = makeTakeover(now, clock.at, false, true)
+  c.ok(takeover.isAlone(), 'nobody else can answer')
+  c.notOk(takeover.isOver(), 'what it granted is not known yet')
   c.end()
 }
 function oneWindow(c: Test): void {
@@ -126,15 +162,15 @@
   c.ok(takeover.isOver())
   c.end()
 }
-/** The holder before may have given to it until it ended, which was before the claim. */
+/** The holder before may have given to it until it ended. */
 function cameMeanwhile(c: Test): void {
   const clock = { at: 1000 }
-  const takeover = takeoverAt(clock)
-  takeover.read(nodes('a'), clock.at - 1)
-  takeover.heard('a', 'one')
+  const takeover = claimed(clock, 'a')
+  pass(clock, takeover, ALONE_MS - 200, nodes('a'))
+  pass(clock, takeover, 400, nodes('a', 'b'))
   takeover.told('a')
   pass(clock, takeover, 60000, nodes('a', 'b'))
-  c.notOk(takeover.isOver(), 'b came while another could grant, and has not told')
+  c.notOk(takeover.isOver(), 'b came while the one before answered, and has not told')
   pass(clock, takeover, 60000, nodes('a', 'b', 'c'))
   takeover.heard('b', 'one')
   takeover.told('b')
@@ -336,8 +372,10 @@
     shared.set(quotaKey(SLOT), namedAs('gone', 1))
     const members = [memberOf('b', 'life-b'), frontOf('front')]
     const b = startNode(world, shared, 'b', members, stop)
-    await pause(world, 1000)
+    await pause(world, 300)
     c.equal(bodyOf(shared)?.term, 2)
+    c.notOk(ask(b, 2).ok, 'the holder before may still answer')
+    await pause(world, ALONE_MS + 1000)
     // Far less than the limit, so that much seems to be free.
     const some: QuotaLine[] = [[TENANT, 40, 40, 60, 0]]
     c.strictSame(ask(b, 2, { askedAt: 2, lines: some }), { ok: true, grants: [[TENANT, 40]] }, 'what it is told stands')
@@ -359,6 +397,7 @@
     const b = startNode(world, shared, 'b', members, stop)
     await pause(world, 1000)
     c.strictSame(bodyOf(shared), { holder: 'b', life: b.life, term: 2, reserve: 'lent' }, 'nobody lends it again')
+    await pause(world, ALONE_MS + 1000)
     const told = 40
     const some: QuotaLine[] = [[TENANT, told, told, 60, 0]]
     const mine = grantedIn(ask(b, 2, { askedAt: 2, lines: some }))
@@ -570,6 +609,9 @@
 }
 
 void t.test('the first holder of all waits for nobody', firstOfAll)
+void t.test('a new holder answers beside the one before', oldHolder)
+void t.test('a holder before that came back at the claim is overlooked', oldHolderIsBack)
+void t.test('a holder before that has ended is waited for', oldHolderHasEnded)
 void t.test('a new holder grants more than the reserve, or one that was granted already', reserveOnce)
 void t.test('more than the limit less the reserve is granted while the reserve is kept', reserveKept)
 void t.test('what proxies ran that ended before a claim is overlooked', oneWindow)
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1870,6 +1870,20 @@
     seeds: [1, 1],
     edits: [['agent/dist/quota-holder.js', 'one.isReserveLent && one.needsReserve', 'one.needsReserve']],
   },
+  {
+    name: 'quota-two-holders',
+    rule: 'QUOTA: a new holder answers beside the one before',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-holder.js', 'if (!one.takeover.isAlone())', 'if (false)']],
+  },
+  {
+    name: 'quota-renewal-under-way',
+    rule: 'QUOTA: a holder that came back at the claim is overlooked',
+    test: 'quota-guards.test.js',
+    seeds: [1, 1],
+    edits: [['agent/dist/quota-takeover.js', 'if (beganAt >= since + RENEWALS_END_MS)', 'if (true)']],
+  },
   {
     name: 'quota-window-not-awaited',
     rule: 'QUOTA: what proxies ran that ended before a claim is overlooked',
@@ -1915,7 +1929,7 @@
     rule: 'QUOTA: a front machine that came during a takeover is overlooked',
     test: 'quota-guards.test.js',
     seeds: [1, 1],
-    edits: [['agent/dist/quota-takeover.js', 'if (beganAt >= since)', 'if (true)']],
+    edits: [['agent/dist/quota-takeover.js', 'if (isAlone() && beganAt >= aloneFrom())', 'if (true)']],
   },
   {
     name: 'quota-relay-late-answer',
