Look at a transaction's key again after a slow PREPARE, and without its route; quote no lists in findings

Also: the test of versions on links counts from LINK_VERSION, which is 5 now (it stood for 'one above' with a literal 5); a word of the platform in a comment.

--- a/packages/agent/src/quota-holder.ts
+++ b/packages/agent/src/quota-holder.ts
@@ -264,7 +264,7 @@
   /** The reserve is lent while tenants need it: granted once the register says so, and given back before it says otherwise. */
   async function tendReserve(slot: number, one: HeldSlot): Promise<void> {
     const config = view.config()
-    if (!config || !one.takeover.isOver() || !mayAnswer(slot, one)) return
+    if (!config || !one.takeover.isOver() || !mayAnswer(slot, one) || !isConfigurationCurrent()) return
     const limits = quotaLimits(config, view.tolerance)
     function plain(tenant: string): number | undefined {
       return withoutReserve(limits(tenant))
@@ -275,10 +275,12 @@
       return limit === undefined ? undefined : limit * share
     }
     one.needsReserve = one.ledger.needs(nearlyPlain)
-    if (one.needsReserve && !one.isReserveLent) {
+    // A lowered limit may leave more out than the limit less the reserve, until allowances have shrunk.
+    const isMoreOut = one.ledger.exceeds(plain)
+    if ((one.needsReserve || isMoreOut) && !one.isReserveLent) {
       one.isReserveKept = false
       one.isReserveLent = await setReserve(slot, one, 'lent')
-    } else if (!one.needsReserve && !one.isReserveKept && !one.ledger.exceeds(plain)) {
+    } else if (!one.needsReserve && !isMoreOut && !one.isReserveKept) {
       one.isReserveLent = false
       one.isReserveKept = await setReserve(slot, one, 'kept')
     }
--- a/packages/base/src/validation.ts
+++ b/packages/base/src/validation.ts
@@ -23,6 +23,14 @@
   return skip
 }
 
+/** Lists and objects aren't quoted: they may hold what nobody is to be shown. */
+function describeValue(value: unknown): string {
+  if (value === undefined) return 'nothing'
+  if (Array.isArray(value)) return 'a list'
+  if (value !== null && typeof value === 'object') return 'an object'
+  return JSON.stringify(value).slice(0, 60)
+}
+
 // Reads a value with a codec; all that is wrong comes back at once, each finding with its place.
 export function readAs<T>(codec: t.Type<T, unknown, unknown>, value: unknown): Result<T, Finding[]> {
   const got = codec.decode(value)
@@ -35,9 +43,7 @@
     for (let k = 0; k < e.context.length; k++) if (!skip.has(k)) kept.push(e.context[k])
     const place = pointer(kept)
     const last = e.context[e.context.length - 1]
-    const what =
-      e.message ??
-      `expected ${last.type.name}, got ${e.value === undefined ? 'nothing' : JSON.stringify(e.value).slice(0, 60)}`
+    const what = e.message ?? `expected ${last.type.name}, got ${describeValue(e.value)}`
     const id = `${place} ${what}`
     if (!seen.has(id)) {
       seen.add(id)
--- a/packages/fleet/src/test/edges.test.ts
+++ b/packages/fleet/src/test/edges.test.ts
@@ -1,6 +1,6 @@
 import t, { type Test } from 'tap'
 import { startAgent, type Agent } from '@claynotch/agent'
-import { requestOnce, encode, openHttpConnection, pause, type World } from '@claynotch/base'
+import { LINK_VERSION, requestOnce, encode, openHttpConnection, pause, type World } from '@claynotch/base'
 import { makeSimFleet, smallShape } from '../simfleet.js'
 import { beside } from './beside.js'
 
@@ -312,11 +312,13 @@
     c.ok(await closes(Buffer.concat([hello, frame([0, 2, { t: 'prepare', key: 7 }])])), 'a word that is none')
     // Mixed versions: a newer program that can still speak ours is heard, one that can't is not.
     c.notOk(
-      await closes(frame([0, 1, { t: 'hello', kind: 'agent', node: 'x', epoch: 7, least: 1 }])),
+      await closes(frame([0, 1, { t: 'hello', kind: 'agent', node: 'x', epoch: LINK_VERSION + 2, least: 1 }])),
       'a newer program that still speaks our epoch',
     )
     c.ok(
-      await closes(frame([0, 1, { t: 'hello', kind: 'agent', node: 'x', epoch: 7, least: 5 }])),
+      await closes(
+        frame([0, 1, { t: 'hello', kind: 'agent', node: 'x', epoch: LINK_VERSION + 2, least: LINK_VERSION + 1 }]),
+      ),
       'a newer program that does not',
     )
     const wire = await world.wire('10.0.6.1:9', ignore)
--- a/packages/proxy/src/key-refusals.ts
+++ b/packages/proxy/src/key-refusals.ts
@@ -20,7 +20,7 @@
 /**
  * What clients are told whose keys aren't known, and what the operator is told of it: no line and no label holds a key or its hash.
  *
- * Invariant: DENIED is told under a valid lease alone, as without one the key may have been added since.
+ * Invariant: that the key is unknown is told under a valid lease alone, as without one the key may have been added since.
  */
 export type KeyRefusals = {
   /** What a client of the lane is told; keyHash: of the key that it came with. */
--- a/packages/proxy/src/transactions.ts
+++ b/packages/proxy/src/transactions.ts
@@ -14,9 +14,9 @@
 import type { InstanceAdapter, RequestError, StatementResult } from '@claynotch/instance'
 import { refusal, type Verdict, type Word } from '@claynotch/requester'
 import { isFresh } from './freshness.js'
-import { identify } from './identity.js'
+import { holderOfKey, identify } from './identity.js'
 import type { Runner } from './interpret.js'
-import type { LaneRules } from './rules.js'
+import type { LaneRules, Rules } from './rules.js'
 import type { PreparedStatement } from './session-state.js'
 import { freshnessOf, type Session, type Transaction } from './session.js'
 import type { State } from './state.js'
@@ -77,6 +77,11 @@
   return { mark, ...(stamp !== undefined ? { stamp } : {}) }
 }
 
+/** A statement that wasn't handed over, as its transaction may not go on. */
+function notSent(why: string): RequestError {
+  return { reach: 'none', class: 'UNAVAILABLE', transient: true, why }
+}
+
 export function makeTransactions(
   world: World,
   state: State,
@@ -125,13 +130,17 @@
     if (tx.freshness && !freshnessOf(lane)) return `reads of the lane ${tx.lane} go to the leader now`
     return undefined
   }
+  function isTenantOf(rules: Rules, lane: LaneRules, tx: Transaction): boolean {
+    const identity = identify(rules, lane, tx.keyHash)
+    return identity.isAllowed && identity.tenant === tx.tenant
+  }
   /** Why its client may not go on with it, if so: at once, as its connection is in the name of a tenant that the key had. */
   function whyDenied(tx: Transaction): string | undefined {
     const rules = state.rules()
     const lane = rules?.lanes.get(tx.lane)
-    if (!rules || !lane) return undefined
-    const identity = identify(rules, lane, tx.keyHash)
-    return identity.isAllowed && identity.tenant === tx.tenant ? undefined : 'the key was taken away'
+    if (!rules) return undefined
+    const isStillTheirs = lane ? isTenantOf(rules, lane, tx) : holderOfKey(rules, tx.keyHash) === tx.tenant
+    return isStillTheirs ? undefined : "the key was taken away, or is another tenant's now"
   }
   /** Why the configuration ends this transaction, if so: it has had its time since the route changed. */
   function whyOverByConfiguration(tx: Transaction): string | undefined {
@@ -193,6 +202,9 @@
     const { connection } = tx
     const error = shape ? await connection.shape(shape.text) : undefined
     if (error) return Err(error)
+    // Preparing it took a while.
+    const why = shape ? whyOver(tx) : undefined
+    if (why !== undefined) return Err(notSent(why))
     const what = shape ? { shape: connection.shapeId(shape.text) } : { text: body.text ?? '' }
     const sent = { ...what, args: body.args ?? [], mode, ...(id !== undefined ? { id } : {}) }
     return await connection.port.statement(sent, Math.min(ms, ATTEMPT_TIMEOUT_MS))
