--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -21,6 +21,7 @@
 import { startFailover, startRouteMoves } from '@claynotch/failover'
 import { makeOperatorEdge, type Credential, type Edit } from '@claynotch/operator'
 import { startPeers, type Summary } from '@claynotch/peer'
+import type { QuotaAnswer, QuotaQuestion } from '@claynotch/quota'
 import {
   CoreSet,
   CORESET_KEY,
@@ -51,10 +52,14 @@
 import { checkMoves } from './move-check.js'
 import { makeOperatorViews } from './operator-views.js'
 import { makeProxyLink } from './proxy-link.js'
+import { makeQuotaDirectory } from './quota-directory.js'
+import { startQuotaHolders } from './quota-holder.js'
+import { startQuotaRelay } from './quota-relay.js'
 import { makeRegisterCache } from './register-cache.js'
 import { makeRenewalMessages } from './renewal-messages.js'
 import { makeSubscription, sourcesOf } from './subscription.js'
 import { makeSummarySource } from './summary-source.js'
+import { makeTenantView } from './tenant-view.js'
 
 // The control side of one machine, put together: each part below has a file of its own and a state of its own.
 
@@ -72,6 +77,7 @@
   const renewNow = makeSignal()
   // isCurrent: all that a majority showed since this life, or its last long silence, began is known here; no duty is held before.
   let isCurrent = false
+  let isLeaseGivenUp = false
   let { seeds, platform, operators } = settings
 
   // --- the cores and what they hold ---
@@ -248,7 +254,7 @@
       proxyCount: membership.proxyCount,
     },
     metrics,
-    { applied: acknowledgements.applied, instanceFailing },
+    { applied: acknowledgements.applied, instanceFailing, quotaAsked },
   )
   const summarySource = makeSummarySource(world, {
     node,
@@ -266,6 +272,15 @@
   function proxyReport(): ProxyReport | undefined {
     return proxy.report()
   }
+  const directory = makeQuotaDirectory(world, registers, membership, links)
+  const relay =
+    settings.link !== undefined ? startQuotaRelay(world, { node, directory, isWithoutProxy }, stop, metrics) : undefined
+  async function quotaAsked(question: QuotaQuestion): Promise<QuotaAnswer> {
+    return relay ? await relay.ask(question) : { ok: true, grants: [] }
+  }
+  function isWithoutProxy(): boolean {
+    return !proxy.isLinked() && world.now() > proxy.fedUntil()
+  }
   function summariesNow(): Summary[] {
     return peers.hints()
   }
@@ -282,9 +297,9 @@
 
   // --- duties ---
 
-  /** Up to when this node may hold duties: not before it knows what was committed while it was away. */
+  /** Up to when this node may hold duties: not before it knows what was committed while it was away, nor once it gave up its lease. */
   function dutyUntil(): number {
-    return isCurrent ? lease.expiresAt() : 0
+    return isCurrent && !isLeaseGivenUp ? lease.expiresAt() : 0
   }
   function platformNow(): Address | undefined {
     return platform
@@ -329,6 +344,22 @@
     mostVoters: settings.mostVoters ?? MAX_VOTERS,
   }
   if (mayHoldDuties) startCoreSetDuty(world, coreSetView, stop)
+  if (settings.core) {
+    const { place, serveQuotas } = settings.core
+    const quotaView = {
+      node,
+      life,
+      place,
+      proposer,
+      registers,
+      membership,
+      coreSet: links.coreSet,
+      config,
+      dutyUntil,
+      tolerance: settings.quota ?? { overshoot: 0, slack: 0 },
+    }
+    serveQuotas(startQuotaHolders(world, quotaView, stop, registerChanged, metrics))
+  }
   const peers = await startPeers(world, settings.peer, stop, membership.peers, summarySource, metrics, summaryHeard)
 
   // --- instances, operators and the platform ---
@@ -356,7 +387,7 @@
   const operator = makeOperatorEdge(
     world,
     proposer,
-    { ...views, cores: readCores, hinders, body, news: registerChanged },
+    { ...views, tenants: makeTenantView(config, directory), cores: readCores, hinders, body, news: registerChanged },
     metrics,
     credentials,
   )
@@ -400,8 +431,8 @@
   async function end(): Promise<void> {
     await awaitProxy()
     // The lease is given up only when no proxy can be working under it; else it runs out by itself.
-    if (!proxy.isLinked() && world.now() > proxy.fedUntil())
-      for (const { link } of links.all().values()) link.tell({ t: 'leave', node, life })
+    isLeaseGivenUp = !proxy.isLinked() && world.now() > proxy.fedUntil()
+    if (isLeaseGivenUp) for (const { link } of links.all().values()) link.tell({ t: 'leave', node, life })
     await pause(world, 20)
     stop.fire()
     proxy.close()
--- a/packages/proxy/src/interpret.ts
+++ b/packages/proxy/src/interpret.ts
@@ -23,9 +23,11 @@
 import { refusal, type Verdict } from '@claynotch/requester'
 import { isForeign, isFresh } from './freshness.js'
 import { makeAdmission } from './admission.js'
-import { denial, identify } from './identity.js'
+import { identify } from './identity.js'
+import { makeKeyRefusals, type KeyRefusals } from './key-refusals.js'
 import { needFor, type Call, type Settled } from './call.js'
 import type { CheckedOutConnection, Pool } from './pool.js'
+import type { QuotaStep } from './quota-step.js'
 import { backoff, makeAlert, makeBreaker, makeTokens, type Alert, type Breaker, type Tokens } from './retry.js'
 import type { Step } from './rules.js'
 import type { State } from './state.js'
@@ -52,6 +54,7 @@
   highs: () => Map<string, LogPosition>
   sawWrite: (group: string, mark: LogPosition) => void
   quiet: ReturnType<typeof makeSignal>
+  keys: KeyRefusals
 }
 
 export function makeRunner(
@@ -60,6 +63,7 @@
   watch: Watch,
   pool: Pool,
   edge: InstanceAdapter,
+  quota: QuotaStep,
   metrics: Metrics,
   stopping: () => boolean,
 ): Runner {
@@ -69,6 +73,7 @@
   const begun = new Set<Call>()
   const highs = new Map<string, LogPosition>()
   const quiet = makeSignal()
+  const keys = makeKeyRefusals(world, state, metrics)
   const targets = makeTargetSelection(world, state, watch, edge, metrics)
 
   function toolsOf(group: string): Tools {
@@ -159,7 +164,7 @@
       return refusal('UNAVAILABLE', 'this node holds no valid term', true, RETRY_AFTER_PROMOTION_S)
     if (!lane) return { ...refusal('NOT_FOUND', `the lane ${call.lane.name} was dropped`, false), lacks: 'lane' }
     const identity = identify(rules, lane, call.keyHash)
-    if (!identity.isAllowed) return denial(state)
+    if (!identity.isAllowed) return keys.deny(lane, call.keyHash)
     admission.release(call)
     if (lane.group !== call.lane.group) {
       if (call.probe) toolsOf(call.lane.group).breaker.note(false, true)
@@ -295,7 +300,8 @@
     if (
       old ||
       (floor === undefined && !stands(call.lane.group, epoch)) ||
-      ((writes || begins) && state.group(call.lane.group)?.record.phase !== 'steady')
+      ((writes || begins) && state.group(call.lane.group)?.record.phase !== 'steady') ||
+      !quota.sent(call)
     ) {
       loan.end(true)
       delete call.loan
@@ -470,6 +476,9 @@
         case 'aim':
           turn = await aim(call, step)
           break
+        case 'quota':
+          turn = await quota.reserve(call)
+          break
         case 'borrow':
           turn = await borrow(call)
           break
@@ -487,6 +496,7 @@
     }
     turn = honest(call, turn)
     admission.release(call)
+    quota.release(call)
     if (call.probe && turn.outcome !== 'done') toolsOf(call.lane.group).breaker.note(false, true)
     metrics.add('claynotch_calls_total', [
       ['lane', call.lane.name],
@@ -529,5 +539,6 @@
     highs: highsNow,
     sawWrite,
     quiet,
+    keys,
   }
 }
