--- a/packages/fleet/src/test/quota-holder.test.ts
+++ b/packages/fleet/src/test/quota-holder.test.ts
@@ -1,5 +1,5 @@
 import t, { type Test } from 'tap'
-import { requestOnce, type World } from '@claynotch/base'
+import { QUOTA_SLOTS, requestOnce, type World } from '@claynotch/base'
 import type { Tenant, TenantLine } from '@claynotch/operator'
 import { holderOf } from '@claynotch/failover'
 import { quotaKey, quotaSlotOf } from '@claynotch/register'
@@ -22,12 +22,12 @@
 /** One tenant for each slot, each of which wants more than it may have. */
 function hotTenants(): string[] {
   const bySlot = new Map<number, string>()
-  for (let k = 0; bySlot.size < 4; k++) {
+  for (let k = 0; bySlot.size < QUOTA_SLOTS; k++) {
     const slot = quotaSlotOf(`hot${k}`)
     if (!bySlot.has(slot)) bySlot.set(slot, `hot${k}`)
   }
   const out: string[] = []
-  for (let slot = 0; slot < 4; slot++) out.push(bySlot.get(slot) ?? '')
+  for (let slot = 0; slot < QUOTA_SLOTS; slot++) out.push(bySlot.get(slot) ?? '')
   return out
 }
 const HOT = hotTenants()
@@ -101,7 +101,7 @@
     await fleet.wait(15000)
     checkBound(c, fleet, `seed ${seed}`)
     checkServed(c, fleet, `seed ${seed}`)
-    for (let slot = 0; slot < 4; slot++) c.equal(termsOf(fleet, slot), 1, `slot ${slot} never changed hands`)
+    for (let slot = 0; slot < QUOTA_SLOTS; slot++) c.equal(termsOf(fleet, slot), 1, `slot ${slot} never changed hands`)
   }
 }
 /** What GET /tenants says at some core machine. */
