--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -580,7 +580,7 @@
     rule: 'ROUTE: an unknown key is served',
     scenario: 'an instance is told another name',
     seeds: [1, 2],
-    edits: [['proxy/dist/identity.js', 'return tenant || lane.isPublic ?', 'return true ?']],
+    edits: [['proxy/dist/identity.js', 'return tenant !== undefined || lane.isPublic ?', 'return true ?']],
   },
   {
     on: 'platform',
