--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -319,6 +319,8 @@
 export const MAX_TRIAL_DELAY_MS = 1000
 /** ms. An idle instance connection is closed after this, before an instance's own keep-alive ends (5 s or more). */
 export const POOL_IDLE_TIMEOUT_MS = 3000
+/** ms. Least time between two log lines about the same kind of protocol error. */
+export const PROTOCOL_ERROR_LOG_INTERVAL_MS = 5000
 /** ms. Longest wait for a connection from the pool in one attempt. */
 export const CHECK_OUT_TIMEOUT_MS = 2000
 /** ms. Deadline for resetting a returned connection; if it fails, the connection is closed. */
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,6 +1,7 @@
 export * from './constants.js'
 export * from './world.js'
 export * from './log.js'
+export * from './throttled-log.js'
 export * from './waiting.js'
 export * from './cbor.js'
 export * from './hash.js'
--- a/packages/instance/src/adapter.ts
+++ b/packages/instance/src/adapter.ts
@@ -68,6 +68,19 @@
   after?: LogPosition
 }
 
+/** Why a connection to an instance is not trusted any longer. */
+export type DistrustReason =
+  /** A line of the answer is none that the protocol allows there. */
+  | 'unexpected-line'
+  /** Something arrived while no request was in flight. */
+  | 'unsolicited-data'
+
+/** Is told what goes wrong with the answers of instances. */
+export type AnswerObserver = {
+  /** The connection was closed, as it is unclear to which request its answers belong. */
+  distrusted: (instance: string, reason: DistrustReason) => void
+}
+
 /** An open connection to an instance. */
 export type InstanceConnection = {
   /** Executes a statement, given as text or as the name of a shape registered on this connection before. */
@@ -123,6 +136,7 @@
     world: World,
     instance: InstanceAddress,
     timeoutMs: number,
+    observer?: AnswerObserver,
   ) => Promise<Result<InstanceConnection, RequestError>>
   status: (world: World, instance: InstanceAddress, timeoutMs: number) => Promise<Result<Status, string>>
   /** Makes an instance that leads in an epoch below this one a follower; undefined where promotion itself fences. */
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -4,6 +4,8 @@
   IDLE_CONNECTION_SETTINGS_LIMIT_BYTES,
   loop,
   makeFlag,
+  makeThrottledLog,
+  PROTOCOL_ERROR_LOG_INTERVAL_MS,
   RESET_TIMEOUT_MS,
   type Flag,
   type Metrics,
@@ -12,7 +14,14 @@
   Err,
   type Result,
 } from '@claynotch/base'
-import type { InstanceAdapter, InstanceConnection, RequestError, InstanceAddress } from '@claynotch/instance'
+import type {
+  AnswerObserver,
+  DistrustReason,
+  InstanceAdapter,
+  InstanceConnection,
+  RequestError,
+  InstanceAddress,
+} from '@claynotch/instance'
 
 /**
  * What a connection must have: its database, settings, prepared shapes and tenant; and whose share it counts against.
@@ -125,8 +134,22 @@
   return `s${createHash('sha1').update(text).digest('hex').slice(0, 20)}`
 }
 
+/** Counts and logs what goes wrong with the answers of instances. */
+function makeAnswerObserver(world: World, metrics: Metrics): AnswerObserver {
+  const logDistrust = makeThrottledLog(world, 'instance-connection-distrusted', PROTOCOL_ERROR_LOG_INTERVAL_MS)
+  function distrusted(instance: string, reason: DistrustReason): void {
+    metrics.add('claynotch_instance_connections_distrusted_total', [
+      ['instance', instance],
+      ['reason', reason],
+    ])
+    logDistrust({ instance, reason })
+  }
+  return { distrusted }
+}
+
 export function makePool(world: World, adapter: InstanceAdapter, stop: Flag, metrics: Metrics): Pool {
   const poolByInstance = new Map<string, InstancePool>()
+  const answerObserver = makeAnswerObserver(world, metrics)
 
   function poolOf(instance: string, addr: string): InstancePool {
     const existing = poolByInstance.get(instance)
@@ -291,7 +314,7 @@
       }
       if (countOpen(pool) < limit) {
         pool.openingCount++
-        const opened = await adapter.open(world, tenantAddress, timeouts.dial)
+        const opened = await adapter.open(world, tenantAddress, timeouts.dial, answerObserver)
         pool.openingCount--
         if (opened.err) {
           metrics.add('claynotch_pool_dials_failed_total', [['instance', instance]])
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -1,7 +1,9 @@
 import {
   ATTEMPT_TIMEOUT_MS,
   loop,
+  makeThrottledLog,
   MAX_SESSIONS,
+  PROTOCOL_ERROR_LOG_INTERVAL_MS,
   RETRY_AFTER_OVERLOAD_S,
   RETRY_AFTER_PROMOTION_S,
   SESSION_IDLE_TIMEOUT_MS,
@@ -27,6 +29,8 @@
 export type Sessions = {
   /** Runs one client request. callerTimeoutMs: how long the client waits; callerGone: fires when it disconnects. */
   run: (request: ClientRequest, callerTimeoutMs: number | undefined, callerGone: Flag) => Promise<Verdict>
+  /** Counts and logs a message of a client that could not be read. */
+  noteUnreadable: (reason: string) => void
   /** Number of open sessions. */
   openCount: () => number
   /**
@@ -89,6 +93,8 @@
   const idPrefix = Math.floor(world.random() * 2 ** 40).toString(36)
   let lastNumber = 0
 
+  const logUnreadable = makeThrottledLog(world, 'client-message-unreadable', PROTOCOL_ERROR_LOG_INTERVAL_MS)
+
   // --- lanes ---
 
   function laneOf(name: string | undefined, database: string): { rules: Rules; lane: LaneRules } | undefined {
@@ -417,6 +423,10 @@
     return await runInSession(session, request, callerTimeoutMs, callerGone)
   }
 
+  function noteUnreadable(reason: string): void {
+    metrics.add('claynotch_client_messages_unreadable_total', [['reason', reason]])
+    logUnreadable({ reason })
+  }
   function openCount(): number {
     return sessionById.size
   }
@@ -440,5 +450,5 @@
       transactions.terminate(session, 'UNAVAILABLE', reason)
     }
   }
-  return { run, openCount, transactionCount: countTransactions, cutTransactions }
+  return { run, noteUnreadable, openCount, transactionCount: countTransactions, cutTransactions }
 }
