--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -943,7 +943,7 @@
     test: 'platform/dist/test/answers.test.js',
     seeds: [1, 1],
     edits: [
-      ['../platform/dist/instance.js', 'if (!settlePending || !isExpected(word)', 'if (!isExpected(word)'],
+      ['../platform/dist/instance.js', "if (!settlePending) return distrust('unsolicited-data');", ''],
       ['../platform/dist/instance.js', 'settlePending(Ok(answer));', 'settlePending?.(Ok(answer));'],
     ],
   },
@@ -2272,4 +2272,12 @@
     seeds: [1, 1],
     edits: [['agent/dist/quota-relay.js', '|| state.pending', '']],
   },
+  {
+    on: 'platform',
+    name: 'line-end-bare-feed',
+    rule: 'MIXED, UNASKED: a bare line feed inside a text or row ends the line',
+    test: 'platform/dist/test/line-ends.test.js',
+    seeds: [1, 1],
+    edits: [['../platform/dist/lines.js', "const LINE_END = '\\r\\n';", "const LINE_END = '\\n';"]],
+  },
 ]
