--- a/packages/base/src/constants.ts
+++ b/packages/base/src/constants.ts
@@ -319,6 +319,10 @@
 export const MAX_TRIAL_DELAY_MS = 1000
 /** ms. An idle instance connection is closed after this, before an instance's own keep-alive ends (5 s or more). */
 export const POOL_IDLE_TIMEOUT_MS = 3000
+/** Answers of a connection that are told apart by content; one that has given more is closed after its use. */
+export const ANSWER_HISTORY_LIMIT = 1024
+/** ms. Longest wait for the proof that an answer is not a repeat of an earlier one. */
+export const ANSWER_PROOF_TIMEOUT_MS = 200
 /** ms. Least time between two log lines about the same kind of protocol error. */
 export const PROTOCOL_ERROR_LOG_INTERVAL_MS = 5000
 /** ms. Longest wait for a connection from the pool in one attempt. */
--- a/packages/instance/src/adapter.ts
+++ b/packages/instance/src/adapter.ts
@@ -74,9 +74,15 @@
   | 'unexpected-line'
   /** Something arrived while no request was in flight. */
   | 'unsolicited-data'
+  /** An answer belongs neither to the request in flight nor to an earlier one. */
+  | 'foreign-answer'
+  /** An answer may belong to the request in flight or to an earlier one. */
+  | 'unproven-answer'
 
 /** Is told what goes wrong with the answers of instances. */
 export type AnswerObserver = {
+  /** An answer came once more and was discarded. */
+  repeated: (instance: string) => void
   /** The connection was closed, as it is unclear to which request its answers belong. */
   distrusted: (instance: string, reason: DistrustReason) => void
 }
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,4 +1,6 @@
 export * from './log-position.js'
 export * from './adapter.js'
+export * from './answer-history.js'
+export * from './answer-matching.js'
 export * from './edge.js'
 export * from './announcement.js'
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -137,6 +137,11 @@
 /** Counts and logs what goes wrong with the answers of instances. */
 function makeAnswerObserver(world: World, metrics: Metrics): AnswerObserver {
   const logDistrust = makeThrottledLog(world, 'instance-connection-distrusted', PROTOCOL_ERROR_LOG_INTERVAL_MS)
+  const logRepeat = makeThrottledLog(world, 'instance-answer-repeated', PROTOCOL_ERROR_LOG_INTERVAL_MS)
+  function repeated(instance: string): void {
+    metrics.add('claynotch_instance_answers_repeated_total', [['instance', instance]])
+    logRepeat({ instance })
+  }
   function distrusted(instance: string, reason: DistrustReason): void {
     metrics.add('claynotch_instance_connections_distrusted_total', [
       ['instance', instance],
@@ -144,7 +149,7 @@
     ])
     logDistrust({ instance, reason })
   }
-  return { distrusted }
+  return { repeated, distrusted }
 }
 
 export function makePool(world: World, adapter: InstanceAdapter, stop: Flag, metrics: Metrics): Pool {
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -939,12 +939,15 @@
   {
     on: 'platform',
     name: 'line-unasked',
-    rule: 'a word that answers nothing closes the connection',
-    test: 'platform/dist/test/answers.test.js',
+    rule: 'an answer that belongs to nothing closes the connection',
+    test: 'platform/dist/test/answer-matching.test.js',
     seeds: [1, 1],
     edits: [
-      ['../platform/dist/instance.js', "if (!settlePending) return distrust('unsolicited-data');", ''],
-      ['../platform/dist/instance.js', 'settlePending(Ok(answer));', 'settlePending?.(Ok(answer));'],
+      [
+        'instance/dist/answer-matching.js',
+        "if (origin === 'foreign' || !current)",
+        "if (!current) return; if (origin === 'foreign')",
+      ],
     ],
   },
   {
@@ -953,7 +956,15 @@
     rule: 'a part of a line that comes while nothing is asked closes the connection',
     test: 'platform/dist/test/answers.test.js',
     seeds: [1, 1],
-    edits: [['../platform/dist/instance.js', 'if (!settlePending && unfinishedBytes() > 0)', 'if (false)']],
+    edits: [['../platform/dist/instance.js', 'if (!matching.isAwaiting() && unfinishedBytes() > 0)', 'if (false)']],
+  },
+  {
+    on: 'platform',
+    name: 'line-begun-before',
+    rule: "an answer that began before the request is not the request's",
+    test: 'platform/dist/test/answers.test.js',
+    seeds: [1, 1],
+    edits: [['../platform/dist/instance.js', 'if (!matching.isAwaiting()) isUnsolicited = true;', '']],
   },
   {
     on: 'platform',
@@ -961,7 +972,7 @@
     rule: 'an answer has its words in order, and one end',
     test: 'platform/dist/test/answers.test.js',
     seeds: [1, 1],
-    edits: [['../platform/dist/instance.js', '!isExpected(word) ||', '']],
+    edits: [['../platform/dist/instance.js', "if (word !== 'READY' && hasTerminator())", 'if (false)']],
   },
   {
     on: 'platform',
@@ -969,7 +980,7 @@
     rule: 'an end that tells nothing is no answer',
     test: 'platform/dist/test/answers.test.js',
     seeds: [1, 1],
-    edits: [['../platform/dist/instance.js', "(rest === '' && word !== 'ROW')", 'false']],
+    edits: [['../platform/dist/instance.js', "if (rest === '' && word !== 'ROW')", 'if (false)']],
   },
   {
     on: 'platform',
@@ -979,10 +990,9 @@
     seeds: [1, 1],
     edits: [
       [
-        '../platform/dist/instance.js',
-        `settle(Err(connectionError('maybe', 'timeout')));
-                close();`,
-        "settle(Err(connectionError('maybe', 'timeout')));",
+        'instance/dist/answer-matching.js',
+        "options.close(); pending?.settle(Err(unclearError('timeout')));",
+        "pending?.settle(Err(unclearError('timeout')));",
       ],
     ],
   },
@@ -992,7 +1002,7 @@
     rule: 'a connection in another state than was asked for is closed',
     test: 'platform/dist/test/answers.test.js',
     seeds: [1, 1],
-    edits: [['../platform/dist/instance.js', 'if (state !== expectedState)', 'if (false)']],
+    edits: [['instance/dist/answer-matching.js', 'if (state !== current.stateAfter)', 'if (false)']],
   },
   {
     on: 'platform',
@@ -1000,24 +1010,91 @@
     rule: 'a refused statement leaves the connection at rest, or it is closed',
     test: 'platform/dist/test/answers.test.js',
     seeds: [1, 1],
+    edits: [
+      ['instance/dist/answer-matching.js', "if (current.stateAfter === 'idle' && state !== 'idle')", 'if (false)'],
+    ],
+  },
+  {
+    on: 'platform',
+    name: 'line-refused-unproven',
+    rule: 'a connection whose error may be a repeat is closed',
+    test: 'platform/dist/test/repeated-answers.test.js',
+    seeds: [1, 1],
     edits: [
       [
-        '../platform/dist/instance.js',
-        "if ((previousState === 'I' || expectedState === 'I') && state !== 'I')",
-        'if (false)',
+        'instance/dist/answer-matching.js',
+        'options.close(); failWith(current, answer); }',
+        'failWith(current, answer); }',
       ],
     ],
   },
   {
     on: 'platform',
-    name: 'line-refused-commit',
-    rule: 'a connection whose COMMIT was refused is lent again only at rest',
-    test: 'platform/dist/test/answers.test.js',
+    name: 'answer-stamp-again',
+    rule: 'MIXED: a stamp that was given before is taken for the answer',
+    test: 'platform/dist/test/repeated-answers.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['instance/dist/answer-history.js', "if (answer.stamp !== undefined && isKnown(answer)) return 'repeat';", ''],
+    ],
+  },
+  {
+    on: 'platform',
+    name: 'answer-without-stamp',
+    rule: 'MIXED: an answer without a stamp is taken for that of a statement',
+    test: 'platform/dist/test/repeated-answers.test.js',
+    seeds: [1, 1],
+    edits: [['instance/dist/answer-history.js', 'return answer.stamp !== undefined;', 'return true;']],
+  },
+  {
+    on: 'platform',
+    name: 'answer-begin-unproven',
+    rule: 'PINNED: a repeat is taken for the answer to a begin that failed',
+    test: 'platform/dist/test/answer-matching.test.js',
     seeds: [1, 1],
     edits: [
-      ['../platform/dist/instance.js', "(previousState === 'I' || expectedState === 'I')", "previousState === 'I'"],
+      [
+        'instance/dist/answer-history.js',
+        "return expected === 'begun' && isKnown(answer) ? 'unproven' : 'own';",
+        "return 'own';",
+      ],
     ],
   },
+  {
+    on: 'platform',
+    name: 'answer-error-unproven',
+    rule: 'REFUSED: an error that may be a repeat is taken for the answer',
+    test: 'platform/dist/test/repeated-answers.test.js',
+    seeds: [1, 1],
+    edits: [['instance/dist/answer-history.js', "return size() === 0 ? 'own' : 'unproven';", "return 'own';"]],
+  },
+  {
+    on: 'platform',
+    name: 'answer-error-without-proof',
+    rule: 'REFUSED: a write is told not to have run by an error that may be a repeat',
+    test: 'platform/dist/test/repeated-answers.test.js',
+    seeds: [1, 1],
+    edits: [['instance/dist/answer-matching.js', "if (mustBeCertain && error.reach === 'answered')", 'if (false)']],
+  },
+  {
+    on: 'platform',
+    name: 'answer-proof-twice',
+    rule: 'the status that proves an answer is a repeat itself',
+    test: 'platform/dist/test/answer-matching.test.js',
+    seeds: [1, 1],
+    edits: [
+      ['instance/dist/answer-matching.js', 'if (hasSentStatus) return giveUp(current);', ''],
+      ['instance/dist/answer-matching.js', '(hasSentStatus || history.size()', '(history.size()'],
+    ],
+  },
+  {
+    on: 'platform',
+    name: 'answer-history-endless',
+    rule: 'a connection remembers ever more answers',
+    test: 'platform/dist/test/answer-matching.test.js',
+    seeds: [1, 1],
+    edits: [['instance/dist/answer-matching.js', '|| history.size() >= ANSWER_HISTORY_LIMIT', '']],
+  },
   {
     name: 'beat-before-told',
     rule: 'news of an instance is acknowledged once a majority has it',
