--- a/packages/base/src/http-client.ts
+++ b/packages/base/src/http-client.ts
@@ -7,6 +7,12 @@
 
 /** HTTP/1.1 client over connections of a World: one connection sends one request after another. */
 
+/**
+ * Header with which a request is numbered, and which its answer repeats. An answer that has another number answers an
+ * earlier request, and was delayed or sent twice.
+ */
+export const REQUEST_ID_HEADER = 'x-request-id'
+
 /** How far a failed request got. none: no part was given to a connection; maybe: it may have reached the server. */
 export type Reach = 'none' | 'maybe'
 
@@ -32,11 +38,15 @@
 /**
  * Opens an HTTP connection that is never dialled again once it broke, so that nobody relies on session state that was
  * lost with it.
+ *
+ * @param options.numbersRequests whether requests are numbered, for servers that repeat the number in their answer;
+ * without it, only the order of the answers tells to which request they belong
  */
 export async function openHttpConnection(
   world: World,
   addr: Address,
   dialTimeoutMs: number = DIAL_TIMEOUT_MS,
+  options: { numbersRequests?: boolean } = {},
 ): Promise<Result<HttpConnection, HttpFailure>> {
   let stream: Duplex
   try {
@@ -51,6 +61,7 @@
    * follows it would be taken for the answer to the next one.
    */
   let isRequestOpen = false
+  let lastRequestNumber = 0
   function onStreamEnd(): void {
     closed.fire()
   }
@@ -94,6 +105,7 @@
         return
       }
       isRequestOpen = true
+      const requestNumber = String(++lastRequestNumber)
       let isSettled = false
       let unwatch = noop
       function settle(result: Result<HttpAnswer, HttpFailure>): void {
@@ -139,6 +151,11 @@
             fail('answer cut short')
             return
           }
+          const answeredNumber = res.headers[REQUEST_ID_HEADER]
+          if (options.numbersRequests && answeredNumber !== undefined && answeredNumber !== requestNumber) {
+            fail('answer to another request')
+            return
+          }
           const retryAfter = res.headers['retry-after']
           settle(Ok({ status: res.statusCode ?? 0, body: value, ...(retryAfter ? { after: Number(retryAfter) } : {}) }))
           // The server closes this connection; nothing more may be written to it.
@@ -158,6 +175,7 @@
           host: 'x',
           headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) },
         })
+        if (options.numbersRequests) req.setHeader(REQUEST_ID_HEADER, requestNumber)
         for (const [name, value] of headers) req.setHeader(name, value)
       } catch (error) {
         cancelTimer()
--- a/packages/base/src/http-server.ts
+++ b/packages/base/src/http-server.ts
@@ -8,6 +8,7 @@
   CONNECTION_GRACE_MS,
   MAX_LISTENER_CONNECTIONS,
 } from './constants.js'
+import { REQUEST_ID_HEADER } from './http-client.js'
 import { type Flag, TIMED_OUT, makeFlag, noop, pause, withTimeout } from './waiting.js'
 import type { Address, World } from './world.js'
 
@@ -217,6 +218,8 @@
       connection.lastUsedAt = world.now()
     }
     res.sendDate = false
+    const requestId = req.headers[REQUEST_ID_HEADER]
+    if (typeof requestId === 'string') res.setHeader(REQUEST_ID_HEADER, requestId)
     function onFinished(): void {
       openRequests--
       if (connection) {
--- a/packages/fleet/src/test/answers.test.ts
+++ b/packages/fleet/src/test/answers.test.ts
@@ -10,7 +10,9 @@
   makeFlag,
   makeLink,
   openHttpConnection,
+  serveHttp as serveHttpAt,
   pause,
+  type HttpResponse,
   type PersistentLink,
   type HttpConnection,
   type Link,
@@ -519,6 +521,70 @@
   }
 }
 
+/** A second answer that arrives while the next request is in flight is not taken for the answer to it. */
+async function lateSecondAnswers(test: Test): Promise<void> {
+  const sim = makeSim(7)
+  const results: unknown[] = []
+  async function runServer(world: World): Promise<void> {
+    function onConnection(stream: Duplex): void {
+      function onData(chunk: Buffer): void {
+        const [, number] = /x-request-id: (\d+)/i.exec(chunk.toString('latin1')) ?? []
+        const answer = httpAnswer(`request ${number}`).replace('\r\n', `\r\nx-request-id: ${number}\r\n`)
+        function send(): void {
+          if (!stream.destroyed) stream.write(answer)
+        }
+        if (number === '1') send()
+        // The second answer to the first request arrives before the answer to the second one.
+        world.later(number === '1' ? 50 : 40, send)
+      }
+      stream.on('error', ignore)
+      stream.on('data', onData)
+    }
+    await world.listen('10.0.0.1:80', onConnection)
+  }
+  async function runClient(world: World): Promise<void> {
+    await pause(world, 10)
+    const connection = (await openHttpConnection(world, '10.0.0.1:80', 500, { numbersRequests: true })).unwrap()
+    for (let count = 0; count < 2; count++) {
+      const answer = await connection.ask('GET', '/', undefined, REQUEST_TIMEOUT_MS)
+      results.push(answer.ok ? answer.val.body : `${answer.val.reach}: ${answer.val.why}`)
+      await pause(world, THINK_TIME_MS)
+    }
+    results.push(connection.alive())
+  }
+  sim.spawn(sim.machine('far', '10.0.0.1'), 'far', runServer)
+  sim.spawn(sim.machine('near', '10.0.2.1'), 'near', runClient)
+  await sim.run(sim.now() + 5000)
+  test.strictSame(results, [{ re: 'request 1' }, 'maybe: answer to another request', false])
+}
+
+/** The server repeats the number of a request in its answer. */
+async function numbersAreRepeated(test: Test): Promise<void> {
+  const sim = makeSim(8)
+  const results: unknown[] = []
+  async function runServer(world: World): Promise<void> {
+    function handle(): HttpResponse {
+      return { status: 200, body: 'own' }
+    }
+    await serveHttpAt(world, '10.0.0.1:80', handle)
+  }
+  async function runClient(world: World): Promise<void> {
+    await pause(world, 10)
+    const stream = await world.dial('10.0.0.1:80', 500)
+    function onData(chunk: Buffer): void {
+      results.push(/x-request-id: (\S+)/i.exec(chunk.toString('latin1'))?.[1])
+    }
+    stream.on('data', onData)
+    stream.write('GET / HTTP/1.1\r\nhost: x\r\nx-request-id: 49\r\n\r\n')
+    await pause(world, 100)
+    stream.write('GET / HTTP/1.1\r\nhost: x\r\n\r\n')
+  }
+  sim.spawn(sim.machine('far', '10.0.0.1'), 'far', runServer)
+  sim.spawn(sim.machine('near', '10.0.2.1'), 'near', runClient)
+  await sim.run(sim.now() + 5000)
+  test.strictSame(results, ['49', undefined])
+}
+
 /** A second request on a connection is not sent while the first one is in flight. */
 async function concurrentRequests(test: Test): Promise<void> {
   const sim = makeSim(6)
@@ -563,3 +629,5 @@
 void t.test('HTTP: schedules of wrong answers against a reference model', httpSchedules)
 void t.test('HTTP: bytes while no request is in flight', bytesWhileIdle)
 void t.test('HTTP: two concurrent requests', concurrentRequests)
+void t.test('HTTP: a late second answer is not the answer to the next request', lateSecondAnswers)
+void t.test('HTTP: answers repeat the number of their request', numbersAreRepeated)
--- a/packages/instance/src/edge.ts
+++ b/packages/instance/src/edge.ts
@@ -78,7 +78,7 @@
   { addr }: InstanceAddress,
   dialTimeoutMs: number,
 ): Promise<Result<InstanceConnection, RequestError>> {
-  const opened = await openHttpConnection(world, addr, dialTimeoutMs)
+  const opened = await openHttpConnection(world, addr, dialTimeoutMs, { numbersRequests: true })
   if (opened.err) return Err({ reach: 'none', class: 'UNAVAILABLE', transient: true, why: opened.val.why })
   const connection = opened.val
   async function post(path: string, body: unknown, timeoutMs: number): Promise<Result<StatementResult, RequestError>> {
@@ -161,7 +161,7 @@
   { addr }: InstanceAddress,
   timeoutMs: number,
 ): Promise<Result<StatusSampler, string>> {
-  const opened = await openHttpConnection(world, addr, timeoutMs)
+  const opened = await openHttpConnection(world, addr, timeoutMs, { numbersRequests: true })
   if (opened.err) return Err(opened.val.why)
   const connection = opened.val
   async function status(): Promise<Result<Status, string>> {
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -2357,4 +2357,11 @@
     seeds: [1, 1],
     edits: [['../platform/dist/lines.js', "const LINE_END = '\\r\\n';", "const LINE_END = '\\n';"]],
   },
+  {
+    name: 'http-answer-number',
+    rule: 'a late second answer is taken for the answer to the next request',
+    test: 'answers.test.js',
+    seeds: [1, 1],
+    edits: [['base/dist/http-client.js', 'answeredNumber !== requestNumber', 'false']],
+  },
 ]
