--- a/packages/base/src/log.ts
+++ b/packages/base/src/log.ts
@@ -18,7 +18,16 @@
       : typeof value === 'number'
         ? String(Math.round(value * 1000) / 1000)
         : (JSON.stringify(value) ?? 'none')
-  return /^[\w.:/@+,-]+$/.test(text) ? text : JSON.stringify(text)
+  return /^[\w.:/@+,-]+$/.test(text) ? text : quote(text)
+}
+/** Quotes a text so that it holds nothing that a terminal or a reader of lines may take for a line end or a command. */
+function quote(text: string): string {
+  return JSON.stringify(text).replace(UNPRINTABLE, escapeCharacter)
+}
+/** Characters that JSON leaves as they are: DEL, C1 controls, line and paragraph separators. */
+const UNPRINTABLE = /[\u007f-\u009f\u2028\u2029]/g
+function escapeCharacter(character: string): string {
+  return `\\u${character.charCodeAt(0).toString(16).padStart(4, '0')}`
 }
 
 /** Formats one log line of key=value pairs; undefined fields are left out. */
