--- a/packages/instance/src/answer-history.ts
+++ b/packages/instance/src/answer-history.ts
@@ -57,11 +57,10 @@
 export function makeAnswerHistory(): AnswerHistory {
   const stamps = new Set<string>()
   const appearances = new Set<string>()
-  let openingAppearance: string | undefined
 
   function add(answer: ReceivedAnswer): void {
-    if (answer.end === 'opened') openingAppearance = appearanceOf(answer)
-    else if (answer.stamp !== undefined) stamps.add(answer.stamp)
+    if (answer.end === 'opened') return
+    if (answer.stamp !== undefined) stamps.add(answer.stamp)
     else appearances.add(appearanceOf(answer))
   }
   function size(): number {
@@ -69,8 +68,9 @@
   }
   function isKnown(answer: ReceivedAnswer): boolean {
     if (answer.stamp !== undefined) return stamps.has(answer.stamp)
-    const appearance = appearanceOf(answer)
-    return appearances.has(appearance) || appearance === openingAppearance
+    // Only the opening is answered by a state alone, and outside a transaction.
+    if (answer.end === 'opened') return answer.state === 'idle'
+    return appearances.has(appearanceOf(answer))
   }
   function originOfUnsolicited(answer: ReceivedAnswer): AnswerOrigin {
     return isKnown(answer) ? 'repeat' : 'foreign'
