--- a/packages/instance/src/answer-history.ts
+++ b/packages/instance/src/answer-history.ts
@@ -57,11 +57,18 @@
 export function makeAnswerHistory(): AnswerHistory {
   const stamps = new Set<string>()
   const appearances = new Set<string>()
+  /**
+   * States of acknowledgements that may be still to come, as a repeat may have been taken for them. They come before the
+   * next answer with a stamp, as instances answer in order.
+   */
+  const owedAcknowledgements = new Set<ConnectionState>()
 
   function add(answer: ReceivedAnswer): void {
     if (answer.end === 'opened') return
-    if (answer.stamp !== undefined) stamps.add(answer.stamp)
-    else appearances.add(appearanceOf(answer))
+    if (answer.stamp !== undefined) {
+      stamps.add(answer.stamp)
+      owedAcknowledgements.clear()
+    } else appearances.add(appearanceOf(answer))
   }
   function size(): number {
     return stamps.size + appearances.size
@@ -70,7 +77,10 @@
     if (answer.stamp !== undefined) return stamps.has(answer.stamp)
     // Only the opening is answered by a state alone, and outside a transaction.
     if (answer.end === 'opened') return answer.state === 'idle'
-    return appearances.has(appearanceOf(answer))
+    return appearances.has(appearanceOf(answer)) || isOwed(answer)
+  }
+  function isOwed(answer: ReceivedAnswer): boolean {
+    return answer.end === 'done' && answer.rows.length === 0 && owedAcknowledgements.has(answer.state)
   }
   function originOfUnsolicited(answer: ReceivedAnswer): AnswerOrigin {
     return isKnown(answer) ? 'repeat' : 'foreign'
@@ -86,12 +96,15 @@
       case 'status':
         return isKnown(answer) ? 'unproven' : 'own'
       case 'begun':
-      case 'acknowledged': {
-        if (answer.state !== stateAfter) return isKnown(answer) ? 'repeat' : 'own'
-        // A begin may fail, and what follows would then run outside a transaction. The other requests of this kind
-        // don't fail, and run in their order whether or not a repeat is taken for the answer.
-        return expected === 'begun' && isKnown(answer) ? 'unproven' : 'own'
-      }
+        // A begin may fail, and what follows would then run outside a transaction.
+        if (!isKnown(answer)) return 'own'
+        return answer.state === stateAfter ? 'unproven' : 'repeat'
+      case 'acknowledged':
+        // These requests don't fail, and run in their order whether or not a repeat is taken for the answer.
+        if (!isKnown(answer)) return 'own'
+        if (answer.state !== stateAfter) return 'repeat'
+        owedAcknowledgements.add(stateAfter)
+        return 'own'
     }
   }
   return { add, size, originOfUnsolicited, originOf }
--- a/packages/instance/src/answer-matching.ts
+++ b/packages/instance/src/answer-matching.ts
@@ -140,7 +140,10 @@
       candidates.push(answer)
       return
     }
-    if (statusOrigin === 'own') return conclude(current, candidates)
+    if (statusOrigin === 'own') {
+      history.add(answer)
+      return conclude(current, candidates)
+    }
     const origin = history.originOf(answer, current.request.expects, current.stateAfter)
     if (origin === 'own' && current.request.expects === 'begun') candidates[0] = answer
     else if (origin === 'own') {
--- a/tools/mutants.list.js
+++ b/tools/mutants.list.js
@@ -1055,11 +1055,19 @@
     edits: [
       [
         'instance/dist/answer-history.js',
-        "return expected === 'begun' && isKnown(answer) ? 'unproven' : 'own';",
-        "return 'own';",
+        "return answer.state === stateAfter ? 'unproven' : 'repeat';",
+        "return answer.state === stateAfter ? 'own' : 'repeat';",
       ],
     ],
   },
+  {
+    on: 'platform',
+    name: 'answer-owed-unknown',
+    rule: 'an acknowledgement that comes late breaks the next request',
+    test: 'platform/dist/test/answer-matching.test.js',
+    seeds: [1, 1],
+    edits: [['instance/dist/answer-history.js', 'owedAcknowledgements.add(stateAfter);', '']],
+  },
   {
     on: 'platform',
     name: 'answer-error-unproven',
