--- a/packages/instance/src/answer-matching.ts
+++ b/packages/instance/src/answer-matching.ts
@@ -39,9 +39,11 @@
   observer: AnswerObserver | undefined
 }
 
+/** The error of a request that was not sent. */
 export function notSentError(why: string): RequestError {
   return { reach: 'none', class: 'UNAVAILABLE', transient: true, why }
 }
+/** The error of a request that may have been executed. */
 export function unclearError(why: string): RequestError {
   return { reach: 'maybe', class: 'UNAVAILABLE', transient: true, why }
 }
--- a/packages/proxy/src/transactions.ts
+++ b/packages/proxy/src/transactions.ts
@@ -11,7 +11,7 @@
   type Metrics,
   type World,
 } from '@claynotch/base'
-import type { InstanceAdapter, RequestError, StatementResult } from '@claynotch/instance'
+import { notSentError, type InstanceAdapter, type RequestError, type StatementResult } from '@claynotch/instance'
 import { refusal, type Verdict, type ClientRequest } from '@claynotch/requester'
 import { isFresh } from './freshness.js'
 import { tenantOfKey, identify } from './identity.js'
@@ -87,11 +87,6 @@
   return { mark, ...(stamp !== undefined ? { stamp } : {}) }
 }
 
-/** The error of a statement that was not sent, as its transaction may not continue. */
-function notSentError(reason: string): RequestError {
-  return { reach: 'none', class: 'UNAVAILABLE', transient: true, why: reason }
-}
-
 export function makeTransactions(
   world: World,
   state: State,
