--- a/review/parts-2.mjs
+++ b/review/parts-2.mjs
@@ -137,7 +137,7 @@
 
 /**
  * A service: one primary and its replicas, each with a log of its own. A commit at the primary reaches a replica
- * `lagMs` later, if the primary still runs then; with `sync`, it is answered as soon as one replica has it.
+ * `lagMs` later, if its process still runs then; with `sync`, it is answered as soon as one replica has it.
  */
 export class Service {
   constructor({ name, database, net, first, zones, count = 3, lagMs = [60], workMs = 4, promoteMs = 300, sync = 0 }) {
@@ -324,7 +324,7 @@
   #receive(from, entry) {
     const arrive = () => {
       const isFollower = this.isUp && this.role === 'replica' && this.term === from.term
-      if (!isFollower || !from.isUp || from.role !== 'primary' || this.log.length !== entry.number - 1) return
+      if (!isFollower || !from.isUp || this.log.length !== entry.number - 1) return
       this.log.push(entry)
       for (const wait of [...from.waits]) if (wait.number <= entry.number) wait.done()
     }
