--- a/review/parts-2.mjs
+++ b/review/parts-2.mjs
@@ -744,6 +744,8 @@
     this.count = 0
     this.sent = []
     this.isStopped = false
+    /** Share of the requests that are reads. */
+    this.readShare = 0
   }
   #front() {
     const ready = this.system.fronts.filter((machine) => machine.isReady)
@@ -794,11 +796,13 @@
         session.take = take
         setTimeout(() => take(undefined), 4000)
       })
-      session.socket.write(`QUERY ${id} WRITE t${this.number}.${number} d${number}\r\n`)
+      const thing = `t${this.number}.${number}`
+      const text = Math.random() < this.readShare ? `READ ${thing}` : `WRITE ${thing} d${number}`
+      session.socket.write(`QUERY ${id} ${text}\r\n`)
       const lines = await answer
       session.take = undefined
       write.answeredAt = now()
-      write.answer = lines ? lines[0] : 'none'
+      write.answer = lines ? lines.find((line) => !line.startsWith('ROW ')) : 'none'
       if (!lines) break
       await sleep(write.answer.startsWith('COMPLETE') ? this.pauseMs : 100)
     }
