--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 test -f target/claynotch.mjs || node tools/bundle.js
-for file in review/parts-2.mjs review/platform-2.mjs review/6/case.mjs review/7/case.mjs review/8/case.mjs review/9/case.mjs; do
+for file in review/parts-2.mjs review/platform-2.mjs review/6/case.mjs review/7/case.mjs review/8/case.mjs review/9/case.mjs review/10/case.mjs; do
   node --check "$file"
 done
